--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+SITE ?= kadalpura
+SEED ?= 1
+SECONDS ?= 30
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo test check measure fuzz faults format
+
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/python -m support.demo.run --site $(SITE)
+
+test: check
+	$(BIN)/python -m pytest
+
+check: $(READY)
+	$(BIN)/ruff format --check src support tests
+	$(BIN)/ruff check src support tests
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/ruff check --fix src support tests
+	$(BIN)/ruff format src support tests
+
+measure: $(READY)
+	$(BIN)/python -m support.measure.run --seed $(SEED)
+
+fuzz: $(READY)
+	$(BIN)/python -m support.fuzz.run --seconds $(SECONDS) --seed $(SEED)
+
+faults: $(READY)
+	$(BIN)/python -m support.faults.run --seed $(SEED)
--- /dev/null
+++ b/src/wagtailtiller/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the store and the platform over their HTTP protocols."""
--- /dev/null
+++ b/src/wagtailtiller/adapters/http_platform.py
@@ -0,0 +1,75 @@
+"""Client of the platform's VM interface over HTTP."""
+
+from typing import TypeVar
+
+import aiohttp
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from wagtailtiller import errors
+from wagtailtiller import ids
+from wagtailtiller.ports import platform
+
+_CALL_TIMEOUT_MS = 2_000
+_HTTP_OK = 200
+
+_T = TypeVar("_T")
+
+
+class _Accepted(msgspec.Struct):
+    accepted: bool
+
+
+class HttpPlatform:
+    """The ``Platform`` port over aiohttp.
+
+    Args:
+        base_url: Such as ``http://127.0.0.1:7100``.
+    """
+
+    def __init__(self, base_url: str) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def list_vms(
+        self,
+    ) -> Result[list[platform.VmReport], errors.PlatformUnavailable]:
+        """Return the live and leaving VMs; the list lags behind."""
+        return await self._call("GET", "/v1/vms", {}, list[platform.VmReport])
+
+    async def reboot(
+        self, vm: ids.VmId, after_boot: int
+    ) -> Result[bool, errors.PlatformUnavailable]:
+        """Reboot a VM for maintenance; repeating the call has no effect."""
+        query = {"vm": vm, "after_boot": str(after_boot)}
+        answer = await self._call("POST", "/v1/reboot", query, _Accepted)
+        return answer.map(lambda got: got.accepted)
+
+    async def _call(
+        self, method: str, path: str, query: dict[str, str], kind: type[_T]
+    ) -> Result[_T, errors.PlatformUnavailable]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                cookie_jar=aiohttp.DummyCookieJar(),
+                timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_MS / 1_000),
+            )
+        try:
+            async with self._session.request(
+                method, self._base_url + path, params=query
+            ) as response:
+                body = await response.read()
+                if response.status != _HTTP_OK:
+                    reason = f"status {response.status}"
+                    return Error(errors.PlatformUnavailable(reason))
+                return Ok(msgspec.json.decode(body, type=kind))
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return Error(errors.PlatformUnavailable(type(error).__name__))
+        except msgspec.MsgspecError as error:
+            return Error(errors.PlatformUnavailable(f"bad answer: {error}"))
--- /dev/null
+++ b/src/wagtailtiller/controller/maintenance.py
@@ -0,0 +1,170 @@
+"""Carries out what the fleet's plan asks for: drains, reboots and returns."""
+
+import asyncio
+from collections.abc import Callable
+
+import grpc
+import msgspec
+
+from wagtailtiller import clock
+from wagtailtiller import events
+from wagtailtiller import fleet
+from wagtailtiller import ids
+from wagtailtiller import metrics
+from wagtailtiller import replica
+from wagtailtiller import roster
+from wagtailtiller.dispatch import messages
+from wagtailtiller.fleet import planning
+from wagtailtiller.fleet import writing
+from wagtailtiller.gateway import peers
+from wagtailtiller.ports import platform
+
+_ASK_TIMEOUT_MS = 1_000
+
+
+class DrainClient:
+    """Asks pool owners whether a VM is free of work."""
+
+    def __init__(self) -> None:
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    async def close(self) -> None:
+        """Close the connections."""
+        for channel in self._channels.values():
+            await channel.close()
+
+    async def ask(
+        self, owner: roster.Session, vm: ids.VmId
+    ) -> messages.DrainAnswer:
+        """Ask a gateway; no answer counts as not being the owner."""
+        address = owner.peer_address
+        if address not in self._channels:
+            self._channels[address] = grpc.aio.insecure_channel(
+                address, options=peers.CHANNEL_OPTIONS
+            )
+        call: grpc.aio.UnaryUnaryMultiCallable
+        call = self._channels[address].unary_unary(peers.DRAIN_STATE)
+        question = msgspec.msgpack.encode(messages.DrainQuestion(vm))
+        try:
+            answer = await call(question, timeout=_ASK_TIMEOUT_MS / 1_000)
+        except grpc.RpcError:
+            return messages.DrainAnswer(owner=False)
+        return msgspec.msgpack.decode(answer, type=messages.DrainAnswer)
+
+
+class Maintenance:
+    """One step at a time brings the fleet towards its plan.
+
+    Args:
+        shared: This process's copy of the shared state.
+        writer: Writes fleet commands.
+        vms: The platform.
+        drains: Asks the pool owners.
+        leads: Whether this controller leads.
+        time: The clock.
+        meter: Where writes are counted.
+    """
+
+    def __init__(
+        self,
+        shared: replica.Replica,
+        writer: writing.FleetWriter,
+        vms: platform.Platform,
+        drains: DrainClient,
+        leads: Callable[[], bool],
+        time: clock.Clock,
+        meter: metrics.Meter,
+    ) -> None:
+        self._replica = shared
+        self._writer = writer
+        self._platform = vms
+        self._drains = drains
+        self._leads = leads
+        self._clock = time
+        self._meter = meter
+
+    async def step(self) -> None:
+        """Look at the platform once and do what is due."""
+        if not self._leads() or not self._replica.settings.revision:
+            return
+        listed = await self._platform.list_vms()
+        if listed.is_error():
+            events.emit(
+                events.Event.PLATFORM_UNREACHABLE, reason=str(listed.error)
+            )
+            return
+        reports = {report.vm: report for report in listed.ok}
+        if not reports:
+            return
+        drained = await self._drained()
+        await self._submit(reports, drained)
+        await self._reboot_stopped()
+
+    async def _drained(self) -> list[fleet.Command]:
+        leaving = [
+            (vm, record)
+            for vm, record in self._replica.fleet.vms.items()
+            if record.state is fleet.VmState.LEAVING
+            and not isinstance(record.goal, fleet.Evicted)
+        ]
+        answers = await asyncio.gather(
+            *(self._ask_owner(vm, record) for vm, record in leaving)
+        )
+        return [
+            fleet.Drained(vm, answer.generation)
+            for (vm, _), answer in zip(leaving, answers, strict=True)
+            if answer.owner and answer.idle
+        ]
+
+    async def _ask_owner(
+        self, vm: ids.VmId, record: fleet.VmRecord
+    ) -> messages.DrainAnswer:
+        owner = roster.owner(self._replica.roster, record.pool)
+        if owner is None:
+            return messages.DrainAnswer(owner=False)
+        return await self._drains.ask(owner, vm)
+
+    async def _submit(
+        self, reports: planning.Reports, drained: list[fleet.Command]
+    ) -> None:
+        catalogue = self._replica.settings.catalogue
+
+        def plan(current: fleet.Fleet) -> list[fleet.Command]:
+            observed = planning.observe(current, catalogue, reports)
+            return observed + drained + planning.plan(current, catalogue)
+
+        outcome = await self._writer.submit(plan, catalogue)
+        if outcome.is_error():
+            return
+        for decision in outcome.ok.decisions:
+            _log(decision)
+            if decision.refusal is None:
+                self._meter.incr(metrics.Metric.FLEET_WRITES.value)
+
+    async def _reboot_stopped(self) -> None:
+        """Reboot what the replica shows as stopped.
+
+        The replica may lag, which is harmless: the platform leaves alone a
+        VM that has started since.
+        """
+        for vm, record in self._replica.fleet.vms.items():
+            if record.state is not fleet.VmState.STOPPED:
+                continue
+            accepted = await self._platform.reboot(vm, record.boot)
+            if accepted.is_ok() and accepted.ok:
+                events.emit(events.Event.REBOOT_REQUESTED, vm=vm)
+
+
+def _log(decision: writing.Decision) -> None:
+    fields = {
+        "command": type(decision.command).__name__,
+        "detail": msgspec.to_builtins(decision.command),
+    }
+    if decision.refusal is None:
+        events.emit(events.Event.FLEET_COMMAND_APPLIED, **fields)
+    else:
+        events.emit(
+            events.Event.FLEET_COMMAND_REFUSED,
+            refusal=str(decision.refusal),
+            **fields,
+        )
--- /dev/null
+++ b/src/wagtailtiller/controller/node.py
@@ -0,0 +1,103 @@
+"""A whole controller: its tasks, and what they share."""
+
+import asyncio
+import random
+
+from wagtailtiller import clock
+from wagtailtiller import events
+from wagtailtiller import follower
+from wagtailtiller import metrics
+from wagtailtiller import process
+from wagtailtiller import replica
+from wagtailtiller.controller import leader
+from wagtailtiller.controller import maintenance
+from wagtailtiller.controller import membership
+from wagtailtiller.fleet import writing
+from wagtailtiller.ports import platform
+from wagtailtiller.ports import store
+
+
+class ControllerNode:
+    """Wires the parts of a controller together.
+
+    Args:
+        own: The process settings.
+        target: The platform's store.
+        vms: The platform's VM interface.
+        time: The clock.
+        meter: Where metrics go.
+    """
+
+    def __init__(
+        self,
+        own: process.ControllerSettings,
+        target: store.Store,
+        vms: platform.Platform,
+        time: clock.Clock,
+        meter: metrics.Meter,
+    ) -> None:
+        self._own = own
+        randomness = random.Random(own.controller)
+        shared = replica.Replica(own.region)
+        self._leadership = leader.Leadership(
+            target,
+            own.controller,
+            own.region,
+            own.lease_ttl_ms,
+            time,
+            randomness,
+        )
+        self._follower = follower.StoreFollower(
+            source=target,
+            shared=shared,
+            time=time,
+            confirmed=lambda asked_ms: None,
+            changed=lambda: None,
+            random_source=randomness,
+        )
+        self._roster = membership.RosterKeeper(
+            target,
+            own.region,
+            self._leadership.holds,
+            time,
+            follower.Backoff(randomness),
+        )
+        self._drains = maintenance.DrainClient()
+        self._maintenance = maintenance.Maintenance(
+            shared=shared,
+            writer=writing.FleetWriter(target, own.region, time),
+            vms=vms,
+            drains=self._drains,
+            leads=self._leadership.holds,
+            time=time,
+            meter=meter,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start every task."""
+        self._tasks = [
+            asyncio.create_task(self._follower.run()),
+            asyncio.create_task(self._leadership.run()),
+            asyncio.create_task(self._roster.run()),
+            asyncio.create_task(self._maintain()),
+        ]
+        events.emit(
+            events.Event.CONTROLLER_STARTED, controller=self._own.controller
+        )
+
+    async def stop(self) -> None:
+        """Stop; another controller goes on from the store."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._leadership.resign()
+        await self._drains.close()
+        events.emit(
+            events.Event.CONTROLLER_STOPPED, controller=self._own.controller
+        )
+
+    async def _maintain(self) -> None:
+        while True:
+            await self._maintenance.step()
+            await asyncio.sleep(self._own.poll_ms / 1_000)
--- /dev/null
+++ b/src/wagtailtiller/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/wagtailtiller/ctl/base.py
@@ -0,0 +1,82 @@
+"""What all commands of ``wagtailctl`` have in common."""
+
+import asyncio
+from collections.abc import Sequence
+import getpass
+import os
+from typing import Any
+from typing import ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+
+from wagtailtiller import ids
+from wagtailtiller.ctl import output
+from wagtailtiller.ctl import session
+
+_DEFAULT_STORE_URL = "http://127.0.0.1:7000"
+
+
+class StoreCommand(Command):
+    """A command that works on the shared state in the store."""
+
+    options: ClassVar[list[Option]] = [
+        option("store", None, "URL of the store [$WAGTAIL_STORE_URL].", False),
+        option("region", None, "The region [$WAGTAIL_REGION].", False),
+        option("who", None, "Your name [$USER].", False),
+        option("why", None, "The reason, kept in the audit trail.", False),
+        option("json", None, "Print JSON."),
+    ]
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        return asyncio.run(self._handle())
+
+    async def perform(self, current: session.Session) -> int:
+        """Do the command's work on a loaded session."""
+        raise NotImplementedError
+
+    def show(
+        self, headings: Sequence[str], rows: Sequence[output.Row], value: Any
+    ) -> None:
+        """Print a table, or the value as JSON when that was asked for."""
+        if self.option("json"):
+            self.line(_escaped(output.as_json(value)))
+        else:
+            self.line(_escaped(output.table(headings, rows)))
+
+    def fail(self, error: object) -> int:
+        """Print an error and return its exit code."""
+        self.line_error(_escaped(output.describe(error)), "error")
+        return output.exit_code(error)
+
+    def not_found(self, what: str) -> int:
+        """Say that something does not exist."""
+        self.line_error(_escaped(f"there is no {what}"), "error")
+        return output.ExitCode.NOT_FOUND
+
+    async def _handle(self) -> int:
+        current = session.Session(self._operator())
+        try:
+            error = await current.load()
+            if error is not None:
+                return self.fail(error)
+            return await self.perform(current)
+        finally:
+            await current.close()
+
+    def _operator(self) -> session.Operator:
+        env = os.environ
+        region = self.option("region") or env.get("WAGTAIL_REGION", "main")
+        return session.Operator(
+            store_url=self.option("store")
+            or env.get("WAGTAIL_STORE_URL", _DEFAULT_STORE_URL),
+            region=ids.RegionId(region),
+            who=self.option("who") or getpass.getuser(),
+            why=self.option("why") or "",
+        )
+
+
+def _escaped(text: str) -> str:
+    return text.replace("<", "\\<")
--- /dev/null
+++ b/src/wagtailtiller/ctl/fleet_commands.py
@@ -0,0 +1,306 @@
+"""Commands on pools, queues, VMs and waves."""
+
+import asyncio
+import collections
+import json
+from typing import Any
+from typing import ClassVar
+import uuid
+
+from cleo.helpers import argument
+from cleo.helpers import option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from wagtailtiller import errors
+from wagtailtiller import fleet
+from wagtailtiller import ids
+from wagtailtiller.ctl import base
+from wagtailtiller.ctl import output
+from wagtailtiller.ctl import session
+from wagtailtiller.ctl import settings_commands
+from wagtailtiller.settings import changes
+
+_POLL_S = 0.2
+_SET = option("set", None, "Set FIELD=VALUE.", False, multiple=True)
+
+
+class NodeCommand(base.StoreCommand):
+    """Lists nodes of one kind, or sets values of one of them."""
+
+    options: ClassVar[list[Option]] = [
+        *base.StoreCommand.options,
+        _SET,
+        settings_commands.EXPECT,
+    ]
+
+    async def set_values(self, current: session.Session, path: str) -> int:
+        """Append the values given with ``--set`` to the node at a path."""
+        values: dict[str, Any] = {}
+        for text in self.option("set"):
+            field, separator, value = text.partition("=")
+            if not separator:
+                fault = errors.InvalidSetting("--set", text, "FIELD=VALUE")
+                return self.fail(fault)
+            values[field] = _plain(value)
+        patch: changes.Plain = {"values": values}
+        for part in reversed(path.strip("/").split("/")):
+            patch = {part: patch}
+        return await settings_commands.append_patch(self, current, patch)
+
+
+class PoolCommand(NodeCommand):
+    """Lists pools, or changes one."""
+
+    name = "pool"
+    description = (
+        "List pools or change one."
+        " Example: wagtailctl pool plates --set max_unavailable_vms=2"
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("pool", "The pool.", optional=True)
+    ]
+
+    async def perform(self, current: session.Session) -> int:
+        """List or change."""
+        pools = current.replica.settings.catalogue.pools
+        name = self.argument("pool")
+        if name and name not in pools:
+            return self.not_found(f"pool {name}")
+        if self.option("set"):
+            return await self.set_values(current, pools[name].path)
+        chosen = [pools[name]] if name else list(pools.values())
+        counts = _counts(current.replica.fleet)
+        rows = [
+            (
+                pool.pool,
+                sum(counts[pool.pool].values()),
+                counts[pool.pool][fleet.VmState.SERVING],
+                fleet.unavailable(current.replica.fleet, pool.pool),
+                pool.max_unavailable_vms,
+            )
+            for pool in chosen
+        ]
+        headings = ("POOL", "VMS", "SERVING", "UNAVAILABLE", "ALLOWED")
+        self.show(headings, rows, chosen)
+        return output.ExitCode.OK
+
+
+class QueueCommand(NodeCommand):
+    """Lists queues, or changes one."""
+
+    name = "queue"
+    description = (
+        "List queues or change one."
+        " Example: wagtailctl queue proofs --set deadline_ms=5000"
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("queue", "The queue.", optional=True)
+    ]
+
+    async def perform(self, current: session.Session) -> int:
+        """List or change."""
+        queues = current.replica.settings.catalogue.queues
+        name = self.argument("queue")
+        if name and name not in queues:
+            return self.not_found(f"queue {name}")
+        if self.option("set"):
+            return await self.set_values(current, queues[name].path)
+        chosen = [queues[name]] if name else list(queues.values())
+        rows = [
+            (
+                queue.queue,
+                queue.pool,
+                queue.priority.name.lower(),
+                queue.deadline_ms,
+                queue.idempotent,
+                queue.owner or "-",
+            )
+            for queue in chosen
+        ]
+        headings = (
+            "QUEUE",
+            "POOL",
+            "PRIORITY",
+            "DEADLINE_MS",
+            "IDEMPOTENT",
+            "OWNER",
+        )
+        self.show(headings, rows, chosen)
+        return output.ExitCode.OK
+
+
+class VmCommand(base.StoreCommand):
+    """Lists VMs, or moves one to another pool."""
+
+    name = "vm"
+    description = (
+        "List VMs or move one. Example: wagtailctl vm kal-07 --move-to plates"
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("vm", "The VM.", optional=True)
+    ]
+    options: ClassVar[list[Option]] = [
+        *base.StoreCommand.options,
+        option("move-to", None, "The pool to move the VM to.", False),
+    ]
+
+    async def perform(self, current: session.Session) -> int:
+        """List or move."""
+        vms = current.replica.fleet.vms
+        name = self.argument("vm")
+        if name and name not in vms:
+            return self.not_found(f"VM {name}")
+        to_pool = self.option("move-to")
+        if to_pool:
+            goal = fleet.Move(ids.PoolId(to_pool))
+            done = await current.command(fleet.BeginLeave(name, goal))
+            if done.is_error():
+                return self.fail(done.error)
+            vms = done.ok.fleet.vms
+        chosen = {name: vms[name]} if name else vms
+        rows = [
+            (vm, record.pool, record.state.value, record.boot)
+            for vm, record in sorted(chosen.items())
+        ]
+        self.show(("VM", "POOL", "STATE", "STARTS"), rows, chosen)
+        return output.ExitCode.OK
+
+
+class WaveCommand(base.StoreCommand):
+    """Starts, cancels, lists and follows maintenance waves."""
+
+    name = "wave"
+    description = (
+        "Start or follow a maintenance wave."
+        " Example: wagtailctl wave start plates --follow"
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("action", "list, start, cancel or show."),
+        argument("name", "The pool to start, or the wave.", optional=True),
+    ]
+    options: ClassVar[list[Option]] = [
+        *base.StoreCommand.options,
+        option("follow", None, "Show progress until the wave has ended."),
+    ]
+
+    async def perform(self, current: session.Session) -> int:
+        """Do the action."""
+        action = self.argument("action")
+        name = self.argument("name") or ""
+        match action:
+            case "list":
+                self._show_waves(current.replica.fleet.waves)
+                return output.ExitCode.OK
+            case "show":
+                return await self._follow(current, ids.WaveId(name))
+            case "start":
+                return await self._start(current, ids.PoolId(name))
+            case "cancel":
+                command = fleet.CancelWave(ids.WaveId(name))
+                return await self._submit(current, command)
+        allowed = "one of list, start, cancel, show"
+        return self.fail(errors.InvalidSetting("action", action, allowed))
+
+    async def _start(self, current: session.Session, pool: ids.PoolId) -> int:
+        if pool not in current.replica.settings.catalogue.pools:
+            return self.not_found(f"pool {pool}")
+        wave = ids.WaveId(f"{pool}-{uuid.uuid4().hex[:6]}")
+        who = current.operator.who
+        code = await self._submit(current, fleet.StartWave(wave, pool, who))
+        if code == output.ExitCode.OK and self.option("follow"):
+            return await self._follow(current, wave)
+        return code
+
+    async def _submit(
+        self, current: session.Session, command: fleet.Command
+    ) -> int:
+        done = await current.command(command)
+        if done.is_error():
+            return self.fail(done.error)
+        self._show_waves(done.ok.fleet.waves)
+        return output.ExitCode.OK
+
+    async def _follow(self, current: session.Session, name: ids.WaveId) -> int:
+        shown = ""
+        while True:
+            await current.load()
+            wave = current.replica.fleet.waves.get(name)
+            if wave is None:
+                return self.not_found(f"wave {name}")
+            done = wave.total - len(wave.pending)
+            line = f"{name}: {done} of {wave.total} {wave.state.value}"
+            if line != shown and not self.option("json"):
+                self.line(line)
+                shown = line
+            running = wave.state is fleet.WaveState.RUNNING
+            if not running or not self.option("follow"):
+                break
+            await asyncio.sleep(_POLL_S)
+        if self.option("json"):
+            self.line(output.as_json(wave))
+        return output.ExitCode.OK
+
+    def _show_waves(self, waves: dict[ids.WaveId, fleet.Wave]) -> None:
+        rows = [
+            (
+                name,
+                wave.pool,
+                wave.state.value,
+                f"{wave.total - len(wave.pending)}/{wave.total}",
+                wave.who,
+            )
+            for name, wave in waves.items()
+        ]
+        self.show(("WAVE", "POOL", "STATE", "DONE", "WHO"), rows, waves)
+
+
+class StatusCommand(base.StoreCommand):
+    """Prints an overview of a region."""
+
+    name = "status"
+    description = "Show gateways, pools and waves. Example: wagtailctl status"
+
+    async def perform(self, current: session.Session) -> int:
+        """Print the overview."""
+        shared = current.replica
+        counts = _counts(shared.fleet)
+        states: collections.Counter[str] = collections.Counter()
+        for per_state in counts.values():
+            for state, count in per_state.items():
+                states[state.value] += count
+        running = [
+            name
+            for name, wave in shared.fleet.waves.items()
+            if wave.state is fleet.WaveState.RUNNING
+        ]
+        value = {
+            "settings_revision": shared.settings.revision,
+            "roster_epoch": shared.roster.epoch,
+            "gateways": sorted(shared.roster.members),
+            "vms": dict(states),
+            "running_waves": running,
+        }
+        rows = [
+            (name, json.dumps(each) if isinstance(each, dict | list) else each)
+            for name, each in value.items()
+        ]
+        self.show(("WHAT", "VALUE"), rows, value)
+        return output.ExitCode.OK
+
+
+def _counts(
+    current: fleet.Fleet,
+) -> dict[ids.PoolId, "collections.Counter[fleet.VmState]"]:
+    counts: dict[ids.PoolId, collections.Counter[fleet.VmState]]
+    counts = collections.defaultdict(collections.Counter)
+    for record in current.vms.values():
+        counts[record.pool][record.state] += 1
+    return counts
+
+
+def _plain(text: str) -> Any:
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
--- /dev/null
+++ b/src/wagtailtiller/ctl/main.py
@@ -0,0 +1,32 @@
+"""``wagtailctl``: the operators' program."""
+
+from cleo.application import Application
+
+import wagtailtiller
+from wagtailtiller.ctl import fleet_commands
+from wagtailtiller.ctl import settings_commands
+
+_COMMANDS = (
+    settings_commands.ValidateCommand,
+    settings_commands.ApplyCommand,
+    settings_commands.GetCommand,
+    settings_commands.ExplainCommand,
+    settings_commands.HistoryCommand,
+    fleet_commands.PoolCommand,
+    fleet_commands.QueueCommand,
+    fleet_commands.VmCommand,
+    fleet_commands.WaveCommand,
+    fleet_commands.StatusCommand,
+)
+
+
+def main() -> int:
+    """Run the command that the arguments name."""
+    application = Application("wagtailctl", wagtailtiller.__version__)
+    for command in _COMMANDS:
+        application.add(command())
+    return application.run()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/src/wagtailtiller/ctl/output.py
@@ -0,0 +1,71 @@
+"""What the command line prints, and the codes it exits with."""
+
+from collections.abc import Sequence
+import enum
+import json
+from typing import Any
+
+import msgspec
+
+from wagtailtiller import errors
+from wagtailtiller.settings import appending
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of ``wagtailctl``; see ``docs/INTERFACE.md``."""
+
+    OK = 0
+    INVALID = 2
+    CONFLICT = 3
+    STORE_UNAVAILABLE = 4
+    REFUSED = 5
+    NOT_FOUND = 6
+
+
+_CODES: dict[type, ExitCode] = {
+    errors.InvalidSetting: ExitCode.INVALID,
+    errors.Conflict: ExitCode.CONFLICT,
+    errors.StoreUnavailable: ExitCode.STORE_UNAVAILABLE,
+    errors.Refused: ExitCode.REFUSED,
+}
+
+Row = Sequence[object]
+
+
+def exit_code(error: object) -> ExitCode:
+    """Return the exit code for an error value."""
+    return _CODES[type(error)]
+
+
+def describe(error: object) -> str:
+    """Put an error into words, a conflict with the other's change."""
+    if not isinstance(error, errors.Conflict):
+        return str(error)
+    other = appending.other_change(error)
+    if other is None:
+        return str(error)
+    patch = json.dumps(other.patch, indent=2)
+    return (
+        f"conflict: {other.who} wrote revision {other.revision} first"
+        f" ({other.why or 'no reason given'}):\n{patch}\n"
+        "read the settings again and repeat your change"
+    )
+
+
+def table(headings: Sequence[str], rows: Sequence[Row]) -> str:
+    """Lay rows out in aligned columns."""
+    cells = [[str(cell) for cell in row] for row in rows]
+    lines = [list(headings), *cells]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(headings))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def as_json(value: Any) -> str:
+    """Format a value as JSON text."""
+    plain = msgspec.to_builtins(value)
+    return json.dumps(plain, indent=2, ensure_ascii=False)
--- /dev/null
+++ b/src/wagtailtiller/ctl/session.py
@@ -0,0 +1,170 @@
+"""One operator's connection to the store, for one command."""
+
+import dataclasses
+import time
+import uuid
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from wagtailtiller import clock
+from wagtailtiller import errors
+from wagtailtiller import fleet
+from wagtailtiller import ids
+from wagtailtiller import replica
+from wagtailtiller.adapters import http_store
+from wagtailtiller.fleet import writing
+from wagtailtiller.ports import store
+from wagtailtiller.settings import appending
+from wagtailtiller.settings import changes
+
+AUDIT_PREFIX = "audit/"
+
+
+@dataclasses.dataclass(frozen=True)
+class Operator:
+    """Who gives a command, where, and why.
+
+    Attributes:
+        store_url: The platform's key-value service.
+        region: The region that fleet commands are for.
+        who: The operator's name.
+        why: The reason, kept in the audit trail.
+    """
+
+    store_url: str
+    region: ids.RegionId
+    who: str
+    why: str
+
+
+class AuditEntry(msgspec.Struct, frozen=True):
+    """A fleet command that an operator gave."""
+
+    who: str
+    why: str
+    at_ms: int
+    region: ids.RegionId
+    command: str
+    detail: dict[str, object]
+
+
+class Session:
+    """Reads the shared state once and writes what the operator asks for.
+
+    Args:
+        operator: Who asks.
+    """
+
+    def __init__(self, operator: Operator) -> None:
+        self.operator = operator
+        self.store = http_store.HttpStore(operator.store_url, "ctl")
+        self.replica = replica.Replica(operator.region)
+        self._clock = clock.SystemClock()
+
+    async def load(self) -> errors.StoreUnavailable | None:
+        """Read the shared state; returns the error, if any."""
+        found = await self.store.read(replica.PREFIX)
+        if found.is_error():
+            return found.error
+        newest = max((item.revision for item in found.ok.items), default=0)
+        self.replica.load(found.ok.items, newest)
+        return None
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self.store.close()
+
+    async def change(
+        self, patch: changes.Plain, expected: int | None
+    ) -> appending.Appended:
+        """Append a settings change.
+
+        Args:
+            patch: A merge patch.
+            expected: The revision that the operator has seen; None for the
+                newest.
+        """
+        current = self.replica.settings
+        if expected is not None and expected != current.revision:
+            return await self._stale(expected)
+        change = changes.Change(
+            revision=appending.next_revision(current),
+            change=ids.ChangeId(uuid.uuid4().hex),
+            who=self.operator.who,
+            why=self.operator.why,
+            at_ms=self._clock.wall_ms(),
+            patch=patch,
+        )
+        return await appending.append(self.store, current, change)
+
+    async def command(
+        self, command: fleet.Command
+    ) -> Result[writing.Written, errors.StoreError | errors.Refused]:
+        """Write a fleet command, after its entry in the audit trail."""
+        noted = await self._note(command)
+        if noted.is_error():
+            return Error(noted.error)
+        writer = writing.FleetWriter(
+            self.store, self.operator.region, self._clock
+        )
+        catalogue = self.replica.settings.catalogue
+        written = await writer.submit(lambda _: [command], catalogue)
+        if written.is_error():
+            return Error(written.error)
+        refusal = written.ok.decisions[0].refusal
+        return Error(refusal) if refusal else Ok(written.ok)
+
+    async def history(
+        self,
+    ) -> Result[list[changes.Change], errors.StoreUnavailable]:
+        """Return all settings changes, archived ones included."""
+        found: dict[int, changes.Change] = {}
+        for prefix in (AUDIT_PREFIX + "settings/", changes.LOG_PREFIX):
+            answer = await self.store.read(prefix)
+            if answer.is_error():
+                return Error(answer.error)
+            for item in answer.ok.items:
+                change = msgspec.json.decode(
+                    item.value or b"", type=changes.Change
+                )
+                found[change.revision] = change
+        return Ok([found[revision] for revision in sorted(found)])
+
+    async def commands(
+        self,
+    ) -> Result[list[AuditEntry], errors.StoreUnavailable]:
+        """Return the fleet commands that operators gave."""
+        answer = await self.store.read(AUDIT_PREFIX + "commands/")
+        return answer.map(
+            lambda found: [
+                msgspec.json.decode(item.value or b"", type=AuditEntry)
+                for item in found.items
+            ]
+        )
+
+    async def _note(
+        self, command: fleet.Command
+    ) -> Result[ids.Revision, errors.StoreError]:
+        at_ms = time.time_ns() // 1_000_000
+        entry = AuditEntry(
+            who=self.operator.who,
+            why=self.operator.why,
+            at_ms=at_ms,
+            region=self.operator.region,
+            command=type(command).__name__,
+            detail=msgspec.to_builtins(command),
+        )
+        key = f"{AUDIT_PREFIX}commands/{at_ms:015d}-{uuid.uuid4().hex[:8]}"
+        value = msgspec.json.encode(entry)
+        return await self.store.write(key, value, store.ABSENT)
+
+    async def _stale(self, expected: int) -> appending.Appended:
+        key = changes.log_key(ids.Revision(expected + 1))
+        found = await self.store.read(key)
+        items = found.ok.items if found.is_ok() else []
+        value = items[0].value if items else None
+        revision = self.replica.settings.revision
+        return Error(errors.Conflict(key, value, revision))
--- /dev/null
+++ b/src/wagtailtiller/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Placement: one dispatcher a pool decides which request runs where."""
--- /dev/null
+++ b/src/wagtailtiller/dispatch/dispatcher.py
@@ -0,0 +1,615 @@
+"""The dispatcher of one pool: the only one to grant its slots in an epoch.
+
+Pure: messages and the time go in, messages to fronts come out. It never has
+more grants outstanding on a VM than the VM has slots, refuses at the door
+what cannot make its deadline, and forgets a grant only when the front says
+that it ended, or when the front is gone and the grant's time has run out.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import random
+
+from wagtailtiller import ids
+from wagtailtiller import settings
+from wagtailtiller.dispatch import estimates
+from wagtailtiller.dispatch import health
+from wagtailtiller.dispatch import messages
+from wagtailtiller.dispatch import resends
+from wagtailtiller.dispatch import shares
+from wagtailtiller.dispatch import waiting
+from wagtailtiller.settings import catalogue
+
+GRANT_VALID_MS = 2_000
+SETTLE_MS = GRANT_VALID_MS
+_DOOR_QUANTILE = 0.5
+_GRANT_QUANTILE = 0.5
+_LEAST_RETRY_MS = 200
+_BUSY_PAUSE_MS = 250
+_NO_VM_RETRY_MS = 2_000
+
+CERTAINLY_NOT_RUN = (
+    messages.RunOutcome.NOT_RUN,
+    messages.RunOutcome.BUSY,
+    messages.RunOutcome.UNUSED,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """A message for a front."""
+
+    front: ids.GatewayId
+    message: messages.Grant | messages.Refuse
+
+
+@dataclasses.dataclass(frozen=True)
+class VmView:
+    """A VM of the pool as the fleet has it.
+
+    Attributes:
+        shape: What the settings declare of it.
+        serving: Whether it may get new work.
+        generation: The generation of that state.
+    """
+
+    shape: catalogue.VmSettings
+    serving: bool
+    generation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PoolView:
+    """All that a dispatcher is told of its pool.
+
+    Attributes:
+        pool: The pool's settings.
+        queues: The queues that the pool serves.
+        vms: The pool's VMs.
+    """
+
+    pool: settings.PoolSettings
+    queues: dict[ids.QueueId, settings.QueueSettings]
+    vms: dict[ids.VmId, VmView]
+
+
+@dataclasses.dataclass
+class Grant:
+    """A slot in use.
+
+    Attributes:
+        vm: Where the request runs.
+        queue: Its queue.
+        team: The team that pays for it.
+        key: The hash of its idempotency key.
+        since_ms: When it was granted, on the dispatcher's clock.
+        charged_ms: The slot time charged to the team in advance.
+        expires_ms: When it is forgotten; set once the front is gone.
+    """
+
+    vm: ids.VmId
+    queue: ids.QueueId
+    team: ids.TeamId
+    key: int
+    since_ms: int
+    charged_ms: float
+    expires_ms: int | None = None
+
+
+class Dispatcher:
+    """Queues and slots of one pool in one roster epoch.
+
+    Args:
+        view: The pool.
+        epoch: The epoch that this gateway owns the pool in.
+        fronts: The gateways of that epoch; each must report what it has in
+            flight before slots are granted.
+        random_source: Breaks ties and spreads retries.
+        now_ms: The clock.
+        unknown_until_ms: Until when requests of gateways that vanished
+            earlier may still run.
+    """
+
+    def __init__(
+        self,
+        view: PoolView,
+        epoch: ids.Epoch,
+        fronts: Iterable[ids.GatewayId],
+        random_source: random.Random,
+        now_ms: int,
+        unknown_until_ms: int = 0,
+    ) -> None:
+        self.epoch = epoch
+        self._view = view
+        self._random = random_source
+        self._fronts = set(fronts)
+        self._unreported = set(self._fronts)
+        self._settled_at_ms = now_ms + SETTLE_MS
+        self._unknown_until_ms = unknown_until_ms
+        self._waiting = waiting.WaitingList()
+        self._grants: dict[waiting.FrontSeq, Grant] = {}
+        self._stamps: dict[ids.GatewayId, int] = {}
+        self._run_times: dict[ids.QueueId, estimates.RunTimes] = {}
+        self._shares = shares.Shares()
+        self._quotas: dict[ids.TeamId, float] = {}
+        self._health = health.Health()
+        self._keys = resends.ResendTable()
+        self._busy_until_ms: dict[ids.VmId, int] = {}
+        self._running: dict[ids.VmId, int] = {}
+        self._open = True
+        self._keys.open_gap(now_ms)
+        self._history_complete = unknown_until_ms <= now_ms
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait."""
+        return len(self._waiting)
+
+    @property
+    def running_count(self) -> int:
+        """Grants outstanding."""
+        return len(self._grants)
+
+    def running_on(self, vm: ids.VmId) -> int:
+        """Grants outstanding on one VM."""
+        return self._running.get(vm, 0)
+
+    def reconfigure(self, view: PoolView, now_ms: int) -> list[Send]:
+        """Take over new settings or VM states."""
+        for vm, old in self._view.vms.items():
+            new = view.vms.get(vm)
+            if new is None or new.generation != old.generation:
+                self._health.forget(vm)
+        self._view = view
+        return self._place(now_ms)
+
+    def set_roster(
+        self,
+        epoch: ids.Epoch,
+        fronts: Iterable[ids.GatewayId],
+        now_ms: int,
+    ) -> list[Send]:
+        """Take over a newer epoch in which this gateway keeps the pool."""
+        gone = self._fronts - set(fronts)
+        for front in gone:
+            self._lose_front(front, now_ms)
+        self._fronts = set(fronts)
+        self._unreported = set(fronts)
+        self.epoch = epoch
+        return self._place(now_ms)
+
+    def suspend(self) -> list[Send]:
+        """Refuse all that waits, and grant nothing until resumed."""
+        self._open = False
+        return [
+            self._refuse(
+                self._take(entry), messages.Refusal.ISOLATED, _LEAST_RETRY_MS
+            )
+            for entry in list(self._waiting.in_order())
+        ]
+
+    def resume(self, now_ms: int) -> list[Send]:
+        """Grant slots again."""
+        self._open = True
+        return self._place(now_ms)
+
+    def handle(
+        self, front: ids.GatewayId, message: messages.Message, now_ms: int
+    ) -> list[Send]:
+        """Take one message from a front."""
+        match message:
+            case messages.Ask():
+                return self._ask(front, message, now_ms)
+            case messages.Cancel():
+                self._waiting.remove((front, message.seq))
+                return []
+            case messages.Done():
+                self._done(front, message, now_ms)
+                return self._place(now_ms)
+            case messages.Report():
+                self._report(front, message, now_ms)
+                return self._place(now_ms)
+            case messages.Beat():
+                self._stamps[front] = message.stamp_ms
+        return []
+
+    def holds(self, front: ids.GatewayId, seq: int) -> bool:
+        """Whether a front's request has a slot here."""
+        return (front, seq) in self._grants
+
+    def tick(self, now_ms: int) -> list[Send]:
+        """Let time pass: expire what is over and place what is possible."""
+        expired = [
+            name
+            for name, grant in self._grants.items()
+            if grant.expires_ms is not None and grant.expires_ms <= now_ms
+        ]
+        for name in expired:
+            self._free(name)
+        return self._place(now_ms)
+
+    def drain_state(self, vm: ids.VmId, now_ms: int) -> messages.DrainAnswer:
+        """Say whether a leaving VM may be stopped."""
+        view = self._view.vms.get(vm)
+        running = self.running_on(vm)
+        blocked_ms = max(0, self._unknown_until_ms - now_ms)
+        idle = (
+            view is not None
+            and not view.serving
+            and running == 0
+            and blocked_ms == 0
+            and not self._unreported
+            and self._open
+        )
+        generation = view.generation if view else 0
+        return messages.DrainAnswer(
+            owner=True,
+            idle=idle,
+            generation=generation,
+            running=running,
+            blocked_ms=blocked_ms,
+        )
+
+    def _ask(
+        self, front: ids.GatewayId, ask: messages.Ask, now_ms: int
+    ) -> list[Send]:
+        stamp_ms = max(ask.stamp_ms, self._stamps.get(front, 0))
+        self._stamps[front] = stamp_ms
+        name = (front, ask.seq)
+        if name in self._waiting or name in self._grants:
+            return []
+        queue = self._view.queues.get(ask.queue)
+        if queue is None:
+            return [_refusal(front, ask, messages.Refusal.NOT_DISPATCHER, 0)]
+        refused = self._door(front, ask, queue, now_ms)
+        if refused is not None:
+            return [refused]
+        self._quotas[ask.team] = ask.quota_percent
+        self._waiting.add(
+            waiting.Entry(
+                front=front,
+                ask=ask,
+                queue=queue,
+                arrived_ms=now_ms,
+                deadline_ms=now_ms + ask.deadline_in_ms,
+                work_ms=self._times(queue).mean_ms(),
+            )
+        )
+        return self._place(now_ms)
+
+    def _door(
+        self,
+        front: ids.GatewayId,
+        ask: messages.Ask,
+        queue: settings.QueueSettings,
+        now_ms: int,
+    ) -> Send | None:
+        if not self._open:
+            reason = messages.Refusal.ISOLATED
+            return _refusal(front, ask, reason, _LEAST_RETRY_MS)
+        missing = missing_resource(queue, self._view.vms.values())
+        if missing:
+            reason = messages.Refusal.NO_CAPABLE_VM
+            return _refusal(front, ask, reason, 0, missing)
+        refused = self._key_refusal(front, ask, queue, now_ms)
+        if refused is not None:
+            return refused
+        if self._waiting.count(queue.queue) >= queue.queue_limit:
+            reason = messages.Refusal.QUEUE_FULL
+            return _refusal(front, ask, reason, self._retry_ms(queue))
+        if not self._can_finish(ask, queue, now_ms):
+            reason = messages.Refusal.OVERLOADED
+            return _refusal(front, ask, reason, self._retry_ms(queue))
+        return None
+
+    def _key_refusal(
+        self,
+        front: ids.GatewayId,
+        ask: messages.Ask,
+        queue: settings.QueueSettings,
+        now_ms: int,
+    ) -> Send | None:
+        if queue.idempotent:
+            return None
+        for entry in self._waiting.in_order() if ask.key else ():
+            same_queue = entry.queue.queue == queue.queue
+            if same_queue and entry.ask.key == ask.key:
+                return _refusal(front, ask, messages.Refusal.DUPLICATE, 0)
+        verdict = self._keys.judge(
+            queue.queue,
+            ask.key,
+            ask.key_age_ms,
+            queue.resend_window_ms,
+            now_ms,
+        )
+        match verdict:
+            case resends.KeyVerdict.SPENT:
+                return _refusal(front, ask, messages.Refusal.DUPLICATE, 0)
+            case resends.KeyVerdict.UNCERTAIN:
+                return _refusal(front, ask, messages.Refusal.MAYBE_RUN, 0)
+        return None
+
+    def _can_finish(
+        self, ask: messages.Ask, queue: settings.QueueSettings, now_ms: int
+    ) -> bool:
+        slots = self._serving_slots()
+        if slots == 0:
+            return False
+        deadline_ms = now_ms + ask.deadline_in_ms
+        run_ms = self._times(queue).quantile_ms(_DOOR_QUANTILE)
+        wait_ms = self._expected_wait_ms(queue.priority, deadline_ms, slots)
+        return wait_ms + run_ms <= ask.deadline_in_ms
+
+    def _expected_wait_ms(
+        self, priority: ids.Priority, deadline_ms: int, slots: int
+    ) -> float:
+        if len(self._grants) < slots and not self._waiting:
+            return 0.0
+        ahead_ms = self._waiting.work_ahead_ms(priority, deadline_ms)
+        return ahead_ms / slots
+
+    def _place(self, now_ms: int) -> list[Send]:
+        if not self._open or not self._settled(now_ms):
+            return []
+        sends: list[Send] = []
+        for priority in ids.Priority:
+            while True:
+                entry = self._next(priority, now_ms, sends)
+                if entry is None:
+                    break
+                vm = self._choose_vm(entry, now_ms)
+                if vm is None:
+                    break
+                sends.append(self._grant(entry, vm, now_ms))
+        return sends
+
+    def _next(
+        self, priority: ids.Priority, now_ms: int, sends: list[Send]
+    ) -> waiting.Entry | None:
+        entries = self._waiting.of_class(priority)
+        if not entries or not self._free_vms(now_ms):
+            return None
+        late = [entry for entry in entries if self._hopeless(entry, now_ms)]
+        for entry in late:
+            retry_ms = self._retry_ms(entry.queue)
+            reason = messages.Refusal.TOO_LATE
+            sends.append(self._refuse(self._take(entry), reason, retry_ms))
+        over = self._over_quota(now_ms)
+        fallback = None
+        for entry in entries:
+            if entry.name not in self._waiting:
+                continue
+            if self._choose_vm(entry, now_ms) is None:
+                continue
+            if entry.ask.team not in over:
+                return entry
+            fallback = fallback or entry
+        return fallback
+
+    def _hopeless(self, entry: waiting.Entry, now_ms: int) -> bool:
+        run_ms = self._times(entry.queue).quantile_ms(_GRANT_QUANTILE)
+        return now_ms + run_ms > entry.deadline_ms
+
+    def _over_quota(self, now_ms: int) -> set[ids.TeamId]:
+        wanting = {
+            entry.ask.team: self._quotas[entry.ask.team]
+            for entry in self._waiting.in_order()
+        }
+        return self._shares.over_quota(wanting, now_ms)
+
+    def _free_vms(self, now_ms: int) -> list[ids.VmId]:
+        return [
+            vm
+            for vm, view in self._view.vms.items()
+            if view.serving
+            and self._room(vm, now_ms) > 0
+            and not self._health.ejected(vm, now_ms)
+        ]
+
+    def _room(self, vm: ids.VmId, now_ms: int) -> int:
+        if self._busy_until_ms.get(vm, 0) > now_ms:
+            return 0
+        slots = 1 if self._health.suspect(vm) else self._slots()
+        return slots - self.running_on(vm)
+
+    def _slots(self) -> int:
+        pool = self._view.pool
+        return min(pool.slots_per_vm, pool.connections_per_vm)
+
+    def _choose_vm(self, entry: waiting.Entry, now_ms: int) -> ids.VmId | None:
+        free = [
+            vm
+            for vm in self._free_vms(now_ms)
+            if not _missing(entry.queue, self._view.vms[vm].shape)
+        ]
+        if not free:
+            return None
+        bad_racks = {
+            self._view.vms[vm].shape.rack
+            for vm in entry.ask.avoid
+            if vm in self._view.vms
+        }
+        return min(
+            free,
+            key=lambda vm: (
+                vm in entry.ask.avoid,
+                self._view.vms[vm].shape.rack in bad_racks,
+                self.running_on(vm),
+                self._random.random(),
+            ),
+        )
+
+    def _grant(self, entry: waiting.Entry, vm: ids.VmId, now_ms: int) -> Send:
+        self._take(entry)
+        queue = entry.queue
+        if not queue.idempotent:
+            self._keys.spend(
+                queue.queue, entry.ask.key, queue.resend_window_ms, now_ms
+            )
+        work_ms = self._times(queue).mean_ms()
+        self._shares.charge(entry.ask.team, work_ms, now_ms)
+        self._hold(
+            entry.name,
+            Grant(
+                vm=vm,
+                queue=queue.queue,
+                team=entry.ask.team,
+                key=entry.ask.key,
+                since_ms=now_ms,
+                charged_ms=work_ms,
+            ),
+        )
+        stamp_ms = self._stamps.get(entry.front, entry.ask.stamp_ms)
+        message = messages.Grant(entry.ask.seq, self.epoch, stamp_ms, vm)
+        return Send(entry.front, message)
+
+    def _done(
+        self, front: ids.GatewayId, done: messages.Done, now_ms: int
+    ) -> None:
+        grant = self._free((front, done.seq))
+        if grant is None:
+            return
+        outcome = done.outcome
+        if outcome is messages.RunOutcome.BUSY:
+            self._busy_until_ms[grant.vm] = now_ms + _BUSY_PAUSE_MS
+        if outcome in CERTAINLY_NOT_RUN:
+            self._keys.release(grant.queue, grant.key)
+        queue = self._view.queues.get(grant.queue)
+        if queue is not None and outcome is messages.RunOutcome.ANSWERED:
+            self._times(queue).observe(done.run_ms)
+        spent_ms = now_ms - grant.since_ms - grant.charged_ms
+        self._shares.charge(grant.team, spent_ms, now_ms)
+        self._health.observe(grant.vm, grant.queue, outcome)
+        self._eject_if_due(grant.vm, now_ms)
+
+    def _eject_if_due(self, vm: ids.VmId, now_ms: int) -> None:
+        others = [each for each in self._view.vms if each != vm]
+        out = sum(not view.serving for view in self._view.vms.values())
+        out += self._health.ejected_count(others, now_ms)
+        room = self._view.pool.max_unavailable_vms - out
+        self._health.eject_if_due(vm, others, room, now_ms)
+
+    def _report(
+        self, front: ids.GatewayId, report: messages.Report, now_ms: int
+    ) -> None:
+        if report.epoch < self.epoch or front not in self._fronts:
+            return
+        self._drop_unlisted(front, {run.seq for run in report.running})
+        for run in report.running:
+            if (front, run.seq) not in self._grants:
+                self._hold((front, run.seq), _reported_grant(run, now_ms))
+        for spent in report.keys:
+            queue = self._view.queues.get(spent.queue)
+            if queue is not None:
+                left_ms = queue.resend_window_ms - spent.age_ms
+                self._keys.spend(spent.queue, spent.key, left_ms, now_ms)
+        self._unreported.discard(front)
+        if not self._unreported and self._history_complete:
+            self._keys.close_gap()
+
+    def _drop_unlisted(self, front: ids.GatewayId, listed: set[int]) -> None:
+        for entry in self._waiting.front_entries(front):
+            self._take(entry)
+        for name in list(self._grants):
+            if name[0] == front and name[1] not in listed:
+                self._free(name)
+
+    def _lose_front(self, front: ids.GatewayId, now_ms: int) -> None:
+        for entry in self._waiting.front_entries(front):
+            self._take(entry)
+        for name, grant in self._grants.items():
+            if name[0] == front and grant.expires_ms is None:
+                queue = self._view.queues.get(grant.queue)
+                limit_ms = queue.run_limit_ms if queue else 0
+                grant.expires_ms = now_ms + GRANT_VALID_MS + limit_ms
+
+    def _settled(self, now_ms: int) -> bool:
+        return not self._unreported or now_ms >= self._settled_at_ms
+
+    def _serving_slots(self) -> int:
+        serving = sum(view.serving for view in self._view.vms.values())
+        return serving * self._slots()
+
+    def _times(self, queue: settings.QueueSettings) -> estimates.RunTimes:
+        times = self._run_times.get(queue.queue)
+        if times is None:
+            times = estimates.RunTimes(queue.expected_run_ms)
+            self._run_times[queue.queue] = times
+        return times
+
+    def _retry_ms(self, queue: settings.QueueSettings) -> int:
+        """Return when the backlog has passed, spread so that none crowd."""
+        slots = self._serving_slots()
+        spread = self._random.uniform(0.5, 1.5)
+        if slots == 0:
+            return int(_NO_VM_RETRY_MS * spread)
+        run_ms = self._times(queue).mean_ms()
+        backlog_ms = self._waiting.work_ms()
+        wait_ms = (backlog_ms + run_ms) / slots + run_ms
+        return int(max(_LEAST_RETRY_MS, wait_ms) * spread)
+
+    def _take(self, entry: waiting.Entry) -> waiting.Entry:
+        self._waiting.remove(entry.name)
+        return entry
+
+    def _refuse(
+        self, entry: waiting.Entry, reason: messages.Refusal, retry_ms: int
+    ) -> Send:
+        return _refusal(entry.front, entry.ask, reason, retry_ms)
+
+    def _hold(self, name: waiting.FrontSeq, grant: Grant) -> None:
+        self._grants[name] = grant
+        self._running[grant.vm] = self.running_on(grant.vm) + 1
+
+    def _free(self, name: waiting.FrontSeq) -> Grant | None:
+        grant = self._grants.pop(name, None)
+        if grant is not None:
+            self._running[grant.vm] -= 1
+        return grant
+
+
+def _reported_grant(run: messages.Running, now_ms: int) -> Grant:
+    return Grant(
+        vm=run.vm,
+        queue=run.queue,
+        team=run.team,
+        key=run.key,
+        since_ms=now_ms - run.age_ms,
+        charged_ms=0.0,
+    )
+
+
+def missing_resource(
+    queue: settings.QueueSettings, vms: Iterable[VmView]
+) -> str:
+    """Name the resource that no VM of a pool has enough of.
+
+    Returns:
+        The resource, or an empty string when some VM can run the request or
+        there are no VMs at all.
+    """
+    missing = [_missing(queue, view.shape) for view in vms]
+    if not missing or not all(missing):
+        return ""
+    return max(set(missing), key=missing.count)
+
+
+def _missing(queue: settings.QueueSettings, shape: catalogue.VmSettings) -> str:
+    if queue.needs_processors > shape.processors:
+        return "processors"
+    if queue.needs_memory_gb > shape.memory_gb:
+        return "memory_gb"
+    if queue.needs_accelerators > shape.accelerators:
+        return "accelerators"
+    return ""
+
+
+def _refusal(
+    front: ids.GatewayId,
+    ask: messages.Ask,
+    reason: messages.Refusal,
+    retry_after_ms: int,
+    detail: str = "",
+) -> Send:
+    message = messages.Refuse(ask.seq, reason, retry_after_ms, detail)
+    return Send(front, message)
--- /dev/null
+++ b/src/wagtailtiller/dispatch/estimates.py
@@ -0,0 +1,58 @@
+"""Learned run times: a decaying histogram per queue with robust quantiles."""
+
+import math
+
+_GROWTH = 1.25
+_SMALLEST_MS = 1.0
+_BUCKETS = 80
+_HALVE_AT_WEIGHT = 400.0
+_PRIOR_WEIGHT = 2.0
+_MOST_PRIOR_MS = 86_400_000
+
+
+class RunTimes:
+    """Run times of one queue in buckets that grow geometrically.
+
+    Args:
+        declared_ms: The declared run time; it counts as a few observations
+            and is soon outweighed.
+    """
+
+    def __init__(self, declared_ms: int) -> None:
+        self._weights = [0.0] * _BUCKETS
+        self._total = 0.0
+        self._sum_ms = 0.0
+        self._add(min(declared_ms, _MOST_PRIOR_MS), _PRIOR_WEIGHT)
+
+    def observe(self, run_ms: int) -> None:
+        """Learn from one finished run."""
+        self._add(run_ms, 1.0)
+        if self._total > _HALVE_AT_WEIGHT:
+            self._weights = [weight / 2 for weight in self._weights]
+            self._total /= 2
+            self._sum_ms /= 2
+
+    def mean_ms(self) -> float:
+        """Return the mean of what was learned."""
+        return self._sum_ms / self._total
+
+    def quantile_ms(self, fraction: float) -> float:
+        """Return the upper edge of the bucket that holds a quantile.
+
+        Args:
+            fraction: Between 0 and 1.
+        """
+        wanted = fraction * self._total
+        seen = 0.0
+        for index, weight in enumerate(self._weights):
+            seen += weight
+            if seen >= wanted:
+                return _SMALLEST_MS * _GROWTH**index
+        return _SMALLEST_MS * _GROWTH**_BUCKETS
+
+    def _add(self, run_ms: int, weight: float) -> None:
+        ratio = max(1.0, run_ms / _SMALLEST_MS)
+        index = math.ceil(math.log(ratio) / math.log(_GROWTH))
+        self._weights[min(index, _BUCKETS - 1)] += weight
+        self._total += weight
+        self._sum_ms += run_ms * weight
--- /dev/null
+++ b/src/wagtailtiller/dispatch/health.py
@@ -0,0 +1,121 @@
+"""Judges VMs and queues apart, so that neither is blamed for the other.
+
+A VM is ejected when it fails request after request while the same queues do
+well on other VMs. A queue that fails everywhere ejects nobody.
+"""
+
+import dataclasses
+
+from wagtailtiller import ids
+from wagtailtiller.dispatch import messages
+
+_EJECT_AFTER_FAILURES = 3
+_FIRST_EJECTION_MS = 2_000
+_LONGEST_EJECTION_MS = 60_000
+_RATE_STEP = 0.1
+_SICK_QUEUE_RATE = 0.5
+
+_FAILURES = (
+    messages.RunOutcome.SERVER_ERROR,
+    messages.RunOutcome.BROKEN,
+    messages.RunOutcome.TIMED_OUT,
+    messages.RunOutcome.NOT_RUN,
+)
+
+_SAYS_NOTHING = (messages.RunOutcome.UNUSED, messages.RunOutcome.BUSY)
+
+
+@dataclasses.dataclass
+class _VmHealth:
+    consecutive_failures: int = 0
+    failed_queues: set[ids.QueueId] = dataclasses.field(default_factory=set)
+    ejected_until_ms: int = 0
+    ejection_ms: int = _FIRST_EJECTION_MS
+
+
+@dataclasses.dataclass
+class _QueueHealth:
+    failure_rate: dict[ids.VmId, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Health:
+    """The health of a pool's VMs as its dispatcher sees it."""
+
+    def __init__(self) -> None:
+        self._vms: dict[ids.VmId, _VmHealth] = {}
+        self._queues: dict[ids.QueueId, _QueueHealth] = {}
+
+    def observe(
+        self,
+        vm: ids.VmId,
+        queue: ids.QueueId,
+        outcome: messages.RunOutcome,
+    ) -> None:
+        """Learn from how one grant ended."""
+        if outcome in _SAYS_NOTHING:
+            return
+        failed = outcome in _FAILURES
+        rates = self._queues.setdefault(queue, _QueueHealth()).failure_rate
+        rate = rates.get(vm, 0.0)
+        rates[vm] = rate + _RATE_STEP * (failed - rate)
+        health = self._vms.setdefault(vm, _VmHealth())
+        if failed:
+            health.consecutive_failures += 1
+            health.failed_queues.add(queue)
+            return
+        self._vms[vm] = _VmHealth()
+
+    def ejected(self, vm: ids.VmId, now_ms: int) -> bool:
+        """Whether a VM is kept free of work for now."""
+        health = self._vms.get(vm)
+        return health is not None and health.ejected_until_ms > now_ms
+
+    def suspect(self, vm: ids.VmId) -> bool:
+        """Whether a VM's latest request failed: it gets one at a time."""
+        health = self._vms.get(vm)
+        return health is not None and health.consecutive_failures > 0
+
+    def eject_if_due(
+        self, vm: ids.VmId, others: list[ids.VmId], room: int, now_ms: int
+    ) -> bool:
+        """Eject a VM if it is at fault and the budget has room.
+
+        Args:
+            vm: The VM whose request just failed.
+            others: The pool's other serving VMs.
+            room: How many more VMs the availability budget lets go.
+            now_ms: The clock.
+
+        Returns:
+            Whether the VM was ejected.
+        """
+        health = self._vms.get(vm)
+        if health is None or room <= 0 or self.ejected(vm, now_ms):
+            return False
+        if health.consecutive_failures < _EJECT_AFTER_FAILURES:
+            return False
+        if not any(
+            self._well_elsewhere(queue, others)
+            for queue in health.failed_queues
+        ):
+            return False
+        health.ejected_until_ms = now_ms + health.ejection_ms
+        health.ejection_ms = min(2 * health.ejection_ms, _LONGEST_EJECTION_MS)
+        return True
+
+    def ejected_count(self, vms: list[ids.VmId], now_ms: int) -> int:
+        """Count the ejected among some VMs."""
+        return sum(self.ejected(vm, now_ms) for vm in vms)
+
+    def forget(self, vm: ids.VmId) -> None:
+        """Start afresh with a VM, after a restart or a move."""
+        self._vms.pop(vm, None)
+
+    def _well_elsewhere(
+        self, queue: ids.QueueId, others: list[ids.VmId]
+    ) -> bool:
+        rates = self._queues.get(queue, _QueueHealth()).failure_rate
+        known = [rates[vm] for vm in others if vm in rates]
+        return bool(known) and sum(known) / len(known) < _SICK_QUEUE_RATE
--- /dev/null
+++ b/src/wagtailtiller/dispatch/resends.py
@@ -0,0 +1,93 @@
+"""Idempotency keys: a key of a non-idempotent queue is run at most once."""
+
+import collections
+import enum
+
+from wagtailtiller import ids
+
+_CLOCK_SKEW_MS = 2_000
+
+
+class KeyVerdict(enum.Enum):
+    """What is known of a key."""
+
+    NEW = "new"
+    SPENT = "spent"
+    UNCERTAIN = "uncertain"
+
+
+class ResendTable:
+    """Remembers the keys that were granted within their window.
+
+    A dispatcher that took the pool over without a full report cannot know
+    keys first used before that; until the window has passed it calls them
+    uncertain, which a caller is told as ``unknown``.
+    """
+
+    def __init__(self) -> None:
+        self._spent: dict[tuple[ids.QueueId, int], int] = {}
+        self._expiries: collections.deque[
+            tuple[int, tuple[ids.QueueId, int]]
+        ] = collections.deque()
+        self._gap_since_ms: int | None = None
+
+    def __len__(self) -> int:
+        return len(self._spent)
+
+    def open_gap(self, now_ms: int) -> None:
+        """Note that keys used before now may be missing."""
+        self._gap_since_ms = now_ms
+
+    def close_gap(self) -> None:
+        """Note that every key used before is known after all."""
+        self._gap_since_ms = None
+
+    def judge(
+        self,
+        queue: ids.QueueId,
+        key: int,
+        age_ms: int,
+        window_ms: int,
+        now_ms: int,
+    ) -> KeyVerdict:
+        """Say whether a request with this key may run.
+
+        Args:
+            queue: The queue.
+            key: The hash of the key; 0 for none.
+            age_ms: How long ago the caller first used the key.
+            window_ms: How long keys of the queue are remembered.
+            now_ms: The dispatcher's clock.
+        """
+        if key == 0:
+            return KeyVerdict.NEW
+        if self._spent.get((queue, key), -1) > now_ms:
+            return KeyVerdict.SPENT
+        if age_ms + _CLOCK_SKEW_MS >= window_ms:
+            return KeyVerdict.UNCERTAIN
+        gap_ms = self._gap_since_ms
+        if gap_ms is not None and now_ms - age_ms - _CLOCK_SKEW_MS <= gap_ms:
+            return KeyVerdict.UNCERTAIN
+        return KeyVerdict.NEW
+
+    def spend(
+        self, queue: ids.QueueId, key: int, window_ms: int, now_ms: int
+    ) -> None:
+        """Remember a key until its window has passed."""
+        if key == 0:
+            return
+        name = (queue, key)
+        expiry_ms = now_ms + window_ms
+        self._spent[name] = max(expiry_ms, self._spent.get(name, 0))
+        self._expiries.append((expiry_ms, name))
+        self._forget_expired(now_ms)
+
+    def release(self, queue: ids.QueueId, key: int) -> None:
+        """Forget a key whose request has certainly not run."""
+        self._spent.pop((queue, key), None)
+
+    def _forget_expired(self, now_ms: int) -> None:
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, name = self._expiries.popleft()
+            if self._spent.get(name, now_ms + 1) <= now_ms:
+                del self._spent[name]
--- /dev/null
+++ b/src/wagtailtiller/dispatch/waiting.py
@@ -0,0 +1,117 @@
+"""Requests that wait for a slot, earliest deadline first in each class."""
+
+import bisect
+from collections.abc import Iterator
+import dataclasses
+import itertools
+
+from wagtailtiller import ids
+from wagtailtiller import settings
+from wagtailtiller.dispatch import messages
+
+FrontSeq = tuple[ids.GatewayId, int]
+
+
+@dataclasses.dataclass(frozen=True, eq=False)
+class Entry:
+    """One waiting request.
+
+    Attributes:
+        front: The gateway that holds the caller.
+        ask: What it asked for.
+        queue: The queue's settings when it asked.
+        arrived_ms: The dispatcher's clock at arrival.
+        deadline_ms: The deadline on the dispatcher's clock.
+        work_ms: The expected run time at arrival.
+    """
+
+    front: ids.GatewayId
+    ask: messages.Ask
+    queue: settings.QueueSettings
+    arrived_ms: int
+    deadline_ms: int
+    work_ms: float
+
+    @property
+    def name(self) -> FrontSeq:
+        """What identifies the request at the dispatcher."""
+        return (self.front, self.ask.seq)
+
+
+_Row = tuple[int, int, Entry]
+
+
+class WaitingList:
+    """All waiting requests of a pool."""
+
+    def __init__(self) -> None:
+        self._rows: dict[ids.Priority, list[_Row]] = {
+            priority: [] for priority in ids.Priority
+        }
+        self._places: dict[FrontSeq, _Row] = {}
+        self._per_queue: dict[ids.QueueId, int] = {}
+        self._order = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def __contains__(self, name: FrontSeq) -> bool:
+        return name in self._places
+
+    def count(self, queue: ids.QueueId) -> int:
+        """Count the waiting requests of a queue."""
+        return self._per_queue.get(queue, 0)
+
+    def add(self, entry: Entry) -> None:
+        """Add a request."""
+        row = (entry.deadline_ms, next(self._order), entry)
+        bisect.insort(self._rows[entry.queue.priority], row)
+        self._places[entry.name] = row
+        self._count(entry, 1)
+
+    def remove(self, name: FrontSeq) -> Entry | None:
+        """Remove a request; None when it does not wait."""
+        row = self._places.pop(name, None)
+        if row is None:
+            return None
+        entry = row[2]
+        rows = self._rows[entry.queue.priority]
+        del rows[bisect.bisect_left(rows, row)]
+        self._count(entry, -1)
+        return entry
+
+    def in_order(self) -> Iterator[Entry]:
+        """Iterate by class, then deadline; do not change it meanwhile."""
+        for rows in self._rows.values():
+            for _, _, entry in rows:
+                yield entry
+
+    def of_class(self, priority: ids.Priority) -> list[Entry]:
+        """Return the requests of one class by deadline."""
+        return [entry for _, _, entry in self._rows[priority]]
+
+    def work_ahead_ms(self, priority: ids.Priority, deadline_ms: int) -> float:
+        """Sum the expected work that would be served before a newcomer."""
+        total_ms = 0.0
+        for each, rows in self._rows.items():
+            if each > priority:
+                break
+            for row_deadline_ms, _, entry in rows:
+                if each == priority and row_deadline_ms > deadline_ms:
+                    break
+                total_ms += entry.work_ms
+        return total_ms
+
+    def work_ms(self) -> float:
+        """Sum the expected work of all that waits."""
+        return sum(entry.work_ms for entry in self.in_order())
+
+    def front_entries(self, front: ids.GatewayId) -> list[Entry]:
+        """Return the requests of one front."""
+        return [
+            row[2] for name, row in self._places.items() if name[0] == front
+        ]
+
+    def _count(self, entry: Entry, change: int) -> None:
+        queue = entry.queue.queue
+        self._per_queue[queue] = self._per_queue.get(queue, 0) + change
--- /dev/null
+++ b/src/wagtailtiller/fleet/planning.py
@@ -0,0 +1,135 @@
+"""Chooses the next commands for a fleet: waves, returns and rescues.
+
+Pure: the controller feeds in the fleet and the platform's list, and carries
+out what comes back, one compare-and-swap a command batch.
+"""
+
+import collections
+from collections.abc import Iterator
+
+from wagtailtiller import ids
+from wagtailtiller import settings
+from wagtailtiller.fleet import aggregate
+from wagtailtiller.fleet import commands
+from wagtailtiller.fleet import model
+from wagtailtiller.ports import platform
+
+Reports = dict[ids.VmId, platform.VmReport]
+
+
+def observe(
+    fleet: model.Fleet, catalogue: settings.Catalogue, reports: Reports
+) -> list[commands.Command]:
+    """Return the commands that bring the fleet in line with the platform.
+
+    The list lags, so a VM is taken for restarted only by its start count.
+    """
+    found: list[commands.Command] = []
+    for vm, declared in catalogue.vms.items():
+        report = reports.get(vm)
+        record = fleet.vms.get(vm)
+        if record is None:
+            if report is not None:
+                found.append(commands.Enrol(vm, declared.pool, report.boot))
+            continue
+        command = _observed(vm, record, report)
+        if command is not None:
+            found.append(command)
+    return found
+
+
+def _observed(
+    vm: ids.VmId,
+    record: model.VmRecord,
+    report: platform.VmReport | None,
+) -> commands.Command | None:
+    active = record.state in (model.VmState.SERVING, model.VmState.LEAVING)
+    if report is None or report.phase is platform.VmPhase.GONE:
+        return commands.Fail(vm) if active else None
+    if active and report.boot > record.boot:
+        return commands.Fail(vm)
+    stopped = record.state is model.VmState.STOPPED
+    if not active and report.boot >= record.boot + stopped:
+        return commands.Return(vm, report.boot)
+    leaving = report.phase is platform.VmPhase.LEAVING
+    if leaving and record.state is model.VmState.SERVING:
+        return commands.Evict(vm)
+    return None
+
+
+def plan(
+    fleet: model.Fleet, catalogue: settings.Catalogue
+) -> list[commands.Command]:
+    """Return the planned steps that the budgets have room for now."""
+    steps: list[commands.Command] = list(_rescues(fleet, catalogue))
+    for name, wave in fleet.waves.items():
+        if wave.state is model.WaveState.RUNNING:
+            steps.extend(_wave_steps(fleet, catalogue, name, wave))
+    return steps
+
+
+def _rescues(
+    fleet: model.Fleet, catalogue: settings.Catalogue
+) -> Iterator[commands.Command]:
+    """Return leaving VMs to service where failures broke the budget."""
+    excess = {
+        pool: count - catalogue.pools[pool].max_unavailable_vms
+        for pool, count in aggregate.unavailable_by_pool(fleet).items()
+        if pool in catalogue.pools
+    }
+    for vm, record in fleet.vms.items():
+        planned = isinstance(record.goal, model.Maintain | model.Move)
+        leaving = record.state is model.VmState.LEAVING and planned
+        if leaving and excess.get(record.pool, 0) > 0:
+            excess[record.pool] -= 1
+            yield commands.CancelLeave(vm)
+
+
+def _wave_steps(
+    fleet: model.Fleet,
+    catalogue: settings.Catalogue,
+    name: ids.WaveId,
+    wave: model.Wave,
+) -> Iterator[commands.Command]:
+    pool = catalogue.pools.get(wave.pool)
+    if pool is None:
+        return
+    out = aggregate.unavailable(fleet, wave.pool)
+    room = aggregate.planned_allowance(pool) - out
+    for vm in wave_order(fleet, catalogue, wave)[: max(0, room)]:
+        yield commands.BeginLeave(vm, model.Maintain(name))
+
+
+def wave_order(
+    fleet: model.Fleet, catalogue: settings.Catalogue, wave: model.Wave
+) -> list[ids.VmId]:
+    """Order the VMs that a wave may take next.
+
+    Racks that have VMs out of service already come first, then racks with
+    the fewest VMs left: a rack that fails then takes as few further VMs of
+    the pool as possible.
+    """
+    racks = {vm: declared.rack for vm, declared in catalogue.vms.items()}
+    ready = [
+        vm
+        for vm in wave.pending
+        if vm in fleet.vms
+        and fleet.vms[vm].state is model.VmState.SERVING
+        and fleet.vms[vm].pool == wave.pool
+    ]
+    down: collections.Counter[ids.RackId | None] = collections.Counter(
+        racks.get(vm)
+        for vm, record in fleet.vms.items()
+        if record.pool == wave.pool
+        and record.state is not model.VmState.SERVING
+    )
+    left = collections.Counter(racks.get(vm) for vm in ready)
+    return sorted(
+        ready,
+        key=lambda vm: (
+            -down[racks.get(vm)],
+            left[racks.get(vm)],
+            str(racks.get(vm)),
+            vm,
+        ),
+    )
--- /dev/null
+++ b/src/wagtailtiller/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: admits, queues, places and answers callers' requests."""
--- /dev/null
+++ b/src/wagtailtiller/gateway/host.py
@@ -0,0 +1,219 @@
+"""The host of this gateway's dispatchers: one for each pool that it owns."""
+
+from collections.abc import Callable
+import random
+
+from wagtailtiller import clock
+from wagtailtiller import events
+from wagtailtiller import fleet
+from wagtailtiller import ids
+from wagtailtiller import metrics
+from wagtailtiller import replica
+from wagtailtiller import roster
+from wagtailtiller.dispatch import dispatcher
+from wagtailtiller.dispatch import messages
+
+SendMessage = Callable[[ids.GatewayId, messages.Message], None]
+
+
+class DispatchHost:
+    """Creates, feeds and drops dispatchers as the roster says.
+
+    Args:
+        own: This gateway.
+        incarnation: This process.
+        time: The clock.
+        shared: This process's copy of the shared state.
+        send: Sends a message to a front, this one included.
+        meter: Where queue lengths are reported.
+    """
+
+    def __init__(
+        self,
+        own: ids.GatewayId,
+        incarnation: str,
+        time: clock.Clock,
+        shared: replica.Replica,
+        send: SendMessage,
+        meter: metrics.Meter,
+    ) -> None:
+        self._own = own
+        self._incarnation = incarnation
+        self._clock = time
+        self._replica = shared
+        self._send = send
+        self._meter = meter
+        self._random = random.Random(incarnation)
+        self._dispatchers: dict[ids.PoolId, dispatcher.Dispatcher] = {}
+        self._early: dict[
+            tuple[ids.PoolId, ids.GatewayId], messages.Report
+        ] = {}
+        self._last_removal_ms = time.monotonic_ms()
+        self._members: dict[ids.GatewayId, roster.Session] = {}
+        self._open = True
+
+    def view_changed(self) -> None:
+        """Follow new settings, VM states or a new roster."""
+        now_ms = self._clock.monotonic_ms()
+        current = self._replica.roster
+        if not self._members.items() <= current.members.items():
+            self._last_removal_ms = now_ms
+        self._members = current.members
+        views = self._pool_views()
+        for pool in list(self._dispatchers):
+            if not self._owns(pool) or pool not in views:
+                del self._dispatchers[pool]
+                events.emit(events.Event.POOL_RELEASED, pool=pool)
+        for pool, view in views.items():
+            if self._owns(pool):
+                self._refresh(pool, view, now_ms)
+
+    def receive(self, front: ids.GatewayId, message: messages.Message) -> None:
+        """Take a message from a front."""
+        now_ms = self._clock.monotonic_ms()
+        match message:
+            case messages.Beat():
+                for each in self._dispatchers.values():
+                    each.handle(front, message, now_ms)
+            case messages.Report():
+                self._receive_report(front, message, now_ms)
+            case messages.Ask() | messages.Cancel() | messages.Done():
+                self._receive_request(front, message, now_ms)
+
+    def tick(self) -> None:
+        """Let time pass in every dispatcher."""
+        now_ms = self._clock.monotonic_ms()
+        waiting = 0
+        running = 0
+        for each in self._dispatchers.values():
+            self._dispatch(each.tick(now_ms))
+            waiting += each.waiting_count
+            running += each.running_count
+        self._meter.gauge(metrics.Metric.WAITING.value, waiting)
+        self._meter.gauge(metrics.Metric.RUNNING.value, running)
+
+    def set_open(self, is_open: bool) -> None:
+        """Grant slots only while the view lease holds."""
+        if is_open == self._open:
+            return
+        self._open = is_open
+        now_ms = self._clock.monotonic_ms()
+        for each in self._dispatchers.values():
+            sends = each.resume(now_ms) if is_open else each.suspend()
+            self._dispatch(sends)
+
+    def drain_state(self, vm: ids.VmId) -> messages.DrainAnswer | None:
+        """Say whether a VM is free of work; None when not this gateway's."""
+        record = self._replica.fleet.vms.get(vm)
+        owned = self._dispatchers.get(record.pool) if record else None
+        if owned is None:
+            return None
+        now_ms = self._clock.monotonic_ms()
+        return owned.drain_state(vm, now_ms)
+
+    def _refresh(
+        self, pool: ids.PoolId, view: dispatcher.PoolView, now_ms: int
+    ) -> None:
+        epoch = self._replica.roster.epoch
+        fronts = self._replica.roster.members
+        owned = self._dispatchers.get(pool)
+        if owned is None:
+            owned = self._create(pool, view, now_ms)
+        else:
+            self._dispatch(owned.reconfigure(view, now_ms))
+            if epoch != owned.epoch:
+                self._dispatch(owned.set_roster(epoch, fronts, now_ms))
+        self._replay_reports(pool, owned, now_ms)
+
+    def _create(
+        self, pool: ids.PoolId, view: dispatcher.PoolView, now_ms: int
+    ) -> dispatcher.Dispatcher:
+        longest_ms = max(
+            (queue.run_limit_ms for queue in view.queues.values()), default=0
+        )
+        unknown_ms = dispatcher.GRANT_VALID_MS + longest_ms
+        created = dispatcher.Dispatcher(
+            view=view,
+            epoch=self._replica.roster.epoch,
+            fronts=self._replica.roster.members,
+            random_source=self._random,
+            now_ms=now_ms,
+            unknown_until_ms=self._last_removal_ms + unknown_ms,
+        )
+        if not self._open:
+            created.suspend()
+        self._dispatchers[pool] = created
+        events.emit(events.Event.POOL_TAKEN, pool=pool, epoch=created.epoch)
+        return created
+
+    def _replay_reports(
+        self, pool: ids.PoolId, owned: dispatcher.Dispatcher, now_ms: int
+    ) -> None:
+        for name, report in list(self._early.items()):
+            if name[0] == pool and report.epoch <= owned.epoch:
+                del self._early[name]
+                self._dispatch(owned.handle(name[1], report, now_ms))
+
+    def _receive_report(
+        self, front: ids.GatewayId, report: messages.Report, now_ms: int
+    ) -> None:
+        owned = self._dispatchers.get(report.pool)
+        if owned is None or owned.epoch < report.epoch:
+            self._early[(report.pool, front)] = report
+            return
+        self._dispatch(owned.handle(front, report, now_ms))
+
+    def _receive_request(
+        self,
+        front: ids.GatewayId,
+        message: messages.Ask | messages.Cancel | messages.Done,
+        now_ms: int,
+    ) -> None:
+        owned = self._find(front, message)
+        if owned is not None:
+            self._dispatch(owned.handle(front, message, now_ms))
+        elif isinstance(message, messages.Ask):
+            reason = messages.Refusal.NOT_DISPATCHER
+            self._send(front, messages.Refuse(message.seq, reason, 0))
+
+    def _find(
+        self,
+        front: ids.GatewayId,
+        message: messages.Ask | messages.Cancel | messages.Done,
+    ) -> dispatcher.Dispatcher | None:
+        queue = self._replica.settings.catalogue.queues.get(message.queue)
+        if queue is not None:
+            return self._dispatchers.get(queue.pool)
+        for each in self._dispatchers.values():
+            if each.holds(front, message.seq):
+                return each
+        return None
+
+    def _owns(self, pool: ids.PoolId) -> bool:
+        owner = roster.owner(self._replica.roster, pool)
+        return (
+            owner is not None
+            and owner.gateway == self._own
+            and owner.incarnation == self._incarnation
+        )
+
+    def _pool_views(self) -> dict[ids.PoolId, dispatcher.PoolView]:
+        catalogue = self._replica.settings.catalogue
+        views = {
+            pool: dispatcher.PoolView(pool_settings, {}, {})
+            for pool, pool_settings in catalogue.pools.items()
+        }
+        for queue in catalogue.queues.values():
+            views[queue.pool].queues[queue.queue] = queue
+        for vm, record in self._replica.fleet.vms.items():
+            shape = catalogue.vms.get(vm)
+            if shape is not None and record.pool in views:
+                serving = record.state is fleet.VmState.SERVING
+                views[record.pool].vms[vm] = dispatcher.VmView(
+                    shape, serving, record.generation
+                )
+        return views
+
+    def _dispatch(self, sends: list[dispatcher.Send]) -> None:
+        for send in sends:
+            self._send(send.front, send.message)
--- /dev/null
+++ b/src/wagtailtiller/gateway/peers.py
@@ -0,0 +1,248 @@
+"""Streams between the gateways of a region, over grpcio.
+
+Each gateway opens one stream to every other and sends on it as a front; the
+other end answers as a dispatcher. Messages queue per stream and leave in
+batches, so that a burst costs few frames.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import grpc
+
+from wagtailtiller import clock
+from wagtailtiller import events
+from wagtailtiller import ids
+from wagtailtiller import metrics
+from wagtailtiller import roster
+from wagtailtiller.dispatch import messages
+
+SERVICE = "wagtailtiller.Peers"
+EXCHANGE = f"/{SERVICE}/Exchange"
+DRAIN_STATE = f"/{SERVICE}/DrainState"
+_BATCH_MS = 5
+_RECONNECT_MS = 200
+_BEAT_MS = 1_000
+_MOST_MESSAGE_BYTES = 64 * 1024 * 1024
+CHANNEL_OPTIONS = (
+    ("grpc.max_receive_message_length", _MOST_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", _MOST_MESSAGE_BYTES),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.so_reuseport", 0),
+)
+
+Receive = Callable[[ids.GatewayId, messages.Message], None]
+AnswerDrain = Callable[[bytes], Awaitable[bytes]]
+
+
+class Outbox:
+    """Messages on their way into one stream."""
+
+    def __init__(self, meter: metrics.Meter) -> None:
+        self._batch: messages.Batch = []
+        self._ready = asyncio.Event()
+        self._meter = meter
+        self.closed = False
+
+    def put(self, message: messages.Message) -> None:
+        """Queue a message."""
+        self._batch.append(message)
+        self._ready.set()
+
+    def close(self) -> None:
+        """End the stream."""
+        self.closed = True
+        self._ready.set()
+
+    async def payloads(self) -> AsyncIterator[bytes]:
+        """Yield encoded batches until closed."""
+        while True:
+            await self._ready.wait()
+            if self.closed:
+                return
+            self._ready.clear()
+            batch, self._batch = self._batch, []
+            payload = messages.encode(batch)
+            self._meter.incr(metrics.Metric.PEER_BYTES_SENT.value, len(payload))
+            yield payload
+            await asyncio.sleep(_BATCH_MS / 1_000)
+
+
+class PeerServer:
+    """The dispatcher's end of the streams.
+
+    Args:
+        address: Where to listen, as ``ip:port``.
+        receive: Takes each message with the front that sent it.
+        answer_drain: Answers a controller's drain question.
+        meter: Where bytes are counted.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        receive: Receive,
+        answer_drain: AnswerDrain,
+        meter: metrics.Meter,
+    ) -> None:
+        self._receive = receive
+        self._answer_drain = answer_drain
+        self._meter = meter
+        self._outboxes: dict[ids.GatewayId, Outbox] = {}
+        self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
+        self._server.add_generic_rpc_handlers((self._handlers(),))
+        self._server.add_insecure_port(address)
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Close all streams."""
+        await self._server.stop(grace=0.2)
+
+    def send(self, front: ids.GatewayId, message: messages.Message) -> None:
+        """Queue a message for a front; dropped when it has no stream."""
+        outbox = self._outboxes.get(front)
+        if outbox is not None:
+            outbox.put(message)
+
+    def _handlers(self) -> grpc.GenericRpcHandler:
+        return grpc.method_handlers_generic_handler(
+            SERVICE,
+            {
+                "Exchange": grpc.stream_stream_rpc_method_handler(
+                    self._exchange
+                ),
+                "DrainState": grpc.unary_unary_rpc_method_handler(
+                    self._drain_state
+                ),
+            },
+        )
+
+    async def _drain_state(
+        self, request: bytes, context: "grpc.aio.ServicerContext"
+    ) -> bytes:
+        return await self._answer_drain(request)
+
+    async def _exchange(
+        self,
+        requests: AsyncIterator[bytes],
+        context: "grpc.aio.ServicerContext",
+    ) -> AsyncIterator[bytes]:
+        outbox = Outbox(self._meter)
+        reader = asyncio.create_task(self._read(requests, outbox))
+        try:
+            async for payload in outbox.payloads():
+                yield payload
+        finally:
+            reader.cancel()
+
+    async def _read(
+        self, requests: AsyncIterator[bytes], outbox: Outbox
+    ) -> None:
+        front: ids.GatewayId | None = None
+        try:
+            async for payload in requests:
+                for message in messages.decode(payload):
+                    if isinstance(message, messages.Hello):
+                        front = message.gateway
+                        self._replace(front, outbox)
+                    elif front is not None:
+                        self._receive(front, message)
+        finally:
+            outbox.close()
+            if front is not None and self._outboxes.get(front) is outbox:
+                del self._outboxes[front]
+
+    def _replace(self, front: ids.GatewayId, outbox: Outbox) -> None:
+        old = self._outboxes.get(front)
+        if old is not None:
+            old.close()
+        self._outboxes[front] = outbox
+
+
+class PeerLink:
+    """The front's end of the stream to one peer.
+
+    Args:
+        own: Who opens the stream.
+        peer: The gateway at the other end.
+        receive: Takes each message with the peer that sent it.
+        connected: Called when a stream is open.
+        make_beat: Makes the message that is sent each second.
+        time: The clock.
+        meter: Where bytes are counted.
+    """
+
+    def __init__(
+        self,
+        own: messages.Hello,
+        peer: roster.Session,
+        receive: Receive,
+        connected: Callable[[ids.GatewayId], None],
+        make_beat: Callable[[ids.GatewayId], messages.Beat],
+        time: clock.Clock,
+        meter: metrics.Meter,
+    ) -> None:
+        self._own = own
+        self.peer = peer
+        self._receive = receive
+        self._connected = connected
+        self._make_beat = make_beat
+        self._clock = time
+        self._meter = meter
+        self._outbox: Outbox | None = None
+        self._task = asyncio.create_task(self._run())
+
+    def send(self, message: messages.Message) -> None:
+        """Queue a message; dropped while there is no stream."""
+        if self._outbox is not None:
+            self._outbox.put(message)
+
+    async def close(self) -> None:
+        """End the stream."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._exchange()
+            except (TimeoutError, grpc.RpcError, OSError):
+                pass
+            finally:
+                self._outbox = None
+            events.emit(events.Event.PEER_LOST, peer=self.peer.gateway)
+            await asyncio.sleep(_RECONNECT_MS / 1_000)
+
+    async def _exchange(self) -> None:
+        async with grpc.aio.insecure_channel(
+            self.peer.peer_address, options=CHANNEL_OPTIONS
+        ) as channel:
+            await asyncio.wait_for(channel.channel_ready(), 2.0)
+            call: grpc.aio.StreamStreamMultiCallable
+            call = channel.stream_stream(EXCHANGE)
+            outbox = Outbox(self._meter)
+            outbox.put(self._own)
+            self._outbox = outbox
+            beats = asyncio.create_task(self._beat(outbox))
+            events.emit(events.Event.PEER_CONNECTED, peer=self.peer.gateway)
+            self._connected(self.peer.gateway)
+            try:
+                async for payload in call(outbox.payloads()):
+                    for message in messages.decode(payload):
+                        self._receive(self.peer.gateway, message)
+            finally:
+                beats.cancel()
+                outbox.close()
+
+    async def _beat(self, outbox: Outbox) -> None:
+        while True:
+            outbox.put(self._make_beat(self.peer.gateway))
+            await asyncio.sleep(_BEAT_MS / 1_000)
--- /dev/null
+++ b/src/wagtailtiller/gateway/service.py
@@ -0,0 +1,149 @@
+"""Carries one admitted request to its outcome: slots, runs and retries."""
+
+import asyncio
+import dataclasses
+
+from wagtailtiller import clock
+from wagtailtiller import ids
+from wagtailtiller import metrics
+from wagtailtiller import replica
+from wagtailtiller.dispatch import messages
+from wagtailtiller.gateway import endpoints
+from wagtailtiller.gateway import front
+from wagtailtiller.gateway import outcomes
+from wagtailtiller.gateway import retries
+
+_RETRY_AFTER_MS = 1_000
+
+_CERTAIN = (messages.RunOutcome.NOT_RUN, messages.RunOutcome.BUSY)
+
+
+class RequestService:
+    """Runs requests in their queues.
+
+    Args:
+        time: The clock.
+        shared: This process's copy of the shared state.
+        desk: This gateway's front.
+        client: Runs requests at endpoints.
+        meter: Where waits and runs are timed.
+    """
+
+    def __init__(
+        self,
+        time: clock.Clock,
+        shared: replica.Replica,
+        desk: front.Front,
+        client: endpoints.EndpointClient,
+        meter: metrics.Meter,
+    ) -> None:
+        self._clock = time
+        self._replica = shared
+        self._front = desk
+        self._client = client
+        self._meter = meter
+        self._retries = retries.RetryBudget()
+        self._runs: set[asyncio.Task[endpoints.Ran]] = set()
+
+    @property
+    def active(self) -> int:
+        """Runs that have not ended, those of vanished callers included."""
+        return len(self._runs)
+
+    async def serve(
+        self, want: front.Want, forwarded: endpoints.Forwarded
+    ) -> outcomes.Outcome:
+        """Bring a request to its outcome.
+
+        Args:
+            want: What it needs.
+            forwarded: What to send.
+        """
+        self._retries.earn()
+        for attempt in range(retries.MOST_ATTEMPTS):
+            if attempt:
+                self._meter.incr(metrics.Metric.RETRIES.value)
+            outcome, vm = await self._attempt(want, forwarded)
+            match outcome:
+                case endpoints.Ran():
+                    final = self._settle(want, forwarded, outcome)
+                    if final is not None:
+                        return final
+                    avoid = want.avoid + (vm,)
+                    want = dataclasses.replace(want, avoid=avoid)
+                case _:
+                    return outcome
+        return outcomes.NotRun(outcomes.Reason.RETRIES_SPENT, _RETRY_AFTER_MS)
+
+    async def _attempt(
+        self, want: front.Want, forwarded: endpoints.Forwarded
+    ) -> tuple[outcomes.Outcome | endpoints.Ran, ids.VmId]:
+        asked_ms = self._clock.monotonic_ms()
+        granted = await self._front.acquire(want)
+        if isinstance(granted, messages.Refuse):
+            return outcomes.from_refusal(granted), ids.VmId("")
+        waited_ms = self._clock.monotonic_ms() - asked_ms
+        self._meter.timing(metrics.Metric.WAIT_MS.value, waited_ms)
+        outcome = await self._run_granted(want, forwarded, granted)
+        return outcome, granted.vm
+
+    async def _run_granted(
+        self,
+        want: front.Want,
+        forwarded: endpoints.Forwarded,
+        granted: front.Granted,
+    ) -> outcomes.Outcome | endpoints.Ran:
+        vm = self._replica.settings.catalogue.vms.get(granted.vm)
+        if vm is None or not self._front.usable(granted):
+            unused = messages.RunOutcome.UNUSED
+            self._front.release(granted.seq, unused, 0)
+            return outcomes.NotRun(outcomes.Reason.NO_VM, _RETRY_AFTER_MS)
+        ready: asyncio.Future[outcomes.Answer]
+        ready = asyncio.get_running_loop().create_future()
+        run = asyncio.create_task(
+            self._client.run(vm, want.queue, forwarded, ready)
+        )
+        self._runs.add(run)
+        run.add_done_callback(lambda done: self._ended(granted, done))
+        left_ms = want.deadline_ms - self._clock.monotonic_ms()
+        await asyncio.wait(
+            (run, ready),
+            timeout=left_ms / 1_000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if ready.done():
+            return ready.result()
+        if run.done():
+            return run.result()
+        return outcomes.Unknown(outcomes.Reason.DEADLINE)
+
+    def _ended(
+        self, granted: front.Granted, run: "asyncio.Task[endpoints.Ran]"
+    ) -> None:
+        self._runs.discard(run)
+        if run.cancelled() or run.exception() is not None:
+            ran = endpoints.Ran(messages.RunOutcome.BROKEN, 0)
+        else:
+            ran = run.result()
+        self._meter.timing(metrics.Metric.RUN_MS.value, ran.run_ms)
+        self._front.release(granted.seq, ran.outcome, ran.run_ms)
+
+    def _settle(
+        self,
+        want: front.Want,
+        forwarded: endpoints.Forwarded,
+        ran: endpoints.Ran,
+    ) -> outcomes.Outcome | None:
+        """Return the final outcome, or None when another attempt is due."""
+        replayable = isinstance(forwarded.body, bytes)
+        certain = ran.outcome in _CERTAIN
+        if certain and replayable and self._retries.spend():
+            return None
+        if certain:
+            return outcomes.NotRun(outcomes.Reason.NO_VM, _RETRY_AFTER_MS)
+        if ran.outcome is messages.RunOutcome.TIMED_OUT:
+            return outcomes.Unknown(outcomes.Reason.RUN_LIMIT)
+        repeatable = want.queue.idempotent and replayable
+        if repeatable and self._retries.spend():
+            return None
+        return outcomes.Unknown(outcomes.Reason.ENDPOINT_BROKE)
--- /dev/null
+++ b/src/wagtailtiller/metrics.py
@@ -0,0 +1,56 @@
+"""Counters, gauges and timings, sent by statsd over UDP."""
+
+import enum
+from typing import Protocol
+
+import statsd
+
+
+class Metric(enum.Enum):
+    """Every metric that the programs send; see ``docs/METRICS.md``."""
+
+    REQUESTS_ANSWERED = "gateway.requests.answered"
+    REQUESTS_NOT_RUN = "gateway.requests.not_run"
+    REQUESTS_UNKNOWN = "gateway.requests.unknown"
+    REQUESTS_INVALID = "gateway.requests.invalid"
+    RETRIES = "gateway.retries"
+    WAIT_MS = "gateway.wait_ms"
+    RUN_MS = "gateway.run_ms"
+    WAITING = "dispatch.waiting"
+    RUNNING = "dispatch.running"
+    PEER_BYTES_SENT = "peers.bytes_sent"
+    FLEET_WRITES = "controller.fleet_writes"
+
+
+class Meter(Protocol):
+    """What the programs need of a metrics client."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Raise a counter."""
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Set a gauge."""
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Record a duration in milliseconds."""
+
+
+class NullMeter:
+    """Drops everything; used when no address is set."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Do nothing."""
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Do nothing."""
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Do nothing."""
+
+
+def connect(address: str) -> Meter:
+    """Return a client that sends to ``ip:port``; empty for none."""
+    if not address:
+        return NullMeter()
+    host, port = address.split(":")
+    return statsd.StatsClient(host, int(port), prefix="wagtailtiller")
--- /dev/null
+++ b/src/wagtailtiller/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the systems outside: the store and the platform."""
--- /dev/null
+++ b/src/wagtailtiller/replica.py
@@ -0,0 +1,115 @@
+"""A process's copy of the shared state in the store, and what it means.
+
+The copy follows one prefix in revision order, from a watch or from a peer, so
+every process that has reached a revision has seen all the changes before it.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from wagtailtiller import ids
+from wagtailtiller import roster
+from wagtailtiller.fleet import model
+from wagtailtiller.ports import store
+from wagtailtiller.settings import changes
+
+PREFIX = "state/"
+
+_items_decoder = msgspec.msgpack.Decoder(list[store.Item])
+_fleet_decoder = msgspec.json.Decoder(model.Fleet)
+_roster_decoder = msgspec.json.Decoder(roster.Roster)
+
+
+class Replica:
+    """The settings, the region's fleet and its roster as of a revision.
+
+    Args:
+        region: The region whose fleet and roster are of interest.
+    """
+
+    def __init__(self, region: ids.RegionId) -> None:
+        self._fleet_key = model.key(region)
+        self._roster_key = roster.key(region)
+        self._items: dict[str, store.Item] = {}
+        self.revision = ids.Revision(0)
+        self.settings = changes.EMPTY
+        self.fleet = model.Fleet()
+        self.roster = roster.EMPTY
+
+    def load(self, items: Iterable[store.Item], revision: int) -> bool:
+        """Replace the copy by a newer whole one.
+
+        Args:
+            items: All items under the prefix.
+            revision: The revision that they were read at.
+
+        Returns:
+            Whether anything changed.
+        """
+        if revision <= self.revision:
+            return False
+        self._items = {item.key: item for item in items}
+        self._interpret(set(self._items))
+        self.revision = ids.Revision(revision)
+        return True
+
+    def update(self, items: Iterable[store.Item]) -> bool:
+        """Apply changes that follow the current revision."""
+        newer = [item for item in items if item.revision > self.revision]
+        for item in newer:
+            if item.value is None:
+                self._items.pop(item.key, None)
+            else:
+                self._items[item.key] = item
+            self.revision = max(self.revision, item.revision)
+        self._interpret({item.key for item in newer})
+        return bool(newer)
+
+    def export(self) -> bytes:
+        """Encode the whole copy for a peer."""
+        return msgspec.msgpack.encode(list(self._items.values()))
+
+    def load_export(self, payload: bytes, revision: int) -> bool:
+        """Replace the copy by a peer's, if that is newer."""
+        return self.load(_items_decoder.decode(payload), revision)
+
+    def item_revision(self, key: str) -> ids.Revision:
+        """Return the revision of one key, or ``ABSENT``."""
+        item = self._items.get(key)
+        return item.revision if item else store.ABSENT
+
+    def _interpret(self, changed: set[str]) -> None:
+        if any(key.startswith("state/settings") for key in changed):
+            self._fold_settings()
+        if self._fleet_key in changed:
+            value = self._value(self._fleet_key)
+            self.fleet = (
+                _fleet_decoder.decode(value) if value else (model.Fleet())
+            )
+        if self._roster_key in changed:
+            value = self._value(self._roster_key)
+            self.roster = (
+                _roster_decoder.decode(value) if value else (roster.EMPTY)
+            )
+
+    def _value(self, key: str) -> bytes | None:
+        item = self._items.get(key)
+        return item.value if item else None
+
+    def _fold_settings(self) -> None:
+        current = self.settings
+        snapshot = self._value(changes.SNAPSHOT_KEY)
+        if snapshot is not None:
+            base = msgspec.json.decode(snapshot, type=changes.Base)
+            if base.revision > current.revision:
+                loaded = changes.from_plain(base.revision, base.plain)
+                current = loaded.default_value(current)
+        log = [
+            msgspec.json.decode(item.value, type=changes.Change)
+            for key, item in self._items.items()
+            if key > changes.log_key(current.revision)
+            and key.startswith(changes.LOG_PREFIX)
+            and item.value is not None
+        ]
+        self.settings = changes.fold(current, log).default_value(current)
--- /dev/null
+++ b/src/wagtailtiller/settings/__init__.py
@@ -0,0 +1,33 @@
+"""The operators' settings: a checked tree in which children inherit."""
+
+from wagtailtiller.settings.catalogue import Caller
+from wagtailtiller.settings.catalogue import Catalogue
+from wagtailtiller.settings.catalogue import explain
+from wagtailtiller.settings.catalogue import Explanation
+from wagtailtiller.settings.catalogue import PoolSettings
+from wagtailtiller.settings.catalogue import QueueSettings
+from wagtailtiller.settings.catalogue import resolve
+from wagtailtiller.settings.catalogue import VmSettings
+from wagtailtiller.settings.changes import Change
+from wagtailtiller.settings.changes import difference
+from wagtailtiller.settings.changes import merge
+from wagtailtiller.settings.reading import check_document
+from wagtailtiller.settings.reading import read_document
+from wagtailtiller.settings.schema import Document
+
+__all__ = [
+    "Caller",
+    "Catalogue",
+    "Change",
+    "Document",
+    "Explanation",
+    "PoolSettings",
+    "QueueSettings",
+    "VmSettings",
+    "check_document",
+    "difference",
+    "explain",
+    "merge",
+    "read_document",
+    "resolve",
+]
--- /dev/null
+++ b/src/wagtailtiller/settings/catalogue.py
@@ -0,0 +1,263 @@
+"""Settled settings: every pool and queue with its inherited values filled in.
+
+``resolve`` turns the operators' document into a ``Catalogue``; ``explain``
+says for one node which ancestor set each value.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from wagtailtiller import ids
+from wagtailtiller.settings import schema
+
+DEFAULTS: dict[str, Any] = {
+    "max_unavailable_vms": 1,
+    "failure_reserve_vms": 0,
+    "min_vms": 1,
+    "lends": False,
+    "slots_per_vm": 8,
+    "connections_per_vm": 64,
+    "roll_out_weight": 1.0,
+    "buffer_weight": 1.0,
+    "priority": "normal",
+    "idempotent": False,
+    "deadline_ms": 30_000,
+    "run_limit_ms": 30_000,
+    "expected_run_ms": 500,
+    "queue_limit": 1_000,
+    "resend_window_ms": 60_000,
+    "max_body_bytes": 64 * 1024 * 1024,
+    "needs_processors": 0,
+    "needs_memory_gb": 0,
+    "needs_accelerators": 0,
+    "owner": "",
+}
+
+
+class PoolSettings(msgspec.Struct, frozen=True):
+    """A pool with all its values; see ``schema.Values`` for their meaning."""
+
+    pool: ids.PoolId
+    path: str
+    max_unavailable_vms: int
+    failure_reserve_vms: int
+    min_vms: int
+    lends: bool
+    slots_per_vm: int
+    connections_per_vm: int
+    roll_out_weight: float
+    buffer_weight: float
+
+
+class QueueSettings(msgspec.Struct, frozen=True):
+    """A queue with all its values; see ``schema.Values`` for their meaning."""
+
+    queue: ids.QueueId
+    pool: ids.PoolId
+    path: str
+    priority: ids.Priority
+    idempotent: bool
+    deadline_ms: int
+    run_limit_ms: int
+    expected_run_ms: int
+    queue_limit: int
+    resend_window_ms: int
+    max_body_bytes: int
+    needs_processors: int
+    needs_memory_gb: int
+    needs_accelerators: int
+    owner: str
+
+
+class VmSettings(msgspec.Struct, frozen=True):
+    """A VM as the settings describe it."""
+
+    vm: ids.VmId
+    host: str
+    port: int
+    region: ids.RegionId
+    data_centre: ids.DataCentreId
+    rack: ids.RackId
+    pool: ids.PoolId
+    processors: int
+    memory_gb: int
+    accelerators: int
+
+
+class Caller(msgspec.Struct, frozen=True):
+    """Who a token belongs to."""
+
+    member: ids.MemberId
+    team: ids.TeamId
+    quota_percent: float
+
+
+class Catalogue(msgspec.Struct, frozen=True):
+    """All settled settings of one document."""
+
+    pools: dict[ids.PoolId, PoolSettings]
+    queues: dict[ids.QueueId, QueueSettings]
+    vms: dict[ids.VmId, VmSettings]
+    callers: dict[str, Caller]
+
+
+EMPTY = Catalogue({}, {}, {}, {})
+
+
+@dataclasses.dataclass(frozen=True)
+class Explanation:
+    """Where one value comes from.
+
+    Attributes:
+        field: The name of the value.
+        value: What is in force.
+        source: The path of the node that set it, or ``default``.
+    """
+
+    field: str
+    value: Any
+    source: str
+
+
+@dataclasses.dataclass(frozen=True)
+class _Scope:
+    path: str
+    values: dict[str, Any]
+    sources: dict[str, str]
+
+    def child(self, path: str, values: schema.Values) -> "_Scope":
+        own = {
+            name: getattr(values, name)
+            for name in DEFAULTS
+            if getattr(values, name) is not msgspec.UNSET
+        }
+        sources = dict.fromkeys(own, path)
+        return _Scope(path, self.values | own, self.sources | sources)
+
+
+_ROOT = _Scope("", DEFAULTS, dict.fromkeys(DEFAULTS, "default"))
+
+
+def resolve(document: schema.Document) -> Catalogue:
+    """Fill in every inherited value of a checked document."""
+    pools: dict[ids.PoolId, PoolSettings] = {}
+    queues: dict[ids.QueueId, QueueSettings] = {}
+    for scope, node in _walk(document):
+        match node:
+            case schema.PoolNode():
+                pool = _pool(scope)
+                pools[pool.pool] = pool
+            case schema.QueueNode():
+                queue = _queue(scope)
+                queues[queue.queue] = queue
+    vms = {
+        ids.VmId(name): _vm(ids.VmId(name), node, document)
+        for name, node in document.vms.items()
+    }
+    return Catalogue(pools, queues, vms, _callers(document))
+
+
+def explain(document: schema.Document, path: str) -> list[Explanation]:
+    """Say which ancestor set each value of a node.
+
+    Args:
+        document: A checked document.
+        path: The node's path, or just the name of a pool or queue.
+
+    Returns:
+        One entry a value, or an empty list when there is no such node.
+    """
+    for scope, _ in _walk(document):
+        if path in (scope.path, _last(scope.path)):
+            return [
+                Explanation(name, scope.values[name], scope.sources[name])
+                for name in DEFAULTS
+            ]
+    return []
+
+
+_Node = schema.GroupNode | schema.PoolNode | schema.QueueNode
+
+
+def _walk(document: schema.Document) -> list[tuple[_Scope, _Node]]:
+    found: list[tuple[_Scope, _Node]] = []
+    root = _ROOT.child("/tree", document.tree.values)
+    _walk_group(root, document.tree, found)
+    return found
+
+
+def _walk_group(
+    scope: _Scope,
+    group: schema.GroupNode,
+    found: list[tuple[_Scope, _Node]],
+) -> None:
+    found.append((scope, group))
+    for name, pool in group.pools.items():
+        inner = scope.child(f"{scope.path}/pools/{name}", pool.values)
+        found.append((inner, pool))
+        for queue_name, queue in pool.queues.items():
+            path = f"{inner.path}/queues/{queue_name}"
+            found.append((inner.child(path, queue.values), queue))
+    for name, child in group.groups.items():
+        path = f"{scope.path}/groups/{name}"
+        _walk_group(scope.child(path, child.values), child, found)
+
+
+def _pool(scope: _Scope) -> PoolSettings:
+    chosen = _chosen(scope, PoolSettings)
+    name = ids.PoolId(_last(scope.path))
+    return PoolSettings(pool=name, path=scope.path, **chosen)
+
+
+def _queue(scope: _Scope) -> QueueSettings:
+    chosen = _chosen(scope, QueueSettings)
+    chosen["priority"] = ids.Priority[chosen["priority"].upper()]
+    return QueueSettings(
+        queue=ids.QueueId(_last(scope.path)),
+        pool=ids.PoolId(scope.path.split("/")[-3]),
+        path=scope.path,
+        **chosen,
+    )
+
+
+def _chosen(scope: _Scope, kind: type[msgspec.Struct]) -> dict[str, Any]:
+    names = kind.__struct_fields__
+    return {n: scope.values[n] for n in names if n in scope.values}
+
+
+def _last(path: str) -> str:
+    return path.rsplit("/", 1)[-1]
+
+
+def _vm(
+    vm: ids.VmId, node: schema.VmNode, document: schema.Document
+) -> VmSettings:
+    host, port = node.address.split(":")
+    region = document.data_centres[node.data_centre].region
+    return VmSettings(
+        vm=vm,
+        host=host,
+        port=int(port),
+        region=ids.RegionId(region),
+        data_centre=ids.DataCentreId(node.data_centre),
+        rack=ids.RackId(node.rack),
+        pool=ids.PoolId(node.pool),
+        processors=node.processors,
+        memory_gb=node.memory_gb,
+        accelerators=node.accelerators,
+    )
+
+
+def _callers(document: schema.Document) -> dict[str, Caller]:
+    callers = {}
+    for member, node in document.members.items():
+        for team, team_node in node.teams.items():
+            caller = Caller(
+                ids.MemberId(member),
+                ids.TeamId(f"{member}/{team}"),
+                team_node.quota_percent,
+            )
+            callers.update(dict.fromkeys(team_node.tokens_sha256, caller))
+    return callers
--- /dev/null
+++ b/support/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that support development; none of them is shipped."""
--- /dev/null
+++ b/support/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a whole site on loopback, judged by an oracle."""
--- /dev/null
+++ b/support/demo/run.py
@@ -0,0 +1,223 @@
+"""The demonstration: a site under load, a wave, and a changed setting.
+
+Its last line is computed from the records of callers and endpoints; the exit
+code is not 0 when anything happened that must never happen.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from support.demo import caller
+from support.demo import cluster
+from support.demo import oracle
+from support.demo import site
+from support.standins import fleet
+
+_DURATION_S = 24.0
+_PERIOD_S = 12.0
+_WORK_MS = 300.0
+_MEAN_PER_S = 30.0
+_WAVE_AFTER_S = 3.0
+_WAVE_POOLS = {"kadalpura": "colouring", "riga": "cutting"}
+_CHANGED_QUEUES = {"kadalpura": "previews", "riga": "quotations"}
+_PROBE_BYTES = 200
+_PROBE_PERIOD_S = 0.02
+
+
+def load_plan(
+    running: cluster.Cluster,
+    folder: pathlib.Path,
+    duration_s: float,
+    seed: int,
+) -> str:
+    """Write the callers' plan and return its file name."""
+    queues = [
+        {
+            "queue": queue.queue,
+            "tokens": queue.tokens,
+            "members": _members(running.plan),
+            "idempotent": queue.idempotent,
+        }
+        for queue in _busiest(running.plan)
+    ]
+    plan = caller.Plan(
+        gateways=list(running.gateway_urls.values()),
+        queues=queues,
+        mean_per_s=_MEAN_PER_S,
+        work_ms=_WORK_MS,
+        period_s=_PERIOD_S,
+        duration_s=duration_s,
+        seed=seed,
+        output=str(folder / "calls.json"),
+    )
+    path = folder / "plan.json"
+    path.write_bytes(msgspec.json.encode(plan))
+    return str(path)
+
+
+def start_callers(plan: str) -> "subprocess.Popen[bytes]":
+    """Start the caller process."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "support.demo.caller", "--plan", plan]
+    )
+
+
+def read_calls(folder: pathlib.Path) -> list[caller.CallRecord]:
+    """Read what the callers recorded."""
+    data = (folder / "calls.json").read_bytes()
+    return msgspec.json.decode(data, type=list[caller.CallRecord])
+
+
+def collect(
+    running: cluster.Cluster, calls: list[caller.CallRecord]
+) -> oracle.Verdict:
+    """Fetch the endpoints' records and judge the run."""
+    records = cluster.get_json(f"{running.platform_url}/records")
+    outages = cluster.get_json(f"{running.platform_url}/outages")
+    listed = json.loads(running.ctl("vm", "--json").stdout)
+    return oracle.judge(
+        calls=calls,
+        runs=msgspec.convert(records, list[fleet.RunRecord]),
+        outages=msgspec.convert(outages, list[fleet.Outage]),
+        pools={vm: record["pool"] for vm, record in listed.items()},
+        budgets=running.plan.pools,
+    )
+
+
+def _members(plan: site.Site) -> dict[str, str]:
+    members: Any = plan.settings["members"]
+    return {
+        f"demo-{team}": member
+        for member, node in members.items()
+        for team in node["teams"]
+    }
+
+
+def _busiest(plan: site.Site) -> list[site.QueuePlan]:
+    """Return one queue a pool, so that five queues are loaded."""
+    chosen: dict[str, site.QueuePlan] = {}
+    for queue in plan.queues:
+        chosen.setdefault(queue.pool, queue)
+    return list(chosen.values())
+
+
+async def _first_rejection_ms(url: str, queue: str, token: str) -> int:
+    """Wait until a gateway rejects a body that it accepted before."""
+    headers = {"Authorization": f"Bearer {token}", "X-Work-Ms": "1"}
+    headers["X-Caller-Id"] = "probe"
+    async with aiohttp.ClientSession() as session:
+        while True:
+            async with session.post(
+                f"{url}/q/{queue}", data=b"x" * _PROBE_BYTES, headers=headers
+            ) as response:
+                await response.read()
+                if response.status == 413:
+                    return time.time_ns() // 1_000_000
+            await asyncio.sleep(_PROBE_PERIOD_S)
+
+
+async def _in_force_ms(running: cluster.Cluster, queue: str, token: str) -> int:
+    """Lower a limit and time until every gateway applies it."""
+    probes = [
+        asyncio.create_task(_first_rejection_ms(url, queue, token))
+        for url in running.gateway_urls.values()
+    ]
+    change = ("queue", queue, "--set", "max_body_bytes=100", "--json")
+    done = await asyncio.to_thread(running.ctl, *change)
+    accepted_ms = json.loads(done.stdout)["at_ms"]
+    rejected_ms = await asyncio.gather(*probes)
+    return max(rejected_ms) - accepted_ms
+
+
+def _run(running: cluster.Cluster, name: str, folder: pathlib.Path) -> int:
+    plan = load_plan(running, folder, _DURATION_S, seed=1)
+    callers = start_callers(plan)
+    time.sleep(_WAVE_AFTER_S)
+    pool = _WAVE_POOLS[name]
+    began_s = time.monotonic()
+    wave = running.ctl("wave", "start", pool, "--follow", "--why", "kernel")
+    print(wave.stdout)
+    wave_s = time.monotonic() - began_s
+    queue = next(
+        each
+        for each in running.plan.queues
+        if each.queue == _CHANGED_QUEUES[name]
+    )
+    in_force_ms = asyncio.run(
+        _in_force_ms(running, queue.queue, queue.tokens[0])
+    )
+    callers.wait()
+    verdict = collect(running, read_calls(folder))
+    _print_table(running, read_calls(folder), wave_s)
+    codes = running.stop()
+    graceful = all(code == 0 for code in codes.values())
+    if not graceful:
+        print(f"exit codes: {codes}")
+    print(
+        f"demo: sent={verdict.sent} answered={verdict.answered}"
+        f" not_run={verdict.not_run} unknown={verdict.unknown}"
+        f" lost={verdict.lost} doubled={verdict.doubled}"
+        f" cut_off={verdict.cut_off} crossed={verdict.crossed}"
+        f" budget_breaches={verdict.budget_breaches}"
+        f" config_in_force_ms={in_force_ms}"
+    )
+    return 0 if verdict.clean() and graceful else 1
+
+
+def _print_table(
+    running: cluster.Cluster, calls: list[caller.CallRecord], wave_s: float
+) -> None:
+    print(f"{'queue':<16}{'sent':>7}{'answer':>8}{'not run':>9}", end="")
+    print(f"{'unknown':>9}{'p50 ms':>8}{'p99 ms':>8}")
+    for queue in sorted({call.queue for call in calls}):
+        own = [call for call in calls if call.queue == queue]
+        told = [call.outcome for call in own]
+        times = sorted(
+            call.ended_ms - call.sent_ms
+            for call in own
+            if call.outcome is caller.Outcome.ANSWER
+        ) or [0]
+        print(
+            f"{queue:<16}{len(own):>7}"
+            f"{told.count(caller.Outcome.ANSWER):>8}"
+            f"{told.count(caller.Outcome.NOT_RUN):>9}"
+            f"{told.count(caller.Outcome.UNKNOWN):>9}"
+            f"{times[len(times) // 2]:>8}{times[len(times) * 99 // 100]:>8}"
+        )
+    calls_made = cluster.get_json(f"{running.store_url}/calls")
+    print(f"wave: {wave_s:.1f} s; store calls: {sum(calls_made.values()) // 2}")
+
+
+def main() -> int:
+    """Run the demonstration for the site named on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--site", default="kadalpura")
+    options = parser.parse_args()
+    plan = site.load(options.site)
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        running = cluster.Cluster(plan, folder, gateways=3, controllers=2)
+        try:
+            running.start()
+            return _run(running, options.site, folder)
+        except BaseException:
+            for log in sorted(folder.glob("*.log")):
+                text = log.read_text(encoding="utf-8", errors="replace")
+                print(f"--- {log.name}\n{text[-1500:]}", file=sys.stderr)
+            raise
+        finally:
+            running.stop()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/support/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes under kills, freezes, cuts and outages."""
--- /dev/null
+++ b/support/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the shipped decision code against baselines."""
