Hold drains back only after a gateway was really lost

Cause: each new owner of a pool took its own start for the loss of another gateway, so the first wave waited for the longest run limit (62 s). Ruled out: a slow reboot (1.5 s) and a lagging list (0.5 s). Change: the roster records when a member last vanished without having finished; a gateway that leaves gracefully is none.

--- a/src/wagtailtiller/controller/membership.py
+++ b/src/wagtailtiller/controller/membership.py
@@ -88,7 +88,7 @@
                 for name, member in old.members.items()
                 if name not in present
             ]
-        new = roster.succeed(old, sessions)
+        new = roster.succeed(old, sessions, self._clock.wall_ms())
         if new == old:
             return True
         written = await self._write(new, revision)
--- a/src/wagtailtiller/gateway/host.py
+++ b/src/wagtailtiller/gateway/host.py
@@ -13,6 +13,8 @@
 from wagtailtiller.dispatch import dispatcher
 from wagtailtiller.dispatch import messages
 
+_WALL_CLOCK_SKEW_MS = 5_000
+
 SendMessage = Callable[[ids.GatewayId, messages.Message], None]
 
 
@@ -48,17 +50,11 @@
         self._early: dict[
             tuple[ids.PoolId, ids.GatewayId], messages.Report
         ] = {}
-        self._last_removal_ms = time.monotonic_ms()
-        self._members: dict[ids.GatewayId, roster.Session] = {}
         self._open = True
 
     def view_changed(self) -> None:
         """Follow new settings, VM states or a new roster."""
         now_ms = self._clock.monotonic_ms()
-        current = self._replica.roster
-        if not self._members.items() <= current.members.items():
-            self._last_removal_ms = now_ms
-        self._members = current.members
         views = self._pool_views()
         for pool in list(self._dispatchers):
             if not self._owns(pool) or pool not in views:
@@ -131,14 +127,13 @@
         longest_ms = max(
             (queue.run_limit_ms for queue in view.queues.values()), default=0
         )
-        unknown_ms = dispatcher.GRANT_VALID_MS + longest_ms
         created = dispatcher.Dispatcher(
             view=view,
             epoch=self._replica.roster.epoch,
             fronts=self._replica.roster.members,
             random_source=self._random,
             now_ms=now_ms,
-            unknown_until_ms=self._last_removal_ms + unknown_ms,
+            unknown_until_ms=now_ms + self._unknown_for_ms(longest_ms),
         )
         if not self._open:
             created.suspend()
@@ -146,6 +141,15 @@
         events.emit(events.Event.POOL_TAKEN, pool=pool, epoch=created.epoch)
         return created
 
+    def _unknown_for_ms(self, longest_run_ms: int) -> int:
+        """Return how long requests of a lost gateway may still run."""
+        loss_ms = self._replica.roster.last_loss_ms
+        if loss_ms == 0:
+            return 0
+        age_ms = self._clock.wall_ms() - loss_ms
+        limit_ms = dispatcher.GRANT_VALID_MS + longest_run_ms
+        return max(0, limit_ms + _WALL_CLOCK_SKEW_MS - age_ms)
+
     def _replay_reports(
         self, pool: ids.PoolId, owned: dispatcher.Dispatcher, now_ms: int
     ) -> None:
--- a/src/wagtailtiller/roster.py
+++ b/src/wagtailtiller/roster.py
@@ -37,10 +37,18 @@
 
 
 class Roster(msgspec.Struct, frozen=True):
-    """The members at an epoch."""
+    """The members at an epoch.
+
+    Attributes:
+        epoch: Rises with every change.
+        members: The gateways by name.
+        last_loss_ms: When a member last vanished without having finished
+            its requests, in wall-clock milliseconds; 0 for never.
+    """
 
     epoch: ids.Epoch
     members: dict[ids.GatewayId, Session]
+    last_loss_ms: int = 0
 
 
 EMPTY = Roster(ids.Epoch(0), {})
@@ -73,12 +81,31 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
-def succeed(current: Roster, sessions: list[Session]) -> Roster:
+def succeed(current: Roster, sessions: list[Session], wall_ms: int) -> Roster:
     """Return the roster that matches the live sessions.
 
-    The epoch rises only if something changed.
+    Args:
+        current: The roster that stands.
+        sessions: The live sessions.
+        wall_ms: The wall clock, in milliseconds.
+
+    Returns:
+        The same roster, or one of the next epoch if something changed.
     """
     members = {session.gateway: session for session in sessions}
     if members == current.members:
         return current
-    return Roster(ids.Epoch(current.epoch + 1), members)
+    lost = any(_lost(old, members) for old in current.members.values())
+    loss_ms = wall_ms if lost else current.last_loss_ms
+    return Roster(ids.Epoch(current.epoch + 1), members, loss_ms)
+
+
+def _lost(old: Session, members: dict[ids.GatewayId, Session]) -> bool:
+    """Whether a member vanished with requests in flight.
+
+    A leaving gateway removes its session only after it has finished.
+    """
+    new = members.get(old.gateway)
+    if new is not None and new.incarnation == old.incarnation:
+        return False
+    return not old.leaving
--- a/support/demo/caller.py
+++ b/support/demo/caller.py
@@ -23,6 +23,9 @@
 _HEALTH_PERIOD_S = 0.1
 _BURST_FACTOR = 5.0
 _LULL_FACTOR = 0.05
+_BURST_END = 0.2
+_LULL_END = 0.4
+_CALM_FACTOR = 0.5
 _TRIES = 5
 
 
@@ -134,11 +137,11 @@
         """Return the load of a queue now, as a part of its mean."""
         count = len(self._plan.queues)
         phase = (passed_s / self._plan.period_s + index / count) % 1.0
-        if phase < 0.15:
+        if phase < _BURST_END:
             return _BURST_FACTOR
-        if phase < 0.35:
+        if phase < _LULL_END:
             return _LULL_FACTOR
-        return 0.4
+        return _CALM_FACTOR
 
     async def _call(self, name: str, queue: dict[str, Any]) -> None:
         token = self._random.choice(queue["tokens"])
--- a/support/demo/run.py
+++ b/support/demo/run.py
@@ -26,7 +26,7 @@
 _DURATION_S = 24.0
 _PERIOD_S = 12.0
 _WORK_MS = 300.0
-_MEAN_PER_S = 30.0
+_MEAN_PER_S = 40.0
 _WAVE_AFTER_S = 3.0
 _WAVE_POOLS = {"kadalpura": "colouring", "riga": "cutting"}
 _CHANGED_QUEUES = {"kadalpura": "previews", "riga": "quotations"}
--- a/support/demo/site.py
+++ b/support/demo/site.py
@@ -68,7 +68,8 @@
         for queue in catalogue.queues.values()
     ]
     budgets = {
-        str(pool): each.max_unavailable_vms for pool, each in catalogue.pools.items()
+        str(pool.pool): pool.max_unavailable_vms
+        for pool in catalogue.pools.values()
     }
     return Site(region, plain, vm_ports, budgets, queues)
 
--- a/support/standins/store.py
+++ b/support/standins/store.py
@@ -156,6 +156,7 @@
 
     def application(self) -> web.Application:
         """Build the aiohttp application."""
+
         @web.middleware
         async def faults(
             request: web.Request, handler: serving.Handler
