Refuse what will not finish, and hold teams to their quotas

Cause: at 70% mean load with 5x bursts the dispatcher granted slots to requests with an even chance to finish; and the door counted the whole backlog against teams that were below their quota. Ruled out: message delay (1 ms a hop plus 5 ms batches costs under 1%). Change: a slot is granted only if the learned 95th percentile fits the time left; the door predicts a wait from the team's own part of the slots; usage fades over 60 s; urgent work that has not started in 1.5 s is refused.

--- a/src/wagtailtiller/dispatch/dispatcher.py
+++ b/src/wagtailtiller/dispatch/dispatcher.py
@@ -8,24 +8,24 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 import random
 
 from wagtailtiller import ids
 from wagtailtiller import settings
 from wagtailtiller.dispatch import estimates
-from wagtailtiller.dispatch import health
 from wagtailtiller.dispatch import messages
 from wagtailtiller.dispatch import resends
 from wagtailtiller.dispatch import shares
+from wagtailtiller.dispatch import slots
 from wagtailtiller.dispatch import waiting
-from wagtailtiller.settings import catalogue
 
 GRANT_VALID_MS = 2_000
+URGENT_START_MS = 1_500
 SETTLE_MS = GRANT_VALID_MS
 _DOOR_QUANTILE = 0.5
-_GRANT_QUANTILE = 0.5
+_GRANT_QUANTILE = 0.95
 _LEAST_RETRY_MS = 200
-_BUSY_PAUSE_MS = 250
 _NO_VM_RETRY_MS = 2_000
 
 CERTAINLY_NOT_RUN = (
@@ -43,36 +43,6 @@
     message: messages.Grant | messages.Refuse
 
 
-@dataclasses.dataclass(frozen=True)
-class VmView:
-    """A VM of the pool as the fleet has it.
-
-    Attributes:
-        shape: What the settings declare of it.
-        serving: Whether it may get new work.
-        generation: The generation of that state.
-    """
-
-    shape: catalogue.VmSettings
-    serving: bool
-    generation: int
-
-
-@dataclasses.dataclass(frozen=True)
-class PoolView:
-    """All that a dispatcher is told of its pool.
-
-    Attributes:
-        pool: The pool's settings.
-        queues: The queues that the pool serves.
-        vms: The pool's VMs.
-    """
-
-    pool: settings.PoolSettings
-    queues: dict[ids.QueueId, settings.QueueSettings]
-    vms: dict[ids.VmId, VmView]
-
-
 @dataclasses.dataclass
 class Grant:
     """A slot in use.
@@ -112,7 +82,7 @@
 
     def __init__(
         self,
-        view: PoolView,
+        view: slots.PoolView,
         epoch: ids.Epoch,
         fronts: Iterable[ids.GatewayId],
         random_source: random.Random,
@@ -132,10 +102,8 @@
         self._run_times: dict[ids.QueueId, estimates.RunTimes] = {}
         self._shares = shares.Shares()
         self._quotas: dict[ids.TeamId, float] = {}
-        self._health = health.Health()
+        self._slots = slots.SlotTable(view, random_source)
         self._keys = resends.ResendTable()
-        self._busy_until_ms: dict[ids.VmId, int] = {}
-        self._running: dict[ids.VmId, int] = {}
         self._open = True
         self._keys.open_gap(now_ms)
         self._history_complete = unknown_until_ms <= now_ms
@@ -152,14 +120,11 @@
 
     def running_on(self, vm: ids.VmId) -> int:
         """Grants outstanding on one VM."""
-        return self._running.get(vm, 0)
+        return self._slots.running_on(vm)
 
-    def reconfigure(self, view: PoolView, now_ms: int) -> list[Send]:
+    def reconfigure(self, view: slots.PoolView, now_ms: int) -> list[Send]:
         """Take over new settings or VM states."""
-        for vm, old in self._view.vms.items():
-            new = view.vms.get(vm)
-            if new is None or new.generation != old.generation:
-                self._health.forget(vm)
+        self._slots.reconfigure(view)
         self._view = view
         return self._place(now_ms)
 
@@ -287,7 +252,7 @@
         if not self._open:
             reason = messages.Refusal.ISOLATED
             return _refusal(front, ask, reason, _LEAST_RETRY_MS)
-        missing = missing_resource(queue, self._view.vms.values())
+        missing = slots.missing_resource(queue, self._view.vms.values())
         if missing:
             reason = messages.Refusal.NO_CAPABLE_VM
             return _refusal(front, ask, reason, 0, missing)
@@ -332,112 +297,103 @@
     def _can_finish(
         self, ask: messages.Ask, queue: settings.QueueSettings, now_ms: int
     ) -> bool:
-        slots = self._serving_slots()
-        if slots == 0:
+        slot_count = self._slots.serving_slots()
+        if slot_count == 0:
             return False
-        deadline_ms = now_ms + ask.deadline_in_ms
         run_ms = self._times(queue).quantile_ms(_DOOR_QUANTILE)
-        wait_ms = self._expected_wait_ms(queue.priority, deadline_ms, slots)
-        return wait_ms + run_ms <= ask.deadline_in_ms
-
-    def _expected_wait_ms(
-        self, priority: ids.Priority, deadline_ms: int, slots: int
+        longest_ms = ask.deadline_in_ms - run_ms
+        if queue.priority is ids.Priority.URGENT:
+            longest_ms = min(longest_ms, URGENT_START_MS)
+        if len(self._grants) < slot_count and not self._waiting:
+            return longest_ms >= 0
+        return self._wait_ms(ask, queue, slot_count, now_ms) <= longest_ms
+
+    def _wait_ms(
+        self,
+        ask: messages.Ask,
+        queue: settings.QueueSettings,
+        slot_count: int,
+        now_ms: int,
     ) -> float:
-        if len(self._grants) < slots and not self._waiting:
-            return 0.0
-        ahead_ms = self._waiting.work_ahead_ms(priority, deadline_ms)
-        return ahead_ms / slots
+        """Predict a newcomer's wait from the work ahead of it.
+
+        A team within its quota waits for its own work on its own part of the
+        slots, however much the others have asked for.
+        """
+        deadline_ms = now_ms + ask.deadline_in_ms
+        backlog = self._waiting.ahead(queue.priority, deadline_ms, ask.team)
+        together_ms = backlog.total_ms / slot_count
+        quotas = self._wanted_quotas() | {ask.team: ask.quota_percent}
+        part = ask.quota_percent / sum(quotas.values())
+        alone_ms = backlog.own_ms / (slot_count * part)
+        if ask.team in self._shares.over_quota(quotas, now_ms):
+            return max(together_ms, alone_ms)
+        return min(together_ms, alone_ms)
 
     def _place(self, now_ms: int) -> list[Send]:
         if not self._open or not self._settled(now_ms):
             return []
         sends: list[Send] = []
         for priority in ids.Priority:
-            while True:
-                entry = self._next(priority, now_ms, sends)
-                if entry is None:
+            sends += self._drop_late(priority, now_ms)
+            while self._slots.any_free(now_ms):
+                chosen = self._next(priority, now_ms)
+                if chosen is None:
                     break
-                vm = self._choose_vm(entry, now_ms)
-                if vm is None:
-                    break
-                sends.append(self._grant(entry, vm, now_ms))
+                sends.append(self._grant(*chosen, now_ms))
         return sends
 
+    def _drop_late(self, priority: ids.Priority, now_ms: int) -> list[Send]:
+        """Refuse what is not likely to finish in time any more."""
+        longest_ms = max(
+            (self._safe_run_ms(queue) for queue in self._view.queues.values()),
+            default=0.0,
+        )
+        if priority is ids.Priority.URGENT:
+            longest_ms = math.inf
+        due = self._waiting.due_before(priority, now_ms + longest_ms)
+        return [
+            self._refuse(
+                self._take(entry),
+                messages.Refusal.TOO_LATE,
+                self._retry_ms(entry.queue),
+            )
+            for entry in due
+            if self._too_late(entry, now_ms)
+        ]
+
+    def _too_late(self, entry: waiting.Entry, now_ms: int) -> bool:
+        if entry.queue.priority is ids.Priority.URGENT:
+            waited_ms = now_ms - entry.arrived_ms
+            if waited_ms > URGENT_START_MS:
+                return True
+        return now_ms + self._safe_run_ms(entry.queue) > entry.deadline_ms
+
     def _next(
-        self, priority: ids.Priority, now_ms: int, sends: list[Send]
-    ) -> waiting.Entry | None:
-        entries = self._waiting.of_class(priority)
-        if not entries or not self._free_vms(now_ms):
-            return None
-        late = [entry for entry in entries if self._hopeless(entry, now_ms)]
-        for entry in late:
-            retry_ms = self._retry_ms(entry.queue)
-            reason = messages.Refusal.TOO_LATE
-            sends.append(self._refuse(self._take(entry), reason, retry_ms))
+        self, priority: ids.Priority, now_ms: int
+    ) -> tuple[waiting.Entry, ids.VmId] | None:
+        """Pick the next request: earliest deadline, quotas permitting."""
         over = self._over_quota(now_ms)
         fallback = None
-        for entry in entries:
-            if entry.name not in self._waiting:
+        for entry in self._waiting.of_class(priority):
+            if fallback is not None and entry.ask.team in over:
                 continue
-            if self._choose_vm(entry, now_ms) is None:
+            vm = self._slots.choose(entry.queue, entry.ask.avoid, now_ms)
+            if vm is None:
                 continue
             if entry.ask.team not in over:
-                return entry
-            fallback = fallback or entry
+                return entry, vm
+            fallback = (entry, vm)
         return fallback
 
-    def _hopeless(self, entry: waiting.Entry, now_ms: int) -> bool:
-        run_ms = self._times(entry.queue).quantile_ms(_GRANT_QUANTILE)
-        return now_ms + run_ms > entry.deadline_ms
+    def _safe_run_ms(self, queue: settings.QueueSettings) -> float:
+        return self._times(queue).quantile_ms(_GRANT_QUANTILE)
 
     def _over_quota(self, now_ms: int) -> set[ids.TeamId]:
-        wanting = {
-            entry.ask.team: self._quotas[entry.ask.team]
-            for entry in self._waiting.in_order()
-        }
-        return self._shares.over_quota(wanting, now_ms)
-
-    def _free_vms(self, now_ms: int) -> list[ids.VmId]:
-        return [
-            vm
-            for vm, view in self._view.vms.items()
-            if view.serving
-            and self._room(vm, now_ms) > 0
-            and not self._health.ejected(vm, now_ms)
-        ]
+        return self._shares.over_quota(self._wanted_quotas(), now_ms)
 
-    def _room(self, vm: ids.VmId, now_ms: int) -> int:
-        if self._busy_until_ms.get(vm, 0) > now_ms:
-            return 0
-        slots = 1 if self._health.suspect(vm) else self._slots()
-        return slots - self.running_on(vm)
-
-    def _slots(self) -> int:
-        pool = self._view.pool
-        return min(pool.slots_per_vm, pool.connections_per_vm)
-
-    def _choose_vm(self, entry: waiting.Entry, now_ms: int) -> ids.VmId | None:
-        free = [
-            vm
-            for vm in self._free_vms(now_ms)
-            if not _missing(entry.queue, self._view.vms[vm].shape)
-        ]
-        if not free:
-            return None
-        bad_racks = {
-            self._view.vms[vm].shape.rack
-            for vm in entry.ask.avoid
-            if vm in self._view.vms
-        }
-        return min(
-            free,
-            key=lambda vm: (
-                vm in entry.ask.avoid,
-                self._view.vms[vm].shape.rack in bad_racks,
-                self.running_on(vm),
-                self._random.random(),
-            ),
-        )
+    def _wanted_quotas(self) -> dict[ids.TeamId, float]:
+        return {team: self._quotas[team] for team in self._waiting.teams()}
 
     def _grant(self, entry: waiting.Entry, vm: ids.VmId, now_ms: int) -> Send:
         self._take(entry)
@@ -470,8 +426,6 @@
         if grant is None:
             return
         outcome = done.outcome
-        if outcome is messages.RunOutcome.BUSY:
-            self._busy_until_ms[grant.vm] = now_ms + _BUSY_PAUSE_MS
         if outcome in CERTAINLY_NOT_RUN:
             self._keys.release(grant.queue, grant.key)
         queue = self._view.queues.get(grant.queue)
@@ -479,15 +433,7 @@
             self._times(queue).observe(done.run_ms)
         spent_ms = now_ms - grant.since_ms - grant.charged_ms
         self._shares.charge(grant.team, spent_ms, now_ms)
-        self._health.observe(grant.vm, grant.queue, outcome)
-        self._eject_if_due(grant.vm, now_ms)
-
-    def _eject_if_due(self, vm: ids.VmId, now_ms: int) -> None:
-        others = [each for each in self._view.vms if each != vm]
-        out = sum(not view.serving for view in self._view.vms.values())
-        out += self._health.ejected_count(others, now_ms)
-        room = self._view.pool.max_unavailable_vms - out
-        self._health.eject_if_due(vm, others, room, now_ms)
+        self._slots.observe(grant.vm, grant.queue, outcome, now_ms)
 
     def _report(
         self, front: ids.GatewayId, report: messages.Report, now_ms: int
@@ -526,10 +472,6 @@
     def _settled(self, now_ms: int) -> bool:
         return not self._unreported or now_ms >= self._settled_at_ms
 
-    def _serving_slots(self) -> int:
-        serving = sum(view.serving for view in self._view.vms.values())
-        return serving * self._slots()
-
     def _times(self, queue: settings.QueueSettings) -> estimates.RunTimes:
         times = self._run_times.get(queue.queue)
         if times is None:
@@ -539,13 +481,13 @@
 
     def _retry_ms(self, queue: settings.QueueSettings) -> int:
         """Return when the backlog has passed, spread so that none crowd."""
-        slots = self._serving_slots()
+        slot_count = self._slots.serving_slots()
         spread = self._random.uniform(0.5, 1.5)
-        if slots == 0:
+        if slot_count == 0:
             return int(_NO_VM_RETRY_MS * spread)
         run_ms = self._times(queue).mean_ms()
         backlog_ms = self._waiting.work_ms()
-        wait_ms = (backlog_ms + run_ms) / slots + run_ms
+        wait_ms = (backlog_ms + run_ms) / slot_count + run_ms
         return int(max(_LEAST_RETRY_MS, wait_ms) * spread)
 
     def _take(self, entry: waiting.Entry) -> waiting.Entry:
@@ -559,12 +501,12 @@
 
     def _hold(self, name: waiting.FrontSeq, grant: Grant) -> None:
         self._grants[name] = grant
-        self._running[grant.vm] = self.running_on(grant.vm) + 1
+        self._slots.hold(grant.vm)
 
     def _free(self, name: waiting.FrontSeq) -> Grant | None:
         grant = self._grants.pop(name, None)
         if grant is not None:
-            self._running[grant.vm] -= 1
+            self._slots.free(grant.vm)
         return grant
 
 
@@ -579,31 +521,6 @@
     )
 
 
-def missing_resource(
-    queue: settings.QueueSettings, vms: Iterable[VmView]
-) -> str:
-    """Name the resource that no VM of a pool has enough of.
-
-    Returns:
-        The resource, or an empty string when some VM can run the request or
-        there are no VMs at all.
-    """
-    missing = [_missing(queue, view.shape) for view in vms]
-    if not missing or not all(missing):
-        return ""
-    return max(set(missing), key=missing.count)
-
-
-def _missing(queue: settings.QueueSettings, shape: catalogue.VmSettings) -> str:
-    if queue.needs_processors > shape.processors:
-        return "processors"
-    if queue.needs_memory_gb > shape.memory_gb:
-        return "memory_gb"
-    if queue.needs_accelerators > shape.accelerators:
-        return "accelerators"
-    return ""
-
-
 def _refusal(
     front: ids.GatewayId,
     ask: messages.Ask,
--- a/src/wagtailtiller/dispatch/estimates.py
+++ b/src/wagtailtiller/dispatch/estimates.py
@@ -22,6 +22,7 @@
         self._weights = [0.0] * _BUCKETS
         self._total = 0.0
         self._sum_ms = 0.0
+        self._quantiles: dict[float, float] = {}
         self._add(min(declared_ms, _MOST_PRIOR_MS), _PRIOR_WEIGHT)
 
     def observe(self, run_ms: int) -> None:
@@ -42,6 +43,13 @@
         Args:
             fraction: Between 0 and 1.
         """
+        known = self._quantiles.get(fraction)
+        if known is None:
+            known = self._find_quantile_ms(fraction)
+            self._quantiles[fraction] = known
+        return known
+
+    def _find_quantile_ms(self, fraction: float) -> float:
         wanted = fraction * self._total
         seen = 0.0
         for index, weight in enumerate(self._weights):
@@ -51,6 +59,7 @@
         return _SMALLEST_MS * _GROWTH**_BUCKETS
 
     def _add(self, run_ms: int, weight: float) -> None:
+        self._quantiles.clear()
         ratio = max(1.0, run_ms / _SMALLEST_MS)
         index = math.ceil(math.log(ratio) / math.log(_GROWTH))
         self._weights[min(index, _BUCKETS - 1)] += weight
--- a/src/wagtailtiller/dispatch/shares.py
+++ b/src/wagtailtiller/dispatch/shares.py
@@ -5,7 +5,7 @@
 
 from wagtailtiller import ids
 
-_DECAY_MS = 10_000.0
+_DECAY_MS = 60_000.0
 
 
 @dataclasses.dataclass
--- a/src/wagtailtiller/dispatch/waiting.py
+++ b/src/wagtailtiller/dispatch/waiting.py
@@ -1,6 +1,7 @@
 """Requests that wait for a slot, earliest deadline first in each class."""
 
 import bisect
+import collections
 from collections.abc import Iterator
 import dataclasses
 import itertools
@@ -38,6 +39,19 @@
         return (self.front, self.ask.seq)
 
 
+@dataclasses.dataclass(frozen=True)
+class Backlog:
+    """Expected work that waits, in milliseconds of slot time.
+
+    Attributes:
+        total_ms: The work of all teams.
+        own_ms: The work of one team.
+    """
+
+    total_ms: float
+    own_ms: float
+
+
 _Row = tuple[int, int, Entry]
 
 
@@ -49,7 +63,9 @@
             priority: [] for priority in ids.Priority
         }
         self._places: dict[FrontSeq, _Row] = {}
-        self._per_queue: dict[ids.QueueId, int] = {}
+        self._per_queue: collections.Counter[ids.QueueId]
+        self._per_queue = collections.Counter()
+        self._per_team: collections.Counter[ids.TeamId] = collections.Counter()
         self._order = itertools.count()
 
     def __len__(self) -> int:
@@ -60,7 +76,11 @@
 
     def count(self, queue: ids.QueueId) -> int:
         """Count the waiting requests of a queue."""
-        return self._per_queue.get(queue, 0)
+        return self._per_queue[queue]
+
+    def teams(self) -> list[ids.TeamId]:
+        """Return the teams that have requests waiting."""
+        return [team for team, count in self._per_team.items() if count]
 
     def add(self, entry: Entry) -> None:
         """Add a request."""
@@ -86,13 +106,34 @@
             for _, _, entry in rows:
                 yield entry
 
-    def of_class(self, priority: ids.Priority) -> list[Entry]:
-        """Return the requests of one class by deadline."""
-        return [entry for _, _, entry in self._rows[priority]]
-
-    def work_ahead_ms(self, priority: ids.Priority, deadline_ms: int) -> float:
-        """Sum the expected work that would be served before a newcomer."""
+    def of_class(self, priority: ids.Priority) -> Iterator[Entry]:
+        """Iterate over one class by deadline; do not change it meanwhile."""
+        for _, _, entry in self._rows[priority]:
+            yield entry
+
+    def due_before(
+        self, priority: ids.Priority, deadline_ms: float
+    ) -> list[Entry]:
+        """Return the requests of a class with an earlier deadline."""
+        found = []
+        for row_deadline_ms, _, entry in self._rows[priority]:
+            if row_deadline_ms >= deadline_ms:
+                break
+            found.append(entry)
+        return found
+
+    def ahead(
+        self, priority: ids.Priority, deadline_ms: int, team: ids.TeamId
+    ) -> Backlog:
+        """Sum the expected work that would be served before a newcomer.
+
+        Args:
+            priority: The newcomer's class.
+            deadline_ms: Its deadline.
+            team: Its team.
+        """
         total_ms = 0.0
+        own_ms = 0.0
         for each, rows in self._rows.items():
             if each > priority:
                 break
@@ -100,7 +141,9 @@
                 if each == priority and row_deadline_ms > deadline_ms:
                     break
                 total_ms += entry.work_ms
-        return total_ms
+                if entry.ask.team == team:
+                    own_ms += entry.work_ms
+        return Backlog(total_ms, own_ms)
 
     def work_ms(self) -> float:
         """Sum the expected work of all that waits."""
@@ -113,5 +156,5 @@
         ]
 
     def _count(self, entry: Entry, change: int) -> None:
-        queue = entry.queue.queue
-        self._per_queue[queue] = self._per_queue.get(queue, 0) + change
+        self._per_queue[entry.queue.queue] += change
+        self._per_team[entry.ask.team] += change
--- a/src/wagtailtiller/gateway/host.py
+++ b/src/wagtailtiller/gateway/host.py
@@ -12,6 +12,7 @@
 from wagtailtiller import roster
 from wagtailtiller.dispatch import dispatcher
 from wagtailtiller.dispatch import messages
+from wagtailtiller.dispatch import slots
 
 _WALL_CLOCK_SKEW_MS = 5_000
 
@@ -108,7 +109,7 @@
         return owned.drain_state(vm, now_ms)
 
     def _refresh(
-        self, pool: ids.PoolId, view: dispatcher.PoolView, now_ms: int
+        self, pool: ids.PoolId, view: slots.PoolView, now_ms: int
     ) -> None:
         epoch = self._replica.roster.epoch
         fronts = self._replica.roster.members
@@ -122,7 +123,7 @@
         self._replay_reports(pool, owned, now_ms)
 
     def _create(
-        self, pool: ids.PoolId, view: dispatcher.PoolView, now_ms: int
+        self, pool: ids.PoolId, view: slots.PoolView, now_ms: int
     ) -> dispatcher.Dispatcher:
         longest_ms = max(
             (queue.run_limit_ms for queue in view.queues.values()), default=0
@@ -201,10 +202,10 @@
             and owner.incarnation == self._incarnation
         )
 
-    def _pool_views(self) -> dict[ids.PoolId, dispatcher.PoolView]:
+    def _pool_views(self) -> dict[ids.PoolId, slots.PoolView]:
         catalogue = self._replica.settings.catalogue
         views = {
-            pool: dispatcher.PoolView(pool_settings, {}, {})
+            pool: slots.PoolView(pool_settings, {}, {})
             for pool, pool_settings in catalogue.pools.items()
         }
         for queue in catalogue.queues.values():
@@ -213,7 +214,7 @@
             shape = catalogue.vms.get(vm)
             if shape is not None and record.pool in views:
                 serving = record.state is fleet.VmState.SERVING
-                views[record.pool].vms[vm] = dispatcher.VmView(
+                views[record.pool].vms[vm] = slots.VmView(
                     shape, serving, record.generation
                 )
         return views
--- /dev/null
+++ b/support/measure/local.py
@@ -0,0 +1,98 @@
+"""Baselines: gateways that place requests by themselves."""
+
+import enum
+import functools
+import random
+
+from support.measure import clockwork
+from support.measure import results
+from support.measure import trace
+
+_POLL_MS = 20.0
+
+
+class Rule(enum.Enum):
+    """How a gateway picks an endpoint."""
+
+    RANDOM = "random"
+    LEAST_LOADED = "local least-loaded"
+
+
+class LocalGateways:
+    """Gateways with local queues, earliest deadline first.
+
+    An endpoint that is full refuses; the gateway polls again.
+
+    Args:
+        rule: How an endpoint is picked.
+        gateways: How many gateways.
+        seed: Seeds every choice.
+    """
+
+    def __init__(self, rule: Rule, gateways: int, seed: int) -> None:
+        self._rule = rule
+        self._random = random.Random(seed)
+        self._running = [0] * trace.VMS
+        self._local = [[0] * trace.VMS for _ in range(gateways)]
+        self._waiting: list[list[trace.Request]] = [[] for _ in range(gateways)]
+        self._polling = [False] * gateways
+        self._clock = clockwork.Clockwork()
+        self._results = results.Results()
+
+    def run(self, requests: list[trace.Request]) -> results.Results:
+        """Run a trace."""
+        for request in requests:
+            self._clock.at(
+                request.arrival_ms, functools.partial(self._add, request)
+            )
+        self._clock.run()
+        return self._results
+
+    def _add(self, request: trace.Request) -> None:
+        self._waiting[request.gateway].append(request)
+        self._serve(request.gateway)
+
+    def _serve(self, gateway: int) -> None:
+        waiting = self._waiting[gateway]
+        while waiting:
+            request = min(waiting, key=lambda each: each.deadline_ms)
+            if self._clock.now_ms > request.deadline_ms:
+                waiting.remove(request)
+                self._results.refused += 1
+                continue
+            vm = self._pick(gateway)
+            if self._running[vm] >= trace.SLOTS:
+                self._poll(gateway)
+                return
+            waiting.remove(request)
+            self._start(request, vm)
+
+    def _pick(self, gateway: int) -> int:
+        if self._rule is Rule.RANDOM:
+            return self._random.randrange(trace.VMS)
+        return min(
+            range(trace.VMS),
+            key=lambda vm: (self._local[gateway][vm], self._random.random()),
+        )
+
+    def _start(self, request: trace.Request, vm: int) -> None:
+        self._running[vm] += 1
+        self._local[request.gateway][vm] += 1
+        self._results.start(request, self._clock.now_ms)
+        self._clock.after(request.work_ms, lambda: self._finish(request, vm))
+
+    def _finish(self, request: trace.Request, vm: int) -> None:
+        self._running[vm] -= 1
+        self._local[request.gateway][vm] -= 1
+        self._results.finish(request, self._clock.now_ms)
+        self._serve(request.gateway)
+
+    def _poll(self, gateway: int) -> None:
+        if self._polling[gateway]:
+            return
+        self._polling[gateway] = True
+        self._clock.after(_POLL_MS, lambda: self._polled(gateway))
+
+    def _polled(self, gateway: int) -> None:
+        self._polling[gateway] = False
+        self._serve(gateway)
--- /dev/null
+++ b/support/measure/run.py
@@ -0,0 +1,28 @@
+"""``make measure``: every section, seeded, one table each."""
+
+import argparse
+import sys
+
+from support.measure import fairness
+from support.measure import placement
+
+_SECTIONS = {
+    "placement": placement.measure,
+    "fairness": fairness.measure,
+}
+
+
+def main() -> int:
+    """Run the sections named on the command line, or all."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--section", choices=sorted(_SECTIONS), action="append")
+    options = parser.parse_args()
+    for name in options.section or _SECTIONS:
+        print(_SECTIONS[name](options.seed))
+        sys.stdout.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
