Split the front into pure decisions and an asynchronous desk

Cause: fuzzing needs to drive the front in virtual time; futures and loop timers stood in it. Change: Front takes a reply callback and a tick; Desk waits on futures.

--- a/src/wagtailtiller/gateway/front.py
+++ b/src/wagtailtiller/gateway/front.py
@@ -6,7 +6,6 @@
 fences off an owner that has been replaced without knowing it.
 """
 
-import asyncio
 from collections.abc import Callable
 import dataclasses
 import itertools
@@ -20,9 +19,9 @@
 from wagtailtiller.dispatch import messages
 
 _REASK_MS = 50
-_NO_OWNER_RETRY_MS = 1_000
 
 SendMessage = Callable[[ids.GatewayId, messages.Message], None]
+Reply = Callable[["Granted | messages.Refuse"], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,7 +58,8 @@
 @dataclasses.dataclass
 class _Pending:
     want: Want
-    reply: "asyncio.Future[Granted | messages.Refuse]"
+    reply: Reply
+    ask_again_ms: int | None = None
 
 
 @dataclasses.dataclass
@@ -111,25 +111,37 @@
         """Requests that wait for a slot or hold one."""
         return len(self._pending) + len(self._running)
 
-    async def acquire(self, want: Want) -> Granted | messages.Refuse:
-        """Wait for a slot, a refusal, or the deadline."""
+    def begin(self, want: Want, reply: Reply) -> int:
+        """Ask for a slot.
+
+        Args:
+            want: What for.
+            reply: Called once, with a grant or a refusal, unless the request
+                is abandoned before.
+
+        Returns:
+            The request's number.
+        """
         seq = next(self._seqs)
-        reply: asyncio.Future[Granted | messages.Refuse]
-        reply = asyncio.get_running_loop().create_future()
         self._pending[seq] = _Pending(want, reply)
         self._ask(seq)
-        left_ms = want.deadline_ms - self._clock.monotonic_ms()
-        try:
-            return await asyncio.wait_for(reply, left_ms / 1_000)
-        except TimeoutError:
-            return messages.Refuse(
-                seq, messages.Refusal.TOO_LATE, _NO_OWNER_RETRY_MS
-            )
-        except asyncio.CancelledError:
-            self.release(seq, messages.RunOutcome.UNUSED, 0)
-            raise
-        finally:
-            self._abandon(seq, reply)
+        return seq
+
+    def abandon(self, seq: int) -> None:
+        """Ask no more; a grant that comes later is returned unused."""
+        pending = self._pending.pop(seq, None)
+        if pending is not None:
+            queue = pending.want.queue
+            cancel = messages.Cancel(seq, queue.queue)
+            self._send_to_owner(queue.pool, cancel)
+
+    def tick(self) -> None:
+        """Ask again for what was sent to a gateway that no longer owns."""
+        now_ms = self._clock.monotonic_ms()
+        for seq, pending in list(self._pending.items()):
+            due_ms = pending.ask_again_ms
+            if due_ms is not None and due_ms <= now_ms:
+                self._ask(seq)
 
     def usable(self, granted: Granted) -> bool:
         """Whether a grant may still be used to begin a run."""
@@ -213,8 +225,9 @@
 
     def _ask(self, seq: int) -> None:
         pending = self._pending.get(seq)
-        if pending is None or pending.reply.done():
+        if pending is None:
             return
+        pending.ask_again_ms = None
         want = pending.want
         now_ms = self._clock.monotonic_ms()
         ask = messages.Ask(
@@ -234,19 +247,20 @@
         if grant.epoch < self._epoch:
             return
         pending = self._pending.get(grant.seq)
-        if pending is None or pending.reply.done():
+        if pending is None:
             self._return_unused(sender, grant)
             return
         granted = Granted(grant.seq, grant.vm, grant.stamp_ms)
         if not self.usable(granted):
             self._return_unused(sender, grant)
-            self._ask_later(grant.seq)
+            self._ask_later(pending)
             return
+        del self._pending[grant.seq]
         want = pending.want
         now_ms = self._clock.monotonic_ms()
         self._running[grant.seq] = _Running(want, grant.vm, now_ms)
         self._remember_key(grant.seq, want, now_ms)
-        pending.reply.set_result(granted)
+        pending.reply(granted)
 
     def _return_unused(
         self, sender: ids.GatewayId, grant: messages.Grant
@@ -257,25 +271,17 @@
 
     def _take_refusal(self, refuse: messages.Refuse) -> None:
         pending = self._pending.get(refuse.seq)
-        if pending is None or pending.reply.done():
+        if pending is None:
             return
         if refuse.reason is messages.Refusal.NOT_DISPATCHER:
-            self._ask_later(refuse.seq)
+            self._ask_later(pending)
             return
-        pending.reply.set_result(refuse)
-
-    def _ask_later(self, seq: int) -> None:
-        loop = asyncio.get_running_loop()
-        loop.call_later(_REASK_MS / 1_000, self._ask, seq)
+        del self._pending[refuse.seq]
+        pending.reply(refuse)
 
-    def _abandon(
-        self, seq: int, reply: "asyncio.Future[Granted | messages.Refuse]"
-    ) -> None:
-        pending = self._pending.pop(seq, None)
-        if pending is None or (reply.done() and not reply.cancelled()):
-            return
-        queue = pending.want.queue
-        self._send_to_owner(queue.pool, messages.Cancel(seq, queue.queue))
+    def _ask_later(self, pending: _Pending) -> None:
+        now_ms = self._clock.monotonic_ms()
+        pending.ask_again_ms = now_ms + _REASK_MS
 
     def _send_to_owner(
         self, pool: ids.PoolId, message: messages.Message
--- a/src/wagtailtiller/gateway/node.py
+++ b/src/wagtailtiller/gateway/node.py
@@ -144,6 +144,7 @@
             self._confirm()
             self._host.receive(self._own.gateway, self._beat(self._own.gateway))
             self._host.tick()
+            self._front.tick()
 
     def _confirm(self) -> view.Confirmation:
         now_ms = self._clock.monotonic_ms()
--- a/src/wagtailtiller/gateway/service.py
+++ b/src/wagtailtiller/gateway/service.py
@@ -8,6 +8,7 @@
 from wagtailtiller import metrics
 from wagtailtiller import replica
 from wagtailtiller.dispatch import messages
+from wagtailtiller.gateway import desk
 from wagtailtiller.gateway import endpoints
 from wagtailtiller.gateway import front
 from wagtailtiller.gateway import outcomes
@@ -24,7 +25,7 @@
     Args:
         time: The clock.
         shared: This process's copy of the shared state.
-        desk: This gateway's front.
+        slots: This gateway's front.
         client: Runs requests at endpoints.
         meter: Where waits and runs are timed.
     """
@@ -33,13 +34,14 @@
         self,
         time: clock.Clock,
         shared: replica.Replica,
-        desk: front.Front,
+        slots: front.Front,
         client: endpoints.EndpointClient,
         meter: metrics.Meter,
     ) -> None:
         self._clock = time
         self._replica = shared
-        self._front = desk
+        self._front = slots
+        self._desk = desk.Desk(time, slots)
         self._client = client
         self._meter = meter
         self._retries = retries.RetryBudget()
@@ -79,7 +81,7 @@
         self, want: front.Want, forwarded: endpoints.Forwarded
     ) -> tuple[outcomes.Outcome | endpoints.Ran, ids.VmId]:
         asked_ms = self._clock.monotonic_ms()
-        granted = await self._front.acquire(want)
+        granted = await self._desk.acquire(want)
         if isinstance(granted, messages.Refuse):
             return outcomes.from_refusal(granted), ids.VmId("")
         waited_ms = self._clock.monotonic_ms() - asked_ms
