--- a/src/wagtailtiller/dispatch/dispatcher.py
+++ b/src/wagtailtiller/dispatch/dispatcher.py
@@ -252,13 +252,13 @@
         if not self._open:
             reason = messages.Refusal.ISOLATED
             return _refusal(front, ask, reason, _LEAST_RETRY_MS)
+        refused = self._key_refusal(front, ask, queue, now_ms)
+        if refused is not None:
+            return refused
         missing = slots.missing_resource(queue, self._view.vms.values())
         if missing:
             reason = messages.Refusal.NO_CAPABLE_VM
             return _refusal(front, ask, reason, 0, missing)
-        refused = self._key_refusal(front, ask, queue, now_ms)
-        if refused is not None:
-            return refused
         if self._waiting.count(queue.queue) >= queue.queue_limit:
             reason = messages.Refusal.QUEUE_FULL
             return _refusal(front, ask, reason, self._retry_ms(queue))
@@ -331,7 +331,7 @@
         return min(together_ms, alone_ms)
 
     def _place(self, now_ms: int) -> list[Send]:
-        if not self._open or not self._settled(now_ms):
+        if not self._waiting or not self._open or not self._settled(now_ms):
             return []
         sends: list[Send] = []
         for priority in ids.Priority:
--- a/src/wagtailtiller/events.py
+++ b/src/wagtailtiller/events.py
@@ -38,9 +38,14 @@
     SETTINGS_COMPACTED = 2401
 
 
+class _Log:
+    enabled = False
+
+
 def start_logging() -> None:
-    """Send events to standard output."""
+    """Send events to standard output; before this, none are kept."""
     eliot.to_file(sys.stdout)
+    _Log.enabled = True
 
 
 def emit(event: Event, **fields: Any) -> None:
@@ -50,6 +55,8 @@
         event: Which one.
         **fields: What it was about; names carry their unit.
     """
+    if not _Log.enabled:
+        return
     eliot.log_message(
         message_type=f"wagtailtiller:{event.value}",
         event=event.name.lower(),
--- a/src/wagtailtiller/gateway/callers.py
+++ b/src/wagtailtiller/gateway/callers.py
@@ -110,9 +110,6 @@
             self._handling -= 1
 
     async def _outcome(self, request: web.Request) -> outcomes.Outcome:
-        refusal = self._closed()
-        if refusal is not None:
-            return refusal
         admitted = admission.admit(
             self._replica.settings.catalogue,
             request.match_info["queue"],
@@ -123,6 +120,9 @@
         if admitted.is_error():
             return admitted.error
         want = admitted.ok
+        refusal = self._closed()
+        if refusal is not None:
+            return service.unvouched(want, refusal)
         try:
             body = await self._read_body(request, want)
         except _BodyError as error:
--- /dev/null
+++ b/src/wagtailtiller/gateway/core.py
@@ -0,0 +1,177 @@
+"""The decisions of a gateway, without any input or output.
+
+Wires the replica, the view lease, the front and the dispatch host together.
+Messages come in through ``from_front`` and ``from_dispatcher`` and leave
+through a ``Transport``; the rest of the gateway only moves bytes.
+"""
+
+from typing import Protocol
+
+from wagtailtiller import clock
+from wagtailtiller import events
+from wagtailtiller import ids
+from wagtailtiller import metrics
+from wagtailtiller import replica
+from wagtailtiller import view
+from wagtailtiller.dispatch import messages
+from wagtailtiller.gateway import front
+from wagtailtiller.gateway import host
+
+_PULL_EVERY_MS = 500
+
+
+class Transport(Protocol):
+    """Carries messages; those of one direction to one peer stay in order."""
+
+    def to_dispatcher(
+        self, gateway: ids.GatewayId, message: messages.Message
+    ) -> None:
+        """Send as a front, to the dispatchers of a gateway."""
+
+    def to_front(
+        self, gateway: ids.GatewayId, message: messages.Message
+    ) -> None:
+        """Send as a dispatcher, to the front of a gateway."""
+
+
+class GatewayCore:
+    """One gateway's decisions.
+
+    Args:
+        own: Its name.
+        incarnation: This process.
+        region: The region that it serves.
+        time: The clock.
+        transport: Carries its messages.
+        meter: Where metrics go.
+    """
+
+    def __init__(
+        self,
+        own: ids.GatewayId,
+        incarnation: str,
+        region: ids.RegionId,
+        time: clock.Clock,
+        transport: Transport,
+        meter: metrics.Meter,
+    ) -> None:
+        self._own = own
+        self._clock = time
+        self._transport = transport
+        self._confirmation = view.Confirmation.NONE
+        self._peer_stamps: dict[ids.GatewayId, int] = {}
+        self._last_pull_ms = 0
+        self.replica = replica.Replica(region)
+        self.lease = view.ViewLease(own)
+        self.front = front.Front(
+            time, self.replica, transport.to_dispatcher, self.view_valid
+        )
+        self.host = host.DispatchHost(
+            own=own,
+            incarnation=incarnation,
+            time=time,
+            shared=self.replica,
+            send=transport.to_front,
+            meter=meter,
+        )
+
+    def view_valid(self) -> bool:
+        """Whether this gateway may act on its view now."""
+        return self.confirm() is not view.Confirmation.NONE
+
+    def confirm(self) -> view.Confirmation:
+        """Say what the view rests on, and open or close the dispatchers."""
+        now_ms = self._clock.monotonic_ms()
+        confirmation = self.lease.confirmation(
+            now_ms, self.replica.revision, self.replica.roster
+        )
+        if confirmation is not self._confirmation:
+            self._confirmation = confirmation
+            events.emit(
+                events.Event.VIEW_CONFIRMATION_CHANGED,
+                confirmation=confirmation.value,
+            )
+            self.host.set_open(confirmation is not view.Confirmation.NONE)
+        return confirmation
+
+    def tick(self) -> None:
+        """Let time pass."""
+        self.confirm()
+        self.host.receive(self._own, self.beat(self._own))
+        self.host.tick()
+        self.front.tick()
+
+    def view_changed(self) -> None:
+        """Follow a change of the replica."""
+        self.host.view_changed()
+        self.front.view_changed()
+        events.emit(
+            events.Event.SETTINGS_IN_FORCE,
+            settings_revision=self.replica.settings.revision,
+            store_revision=self.replica.revision,
+            epoch=self.replica.roster.epoch,
+        )
+
+    def beat(self, peer: ids.GatewayId) -> messages.Beat:
+        """Make the sign of life for a peer."""
+        now_ms = self._clock.monotonic_ms()
+        return messages.Beat(
+            stamp_ms=now_ms,
+            echo_ms=self._peer_stamps.get(peer, 0),
+            epoch=self.replica.roster.epoch,
+            revision=self.replica.revision,
+            store_age_ms=self.lease.store_age_ms(now_ms),
+        )
+
+    def from_front(
+        self, gateway: ids.GatewayId, message: messages.Message
+    ) -> None:
+        """Take a message that a front sent to the dispatchers here."""
+        match message:
+            case messages.Beat():
+                self._peer_stamps[gateway] = message.stamp_ms
+                self.host.receive(gateway, message)
+                self._transport.to_front(gateway, self.beat(gateway))
+            case messages.Pull():
+                if self.replica.revision > message.after:
+                    items = self.replica.export()
+                    push = messages.Push(self.replica.revision, items)
+                    self._transport.to_front(gateway, push)
+            case _:
+                self.host.receive(gateway, message)
+
+    def from_dispatcher(
+        self, gateway: ids.GatewayId, message: messages.Message
+    ) -> bool:
+        """Take a message that a dispatcher sent to the front here.
+
+        Returns:
+            Whether the replica has changed; ``view_changed`` is then due.
+        """
+        match message:
+            case messages.Beat():
+                self._hear(gateway, message)
+            case messages.Push():
+                items, revision = message.items, message.revision
+                return self.replica.load_export(items, revision)
+            case _:
+                self.front.receive(gateway, message)
+        return False
+
+    def drain_answer(self, vm: ids.VmId) -> messages.DrainAnswer:
+        """Say whether a VM is free of work and stays so."""
+        found = self.host.drain_state(vm)
+        if found is None or not self.view_valid():
+            return messages.DrainAnswer(owner=False)
+        return found
+
+    def _hear(self, peer: ids.GatewayId, beat: messages.Beat) -> None:
+        said = view.PeerView(beat.echo_ms, beat.revision, beat.store_age_ms)
+        self.lease.hear(peer, said)
+        now_ms = self._clock.monotonic_ms()
+        if beat.revision <= self.replica.revision:
+            return
+        if now_ms - self._last_pull_ms >= _PULL_EVERY_MS:
+            self._last_pull_ms = now_ms
+            pull = messages.Pull(self.replica.revision)
+            self._transport.to_dispatcher(peer, pull)
--- a/src/wagtailtiller/gateway/desk.py
+++ b/src/wagtailtiller/gateway/desk.py
@@ -26,6 +26,8 @@
     async def acquire(self, want: front.Want) -> Reply:
         """Wait for a slot, a refusal, or the deadline.
 
+        At the deadline it is as if no dispatcher had been found.
+
         A slot that is granted while the waiter is being cancelled goes back
         unused.
         """
@@ -38,7 +40,7 @@
         except TimeoutError:
             self._give_back(seq)
             return messages.Refuse(
-                seq, messages.Refusal.TOO_LATE, _LATE_RETRY_MS
+                seq, messages.Refusal.NOT_DISPATCHER, _LATE_RETRY_MS
             )
         except asyncio.CancelledError:
             self._give_back(seq)
--- a/src/wagtailtiller/gateway/front.py
+++ b/src/wagtailtiller/gateway/front.py
@@ -11,6 +11,7 @@
 import itertools
 
 from wagtailtiller import clock
+from wagtailtiller import fleet
 from wagtailtiller import ids
 from wagtailtiller import replica
 from wagtailtiller import roster
@@ -143,10 +144,25 @@
             if due_ms is not None and due_ms <= now_ms:
                 self._ask(seq)
 
-    def usable(self, granted: Granted) -> bool:
-        """Whether a grant may still be used to begin a run."""
+    def usable(self, granted: Granted, pool: ids.PoolId) -> bool:
+        """Whether a grant may still be used to begin a run.
+
+        The front looks at its own view as well, so that a dispatcher whose
+        view is older cannot place work on a VM that is leaving.
+
+        Args:
+            granted: The grant.
+            pool: The pool that it is for.
+        """
         age_ms = self._clock.monotonic_ms() - granted.stamp_ms
-        return age_ms < dispatcher.GRANT_VALID_MS and self._view_valid()
+        record = self._replica.fleet.vms.get(granted.vm)
+        return (
+            age_ms < dispatcher.GRANT_VALID_MS
+            and self._view_valid()
+            and record is not None
+            and record.pool == pool
+            and record.state is fleet.VmState.SERVING
+        )
 
     def release(
         self, seq: int, outcome: messages.RunOutcome, run_ms: int
@@ -251,7 +267,7 @@
             self._return_unused(sender, grant)
             return
         granted = Granted(grant.seq, grant.vm, grant.stamp_ms)
-        if not self.usable(granted):
+        if not self.usable(granted, pending.want.queue.pool):
             self._return_unused(sender, grant)
             self._ask_later(pending)
             return
--- a/src/wagtailtiller/gateway/peers.py
+++ b/src/wagtailtiller/gateway/peers.py
@@ -12,7 +12,6 @@
 
 import grpc
 
-from wagtailtiller import clock
 from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller import metrics
@@ -153,7 +152,7 @@
                     if isinstance(message, messages.Hello):
                         front = message.gateway
                         self._replace(front, outbox)
-                    elif front is not None:
+                    elif front and self._outboxes.get(front) is outbox:
                         self._receive(front, message)
         finally:
             outbox.close()
@@ -176,7 +175,6 @@
         receive: Takes each message with the peer that sent it.
         connected: Called when a stream is open.
         make_beat: Makes the message that is sent each second.
-        time: The clock.
         meter: Where bytes are counted.
     """
 
@@ -187,7 +185,6 @@
         receive: Receive,
         connected: Callable[[ids.GatewayId], None],
         make_beat: Callable[[ids.GatewayId], messages.Beat],
-        time: clock.Clock,
         meter: metrics.Meter,
     ) -> None:
         self._own = own
@@ -195,7 +192,6 @@
         self._receive = receive
         self._connected = connected
         self._make_beat = make_beat
-        self._clock = time
         self._meter = meter
         self._outbox: Outbox | None = None
         self._task = asyncio.create_task(self._run())
--- a/src/wagtailtiller/gateway/service.py
+++ b/src/wagtailtiller/gateway/service.py
@@ -16,6 +16,8 @@
 
 _RETRY_AFTER_MS = 1_000
 
+_UNVOUCHED = (outcomes.Reason.NO_DISPATCHER, outcomes.Reason.ISOLATED)
+
 _CERTAIN = (messages.RunOutcome.NOT_RUN, messages.RunOutcome.BUSY)
 
 
@@ -62,20 +64,21 @@
             forwarded: What to send.
         """
         self._retries.earn()
+        may_have_run = False
         for attempt in range(retries.MOST_ATTEMPTS):
             if attempt:
                 self._meter.incr(metrics.Metric.RETRIES.value)
             outcome, vm = await self._attempt(want, forwarded)
-            match outcome:
-                case endpoints.Ran():
-                    final = self._settle(want, forwarded, outcome)
-                    if final is not None:
-                        return final
-                    avoid = want.avoid + (vm,)
-                    want = dataclasses.replace(want, avoid=avoid)
-                case _:
-                    return outcome
-        return outcomes.NotRun(outcomes.Reason.RETRIES_SPENT, _RETRY_AFTER_MS)
+            if not isinstance(outcome, endpoints.Ran):
+                return _honest(want, outcome, may_have_run)
+            final = self._settle(want, forwarded, outcome)
+            if final is not None:
+                return _honest(want, final, may_have_run)
+            may_have_run |= outcome.outcome not in _CERTAIN
+            avoid = want.avoid + (vm,)
+            want = dataclasses.replace(want, avoid=avoid)
+        spent = outcomes.NotRun(outcomes.Reason.RETRIES_SPENT, _RETRY_AFTER_MS)
+        return _honest(want, spent, may_have_run)
 
     async def _attempt(
         self, want: front.Want, forwarded: endpoints.Forwarded
@@ -96,7 +99,7 @@
         granted: front.Granted,
     ) -> outcomes.Outcome | endpoints.Ran:
         vm = self._replica.settings.catalogue.vms.get(granted.vm)
-        if vm is None or not self._front.usable(granted):
+        if vm is None or not self._front.usable(granted, want.queue.pool):
             unused = messages.RunOutcome.UNUSED
             self._front.release(granted.seq, unused, 0)
             return outcomes.NotRun(outcomes.Reason.NO_VM, _RETRY_AFTER_MS)
@@ -149,3 +152,33 @@
         if repeatable and self._retries.spend():
             return None
         return outcomes.Unknown(outcomes.Reason.ENDPOINT_BROKE)
+
+
+def _honest(
+    want: front.Want, outcome: outcomes.Outcome, may_have_run: bool
+) -> outcomes.Outcome:
+    """Say ``not run`` only of what certainly did not run.
+
+    Args:
+        want: The request.
+        outcome: What the last attempt ended with.
+        may_have_run: Whether an earlier attempt reached an endpoint.
+    """
+    if not isinstance(outcome, outcomes.NotRun):
+        return outcome
+    if may_have_run:
+        return outcomes.Unknown(outcomes.Reason.ENDPOINT_BROKE)
+    if outcome.reason in _UNVOUCHED:
+        return unvouched(want, outcome)
+    return outcome
+
+
+def unvouched(want: front.Want, refusal: outcomes.NotRun) -> outcomes.Failure:
+    """Return a refusal that no dispatcher has vouched for.
+
+    An earlier request with the same key may have run through another
+    gateway; only the pool's dispatcher would know.
+    """
+    if want.key and not want.queue.idempotent:
+        return outcomes.Unknown(outcomes.Reason.KEY_UNCERTAIN)
+    return refusal
--- a/src/wagtailtiller/replica.py
+++ b/src/wagtailtiller/replica.py
@@ -18,6 +18,8 @@
 
 _items_decoder = msgspec.msgpack.Decoder(list[store.Item])
 _fleet_decoder = msgspec.json.Decoder(model.Fleet)
+_base_decoder = msgspec.json.Decoder(changes.Base)
+_change_decoder = msgspec.json.Decoder(changes.Change)
 _roster_decoder = msgspec.json.Decoder(roster.Roster)
 
 
@@ -101,12 +103,12 @@
         current = self.settings
         snapshot = self._value(changes.SNAPSHOT_KEY)
         if snapshot is not None:
-            base = msgspec.json.decode(snapshot, type=changes.Base)
+            base = _base_decoder.decode(snapshot)
             if base.revision > current.revision:
                 loaded = changes.from_plain(base.revision, base.plain)
                 current = loaded.default_value(current)
         log = [
-            msgspec.json.decode(item.value, type=changes.Change)
+            _change_decoder.decode(item.value)
             for key, item in self._items.items()
             if key > changes.log_key(current.revision)
             and key.startswith(changes.LOG_PREFIX)
--- a/src/wagtailtiller/settings/reading.py
+++ b/src/wagtailtiller/settings/reading.py
@@ -5,6 +5,7 @@
 """
 
 import difflib
+import functools
 import types
 import typing
 from typing import Any
@@ -82,7 +83,7 @@
 ) -> errors.InvalidSetting | None:
     if not isinstance(value, dict):
         return errors.InvalidSetting(path or "/", value, "expected an object")
-    hints = typing.get_type_hints(kind, include_extras=True)
+    hints = _hints(kind)
     for key, child in value.items():
         if key not in hints:
             return _unknown_key(key, list(hints), path)
@@ -97,6 +98,11 @@
     return None
 
 
+@functools.cache
+def _hints(kind: type[msgspec.Struct]) -> dict[str, Any]:
+    return typing.get_type_hints(kind, include_extras=True)
+
+
 def _fault_in_mapping(
     value: Any, kinds: tuple[Any, ...], path: str
 ) -> errors.InvalidSetting | None:
--- /dev/null
+++ b/support/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded schedules that drive the shipped decisions against an oracle."""
