--- /dev/null
+++ b/tests/fleet/test_planning.py
@@ -0,0 +1,98 @@
+"""Tests of what the plan asks for."""
+
+import testtools
+
+from tests import examples
+from wagtailtiller import fleet
+from wagtailtiller import ids
+from wagtailtiller.fleet import planning
+from wagtailtiller.ports import platform
+
+_WAVE = ids.WaveId("wave")
+
+
+def _reports(known, **changes):
+    reports = {
+        vm: platform.VmReport(vm, platform.VmPhase.LIVE, 1) for vm in known.vms
+    }
+    for name, report in changes.items():
+        vm = ids.VmId(name.replace("_", "-"))
+        reports[vm] = report
+        if report is None:
+            del reports[vm]
+    return reports
+
+
+class ObserveTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.catalogue = examples.catalogue()
+        self.fleet = examples.enrolled(self.catalogue)
+
+    def observe(self, **changes):
+        reports = _reports(self.catalogue, **changes)
+        return planning.observe(self.fleet, self.catalogue, reports)
+
+    def test_nothing_is_due_while_all_are_live(self):
+        self.assertEqual([], self.observe())
+
+    def test_vanished_vm_has_failed(self):
+        self.assertEqual([fleet.Fail("vm-0")], self.observe(vm_0=None))
+
+    def test_leaving_vm_is_evicted(self):
+        leaving = platform.VmReport("vm-0", platform.VmPhase.LEAVING, 1)
+        self.assertEqual([fleet.Evict("vm-0")], self.observe(vm_0=leaving))
+
+    def test_restart_between_two_looks_counts_as_a_failure(self):
+        restarted = platform.VmReport("vm-0", platform.VmPhase.LIVE, 2)
+        self.assertEqual([fleet.Fail("vm-0")], self.observe(vm_0=restarted))
+
+
+class PlanTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.catalogue = examples.catalogue(max_unavailable=2, vms=10)
+        self.fleet = examples.enrolled(self.catalogue)
+        self.apply(fleet.StartWave(_WAVE, examples.POOL, "op"))
+
+    def apply(self, *commands):
+        for command in commands:
+            outcome = fleet.apply(self.fleet, command, self.catalogue, 1)
+            self.fleet = outcome.ok
+
+    def planned(self):
+        return planning.plan(self.fleet, self.catalogue)
+
+    def test_wave_takes_as_many_as_the_budget_allows(self):
+        leaves = [c for c in self.planned() if isinstance(c, fleet.BeginLeave)]
+        self.assertEqual(2, len(leaves))
+
+    def test_wave_stays_in_one_rack(self):
+        racks = {
+            self.catalogue.vms[command.vm].rack for command in self.planned()
+        }
+        self.assertEqual(1, len(racks))
+
+    def test_wave_pauses_while_failures_spend_the_budget(self):
+        self.apply(fleet.Fail("vm-0"), fleet.Fail("vm-1"))
+        self.assertEqual([], self.planned())
+
+    def test_leaving_vm_is_returned_when_failures_break_the_budget(self):
+        self.apply(*self.planned())
+        leaving = [
+            vm
+            for vm, record in self.fleet.vms.items()
+            if record.state is fleet.VmState.LEAVING
+        ]
+        failed = next(
+            vm
+            for vm, record in self.fleet.vms.items()
+            if record.pool == examples.POOL and vm not in leaving
+        )
+        self.apply(fleet.Fail(failed))
+        cancelled = [
+            command
+            for command in self.planned()
+            if isinstance(command, fleet.CancelLeave)
+        ]
+        self.assertEqual(1, len(cancelled))
--- /dev/null
+++ b/tests/settings/test_appending.py
@@ -0,0 +1,70 @@
+"""Tests of appending to the settings log through faults and races."""
+
+import asyncio
+
+import testtools
+
+from tests import examples
+from tests import fakes
+from wagtailtiller import errors
+from wagtailtiller import ids
+from wagtailtiller.settings import appending
+from wagtailtiller.settings import changes
+
+
+def _change(name, revision=2, patch=None):
+    return changes.Change(
+        revision=ids.Revision(revision),
+        change=ids.ChangeId(name),
+        who=name,
+        why="",
+        at_ms=0,
+        patch=patch or {"tree": {"values": {"deadline_ms": 9_000}}},
+    )
+
+
+class AppendTest(testtools.TestCase):
+    def append(self, store, change):
+        current = examples.current()
+        return asyncio.run(appending.append(store, current, change))
+
+    def test_lost_answer_is_settled_by_reading_back(self):
+        store = fakes.FakeStore([fakes.Fault.AFTER])
+        outcome = self.append(store, _change("ours"))
+        self.assertEqual("ours", outcome.ok.change)
+        self.assertEqual(1, store.writes)
+
+    def test_failure_before_the_write_is_tried_again(self):
+        store = fakes.FakeStore([fakes.Fault.BEFORE])
+        self.assertTrue(self.append(store, _change("ours")).is_ok())
+
+    def test_repeated_write_of_one_change_has_no_effect(self):
+        store = fakes.FakeStore([fakes.Fault.REPEATED])
+        self.assertTrue(self.append(store, _change("ours")).is_ok())
+
+    def test_operator_who_comes_second_sees_the_others_change(self):
+        store = fakes.FakeStore()
+        self.append(store, _change("first"))
+        outcome = self.append(store, _change("second"))
+        self.assertIsInstance(outcome.error, errors.Conflict)
+        self.assertEqual("first", appending.other_change(outcome.error).who)
+
+    def test_invalid_change_is_not_written(self):
+        store = fakes.FakeStore()
+        patch = {"tree": {"values": {"deadline_ms": -1}}}
+        outcome = self.append(store, _change("bad", patch=patch))
+        self.assertEqual("/tree/values/deadline_ms", outcome.error.path)
+        self.assertEqual(0, store.writes)
+
+
+class MergeTest(testtools.TestCase):
+    def test_difference_turns_one_document_into_the_other(self):
+        old = {"a": {"b": 1, "c": 2}, "d": 3}
+        new = {"a": {"b": 1, "e": 4}, "f": {"g": 5}}
+        patch = changes.difference(old, new)
+        self.assertEqual(new, changes.merge(old, patch))
+
+    def test_gap_in_the_log_stops_the_fold(self):
+        current = examples.current()
+        late = _change("late", revision=3)
+        self.assertEqual(1, changes.fold(current, [late]).ok.revision)
