Test the dispatcher, the front and what is learned; show mutants caught

Six: a refusal that was on its way while another attempt with the same key ran; the oracle now compares with what had begun before the request was sent.

--- a/support/fuzz/oracle.py
+++ b/support/fuzz/oracle.py
@@ -51,7 +51,6 @@
         self._budgets = budgets
         self._keys: collections.Counter[int] = collections.Counter()
         self._told: dict[int, Told] = {}
-        self._key_of: dict[int, int] = {}
         self.runs: list[Run] = []
         self.vms: dict[str, VmTruth] = {}
         self.broken: list[str] = []
@@ -81,7 +80,8 @@
         run = Run(request, key, vm, pool, now_ms)
         truth = self.vms[vm]
         self.runs.append(run)
-        self._key_of[request] = key
+        if self._told.get(request) is Told.NOT_RUN:
+            self._break(f"request {request} ran after it was told not run")
         if key:
             self._keys[key] += 1
             if self._keys[key] > 1:
@@ -102,14 +102,24 @@
         """Count the runs on a VM."""
         return sum(run.vm == vm and run.running for run in self.runs)
 
-    def tell(self, request: int, key: int, told: Told) -> None:
-        """Note what a caller was told."""
+    def tell(self, request: int, key: int, told: Told, sent_ms: int) -> None:
+        """Note what a caller was told.
+
+        ``not run`` is false when the request ran, or when another one with
+        its key had begun to run before it was sent. A caller that sends a
+        key twice at once gets an answer about each.
+
+        Args:
+            request: The caller's request.
+            key: Its idempotency key; 0 for none.
+            told: The outcome.
+            sent_ms: When the caller sent it.
+        """
         if self._told.get(request, Told.NOTHING) is not Told.NOTHING:
             self._break(f"request {request} was told twice")
         self._told[request] = told
-        self._key_of[request] = key
         self.told[told] += 1
-        if told is Told.NOT_RUN and self._has_run(request, key):
+        if told is Told.NOT_RUN and self._has_run(request, key, sent_ms):
             self._break(f"request {request} ran but was told not run")
 
     def leave(self, vm: str, now_ms: int) -> None:
@@ -136,10 +146,11 @@
         if out > self._budgets[truth.pool]:
             self._break(f"{truth.pool} has {out} VMs out after a stop")
 
-    def _has_run(self, request: int, key: int) -> bool:
-        same_key = key and self._keys[key] > 0
-        return bool(same_key) or any(
-            run.request == request for run in self.runs
+    def _has_run(self, request: int, key: int, sent_ms: int) -> bool:
+        return any(
+            run.request == request
+            or (run.key == key != 0 and run.started_ms < sent_ms)
+            for run in self.runs
         )
 
     def _break(self, what: str) -> None:
--- a/support/fuzz/schedules.py
+++ b/support/fuzz/schedules.py
@@ -41,7 +41,13 @@
     else:
         key = source.choice((0, len(world.requests) + 1))
         first_used_ms = now_ms
-    request = worlds.Request(len(world.requests), queue, key, first_used_ms)
+    request = worlds.Request(
+        number=len(world.requests),
+        queue=queue,
+        key=key,
+        first_used_ms=first_used_ms,
+        sent_ms=now_ms,
+    )
     world.requests.append(request)
     world.begin_request(gateway, request, source.choice((300, 1_500, 4_000)))
 
--- a/support/fuzz/world.py
+++ b/support/fuzz/world.py
@@ -98,6 +98,7 @@
     queue: settings.QueueSettings
     key: int
     first_used_ms: int
+    sent_ms: int
     told: bool = False
 
 
@@ -382,6 +383,9 @@
         self, gateway: Gateway, request: Request, granted: front.Granted
     ) -> None:
         desk = gateway.core.front
+        if request.told:
+            desk.release(granted.seq, messages.RunOutcome.UNUSED, 0)
+            return
         if not desk.usable(granted, request.queue.pool):
             desk.release(granted.seq, messages.RunOutcome.UNUSED, 0)
             self._tell(request, oracle.Told.NOT_RUN)
@@ -445,7 +449,7 @@
             return
         request.told = True
         key = 0 if request.queue.idempotent else request.key
-        self.oracle.tell(request.number, key, told)
+        self.oracle.tell(request.number, key, told, request.sent_ms)
 
     def _end_runs(self) -> None:
         now_ms = self.clock.now_ms
--- /dev/null
+++ b/tests/dispatch/test_dispatcher.py
@@ -0,0 +1,253 @@
+"""Tests of a pool's dispatcher."""
+
+import random
+
+import msgspec
+import testtools
+
+from support.measure import dispatched
+from support.measure import trace
+from wagtailtiller import ids
+from wagtailtiller.dispatch import dispatcher
+from wagtailtiller.dispatch import messages
+
+_QUEUE = trace.QueueShape("work", 500, 10_000, 1.0)
+_FRONTS = ("a", "b")
+_SLOTS = 2
+_VMS = 2
+
+
+def _view(**changes):
+    view = dispatched.pool_view([_QUEUE], vms=_VMS, slots_per_vm=_SLOTS)
+    queue = view.queues["work"]
+    for name, value in changes.items():
+        queue = _replace(queue, name, value)
+    view.queues["work"] = queue
+    return view
+
+
+def _replace(struct, name, value):
+    return msgspec.structs.replace(struct, **{name: value})
+
+
+class DispatcherTest(testtools.TestCase):
+    def make(self, view=None, report=True, unknown_until_ms=0):
+        self.now_ms = 10_000
+        self.dispatcher = dispatcher.Dispatcher(
+            view=view or _view(),
+            epoch=ids.Epoch(1),
+            fronts=_FRONTS,
+            random_source=random.Random(1),
+            now_ms=self.now_ms,
+            unknown_until_ms=unknown_until_ms,
+        )
+        if report:
+            for front in _FRONTS:
+                self.report(front)
+
+    def report(self, front, running=(), epoch=1, keys=()):
+        message = messages.Report("pool", epoch, tuple(running), tuple(keys))
+        return self.handle(front, message)
+
+    def handle(self, front, message):
+        return self.dispatcher.handle(front, message, self.now_ms)
+
+    def ask(self, seq, front="a", deadline_ms=10_000, **fields):
+        message = messages.Ask(
+            seq=seq,
+            stamp_ms=0,
+            queue="work",
+            team=fields.pop("team", "t"),
+            quota_percent=100.0,
+            deadline_in_ms=deadline_ms,
+            **fields,
+        )
+        return self.handle(front, message)
+
+    def done(self, seq, outcome=messages.RunOutcome.ANSWERED, front="a"):
+        return self.handle(front, messages.Done(seq, "work", outcome, 500))
+
+    def fill(self):
+        for seq in range(_VMS * _SLOTS):
+            self.ask(seq)
+
+    def refusal(self, sends):
+        self.assertEqual(1, len(sends))
+        return sends[0].message.reason
+
+    def test_never_grants_more_than_the_slots(self):
+        self.make()
+        grants = [send for seq in range(9) for send in self.ask(seq)]
+        self.assertEqual(_VMS * _SLOTS, len(grants))
+        for number in range(_VMS):
+            count = self.dispatcher.running_on(f"vm-{number}")
+            self.assertEqual(_SLOTS, count)
+
+    def test_freed_slot_goes_to_the_earliest_deadline(self):
+        self.make()
+        self.fill()
+        self.ask(10, deadline_ms=9_000)
+        self.ask(11, deadline_ms=5_000)
+        self.assertEqual(11, self.done(0)[0].message.seq)
+
+    def test_cancelled_request_gets_no_slot(self):
+        self.make()
+        self.fill()
+        self.ask(10)
+        self.handle("a", messages.Cancel(10, "work"))
+        self.assertEqual([], self.done(0))
+
+    def test_request_that_cannot_finish_is_refused_at_the_door(self):
+        self.make()
+        sends = self.ask(1, deadline_ms=100)
+        self.assertEqual(messages.Refusal.OVERLOADED, self.refusal(sends))
+        self.assertGreater(sends[0].message.retry_after_ms, 0)
+
+    def test_need_that_no_vm_meets_is_refused_by_name(self):
+        self.make(_view(needs_accelerators=1))
+        sends = self.ask(1)
+        self.assertEqual("accelerators", sends[0].message.detail)
+
+    def test_urgent_request_that_has_not_started_is_refused(self):
+        self.make(_view(priority=ids.Priority.URGENT))
+        self.fill()
+        self.ask(10)
+        self.now_ms += dispatcher.URGENT_START_MS + 1
+        sends = self.dispatcher.tick(self.now_ms)
+        self.assertEqual(messages.Refusal.TOO_LATE, self.refusal(sends))
+
+    def test_full_queue_refuses(self):
+        self.make(_view(queue_limit=1))
+        self.fill()
+        self.ask(10)
+        reason = self.refusal(self.ask(11))
+        self.assertEqual(messages.Refusal.QUEUE_FULL, reason)
+
+    def test_key_of_a_waiting_request_is_a_duplicate(self):
+        self.make(_view(idempotent=False))
+        self.fill()
+        self.ask(10, key=7)
+        reason = self.refusal(self.ask(11, front="b", key=7))
+        self.assertEqual(messages.Refusal.DUPLICATE, reason)
+
+    def test_key_of_a_finished_request_is_a_duplicate(self):
+        self.make(_view(idempotent=False))
+        self.now_ms += 5_000
+        self.ask(1, key=7)
+        self.done(1)
+        reason = self.refusal(self.ask(2, front="b", key=7))
+        self.assertEqual(messages.Refusal.DUPLICATE, reason)
+
+    def test_key_of_a_request_that_did_not_run_may_be_used_again(self):
+        self.make(_view(idempotent=False))
+        self.now_ms += 5_000
+        self.ask(1, key=7)
+        self.done(1, messages.RunOutcome.NOT_RUN)
+        sends = self.ask(2, front="b", key=7)
+        self.assertIsInstance(sends[0].message, messages.Grant)
+
+    def test_key_older_than_a_takeover_with_losses_is_uncertain(self):
+        self.make(_view(idempotent=False), unknown_until_ms=60_000)
+        self.now_ms += 5_000
+        reason = self.refusal(self.ask(1, key=7, key_age_ms=5_000))
+        self.assertEqual(messages.Refusal.MAYBE_RUN, reason)
+
+    def test_key_reported_by_a_front_is_a_duplicate(self):
+        self.make(_view(idempotent=False), report=False)
+        self.report("a", keys=[messages.SpentKey("work", 7, 100)])
+        self.report("b")
+        reason = self.refusal(self.ask(1, key=7, key_age_ms=100))
+        self.assertEqual(messages.Refusal.DUPLICATE, reason)
+
+    def test_no_slot_is_granted_before_all_fronts_have_reported(self):
+        self.make(report=False)
+        self.report("a")
+        self.assertEqual([], self.ask(1))
+        self.assertEqual(1, len(self.report("b")))
+
+    def test_silent_front_delays_the_first_grant_only_so_long(self):
+        self.make(report=False)
+        self.report("a")
+        self.ask(1)
+        self.now_ms += dispatcher.SETTLE_MS
+        self.assertEqual(1, len(self.dispatcher.tick(self.now_ms)))
+
+    def test_reported_runs_occupy_their_slots(self):
+        self.make(report=False)
+        runs = [messages.Running(n, "work", "vm-0", "t", 0, 10) for n in (5, 6)]
+        self.report("b", runs)
+        self.report("a")
+        vms = {self.ask(seq)[0].message.vm for seq in (1, 2)}
+        self.assertEqual({"vm-1"}, vms)
+
+    def test_grant_that_a_front_does_not_report_is_free_again(self):
+        self.make()
+        self.ask(1)
+        self.report("a")
+        self.assertEqual(0, self.dispatcher.running_count)
+
+    def test_report_of_an_older_epoch_changes_nothing(self):
+        self.make()
+        self.now_ms += dispatcher.SETTLE_MS
+        self.dispatcher.set_roster(ids.Epoch(2), _FRONTS, self.now_ms)
+        self.ask(1)
+        self.report("a", epoch=1)
+        self.assertEqual(1, self.dispatcher.running_count)
+
+    def test_leaving_vm_gets_nothing_and_is_idle_once_empty(self):
+        self.make()
+        vm = self.ask(1)[0].message.vm
+        view = _view()
+        view.vms[vm] = dispatched.slots.VmView(view.vms[vm].shape, False, 2)
+        self.dispatcher.reconfigure(view, self.now_ms)
+        others = {self.ask(seq)[0].message.vm for seq in (2, 3)}
+        self.assertNotIn(vm, others)
+        self.assertFalse(self.dispatcher.drain_state(vm, self.now_ms).idle)
+        self.done(1)
+        answer = self.dispatcher.drain_state(vm, self.now_ms)
+        self.assertTrue(answer.idle)
+        self.assertEqual(2, answer.generation)
+
+    def test_serving_vm_is_never_idle(self):
+        self.make()
+        self.assertFalse(self.dispatcher.drain_state("vm-0", 0).idle)
+
+    def test_lost_fronts_grants_block_a_drain_until_they_must_have_ended(self):
+        self.make()
+        vm = self.ask(1)[0].message.vm
+        view = _view()
+        view.vms[vm] = dispatched.slots.VmView(view.vms[vm].shape, False, 2)
+        self.dispatcher.reconfigure(view, self.now_ms)
+        self.dispatcher.set_roster(ids.Epoch(2), ["b"], self.now_ms)
+        self.report("b", epoch=2)
+        self.assertFalse(self.dispatcher.drain_state(vm, self.now_ms).idle)
+        limit_ms = 60_000 + dispatcher.GRANT_VALID_MS
+        self.now_ms += limit_ms
+        self.dispatcher.tick(self.now_ms)
+        self.assertTrue(self.dispatcher.drain_state(vm, self.now_ms).idle)
+
+    def test_suspended_dispatcher_refuses_all_that_waits(self):
+        self.make()
+        self.fill()
+        self.ask(10)
+        sends = self.dispatcher.suspend()
+        self.assertEqual(messages.Refusal.ISOLATED, self.refusal(sends))
+        self.assertEqual([], self.done(0))
+
+    def test_retry_avoids_the_rack_that_failed(self):
+        view = dispatched.pool_view([_QUEUE], vms=8, slots_per_vm=_SLOTS)
+        self.make(view)
+        sends = self.ask(1, avoid=("vm-0",))
+        rack = view.vms[sends[0].message.vm].shape.rack
+        self.assertEqual("rack-1", rack)
+
+    def test_flooding_team_does_not_starve_another(self):
+        self.make()
+        for seq in range(40):
+            self.ask(seq, team="flood", deadline_ms=60_000)
+        for seq in range(4):
+            self.now_ms += 500
+            self.done(seq)
+        self.ask(100, front="b", team="calm", deadline_ms=60_000)
+        granted = self.done(4)[0]
+        self.assertEqual(("b", 100), (granted.front, granted.message.seq))
--- /dev/null
+++ b/tests/fuzz/test_schedules.py
@@ -0,0 +1,104 @@
+"""A fixed share of the fuzzed schedules, and proof that the oracle can fail."""
+
+import testtools
+
+from support.fuzz import schedules
+from wagtailtiller import fleet
+from wagtailtiller import view
+from wagtailtiller.dispatch import dispatcher
+from wagtailtiller.dispatch import messages
+from wagtailtiller.dispatch import resends
+from wagtailtiller.dispatch import slots
+from wagtailtiller.fleet import aggregate
+from wagtailtiller.gateway import front
+from wagtailtiller.gateway import host
+
+_SEEDS = 250
+_MOST_SEEDS_FOR_A_MUTANT = 600
+
+
+class SchedulesTest(testtools.TestCase):
+    def test_no_schedule_breaks_a_promise(self):
+        for seed in range(_SEEDS):
+            world = schedules.run_one(seed)
+            self.assertEqual([], world.oracle.broken, f"seed {seed}")
+
+
+class MutantsTest(testtools.TestCase):
+    """Each wrong decision must be caught within a few hundred schedules."""
+
+    def caught(self):
+        for seed in range(_MOST_SEEDS_FOR_A_MUTANT):
+            broken = schedules.run_one(seed).oracle.broken
+            if broken:
+                return broken[0]
+        return self.fail("no schedule caught the mutant")
+
+    def test_key_always_new(self):
+        new = resends.KeyVerdict.NEW
+        self.patch(resends.ResendTable, "judge", lambda *_: new)
+        self.assertIn("ran twice", self.caught())
+
+    def test_no_gap_after_a_takeover(self):
+        self.patch(resends.ResendTable, "open_gap", lambda *_: None)
+        self.assertIn("ran", self.caught())
+
+    def test_drain_ignores_what_runs(self):
+        self.patch(
+            dispatcher.Dispatcher,
+            "drain_state",
+            lambda self, vm, now_ms: messages.DrainAnswer(
+                True, True, self._view.vms[vm].generation
+            ),
+        )
+        self.assertRegex(self.caught(), "cut off|moved with work|ran work")
+
+    def test_grants_without_counting(self):
+        self.patch(slots.SlotTable, "hold", lambda *_: None)
+        self.patch(slots.SlotTable, "free", lambda *_: None)
+        self.assertRegex(self.caught(), "cut off|moved with work|ran")
+
+    def test_view_never_expires(self):
+        store = view.Confirmation.STORE
+        self.patch(view.ViewLease, "confirmation", lambda *_: store)
+        self.assertIn("began to leave", self.caught())
+
+    def test_budget_not_counted(self):
+        self.patch(aggregate, "unavailable", lambda *_: 0)
+        self.assertIn("out after a stop", self.caught())
+
+    def test_lost_gateways_requests_forgotten_at_once(self):
+        def forget(self, front, now_ms):
+            for name in [n for n in self._grants if n[0] == front]:
+                self._free(name)
+
+        self.patch(dispatcher.Dispatcher, "_lose_front", forget)
+        self.assertRegex(self.caught(), "cut off|moved with work")
+
+    def test_no_wait_for_requests_of_gateways_lost_earlier(self):
+        self.patch(host.DispatchHost, "_unknown_for_ms", lambda *_: 0)
+        self.assertRegex(self.caught(), "cut off|moved with work|ran")
+
+    def test_drained_answer_of_any_generation(self):
+        real = aggregate._drained
+
+        def forgiving(whole, command, *rest):
+            record = whole.vms.get(command.vm)
+            generation = record.generation if record else 0
+            again = fleet.Drained(command.vm, generation)
+            return real(whole, again, *rest)
+
+        self.patch(aggregate, "_drained", forgiving)
+        self.assertRegex(self.caught(), "cut off|moved with work|ran work")
+
+    def test_front_takes_grants_of_any_epoch(self):
+        real = front.Front._take_grant
+
+        def forgiving(self, sender, grant):
+            renewed = messages.Grant(
+                grant.seq, self._epoch, grant.stamp_ms, grant.vm
+            )
+            real(self, sender, renewed)
+
+        self.patch(front.Front, "_take_grant", forgiving)
+        self.assertRegex(self.caught(), "cut off|ran|moved")
--- /dev/null
+++ b/tests/gateway/test_front.py
@@ -0,0 +1,150 @@
+"""Tests of the front: epochs, reports and grants that came too late."""
+
+import msgspec
+import testtools
+
+from tests import examples
+from wagtailtiller import clock
+from wagtailtiller import fleet
+from wagtailtiller import ids
+from wagtailtiller import replica
+from wagtailtiller import roster
+from wagtailtiller import settings
+from wagtailtiller.dispatch import dispatcher
+from wagtailtiller.dispatch import messages
+from wagtailtiller.fleet import model
+from wagtailtiller.gateway import front
+from wagtailtiller.ports import store
+from wagtailtiller.settings import changes
+
+_REGION = ids.RegionId("kerala")
+_CALLER = settings.Caller("mayilpeeli", "mayilpeeli/letterers", 100.0)
+
+
+class FrontTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.FakeClock()
+        self.replica = replica.Replica(_REGION)
+        self.sent = []
+        self.replies = []
+        self.valid = True
+        self.front = front.Front(
+            self.clock,
+            self.replica,
+            lambda gateway, message: self.sent.append((gateway, message)),
+            lambda: self.valid,
+        )
+        self.revision = 0
+        change = changes.Change(1, "first", "", "", 0, examples.plain())
+        self.write(changes.log_key(1), change)
+        known = examples.catalogue()
+        self.write(model.key(_REGION), examples.enrolled(known))
+        self.set_roster(1, "gw-1")
+
+    def write(self, key, value):
+        self.revision += 1
+        item = store.Item(key, msgspec.json.encode(value), self.revision)
+        self.replica.update([item])
+
+    def set_roster(self, epoch, *names):
+        members = {
+            name: roster.Session(name, "i", _REGION, "", "") for name in names
+        }
+        self.write(roster.key(_REGION), roster.Roster(epoch, members))
+        self.front.view_changed()
+
+    def begin(self, queue="exports", key=0):
+        self.sent.clear()
+        want = front.Want(
+            queue=self.replica.settings.catalogue.queues[queue],
+            caller=_CALLER,
+            deadline_ms=self.clock.now_ms + 10_000,
+            key=key,
+            key_first_used_ms=self.clock.now_ms,
+        )
+        return self.front.begin(want, self.replies.append)
+
+    def grant(self, seq, epoch=1, vm="vm-0", age_ms=0, sender="gw-1"):
+        stamp_ms = self.clock.now_ms - age_ms
+        message = messages.Grant(seq, epoch, stamp_ms, vm)
+        self.front.receive(sender, message)
+
+    def kinds(self):
+        return [type(message) for _, message in self.sent]
+
+    def test_grant_of_an_earlier_epoch_is_ignored(self):
+        seq = self.begin()
+        self.set_roster(2, "gw-2")
+        self.grant(seq, epoch=1)
+        self.assertEqual([], self.replies)
+
+    def test_new_owner_gets_a_report_and_the_question_again(self):
+        seq = self.begin()
+        self.sent.clear()
+        self.set_roster(2, "gw-2")
+        to_owner = [message for _, message in self.sent]
+        reports = [m for m in to_owner if isinstance(m, messages.Report)]
+        asks = [m.seq for m in to_owner if isinstance(m, messages.Ask)]
+        self.assertEqual(2, len(reports))
+        self.assertEqual([seq], asks)
+
+    def test_report_lists_runs_and_spent_keys(self):
+        seq = self.begin(key=9)
+        self.grant(seq)
+        self.sent.clear()
+        self.set_roster(2, "gw-2")
+        report = next(m for _, m in self.sent if m.pool == examples.POOL)
+        self.assertEqual(seq, report.running[0].seq)
+        self.assertEqual(9, report.keys[0].key)
+
+    def test_key_of_what_did_not_run_is_not_reported_as_spent(self):
+        seq = self.begin(key=9)
+        self.grant(seq)
+        self.front.release(seq, messages.RunOutcome.NOT_RUN, 0)
+        self.sent.clear()
+        self.set_roster(2, "gw-2")
+        report = next(m for _, m in self.sent if m.pool == examples.POOL)
+        self.assertEqual((), report.keys)
+
+    def test_stale_grant_is_returned_and_asked_for_again(self):
+        seq = self.begin()
+        self.sent.clear()
+        self.grant(seq, age_ms=dispatcher.GRANT_VALID_MS)
+        self.assertEqual([messages.Done], self.kinds())
+        self.clock.advance(100)
+        self.front.tick()
+        self.assertEqual([messages.Done, messages.Ask], self.kinds())
+
+    def test_grant_for_an_abandoned_request_is_returned(self):
+        seq = self.begin()
+        self.front.abandon(seq)
+        self.sent.clear()
+        self.grant(seq)
+        outcome = self.sent[0][1].outcome
+        self.assertIs(messages.RunOutcome.UNUSED, outcome)
+
+    def test_grant_is_not_usable_without_a_valid_view(self):
+        seq = self.begin()
+        self.grant(seq)
+        self.valid = False
+        self.assertFalse(self.front.usable(self.replies[0], examples.POOL))
+
+    def test_grant_on_a_vm_known_to_be_leaving_is_not_usable(self):
+        seq = self.begin()
+        self.grant(seq)
+        known = self.replica.settings.catalogue
+        goal = fleet.Move(examples.SPARE)
+        command = fleet.BeginLeave("vm-0", goal)
+        left = fleet.apply(self.replica.fleet, command, known, 1).ok
+        self.write(model.key(_REGION), left)
+        self.assertFalse(self.front.usable(self.replies[0], examples.POOL))
+
+    def test_gateway_that_does_not_own_is_asked_again_later(self):
+        seq = self.begin()
+        reason = messages.Refusal.NOT_DISPATCHER
+        self.front.receive("gw-1", messages.Refuse(seq, reason, 0))
+        self.assertEqual([], self.replies)
+        self.clock.advance(100)
+        self.front.tick()
+        self.assertEqual([messages.Ask, messages.Ask], self.kinds())
