Move VMs between pools when an imbalance lasts

Cause: the spare pool lent nothing by itself. Change: owners answer with their loads, the leading controller smooths them and asks for one move at a time; weights set how long an imbalance must last and whether a wave yields to a busy pool.

--- a/src/wagtailtiller/controller/maintenance.py
+++ b/src/wagtailtiller/controller/maintenance.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import grpc
 import msgspec
 
 from wagtailtiller import clock
@@ -13,43 +12,14 @@
 from wagtailtiller import metrics
 from wagtailtiller import replica
 from wagtailtiller import roster
+from wagtailtiller.controller import owners
 from wagtailtiller.dispatch import messages
+from wagtailtiller.fleet import balancing
 from wagtailtiller.fleet import planning
 from wagtailtiller.fleet import writing
-from wagtailtiller.gateway import peers
 from wagtailtiller.ports import platform
 
-_ASK_TIMEOUT_MS = 1_000
-
-
-class DrainClient:
-    """Asks pool owners whether a VM is free of work."""
-
-    def __init__(self) -> None:
-        self._channels: dict[str, grpc.aio.Channel] = {}
-
-    async def close(self) -> None:
-        """Close the connections."""
-        for channel in self._channels.values():
-            await channel.close()
-
-    async def ask(
-        self, owner: roster.Session, vm: ids.VmId
-    ) -> messages.DrainAnswer:
-        """Ask a gateway; no answer counts as not being the owner."""
-        address = owner.peer_address
-        if address not in self._channels:
-            self._channels[address] = grpc.aio.insecure_channel(
-                address, options=peers.CHANNEL_OPTIONS
-            )
-        call: grpc.aio.UnaryUnaryMultiCallable
-        call = self._channels[address].unary_unary(peers.DRAIN_STATE)
-        question = msgspec.msgpack.encode(messages.DrainQuestion(vm))
-        try:
-            answer = await call(question, timeout=_ASK_TIMEOUT_MS / 1_000)
-        except grpc.RpcError:
-            return messages.DrainAnswer(owner=False)
-        return msgspec.msgpack.decode(answer, type=messages.DrainAnswer)
+_LOADS_EVERY_MS = 2_000
 
 
 class Maintenance:
@@ -59,7 +29,7 @@
         shared: This process's copy of the shared state.
         writer: Writes fleet commands.
         vms: The platform.
-        drains: Asks the pool owners.
+        gateways: Asks the pool owners.
         leads: Whether this controller leads.
         time: The clock.
         meter: Where writes are counted.
@@ -70,7 +40,7 @@
         shared: replica.Replica,
         writer: writing.FleetWriter,
         vms: platform.Platform,
-        drains: DrainClient,
+        gateways: owners.OwnerClient,
         leads: Callable[[], bool],
         time: clock.Clock,
         meter: metrics.Meter,
@@ -78,10 +48,12 @@
         self._replica = shared
         self._writer = writer
         self._platform = vms
-        self._drains = drains
+        self._owners = gateways
         self._leads = leads
         self._clock = time
         self._meter = meter
+        self._balancer = balancing.Balancer()
+        self._loads_ms = 0
 
     async def step(self) -> None:
         """Look at the platform once and do what is due."""
@@ -96,10 +68,24 @@
         reports = {report.vm: report for report in listed.ok}
         if not reports:
             return
+        await self._observe_loads()
         drained = await self._drained()
         await self._submit(reports, drained)
         await self._reboot_stopped()
 
+    async def _observe_loads(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._loads_ms < _LOADS_EVERY_MS:
+            return
+        self._loads_ms = now_ms
+        members = self._replica.roster.members.values()
+        answers = await asyncio.gather(
+            *(self._owners.loads(member) for member in members)
+        )
+        for loads in answers:
+            for load in loads:
+                self._balancer.observe(load, now_ms)
+
     async def _drained(self) -> list[fleet.Command]:
         leaving = [
             (vm, record)
@@ -122,7 +108,7 @@
         owner = roster.owner(self._replica.roster, record.pool)
         if owner is None:
             return messages.DrainAnswer(owner=False)
-        return await self._drains.ask(owner, vm)
+        return await self._owners.drain(owner, vm)
 
     async def _submit(
         self, reports: planning.Reports, drained: list[fleet.Command]
@@ -131,7 +117,10 @@
 
         def plan(current: fleet.Fleet) -> list[fleet.Command]:
             observed = planning.observe(current, catalogue, reports)
-            return observed + drained + planning.plan(current, catalogue)
+            planned = planning.plan(current, catalogue, self._balancer.busy)
+            now_ms = self._clock.monotonic_ms()
+            moves = self._balancer.moves(current, catalogue, now_ms)
+            return observed + drained + planned + moves
 
         outcome = await self._writer.submit(plan, catalogue)
         if outcome.is_error():
--- a/src/wagtailtiller/controller/node.py
+++ b/src/wagtailtiller/controller/node.py
@@ -12,6 +12,7 @@
 from wagtailtiller.controller import leader
 from wagtailtiller.controller import maintenance
 from wagtailtiller.controller import membership
+from wagtailtiller.controller import owners
 from wagtailtiller.fleet import writing
 from wagtailtiller.ports import platform
 from wagtailtiller.ports import store
@@ -62,12 +63,12 @@
             time,
             follower.Backoff(randomness),
         )
-        self._drains = maintenance.DrainClient()
+        self._owners = owners.OwnerClient()
         self._maintenance = maintenance.Maintenance(
             shared=shared,
             writer=writing.FleetWriter(target, own.region, time),
             vms=vms,
-            drains=self._drains,
+            gateways=self._owners,
             leads=self._leadership.holds,
             time=time,
             meter=meter,
@@ -92,7 +93,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._leadership.resign()
-        await self._drains.close()
+        await self._owners.close()
         events.emit(
             events.Event.CONTROLLER_STOPPED, controller=self._own.controller
         )
--- a/src/wagtailtiller/dispatch/dispatcher.py
+++ b/src/wagtailtiller/dispatch/dispatcher.py
@@ -19,6 +19,7 @@
 from wagtailtiller.dispatch import shares
 from wagtailtiller.dispatch import slots
 from wagtailtiller.dispatch import waiting
+from wagtailtiller.fleet import balancing
 
 GRANT_VALID_MS = 2_000
 URGENT_START_MS = 1_500
@@ -198,6 +199,15 @@
             self._free(name)
         return self._place(now_ms)
 
+    def load(self) -> balancing.PoolLoad:
+        """Say how busy the pool is."""
+        return balancing.PoolLoad(
+            pool=self._view.pool.pool,
+            running=len(self._grants),
+            waiting_ms=self._waiting.work_ms(),
+            slots=self._slots.serving_slots(),
+        )
+
     def drain_state(self, vm: ids.VmId, now_ms: int) -> messages.DrainAnswer:
         """Say whether a leaving VM may be stopped."""
         view = self._view.vms.get(vm)
--- /dev/null
+++ b/src/wagtailtiller/fleet/balancing.py
@@ -0,0 +1,219 @@
+"""Moves VMs between pools when an imbalance lasts.
+
+Bursts are met by queueing and shedding; a move takes a drain, so it answers
+only what has lasted. A pool whose buffer weight is high gets and gives VMs
+sooner; one whose roll-out weight is high is left alone for longer.
+"""
+
+import dataclasses
+import math
+
+import msgspec
+
+from wagtailtiller import ids
+from wagtailtiller import settings
+from wagtailtiller.fleet import aggregate
+from wagtailtiller.fleet import commands
+from wagtailtiller.fleet import model
+
+_SMOOTHING_MS = 20_000.0
+_QUEUE_HORIZON_MS = 10_000.0
+_HIGH = 0.85
+_LOW = 0.60
+_BUSY = 0.90
+_SUSTAIN_MS = 30_000.0
+_SHORTEST_SUSTAIN_MS = 10_000.0
+_LONGEST_SUSTAIN_MS = 120_000.0
+
+
+class PoolLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What a pool's owner sees.
+
+    Attributes:
+        pool: The pool.
+        running: Slots in use.
+        waiting_ms: Expected work that waits, in slot time.
+        slots: Slots of the VMs in service.
+    """
+
+    pool: ids.PoolId
+    running: int
+    waiting_ms: float
+    slots: int
+
+
+@dataclasses.dataclass
+class _Pressure:
+    demand_slots: float
+    at_ms: int
+    high_since_ms: int | None = None
+    low_since_ms: int | None = None
+
+
+class Balancer:
+    """Smooths the pools' loads and asks for moves."""
+
+    def __init__(self) -> None:
+        self._pressures: dict[ids.PoolId, _Pressure] = {}
+        self._slots: dict[ids.PoolId, int] = {}
+
+    def observe(self, load: PoolLoad, now_ms: int) -> None:
+        """Learn a pool's load."""
+        demand = load.running + load.waiting_ms / _QUEUE_HORIZON_MS
+        self._slots[load.pool] = load.slots
+        known = self._pressures.get(load.pool)
+        if known is None:
+            known = _Pressure(demand, now_ms)
+            self._pressures[load.pool] = known
+        else:
+            keep = math.exp((known.at_ms - now_ms) / _SMOOTHING_MS)
+            known.demand_slots = keep * known.demand_slots + (1 - keep) * demand
+            known.at_ms = now_ms
+        use = self.utilisation(load.pool)
+        known.high_since_ms = _since(known.high_since_ms, use > _HIGH, now_ms)
+        known.low_since_ms = _since(known.low_since_ms, use < _LOW, now_ms)
+
+    def utilisation(self, pool: ids.PoolId) -> float:
+        """Return the smoothed demand as a part of the slots in service."""
+        known = self._pressures.get(pool)
+        if known is None:
+            return 0.0
+        return known.demand_slots / max(1, self._slots[pool])
+
+    def busy(self, pool: ids.PoolId) -> bool:
+        """Whether a pool has no slots to spare for maintenance."""
+        return self.utilisation(pool) > _BUSY
+
+    def moves(
+        self,
+        fleet: model.Fleet,
+        catalogue: settings.Catalogue,
+        now_ms: int,
+    ) -> list[commands.Command]:
+        """Return at most one move, so that its effect is seen before the next.
+
+        Args:
+            fleet: The fleet.
+            catalogue: The settings in force.
+            now_ms: The clock that loads were observed on.
+        """
+        if any(isinstance(r.goal, model.Move) for r in fleet.vms.values()):
+            return []
+        moves = self._loans(fleet, catalogue, now_ms)
+        moves = moves or self._returns(fleet, catalogue, now_ms)
+        return moves[:1]
+
+    def _loans(
+        self,
+        fleet: model.Fleet,
+        catalogue: settings.Catalogue,
+        now_ms: int,
+    ) -> list[commands.Command]:
+        short = [
+            pool
+            for pool, own in catalogue.pools.items()
+            if self._lasts(pool, own, now_ms, high=True)
+        ]
+        short.sort(key=self.utilisation, reverse=True)
+        for pool in short:
+            for donor in self._donors(fleet, catalogue, pool):
+                vm = _movable(fleet, catalogue, donor)
+                if vm is not None:
+                    return [commands.BeginLeave(vm, model.Move(pool))]
+        return []
+
+    def _donors(
+        self,
+        fleet: model.Fleet,
+        catalogue: settings.Catalogue,
+        short: ids.PoolId,
+    ) -> list[ids.PoolId]:
+        donors = [
+            pool
+            for pool, own in catalogue.pools.items()
+            if own.lends and pool != short and not _in_wave(fleet, pool)
+        ]
+        fit = [d for d in donors if self._after_loss(catalogue, d) < _LOW]
+        return sorted(fit, key=self.utilisation)
+
+    def _returns(
+        self,
+        fleet: model.Fleet,
+        catalogue: settings.Catalogue,
+        now_ms: int,
+    ) -> list[commands.Command]:
+        """Send a borrowed VM home once its borrower can do without it."""
+        for vm, record in fleet.vms.items():
+            declared = catalogue.vms.get(vm)
+            borrower = catalogue.pools.get(record.pool)
+            if declared is None or borrower is None:
+                continue
+            away = declared.pool != record.pool
+            serving = record.state is model.VmState.SERVING
+            if not away or not serving or declared.pool not in catalogue.pools:
+                continue
+            lasts = self._lasts(record.pool, borrower, now_ms, high=False)
+            if lasts and self._after_loss(catalogue, record.pool) < _LOW:
+                goal = model.Move(declared.pool)
+                return [commands.BeginLeave(vm, goal)]
+        return []
+
+    def _lasts(
+        self,
+        pool: ids.PoolId,
+        own: settings.PoolSettings,
+        now_ms: int,
+        high: bool,
+    ) -> bool:
+        known = self._pressures.get(pool)
+        if known is None:
+            return False
+        since_ms = known.high_since_ms if high else known.low_since_ms
+        return since_ms is not None and now_ms - since_ms >= sustain_ms(own)
+
+    def _after_loss(
+        self, catalogue: settings.Catalogue, pool: ids.PoolId
+    ) -> float:
+        """Return the utilisation that a pool would have with a VM fewer."""
+        known = self._pressures.get(pool)
+        demand = known.demand_slots if known else 0.0
+        slots = self._slots.get(pool, 0) - catalogue.pools[pool].slots_per_vm
+        return demand / slots if slots > 0 else math.inf
+
+
+def sustain_ms(pool: settings.PoolSettings) -> float:
+    """Return how long an imbalance must last before a VM moves."""
+    ratio = (pool.roll_out_weight + 0.01) / (pool.buffer_weight + 0.01)
+    wanted_ms = _SUSTAIN_MS * ratio
+    return min(_LONGEST_SUSTAIN_MS, max(_SHORTEST_SUSTAIN_MS, wanted_ms))
+
+
+def _since(since_ms: int | None, holds: bool, now_ms: int) -> int | None:
+    if not holds:
+        return None
+    return now_ms if since_ms is None else since_ms
+
+
+def _in_wave(fleet: model.Fleet, pool: ids.PoolId) -> bool:
+    return any(
+        wave.pool == pool and wave.state is model.WaveState.RUNNING
+        for wave in fleet.waves.values()
+    )
+
+
+def _movable(
+    fleet: model.Fleet, catalogue: settings.Catalogue, pool: ids.PoolId
+) -> ids.VmId | None:
+    own = catalogue.pools[pool]
+    serving = [
+        vm
+        for vm, record in fleet.vms.items()
+        if record.pool == pool and record.state is model.VmState.SERVING
+    ]
+    room = aggregate.planned_allowance(own) - aggregate.unavailable(fleet, pool)
+    if room <= 0 or len(serving) <= own.min_vms:
+        return None
+    borrowed_first = sorted(
+        serving, key=lambda vm: (catalogue.vms[vm].pool == pool, vm)
+    )
+    return borrowed_first[0]
--- a/src/wagtailtiller/fleet/planning.py
+++ b/src/wagtailtiller/fleet/planning.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 
 from wagtailtiller import ids
@@ -14,6 +15,7 @@
 from wagtailtiller.fleet import model
 from wagtailtiller.ports import platform
 
+Busy = Callable[[ids.PoolId], bool]
 Reports = dict[ids.VmId, platform.VmReport]
 
 
@@ -58,13 +60,26 @@
 
 
 def plan(
-    fleet: model.Fleet, catalogue: settings.Catalogue
+    fleet: model.Fleet,
+    catalogue: settings.Catalogue,
+    busy: Busy = lambda pool: False,
 ) -> list[commands.Command]:
-    """Return the planned steps that the budgets have room for now."""
+    """Return the planned steps that the budgets have room for now.
+
+    Args:
+        fleet: The fleet.
+        catalogue: The settings in force.
+        busy: Whether a pool has no slots to spare. A wave waits for such a
+            pool to calm down if its buffer weighs more than its roll-outs.
+    """
     steps: list[commands.Command] = list(_rescues(fleet, catalogue))
     for name, wave in fleet.waves.items():
-        if wave.state is model.WaveState.RUNNING:
-            steps.extend(_wave_steps(fleet, catalogue, name, wave))
+        pool = catalogue.pools.get(wave.pool)
+        if wave.state is not model.WaveState.RUNNING or pool is None:
+            continue
+        yields = pool.buffer_weight > pool.roll_out_weight
+        if not (yields and busy(wave.pool)):
+            steps.extend(_wave_steps(fleet, catalogue, name, wave, pool))
     return steps
 
 
@@ -90,10 +105,8 @@
     catalogue: settings.Catalogue,
     name: ids.WaveId,
     wave: model.Wave,
+    pool: settings.PoolSettings,
 ) -> Iterator[commands.Command]:
-    pool = catalogue.pools.get(wave.pool)
-    if pool is None:
-        return
     out = aggregate.unavailable(fleet, wave.pool)
     room = aggregate.planned_allowance(pool) - out
     for vm in wave_order(fleet, catalogue, wave)[: max(0, room)]:
--- a/src/wagtailtiller/gateway/host.py
+++ b/src/wagtailtiller/gateway/host.py
@@ -13,6 +13,7 @@
 from wagtailtiller.dispatch import dispatcher
 from wagtailtiller.dispatch import messages
 from wagtailtiller.dispatch import slots
+from wagtailtiller.fleet import balancing
 
 _WALL_CLOCK_SKEW_MS = 5_000
 
@@ -108,6 +109,10 @@
         now_ms = self._clock.monotonic_ms()
         return owned.drain_state(vm, now_ms)
 
+    def loads(self) -> list[balancing.PoolLoad]:
+        """Return the load of every pool that this gateway owns."""
+        return [each.load() for each in self._dispatchers.values()]
+
     def _refresh(
         self, pool: ids.PoolId, view: slots.PoolView, now_ms: int
     ) -> None:
--- a/src/wagtailtiller/gateway/node.py
+++ b/src/wagtailtiller/gateway/node.py
@@ -57,7 +57,11 @@
             meter=meter,
         )
         self._server = peers.PeerServer(
-            own.peer_address, self._core.from_front, self._answer_drain, meter
+            address=own.peer_address,
+            receive=self._core.from_front,
+            answer_drain=self._answer_drain,
+            answer_loads=self._answer_loads,
+            meter=meter,
         )
         self._endpoints = endpoints.EndpointClient(time)
         requests = service.RequestService(
@@ -182,10 +186,13 @@
             meter=self._meter,
         )
 
-    async def _answer_drain(self, request: bytes) -> bytes:
+    def _answer_drain(self, request: bytes) -> bytes:
         question = msgspec.msgpack.decode(request, type=messages.DrainQuestion)
         return msgspec.msgpack.encode(self._core.drain_answer(question.vm))
 
+    def _answer_loads(self) -> bytes:
+        return msgspec.msgpack.encode(self._core.host.loads())
+
 
 def _address(member: roster.Session) -> tuple[str, str]:
     return (member.incarnation, member.peer_address)
--- a/src/wagtailtiller/gateway/peers.py
+++ b/src/wagtailtiller/gateway/peers.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
 from collections.abc import Callable
 
 import grpc
@@ -21,6 +20,7 @@
 SERVICE = "wagtailtiller.Peers"
 EXCHANGE = f"/{SERVICE}/Exchange"
 DRAIN_STATE = f"/{SERVICE}/DrainState"
+LOADS = f"/{SERVICE}/Loads"
 _BATCH_MS = 5
 _RECONNECT_MS = 200
 _BEAT_MS = 1_000
@@ -36,7 +36,8 @@
 )
 
 Receive = Callable[[ids.GatewayId, messages.Message], None]
-AnswerDrain = Callable[[bytes], Awaitable[bytes]]
+AnswerDrain = Callable[[bytes], bytes]
+AnswerLoads = Callable[[], bytes]
 
 
 class Outbox:
@@ -79,6 +80,7 @@
         address: Where to listen, as ``ip:port``.
         receive: Takes each message with the front that sent it.
         answer_drain: Answers a controller's drain question.
+        answer_loads: Answers with the loads of the pools owned here.
         meter: Where bytes are counted.
     """
 
@@ -87,10 +89,12 @@
         address: str,
         receive: Receive,
         answer_drain: AnswerDrain,
+        answer_loads: AnswerLoads,
         meter: metrics.Meter,
     ) -> None:
         self._receive = receive
         self._answer_drain = answer_drain
+        self._answer_loads = answer_loads
         self._meter = meter
         self._outboxes: dict[ids.GatewayId, Outbox] = {}
         self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
@@ -121,13 +125,19 @@
                 "DrainState": grpc.unary_unary_rpc_method_handler(
                     self._drain_state
                 ),
+                "Loads": grpc.unary_unary_rpc_method_handler(self._loads),
             },
         )
 
     async def _drain_state(
         self, request: bytes, context: "grpc.aio.ServicerContext"
     ) -> bytes:
-        return await self._answer_drain(request)
+        return self._answer_drain(request)
+
+    async def _loads(
+        self, request: bytes, context: "grpc.aio.ServicerContext"
+    ) -> bytes:
+        return self._answer_loads()
 
     async def _exchange(
         self,
