Look again soon while VMs are in motion, and plan only where there is room

Cause: each VM of a wave waited for up to four polls of 500 ms; planning ordered every wave's VMs at each look (18 ms a step under the profiler with 33 waves in 286 VMs). Change: the next look is due in 150 ms while VMs leave or are stopped; a step reads the store only if its copy shows something to do; orders are made only where the budget has room.

--- a/src/wagtailtiller/controller/maintenance.py
+++ b/src/wagtailtiller/controller/maintenance.py
@@ -55,23 +55,32 @@
         self._balancer = balancing.Balancer()
         self._loads_ms = 0
 
-    async def step(self) -> None:
-        """Look at the platform once and do what is due."""
+    async def step(self) -> bool:
+        """Look at the platform once and do what is due.
+
+        Returns:
+            Whether VMs are on their way out of service or back, so that the
+            next look is due soon.
+        """
         if not self._leads() or not self._replica.settings.revision:
-            return
+            return False
         listed = await self._platform.list_vms()
         if listed.is_error():
             events.emit(
                 events.Event.PLATFORM_UNREACHABLE, reason=str(listed.error)
             )
-            return
+            return False
         reports = {report.vm: report for report in listed.ok}
         if not reports:
-            return
+            return False
         await self._observe_loads()
         drained = await self._drained()
-        await self._submit(reports, drained)
-        await self._reboot_stopped()
+        current = await self._submit(reports, drained)
+        await self._reboot_stopped(current)
+        return any(
+            record.state in (fleet.VmState.LEAVING, fleet.VmState.STOPPED)
+            for record in current.vms.values()
+        )
 
     async def _observe_loads(self) -> None:
         now_ms = self._clock.monotonic_ms()
@@ -112,7 +121,7 @@
 
     async def _submit(
         self, reports: planning.Reports, drained: list[fleet.Command]
-    ) -> None:
+    ) -> fleet.Fleet:
         catalogue = self._replica.settings.catalogue
 
         def plan(current: fleet.Fleet) -> list[fleet.Command]:
@@ -122,21 +131,24 @@
             moves = self._balancer.moves(current, catalogue, now_ms)
             return observed + drained + planned + moves
 
+        if not plan(self._replica.fleet):
+            return self._replica.fleet
         outcome = await self._writer.submit(plan, catalogue)
         if outcome.is_error():
-            return
+            return self._replica.fleet
         for decision in outcome.ok.decisions:
             _log(decision)
             if decision.refusal is None:
                 self._meter.incr(metrics.Metric.FLEET_WRITES.value)
+        return outcome.ok.fleet
 
-    async def _reboot_stopped(self) -> None:
-        """Reboot what the replica shows as stopped.
+    async def _reboot_stopped(self, current: fleet.Fleet) -> None:
+        """Reboot what is stopped.
 
-        The replica may lag, which is harmless: the platform leaves alone a
-        VM that has started since.
+        The fleet may be stale by now, which is harmless: the platform leaves
+        alone a VM that has started since.
         """
-        for vm, record in self._replica.fleet.vms.items():
+        for vm, record in current.vms.items():
             if record.state is not fleet.VmState.STOPPED:
                 continue
             accepted = await self._platform.reboot(vm, record.boot)
--- a/src/wagtailtiller/controller/node.py
+++ b/src/wagtailtiller/controller/node.py
@@ -17,6 +17,8 @@
 from wagtailtiller.ports import platform
 from wagtailtiller.ports import store
 
+_IN_MOTION_POLL_MS = 150
+
 
 class ControllerNode:
     """Wires the parts of a controller together.
@@ -100,5 +102,8 @@
 
     async def _maintain(self) -> None:
         while True:
-            await self._maintenance.step()
-            await asyncio.sleep(self._own.poll_ms / 1_000)
+            in_motion = await self._maintenance.step()
+            delay_ms = self._own.poll_ms
+            if in_motion:
+                delay_ms = min(delay_ms, _IN_MOTION_POLL_MS)
+            await asyncio.sleep(delay_ms / 1_000)
--- a/src/wagtailtiller/fleet/planning.py
+++ b/src/wagtailtiller/fleet/planning.py
@@ -72,24 +72,31 @@
         busy: Whether a pool has no slots to spare. A wave waits for such a
             pool to calm down if its buffer weighs more than its roll-outs.
     """
-    steps: list[commands.Command] = list(_rescues(fleet, catalogue))
+    out = aggregate.unavailable_by_pool(fleet)
+    steps: list[commands.Command] = list(_rescues(fleet, catalogue, out))
     for name, wave in fleet.waves.items():
         pool = catalogue.pools.get(wave.pool)
         if wave.state is not model.WaveState.RUNNING or pool is None:
             continue
         yields = pool.buffer_weight > pool.roll_out_weight
-        if not (yields and busy(wave.pool)):
-            steps.extend(_wave_steps(fleet, catalogue, name, wave, pool))
+        room = aggregate.planned_allowance(pool) - out.get(wave.pool, 0)
+        if room <= 0 or (yields and busy(wave.pool)):
+            continue
+        chosen = wave_order(fleet, catalogue, wave)[:room]
+        goal = model.Maintain(name)
+        steps.extend(commands.BeginLeave(vm, goal) for vm in chosen)
     return steps
 
 
 def _rescues(
-    fleet: model.Fleet, catalogue: settings.Catalogue
+    fleet: model.Fleet,
+    catalogue: settings.Catalogue,
+    out: dict[ids.PoolId, int],
 ) -> Iterator[commands.Command]:
     """Return leaving VMs to service where failures broke the budget."""
     excess = {
         pool: count - catalogue.pools[pool].max_unavailable_vms
-        for pool, count in aggregate.unavailable_by_pool(fleet).items()
+        for pool, count in out.items()
         if pool in catalogue.pools
     }
     for vm, record in fleet.vms.items():
@@ -100,19 +107,6 @@
             yield commands.CancelLeave(vm)
 
 
-def _wave_steps(
-    fleet: model.Fleet,
-    catalogue: settings.Catalogue,
-    name: ids.WaveId,
-    wave: model.Wave,
-    pool: settings.PoolSettings,
-) -> Iterator[commands.Command]:
-    out = aggregate.unavailable(fleet, wave.pool)
-    room = aggregate.planned_allowance(pool) - out
-    for vm in wave_order(fleet, catalogue, wave)[: max(0, room)]:
-        yield commands.BeginLeave(vm, model.Maintain(name))
-
-
 def wave_order(
     fleet: model.Fleet, catalogue: settings.Catalogue, wave: model.Wave
 ) -> list[ids.VmId]:
--- a/src/wagtailtiller/ports/platform.py
+++ b/src/wagtailtiller/ports/platform.py
@@ -53,3 +53,7 @@
             after_boot: The start count that the VM has now; a VM that has
                 started since is left alone.
         """
+
+
+Listing = Result[list[VmReport], errors.PlatformUnavailable]
+Done = Result[bool, errors.PlatformUnavailable]
--- a/src/wagtailtiller/ports/store.py
+++ b/src/wagtailtiller/ports/store.py
@@ -88,3 +88,4 @@
 
 
 ReadAnswer = Result[Snapshot, errors.StoreUnavailable]
+WriteAnswer = Result[ids.Revision, errors.StoreError]
--- a/support/measure/run.py
+++ b/support/measure/run.py
@@ -5,10 +5,12 @@
 
 from support.measure import fairness
 from support.measure import placement
+from support.measure import rollout
 
 _SECTIONS = {
     "placement": placement.measure,
     "fairness": fairness.measure,
+    "rollout": rollout.measure,
 }
 
 
--- a/tests/fleet/test_writing.py
+++ b/tests/fleet/test_writing.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 import msgspec
 
+from support import fakes
 from tests import examples
-from tests import fakes
 from wagtailtiller import clock
 from wagtailtiller import fleet
 from wagtailtiller import ids
--- a/tests/settings/test_appending.py
+++ b/tests/settings/test_appending.py
@@ -4,8 +4,8 @@
 
 import testtools
 
+from support import fakes
 from tests import examples
-from tests import fakes
 from wagtailtiller import errors
 from wagtailtiller import ids
 from wagtailtiller.settings import appending
