Smooth loads over a burst's period before a VM moves

Cause: with 20 s of smoothing every burst of a minute's period looked like a lasting shortage: 199 moves in two hours with the second site's weights, and none with the first's, which wait for 90 s. Change: 60 s of smoothing, thresholds 0.75 and 0.55, 15 s as the base of how long an imbalance must last. Only the spare pool's VMs above its least number can move; that bounds the gain.

--- a/src/wagtailtiller/fleet/balancing.py
+++ b/src/wagtailtiller/fleet/balancing.py
@@ -16,12 +16,12 @@
 from wagtailtiller.fleet import commands
 from wagtailtiller.fleet import model
 
-_SMOOTHING_MS = 20_000.0
+_SMOOTHING_MS = 60_000.0
 _QUEUE_HORIZON_MS = 10_000.0
-_HIGH = 0.85
-_LOW = 0.60
+_HIGH = 0.75
+_LOW = 0.55
 _BUSY = 0.90
-_SUSTAIN_MS = 30_000.0
+_SUSTAIN_MS = 15_000.0
 _SHORTEST_SUSTAIN_MS = 10_000.0
 _LONGEST_SUSTAIN_MS = 120_000.0
 
--- a/support/measure/run.py
+++ b/support/measure/run.py
@@ -4,6 +4,7 @@
 import sys
 
 from support.measure import fairness
+from support.measure import moves
 from support.measure import placement
 from support.measure import rollout
 
@@ -11,6 +12,7 @@
     "placement": placement.measure,
     "fairness": fairness.measure,
     "rollout": rollout.measure,
+    "moves": moves.measure,
 }
 
 
