--- /dev/null
+++ b/tests/processes/test_site.py
@@ -0,0 +1,275 @@
+"""A small site of real processes: what operators and callers see.
+
+One site is started for all tests of the module; each leaves it as it was.
+"""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import tempfile
+import threading
+import time
+import urllib.parse
+
+import testtools
+
+from support.demo import cluster
+from support.demo import site
+
+_WAIT_S = 30.0
+_TOKEN = "demo-letterers"
+_SHIPPED = ("gw", "ctl")
+_GOLDEN = pathlib.Path(__file__).parent / "golden"
+
+
+class Shared:
+    """The site, started by the first test."""
+
+    folder: tempfile.TemporaryDirectory
+    site: cluster.Cluster
+
+
+def setUpModule():
+    Shared.folder = tempfile.TemporaryDirectory()
+    Shared.site = cluster.Cluster(
+        plan=site.load("kadalpura"),
+        folder=pathlib.Path(Shared.folder.name),
+        gateways=2,
+        controllers=1,
+        reboot_ms=300,
+    )
+    Shared.site.start()
+
+
+def tearDownModule():
+    codes = Shared.site.stop()
+    Shared.folder.cleanup()
+    assert set(codes.values()) == {0}, codes
+
+
+def _send(gateway="gw-1", queue="proofs", token=_TOKEN, body=b"x", **headers):
+    """Send a request and return its status, headers and body."""
+    parts = urllib.parse.urlsplit(Shared.site.gateway_urls[gateway])
+    connection = http.client.HTTPConnection(parts.hostname, parts.port, 20)
+    sent = {"X-Work-Ms": "5"}
+    if token:
+        sent["Authorization"] = f"Bearer {token}"
+    sent |= {name.replace("_", "-"): text for name, text in headers.items()}
+    connection.request("POST", f"/q/{queue}/run", body, sent)
+    response = connection.getresponse()
+    answer = response.read()
+    connection.close()
+    return response.status, response.headers, json.loads(answer)
+
+
+def _wait_for(condition):
+    deadline_s = time.monotonic() + _WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline_s, "waited too long"
+        time.sleep(0.05)
+
+
+class CallersTest(testtools.TestCase):
+    def assert_invalid(self, answer, status, field):
+        self.assertEqual(status, answer[0])
+        self.assertEqual("invalid", answer[1]["Wagtail-Outcome"])
+        self.assertEqual(field, answer[2]["field"])
+
+    def test_answer_passes_through(self):
+        status, headers, body = _send(X_Caller_Id="me")
+        self.assertEqual((200, "answer"), (status, headers["Wagtail-Outcome"]))
+        self.assertEqual("me", body["echo"])
+        self.assertEqual("mayilpeeli", body["member"])
+
+    def test_wrong_token(self):
+        self.assert_invalid(_send(token="nobody"), 401, "Authorization")
+
+    def test_unknown_queue(self):
+        self.assert_invalid(_send(queue="nowhere"), 404, "queue")
+
+    def test_bad_deadline(self):
+        answer = _send(Wagtail_Deadline_Ms="soon")
+        self.assert_invalid(answer, 400, "Wagtail-Deadline-Ms")
+
+    def test_long_key(self):
+        answer = _send(Idempotency_Key="k" * 201)
+        self.assert_invalid(answer, 400, "Idempotency-Key")
+
+    def test_deadline_that_cannot_be_met_is_refused_at_once(self):
+        began_s = time.monotonic()
+        status, headers, body = _send(Wagtail_Deadline_Ms="1")
+        self.assertLess(time.monotonic() - began_s, 5.0)
+        self.assertEqual((503, "not_run"), (status, body["outcome"]))
+        self.assertIn("Retry-After", headers)
+
+    def test_repeated_key_is_not_run_twice(self):
+        time.sleep(0.01)
+        issued_ms = str(time.time_ns() // 1_000_000)
+        fields = {"Idempotency_Key": f"k{issued_ms}"}
+        fields["Wagtail_Key_Issued_Ms"] = issued_ms
+        statuses = [
+            _send(gateway, "plate-exports", **fields)[0]
+            for gateway in ("gw-1", "gw-2")
+        ]
+        self.assertEqual([200, 502], statuses)
+
+    def test_large_body_streams_through(self):
+        size = 5_000_000
+        self.assertEqual(size, _send(body=b"z" * size)[2]["bytes"])
+
+    def test_truncated_body_leaves_the_gateway_running(self):
+        parts = urllib.parse.urlsplit(Shared.site.gateway_urls["gw-1"])
+        with socket.create_connection((parts.hostname, parts.port)) as raw:
+            raw.sendall(
+                b"POST /q/proofs/run HTTP/1.1\r\nHost: x\r\n"
+                b"Authorization: Bearer demo-letterers\r\n"
+                b"Content-Length: 100\r\n\r\nshort"
+            )
+        self.assertEqual(200, _send()[0])
+
+    def test_stalled_body_is_answered(self):
+        parts = urllib.parse.urlsplit(Shared.site.gateway_urls["gw-1"])
+        with socket.create_connection((parts.hostname, parts.port)) as raw:
+            raw.settimeout(_WAIT_S)
+            raw.sendall(
+                b"POST /q/proofs/run HTTP/1.1\r\nHost: x\r\n"
+                b"Authorization: Bearer demo-letterers\r\n"
+                b"Content-Length: 100\r\n\r\nshort"
+            )
+            self.assertIn(b" 408 ", raw.recv(4_096))
+        self.assertEqual(200, _send()[0])
+
+
+class ProcessesTest(testtools.TestCase):
+    def shipped(self):
+        return {
+            name: process.pid
+            for name, process in Shared.site.processes.items()
+            if name.startswith(_SHIPPED) and process.poll() is None
+        }
+
+    def test_no_process_opens_an_io_uring(self):
+        for name, pid in self.shipped().items():
+            folder = f"/proc/{pid}/fd"
+            links = [os.readlink(f"{folder}/{n}") for n in os.listdir(folder)]
+            self.assertEqual([], [x for x in links if "io_uring" in x], name)
+
+    def test_no_process_starts_another(self):
+        for name, pid in self.shipped().items():
+            children = []
+            for task in os.listdir(f"/proc/{pid}/task"):
+                path = pathlib.Path(f"/proc/{pid}/task/{task}/children")
+                children += path.read_text(encoding="ascii").split()
+            self.assertEqual([], children, name)
+
+    def test_no_process_shares_memory(self):
+        """The C library maps its own tables shared, but only to read."""
+        for name, pid in self.shipped().items():
+            path = pathlib.Path(f"/proc/{pid}/maps")
+            shared = [
+                line
+                for line in path.read_text(encoding="utf-8").splitlines()
+                if line.split()[1][1:4:2] == "ws" or "/dev/shm" in line
+            ]
+            self.assertEqual([], shared, name)
+
+    def test_gateway_finishes_what_is_in_flight_when_told_to_stop(self):
+        answers = []
+        senders = [
+            threading.Thread(
+                target=lambda: answers.append(
+                    _send("gw-2", X_Work_Ms="1500")[0]
+                )
+            )
+            for _ in range(6)
+        ]
+        for sender in senders:
+            sender.start()
+        time.sleep(0.5)
+        process = Shared.site.processes["gw-2"]
+        process.send_signal(signal.SIGTERM)
+        for sender in senders:
+            sender.join()
+        self.assertEqual([200] * 6, answers)
+        self.assertEqual(0, process.wait(_WAIT_S))
+        Shared.site.start_gateway("gw-2")
+        Shared.site.wait_ready()
+
+
+class OperatorsTest(testtools.TestCase):
+    def ctl(self, *arguments, check=True):
+        return Shared.site.ctl(*arguments, check=check)
+
+    def test_wave_maintains_every_vm_of_a_pool(self):
+        before = self.starts()
+        done = self.ctl("wave", "start", "lettering", "--follow")
+        self.assertIn("6 of 6 done", done.stdout)
+        for vm, starts in self.starts().items():
+            self.assertEqual(before[vm] + 1, starts)
+
+    def starts(self):
+        listed = json.loads(self.ctl("vm", "--json").stdout)
+        return {
+            vm: record["boot"]
+            for vm, record in listed.items()
+            if record["pool"] == "lettering"
+        }
+
+    def test_moved_vm_serves_its_new_pool(self):
+        self.ctl("vm", "kal-25", "--move-to", "proofing")
+        _wait_for(lambda: self.pool_of("kal-25") == "proofing")
+        self.ctl("vm", "kal-25", "--move-to", "back-office")
+        _wait_for(lambda: self.pool_of("kal-25") == "back-office")
+
+    def pool_of(self, vm):
+        return json.loads(self.ctl("vm", vm, "--json").stdout)[vm]["pool"]
+
+    def test_racing_operator_sees_the_others_change(self):
+        revision = json.loads(self.ctl("status", "--json").stdout)[
+            "settings_revision"
+        ]
+        change = ("queue", "reports", "--expect", str(revision), "--set")
+        self.ctl(*change, "deadline_ms=21000", "--why", "first")
+        second = self.ctl(*change, "deadline_ms=22000", check=False)
+        self.assertEqual(3, second.returncode)
+        self.assertIn("21000", second.stderr)
+
+    def test_rejected_setting_names_path_and_near_miss(self):
+        done = self.ctl(
+            "queue", "reports", "--set", "dedline_ms=1", check=False
+        )
+        self.assertEqual(2, done.returncode)
+        self.assertIn("did you mean 'deadline_ms'", done.stderr)
+
+    def test_session_matches_the_golden_file(self):
+        commands = (
+            ("explain", "plate-exports"),
+            ("queue", "proofs"),
+            ("pool", "plates"),
+            ("get", "/tree/groups/press/pools/plates"),
+            ("pool", "nowhere"),
+            ("queue", "proofs", "--set", "deadline_ms=never"),
+            ("wave", "begin"),
+            ("vm", "kal-01"),
+        )
+        parts = []
+        for command in commands:
+            done = self.ctl(*command, check=False)
+            shown = "\n".join(
+                line
+                for line in (done.stdout + done.stderr).splitlines()
+                if not line.startswith("// revision")
+            )
+            parts.append(
+                f"$ wagtailctl {' '.join(command)}\n{shown}\n"
+                f"exit {done.returncode}\n"
+            )
+        session = "\n".join(parts)
+        path = _GOLDEN / "operator_session.txt"
+        if os.environ.get("WRITE_GOLDEN"):
+            path.parent.mkdir(exist_ok=True)
+            path.write_text(session, encoding="utf-8")
+        self.assertEqual(path.read_text(encoding="utf-8"), session)
