--- a/src/wagtailtiller/controller/maintenance.py
+++ b/src/wagtailtiller/controller/maintenance.py
@@ -140,6 +140,7 @@
             _log(decision)
             if decision.refusal is None:
                 self._meter.incr(metrics.Metric.FLEET_WRITES.value)
+        _log_ended_waves(self._replica.fleet, outcome.ok.fleet)
         return outcome.ok.fleet
 
     async def _reboot_stopped(self, current: fleet.Fleet) -> None:
@@ -156,6 +157,16 @@
                 events.emit(events.Event.REBOOT_REQUESTED, vm=vm)
 
 
+def _log_ended_waves(before: fleet.Fleet, after: fleet.Fleet) -> None:
+    for name, wave in after.waves.items():
+        old = before.waves.get(name)
+        ended = wave.state is not fleet.WaveState.RUNNING
+        if ended and old is not None and old.state is not wave.state:
+            events.emit(
+                events.Event.WAVE_ENDED, wave=name, state=wave.state.value
+            )
+
+
 def _log(decision: writing.Decision) -> None:
     fields = {
         "command": type(decision.command).__name__,
--- a/src/wagtailtiller/controller/node.py
+++ b/src/wagtailtiller/controller/node.py
@@ -9,6 +9,7 @@
 from wagtailtiller import metrics
 from wagtailtiller import process
 from wagtailtiller import replica
+from wagtailtiller.controller import compaction
 from wagtailtiller.controller import leader
 from wagtailtiller.controller import maintenance
 from wagtailtiller.controller import membership
@@ -18,6 +19,7 @@
 from wagtailtiller.ports import store
 
 _IN_MOTION_POLL_MS = 150
+_COMPACT_EVERY_MS = 5_000
 
 
 class ControllerNode:
@@ -75,6 +77,9 @@
             time=time,
             meter=meter,
         )
+        self._compactor = compaction.Compactor(
+            target, shared, self._leadership.holds
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -84,6 +89,7 @@
             asyncio.create_task(self._leadership.run()),
             asyncio.create_task(self._roster.run()),
             asyncio.create_task(self._maintain()),
+            asyncio.create_task(self._compact()),
         ]
         events.emit(
             events.Event.CONTROLLER_STARTED, controller=self._own.controller
@@ -107,3 +113,8 @@
             if in_motion:
                 delay_ms = min(delay_ms, _IN_MOTION_POLL_MS)
             await asyncio.sleep(delay_ms / 1_000)
+
+    async def _compact(self) -> None:
+        while True:
+            await asyncio.sleep(_COMPACT_EVERY_MS / 1_000)
+            await self._compactor.step()
--- a/src/wagtailtiller/ctl/fleet_commands.py
+++ b/src/wagtailtiller/ctl/fleet_commands.py
@@ -255,6 +255,42 @@
         self.show(("WAVE", "POOL", "STATE", "DONE", "WHO"), rows, waves)
 
 
+class GatewayCommand(base.StoreCommand):
+    """Lists gateways, or strikes one off that is known to be dead."""
+
+    name = "gateway"
+    description = (
+        "List gateways or strike off a dead one."
+        " Example: wagtailctl gateway gw-4 --strike-off"
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("gateway", "The gateway.", optional=True)
+    ]
+    options: ClassVar[list[Option]] = [
+        *base.StoreCommand.options,
+        option("strike-off", None, "It is dead and will not return."),
+    ]
+
+    async def perform(self, current: session.Session) -> int:
+        """List or strike off."""
+        members = current.replica.roster
+        name = ids.GatewayId(self.argument("gateway") or "")
+        if self.option("strike-off"):
+            if name not in members.unaccounted:
+                return self.not_found(f"unaccounted gateway {name}")
+            done = await current.strike_off(name)
+            if done.is_error():
+                return self.fail(done.error)
+            members = done.ok
+        rows: list[output.Row] = [
+            (each.gateway, "leaving" if each.leaving else "member")
+            for each in members.members.values()
+        ]
+        rows += [(each, "unaccounted") for each in members.unaccounted]
+        self.show(("GATEWAY", "STATE"), rows, members)
+        return output.ExitCode.OK
+
+
 class StatusCommand(base.StoreCommand):
     """Prints an overview of a region."""
 
--- a/src/wagtailtiller/ctl/main.py
+++ b/src/wagtailtiller/ctl/main.py
@@ -16,6 +16,7 @@
     fleet_commands.QueueCommand,
     fleet_commands.VmCommand,
     fleet_commands.WaveCommand,
+    fleet_commands.GatewayCommand,
     fleet_commands.StatusCommand,
 )
 
--- a/src/wagtailtiller/ctl/session.py
+++ b/src/wagtailtiller/ctl/session.py
@@ -14,6 +14,7 @@
 from wagtailtiller import fleet
 from wagtailtiller import ids
 from wagtailtiller import replica
+from wagtailtiller import roster
 from wagtailtiller.adapters import http_store
 from wagtailtiller.fleet import writing
 from wagtailtiller.ports import store
@@ -104,7 +105,8 @@
         self, command: fleet.Command
     ) -> Result[writing.Written, errors.StoreError | errors.Refused]:
         """Write a fleet command, after its entry in the audit trail."""
-        noted = await self._note(command)
+        detail = msgspec.to_builtins(command)
+        noted = await self._note(type(command).__name__, detail)
         if noted.is_error():
             return Error(noted.error)
         writer = writing.FleetWriter(
@@ -117,12 +119,28 @@
         refusal = written.ok.decisions[0].refusal
         return Error(refusal) if refusal else Ok(written.ok)
 
+    async def strike_off(
+        self, gateway: ids.GatewayId
+    ) -> Result[roster.Roster, errors.StoreError]:
+        """Take a gateway that is known to be dead out of the electorate."""
+        noted = await self._note("StrikeOff", {"gateway": gateway})
+        if noted.is_error():
+            return Error(noted.error)
+        key = roster.key(self.operator.region)
+        changed = roster.strike_off(self.replica.roster, gateway)
+        written = await self.store.write(
+            key,
+            msgspec.json.encode(changed),
+            self.replica.item_revision(key),
+        )
+        return written.map(lambda _: changed)
+
     async def history(
         self,
     ) -> Result[list[changes.Change], errors.StoreUnavailable]:
         """Return all settings changes, archived ones included."""
         found: dict[int, changes.Change] = {}
-        for prefix in (AUDIT_PREFIX + "settings/", changes.LOG_PREFIX):
+        for prefix in (changes.ARCHIVE_PREFIX, changes.LOG_PREFIX):
             answer = await self.store.read(prefix)
             if answer.is_error():
                 return Error(answer.error)
@@ -146,7 +164,7 @@
         )
 
     async def _note(
-        self, command: fleet.Command
+        self, command: str, detail: dict[str, object]
     ) -> Result[ids.Revision, errors.StoreError]:
         at_ms = time.time_ns() // 1_000_000
         entry = AuditEntry(
@@ -154,8 +172,8 @@
             why=self.operator.why,
             at_ms=at_ms,
             region=self.operator.region,
-            command=type(command).__name__,
-            detail=msgspec.to_builtins(command),
+            command=command,
+            detail=detail,
         )
         key = f"{AUDIT_PREFIX}commands/{at_ms:015d}-{uuid.uuid4().hex[:8]}"
         value = msgspec.json.encode(entry)
--- a/src/wagtailtiller/replica.py
+++ b/src/wagtailtiller/replica.py
@@ -81,6 +81,14 @@
         item = self._items.get(key)
         return item.revision if item else store.ABSENT
 
+    def settings_log(self) -> list[store.Item]:
+        """Return the settings changes that are not archived, in order."""
+        return [
+            self._items[key]
+            for key in sorted(self._items)
+            if key.startswith(changes.LOG_PREFIX)
+        ]
+
     def _interpret(self, changed: set[str]) -> None:
         if any(key.startswith("state/settings") for key in changed):
             self._fold_settings()
--- a/src/wagtailtiller/settings/changes.py
+++ b/src/wagtailtiller/settings/changes.py
@@ -19,6 +19,7 @@
 from wagtailtiller.settings import schema
 
 LOG_PREFIX = "state/settings/"
+ARCHIVE_PREFIX = "audit/settings/"
 SNAPSHOT_KEY = "state/settings-snapshot"
 
 Plain = dict[str, Any]
--- a/support/faults/run.py
+++ b/support/faults/run.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import dataclasses
 import pathlib
 import random
 import signal
@@ -26,6 +27,15 @@
 _FROZEN_S = 4.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Kill:
+    """A gateway's death, between two readings of the wall clock."""
+
+    gateway: str
+    before_ms: int
+    after_ms: int
+
+
 class Faults:
     """Draws and applies faults to a running site.
 
@@ -37,7 +47,7 @@
     def __init__(self, running: cluster.Cluster, seed: int) -> None:
         self._running = running
         self._random = random.Random(seed)
-        self.killed: list[tuple[str, int]] = []
+        self.killed: list[Kill] = []
         self._actions = {
             "kill gateway": self._kill_gateway,
             "stop gateway": self._stop_gateway,
@@ -80,8 +90,11 @@
 
     def _kill_gateway(self) -> None:
         name = self._pick("gw")
-        self.killed.append((name, time.time_ns() // 1_000_000))
+        before_ms = time.time_ns() // 1_000_000
         self._running.signal(name, signal.SIGKILL)
+        self._running.processes[name].wait()
+        after_ms = time.time_ns() // 1_000_000
+        self.killed.append(Kill(name, before_ms, after_ms))
 
     def _stop_gateway(self) -> None:
         self._running.signal(self._pick("gw"), signal.SIGTERM)
@@ -123,12 +136,14 @@
 
 
 def _excused(
-    call: caller.CallRecord, killed: list[tuple[str, int]], urls: dict[str, str]
+    call: caller.CallRecord, killed: list[Kill], urls: dict[str, str]
 ) -> bool:
     """Whether a lost request was in flight at a gateway that was killed."""
     return any(
-        urls[name] == call.gateway and call.sent_ms <= at_ms <= call.ended_ms
-        for name, at_ms in killed
+        urls[kill.gateway] == call.gateway
+        and call.sent_ms <= kill.after_ms
+        and call.ended_ms >= kill.before_ms
+        for kill in killed
     )
 
 
