Grant nothing to a front whose report is due

The owner of an epoch granted a slot to a front before that front's report of the epoch had come in; the report, composed before the grant arrived, did not list it, so the owner counted the slot as free while the request ran; a planned stop cut it off. Ruled out: the drain's generation (it matched), the roster (a quorum stood). Change: fronts whose report is due get no grant, at a new epoch and after a new stream's Hello alike.

--- a/src/wagtailtiller/dispatch/dispatcher.py
+++ b/src/wagtailtiller/dispatch/dispatcher.py
@@ -149,6 +149,15 @@
         self.epoch = epoch
         return self._place(now_ms)
 
+    def expect_report(self, front: ids.GatewayId) -> None:
+        """Grant nothing more to a front until it has reported again.
+
+        A grant that crossed a report on the way would be taken by the front
+        and yet counted as free here.
+        """
+        if front in self._fronts:
+            self._unreported.add(front)
+
     def suspend(self) -> list[Send]:
         """Refuse all that waits, and grant nothing until resumed."""
         self._open = False
@@ -391,6 +400,8 @@
         over = self._over_quota(now_ms)
         fallback = None
         for entry in self._waiting.of_class(priority):
+            if entry.front in self._unreported:
+                continue
             if fallback is not None and entry.ask.team in over:
                 continue
             vm = self._slots.choose(entry.queue, entry.ask.avoid, now_ms)
--- a/src/wagtailtiller/gateway/host.py
+++ b/src/wagtailtiller/gateway/host.py
@@ -70,6 +70,9 @@
         """Take a message from a front."""
         now_ms = self._clock.monotonic_ms()
         match message:
+            case messages.Hello():
+                for each in self._dispatchers.values():
+                    each.expect_report(front)
             case messages.Beat():
                 for each in self._dispatchers.values():
                     each.handle(front, message, now_ms)
--- a/src/wagtailtiller/gateway/peers.py
+++ b/src/wagtailtiller/gateway/peers.py
@@ -162,7 +162,7 @@
                     if isinstance(message, messages.Hello):
                         front = message.gateway
                         self._replace(front, outbox)
-                    elif front and self._outboxes.get(front) is outbox:
+                    if front and self._outboxes.get(front) is outbox:
                         self._receive(front, message)
         finally:
             outbox.close()
--- a/support/demo/cluster.py
+++ b/support/demo/cluster.py
@@ -28,6 +28,8 @@
         folder: Where settings and outputs are written.
         gateways: How many gateways to run.
         controllers: How many controllers to run.
+        reboot_ms: How long a VM takes to reboot.
+        statsd_port: Where gateways send metrics; 0 for nowhere.
     """
 
     def __init__(
@@ -37,10 +39,12 @@
         gateways: int,
         controllers: int,
         reboot_ms: int = 1_500,
+        statsd_port: int = 0,
     ) -> None:
         self.plan = plan
         self._folder = folder
         self._reboot_ms = reboot_ms
+        self._statsd = f"127.0.0.1:{statsd_port}" if statsd_port else ""
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.store_url = _url(ports.free_port())
         self.platform_url = _url(ports.free_port())
@@ -93,6 +97,7 @@
             "caller_address": self.gateway_urls[name].removeprefix("http://"),
             "peer_address": f"127.0.0.1:{self._peer_ports[name]}",
             "store_url": self.store_url,
+            "statsd_address": self._statsd,
         }
         path = site.write_json(self._folder / f"{name}.json", own)
         self._spawn(name, "wagtailtiller.gateway.main", "--settings", path)
--- a/support/fuzz/world.py
+++ b/support/fuzz/world.py
@@ -348,6 +348,10 @@
                     continue
                 created = channels.Stream(gateway.name, name)
                 self._streams[(gateway.name, name)] = created
+                hello = messages.Hello(
+                    gateway.name, gateway.session.incarnation
+                )
+                gateway.to_dispatcher(name, hello)
                 gateway.core.front.peer_connected(name)
 
     def _deliver(self, gateway: Gateway) -> None:
--- a/support/measure/run.py
+++ b/support/measure/run.py
@@ -4,15 +4,21 @@
 import sys
 
 from support.measure import fairness
+from support.measure import hop
+from support.measure import idle
 from support.measure import moves
 from support.measure import placement
 from support.measure import rollout
+from support.measure import slopes
 
 _SECTIONS = {
     "placement": placement.measure,
     "fairness": fairness.measure,
     "rollout": rollout.measure,
     "moves": moves.measure,
+    "slopes": slopes.measure,
+    "hop": hop.measure,
+    "idle": idle.measure,
 }
 
 
--- /dev/null
+++ b/support/measure/slopes.py
@@ -0,0 +1,218 @@
+"""Capacity: what state and work cost as the fleet grows, with fitted slopes.
+
+Processor time is this process's own; memory is what Python allocates.
+"""
+
+from collections.abc import Callable
+import gc
+import statistics
+import time
+import tracemalloc
+
+import msgspec
+
+from support.measure import tables
+from wagtailtiller import fleet
+from wagtailtiller import ids
+from wagtailtiller import replica
+from wagtailtiller import roster
+from wagtailtiller.fleet import model
+from wagtailtiller.fleet import planning
+from wagtailtiller.ports import platform
+from wagtailtiller.ports import store
+from wagtailtiller.settings import changes
+
+_WORKERS = (30, 250, 1_000, 2_000)
+_REGION_WORKERS = (30, 70, 143, 286)
+_WORKERS_PER_POOL = 8.7
+_REGIONS = 7
+_TEAMS = 51
+_REPEATS = 5
+_US_PER_S = 1e6
+
+
+def document(workers: int, regions: int = _REGIONS) -> changes.Plain:
+    """Make settings of a given size, 8.7 workers a pool, 51 teams."""
+    pools = max(5, round(workers / _WORKERS_PER_POOL))
+    return {
+        "tree": {
+            "values": {"deadline_ms": 10_000},
+            "pools": {
+                f"pool-{n:03d}": {
+                    "values": {"max_unavailable_vms": 1},
+                    "queues": {f"queue-{n:03d}": {"values": {}}},
+                }
+                for n in range(pools)
+            },
+        },
+        "data_centres": {
+            f"dc-{n}": {"region": f"region-{n % regions}"} for n in range(19)
+        },
+        "vms": {
+            f"vm-{n:04d}": {
+                "address": f"10.{n >> 8}.{n & 255}.1:80",
+                "data_centre": f"dc-{n // 4 % 19}",
+                "rack": f"rack-{n // 4:03d}",
+                "pool": f"pool-{n % pools:03d}",
+                "processors": 64,
+                "memory_gb": 256,
+            }
+            for n in range(workers)
+        },
+        "members": {
+            "member": {
+                "teams": {
+                    f"team-{n}": {"tokens_sha256": [f"{n:064x}"]}
+                    for n in range(_TEAMS)
+                }
+            }
+        },
+    }
+
+
+def slope(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return the slope and the intercept of the line of least squares."""
+    xs, ys = zip(*points, strict=True)
+    fit = statistics.linear_regression(xs, ys)
+    return fit.slope, fit.intercept
+
+
+def processor_us(work: Callable[[], object]) -> float:
+    """Return the least processor time of a few runs, in microseconds."""
+    times = []
+    for _ in range(_REPEATS):
+        gc.collect()
+        began_s = time.process_time()
+        work()
+        times.append(time.process_time() - began_s)
+    return min(times) * _US_PER_S
+
+
+def _filled_replica(workers: int) -> replica.Replica:
+    plain = document(workers)
+    copy = replica.Replica(ids.RegionId("region-0"))
+    change = changes.Change(
+        ids.Revision(1), ids.ChangeId("c"), "op", "", 0, plain
+    )
+    items = [
+        _item(changes.log_key(ids.Revision(1)), change, 1),
+        _item(model.key(ids.RegionId("region-0")), _fleet(workers // 7), 2),
+    ]
+    copy.load(items, 2)
+    return copy
+
+
+def _item(key: str, value: object, revision: int) -> store.Item:
+    return store.Item(key, msgspec.json.encode(value), ids.Revision(revision))
+
+
+def _fleet(workers: int) -> fleet.Fleet:
+    pools = max(5, round(workers / _WORKERS_PER_POOL))
+    vms = {
+        ids.VmId(f"vm-{n:04d}"): fleet.VmRecord(
+            ids.PoolId(f"pool-{n % pools:03d}"),
+            fleet.VmState.SERVING,
+            9,
+            5,
+            1_700_000_000_000,
+        )
+        for n in range(workers)
+    }
+    return fleet.Fleet(vms=vms)
+
+
+def _memory_kb(workers: int) -> float:
+    gc.collect()
+    tracemalloc.start()
+    copy = _filled_replica(workers)
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert copy.revision
+    return size / 1_024
+
+
+def _change_us(workers: int) -> float:
+    copy = _filled_replica(workers)
+    patch = {"tree": {"values": {"deadline_ms": 9_000}}}
+    change = changes.Change(
+        ids.Revision(2), ids.ChangeId("d"), "op", "", 0, patch
+    )
+    current = copy.settings
+    return processor_us(lambda: changes.fold(current, [change]))
+
+
+def _fleet_update_us(workers: int) -> float:
+    value = msgspec.json.encode(_fleet(workers))
+    decoder = msgspec.json.Decoder(fleet.Fleet)
+    return processor_us(lambda: decoder.decode(value))
+
+
+def _fleet_bytes(workers: int) -> float:
+    return len(msgspec.json.encode(_fleet(workers)))
+
+
+def _plan_us(workers: int) -> float:
+    copy = replica.Replica(ids.RegionId("region-0"))
+    plain = document(workers, regions=1)
+    change = changes.Change(
+        ids.Revision(1), ids.ChangeId("c"), "op", "", 0, plain
+    )
+    copy.load([_item(changes.log_key(ids.Revision(1)), change, 1)], 1)
+    catalogue = copy.settings.catalogue
+    whole = _fleet(workers)
+    reports = {
+        vm: platform.VmReport(vm, platform.VmPhase.LIVE, 5) for vm in whole.vms
+    }
+
+    def step() -> None:
+        planning.observe(whole, catalogue, reports)
+        planning.plan(whole, catalogue)
+
+    return processor_us(step)
+
+
+def _owner_us(gateways: int) -> float:
+    members = {
+        ids.GatewayId(f"gw-{n}"): roster.Session(
+            ids.GatewayId(f"gw-{n}"), "i", ids.RegionId("r"), "", ""
+        )
+        for n in range(gateways)
+    }
+    current = roster.Roster(ids.Epoch(1), members)
+    pools = [ids.PoolId(f"pool-{n}") for n in range(33)]
+    return processor_us(lambda: [roster.owner(current, p) for p in pools])
+
+
+_Measure = Callable[[int], float]
+_ROWS: tuple[tuple[str, str, tuple[int, ...], _Measure, int], ...] = (
+    ("view in memory, KB", "workers", _WORKERS, _memory_kb, 2_000),
+    ("apply a settings change, us", "workers", _WORKERS, _change_us, 2_000),
+    ("decode a region's fleet, us", "workers", _REGION_WORKERS,
+     _fleet_update_us, 286),
+    ("a region's fleet in the store, B", "workers", _REGION_WORKERS,
+     _fleet_bytes, 286),
+    ("a controller's step, us", "workers", _REGION_WORKERS, _plan_us, 286),
+    ("owners of 33 pools, us", "gateways", (3, 9, 18, 30), _owner_us, 9),
+)  # fmt: skip
+
+
+def measure(seed: int) -> str:
+    """Measure every row, fit it, and give the value at the letter's size."""
+    rows = []
+    for name, unit, sizes, work, target in _ROWS:
+        points = [(float(size), work(size)) for size in sizes]
+        per_unit, fixed = slope(points)
+        shown = " ".join(f"{int(x)}:{y:.0f}" for x, y in points)
+        rows.append(
+            (
+                name,
+                unit,
+                shown,
+                f"{per_unit:.2f}",
+                f"{fixed:.0f}",
+                f"{target}: {per_unit * target + fixed:.0f}",
+            )
+        )
+    headings = ("what", "per", "points", "slope", "fixed", "at the size")
+    return tables.table("Capacity: slopes", headings, rows)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -195,11 +195,27 @@
         self.report("a")
         self.assertEqual(0, self.dispatcher.running_count)
 
-    def test_report_of_an_older_epoch_changes_nothing(self):
+    def test_no_grant_crosses_a_report_that_is_due(self):
+        """A grant sent before the report came in was freed but used."""
         self.make()
         self.now_ms += dispatcher.SETTLE_MS
         self.dispatcher.set_roster(ids.Epoch(2), _FRONTS, self.now_ms)
+        self.assertEqual([], self.ask(1))
+        self.report("a", epoch=2)
+        self.assertEqual(1, len(self.ask(1)))
+
+    def test_reconnected_front_gets_nothing_before_it_reports(self):
+        self.make()
+        self.now_ms += dispatcher.SETTLE_MS
+        self.dispatcher.expect_report("a")
+        self.assertEqual([], self.ask(1))
+        self.assertEqual(1, len(self.ask(2, front="b")))
+
+    def test_report_of_an_older_epoch_changes_nothing(self):
+        self.make()
+        self.now_ms += dispatcher.SETTLE_MS
         self.ask(1)
+        self.dispatcher.set_roster(ids.Epoch(2), _FRONTS, self.now_ms)
         self.report("a", epoch=1)
         self.assertEqual(1, self.dispatcher.running_count)
 
