Start and stop services with aiomisc on our own loop

Ruled out: its own signal handling, which cancels handlers in flight (the graceful-stop test failed with it).

--- a/src/wagtailtiller/controller/main.py
+++ b/src/wagtailtiller/controller/main.py
@@ -1,11 +1,12 @@
 """``wagtail-controller``: the program that manages a region's fleet."""
 
 import argparse
-import asyncio
-import signal
 import sys
 
 from wagtailtiller import runtime  # isort: skip
+
+import aiomisc
+
 from wagtailtiller import clock
 from wagtailtiller import events
 from wagtailtiller import metrics
@@ -17,24 +18,38 @@
 _EXIT_BAD_SETTINGS = 2
 
 
-async def _serve(own: process.ControllerSettings) -> int:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    client = f"controller/{own.controller}"
-    target = http_store.HttpStore(own.store_url, client)
-    vms = http_platform.HttpPlatform(own.platform_url)
-    meter = metrics.connect(own.statsd_address)
-    controller = node.ControllerNode(
-        own, target, vms, clock.SystemClock(), meter
-    )
-    await controller.start()
-    await stopping.wait()
-    await controller.stop()
-    await target.close()
-    await vms.close()
-    return 0
+class ControllerService(aiomisc.Service):
+    """A controller with its connections to the store and the platform.
+
+    Args:
+        own: The process settings.
+    """
+
+    def __init__(self, own: process.ControllerSettings) -> None:
+        super().__init__()
+        self._own = own
+
+    async def start(self) -> None:
+        """Begin to manage."""
+        own = self._own
+        self._store = http_store.HttpStore(
+            own.store_url, f"controller/{own.controller}"
+        )
+        self._platform = http_platform.HttpPlatform(own.platform_url)
+        self._node = node.ControllerNode(
+            own=own,
+            target=self._store,
+            vms=self._platform,
+            time=clock.SystemClock(),
+            meter=metrics.connect(own.statsd_address),
+        )
+        await self._node.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Hand over and stop."""
+        await self._node.stop()
+        await self._store.close()
+        await self._platform.close()
 
 
 def main() -> int:
@@ -51,7 +66,7 @@
         print(f"{options.settings}: {loaded.error}", file=sys.stderr)
         return _EXIT_BAD_SETTINGS
     events.start_logging()
-    return runtime.run(_serve(loaded.ok))
+    return runtime.serve(ControllerService(loaded.ok))
 
 
 if __name__ == "__main__":
--- a/src/wagtailtiller/gateway/main.py
+++ b/src/wagtailtiller/gateway/main.py
@@ -1,11 +1,12 @@
 """``wagtail-gateway``: the program that callers' requests pass through."""
 
 import argparse
-import asyncio
-import signal
 import sys
 
 from wagtailtiller import runtime  # isort: skip
+
+import aiomisc
+
 from wagtailtiller import clock
 from wagtailtiller import events
 from wagtailtiller import metrics
@@ -16,20 +17,33 @@
 _EXIT_BAD_SETTINGS = 2
 
 
-async def _serve(own: process.GatewaySettings) -> int:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    source = http_store.HttpStore(own.store_url, f"gateway/{own.gateway}")
-    gateway = node.GatewayNode(
-        own, source, clock.SystemClock(), metrics.connect(own.statsd_address)
-    )
-    await gateway.start()
-    await stopping.wait()
-    await gateway.stop()
-    await source.close()
-    return 0
+class GatewayService(aiomisc.Service):
+    """A gateway with its connection to the store.
+
+    Args:
+        own: The process settings.
+    """
+
+    def __init__(self, own: process.GatewaySettings) -> None:
+        super().__init__()
+        self._own = own
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        own = self._own
+        self._store = http_store.HttpStore(
+            own.store_url, f"gateway/{own.gateway}"
+        )
+        meter = metrics.connect(own.statsd_address)
+        self._node = node.GatewayNode(
+            own, self._store, clock.SystemClock(), meter
+        )
+        await self._node.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Finish what is in flight and stop."""
+        await self._node.stop()
+        await self._store.close()
 
 
 def main() -> int:
@@ -46,7 +60,7 @@
         print(f"{options.settings}: {loaded.error}", file=sys.stderr)
         return _EXIT_BAD_SETTINGS
     events.start_logging()
-    return runtime.run(_serve(loaded.ok))
+    return runtime.serve(GatewayService(loaded.ok))
 
 
 if __name__ == "__main__":
--- a/src/wagtailtiller/runtime.py
+++ b/src/wagtailtiller/runtime.py
@@ -7,14 +7,17 @@
 import asyncio
 from collections.abc import Coroutine
 import os
+import signal
 from typing import Any
 
 os.environ["UV_USE_IO_URING"] = "0"
 
+import aiomisc  # noqa: E402
 import uvloop  # noqa: E402
 
 from wagtailtiller import errors  # noqa: E402
 
+_LONGEST_STOP_S = 86_400.0
 _FD_DIRECTORY = "/proc/self/fd"
 
 
@@ -49,3 +52,31 @@
             main.close()
             raise errors.InvariantError("the event loop opened an io_uring")
         return runner.run(main)
+
+
+def serve(service: aiomisc.Service) -> int:
+    """Run a service until SIGTERM or SIGINT, then stop it gracefully.
+
+    Args:
+        service: Its ``stop`` may take as long as requests in flight need.
+
+    Returns:
+        The exit code.
+    """
+    return run(_serve(service))
+
+
+async def _serve(service: aiomisc.Service) -> int:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    # The library's own handling of signals cancels what is in flight.
+    async with aiomisc.entrypoint(
+        service,
+        log_config=False,
+        catch_signals=(),
+        shutdown_timeout=_LONGEST_STOP_S,
+    ):
+        await stopping.wait()
+    return 0
