Settle accepted settings without checking them again

Cause: every process checked the whole document at each change (281 ms at 2,000 workers, slope 138 us a worker); it was checked when accepted.

--- a/src/wagtailtiller/settings/changes.py
+++ b/src/wagtailtiller/settings/changes.py
@@ -109,6 +109,18 @@
     )
 
 
+def settle(
+    revision: ids.Revision, plain: Plain
+) -> Result[Current, errors.InvalidSetting]:
+    """Settle plain values that were checked when they were accepted."""
+    try:
+        document = msgspec.convert(plain, schema.Document)
+    except msgspec.ValidationError:
+        return from_plain(revision, plain)
+    settled = catalogue.resolve(document)
+    return Ok(Current(revision, plain, document, settled))
+
+
 def advance(
     current: Current, change: Change
 ) -> Result[Current, errors.InvalidSetting]:
@@ -127,10 +139,7 @@
 def fold(
     current: Current, changes: list[Change]
 ) -> Result[Current, errors.InvalidSetting]:
-    """Apply the changes that follow, in order, up to the first gap.
-
-    Only the last document is checked: each change was checked when accepted.
-    """
+    """Apply the changes that follow, in order, up to the first gap."""
     plain = current.plain
     revision = current.revision
     for change in sorted(changes, key=lambda each: each.revision):
@@ -140,7 +149,7 @@
         revision = change.revision
     if revision == current.revision:
         return Ok(current)
-    return from_plain(revision, plain)
+    return settle(revision, plain)
 
 
 def decode(value: bytes) -> Result[Change, errors.InvalidSetting]:
