--- a/src/wagtailtiller/controller/main.py
+++ b/src/wagtailtiller/controller/main.py
@@ -1,22 +1,16 @@
 """``wagtail-controller``: the program that manages a region's fleet."""
 
-import argparse
-import sys
-
-from wagtailtiller import runtime  # isort: skip
+from wagtailtiller import program  # isort: skip
 
 import aiomisc
 
 from wagtailtiller import clock
-from wagtailtiller import events
 from wagtailtiller import metrics
 from wagtailtiller import process
 from wagtailtiller.adapters import http_platform
 from wagtailtiller.adapters import http_store
 from wagtailtiller.controller import node
 
-_EXIT_BAD_SETTINGS = 2
-
 
 class ControllerService(aiomisc.Service):
     """A controller with its connections to the store and the platform.
@@ -54,19 +48,12 @@
 
 def main() -> int:
     """Read the settings file named on the command line and serve."""
-    parser = argparse.ArgumentParser(
-        prog="wagtail-controller",
+    return program.run(
+        name="wagtail-controller",
         description="Runs waves, moves VMs and answers failures.",
-        epilog="example: wagtail-controller --settings controller.json",
+        kind=process.ControllerSettings,
+        service=ControllerService,
     )
-    parser.add_argument("--settings", required=True, metavar="FILE")
-    options = parser.parse_args()
-    loaded = process.load(options.settings, process.ControllerSettings)
-    if loaded.is_error():
-        print(f"{options.settings}: {loaded.error}", file=sys.stderr)
-        return _EXIT_BAD_SETTINGS
-    events.start_logging()
-    return runtime.serve(ControllerService(loaded.ok))
 
 
 if __name__ == "__main__":
--- a/src/wagtailtiller/dispatch/dispatcher.py
+++ b/src/wagtailtiller/dispatch/dispatcher.py
@@ -13,7 +13,9 @@
 
 from wagtailtiller import ids
 from wagtailtiller import settings
+from wagtailtiller.dispatch import door
 from wagtailtiller.dispatch import estimates
+from wagtailtiller.dispatch import grants
 from wagtailtiller.dispatch import messages
 from wagtailtiller.dispatch import resends
 from wagtailtiller.dispatch import shares
@@ -21,13 +23,8 @@
 from wagtailtiller.dispatch import waiting
 from wagtailtiller.fleet import balancing
 
-GRANT_VALID_MS = 2_000
-URGENT_START_MS = 1_500
-SETTLE_MS = GRANT_VALID_MS
-_DOOR_QUANTILE = 0.5
+SETTLE_MS = grants.GRANT_VALID_MS
 _GRANT_QUANTILE = 0.95
-_LEAST_RETRY_MS = 200
-_NO_VM_RETRY_MS = 2_000
 
 CERTAINLY_NOT_RUN = (
     messages.RunOutcome.NOT_RUN,
@@ -44,29 +41,6 @@
     message: messages.Grant | messages.Refuse
 
 
-@dataclasses.dataclass
-class Grant:
-    """A slot in use.
-
-    Attributes:
-        vm: Where the request runs.
-        queue: Its queue.
-        team: The team that pays for it.
-        key: The hash of its idempotency key.
-        since_ms: When it was granted, on the dispatcher's clock.
-        charged_ms: The slot time charged to the team in advance.
-        expires_ms: When it is forgotten; set once the front is gone.
-    """
-
-    vm: ids.VmId
-    queue: ids.QueueId
-    team: ids.TeamId
-    key: int
-    since_ms: int
-    charged_ms: float
-    expires_ms: int | None = None
-
-
 class Dispatcher:
     """Queues and slots of one pool in one roster epoch.
 
@@ -95,7 +69,6 @@
     ) -> None:
         self.epoch = epoch
         self._view = view
-        self._random = random_source
         self._fronts = dict(fronts)
         self._unreported = set(fronts)
         self._quorum = quorum
@@ -103,13 +76,20 @@
         self._settled_at_ms = now_ms + SETTLE_MS
         self._unknown_until_ms = unknown_until_ms
         self._waiting = waiting.WaitingList()
-        self._grants: dict[waiting.FrontSeq, Grant] = {}
         self._stamps: dict[ids.GatewayId, int] = {}
-        self._run_times: dict[ids.QueueId, estimates.RunTimes] = {}
+        self._run_times = estimates.RunTimesByQueue()
         self._shares = shares.Shares()
-        self._quotas: dict[ids.TeamId, float] = {}
         self._slots = slots.SlotTable(view, random_source)
+        self._grants = grants.GrantTable(self._slots)
         self._keys = resends.ResendTable()
+        self._door = door.Door(
+            waiting_list=self._waiting,
+            run_times=self._run_times,
+            usage=self._shares,
+            keys=self._keys,
+            slot_table=self._slots,
+            random_source=random_source,
+        )
         self._open = True
         self._keys.open_gap(now_ms)
         self._history_complete = unknown_until_ms <= now_ms
@@ -143,7 +123,8 @@
         """Take over a newer epoch in which this gateway keeps the pool."""
         for front, incarnation in self._fronts.items():
             if fronts.get(front) != incarnation:
-                self._lose_front(front, incarnation, now_ms)
+                self._drop_waiting(front)
+                self._grants.lose(front, incarnation, self._view.queues, now_ms)
         self._fronts = dict(fronts)
         self._unreported = set(fronts)
         self.epoch = epoch
@@ -161,10 +142,9 @@
     def suspend(self) -> list[Send]:
         """Refuse all that waits, and grant nothing until resumed."""
         self._open = False
+        reason = messages.Refusal.ISOLATED
         return [
-            self._refuse(
-                self._take(entry), messages.Refusal.ISOLATED, _LEAST_RETRY_MS
-            )
+            self._refuse(entry, reason, door.LEAST_RETRY_MS)
             for entry in list(self._waiting.in_order())
         ]
 
@@ -199,13 +179,7 @@
 
     def tick(self, now_ms: int) -> list[Send]:
         """Let time pass: expire what is over and place what is possible."""
-        expired = [
-            name
-            for name, grant in self._grants.items()
-            if grant.expires_ms is not None and grant.expires_ms <= now_ms
-        ]
-        for name in expired:
-            self._free(name)
+        self._grants.expire(now_ms)
         return self._place(now_ms)
 
     def load(self) -> balancing.PoolLoad:
@@ -249,11 +223,16 @@
             return []
         queue = self._view.queues.get(ask.queue)
         if queue is None:
-            return [_refusal(front, ask, messages.Refusal.NOT_DISPATCHER, 0)]
-        refused = self._door(front, ask, queue, now_ms)
+            reason = messages.Refusal.NOT_DISPATCHER
+            return [Send(front, messages.Refuse(ask.seq, reason, 0))]
+        if not self._open:
+            reason = messages.Refusal.ISOLATED
+            refuse = messages.Refuse(ask.seq, reason, door.LEAST_RETRY_MS)
+            return [Send(front, refuse)]
+        running = len(self._grants)
+        refused = self._door.refusal(ask, queue, running, now_ms)
         if refused is not None:
-            return [refused]
-        self._quotas[ask.team] = ask.quota_percent
+            return [Send(front, refused)]
         self._waiting.add(
             waiting.Entry(
                 front=front,
@@ -261,99 +240,11 @@
                 queue=queue,
                 arrived_ms=now_ms,
                 deadline_ms=now_ms + ask.deadline_in_ms,
-                work_ms=self._times(queue).mean_ms(),
+                work_ms=self._run_times.of(queue).mean_ms(),
             )
         )
         return self._place(now_ms)
 
-    def _door(
-        self,
-        front: ids.GatewayId,
-        ask: messages.Ask,
-        queue: settings.QueueSettings,
-        now_ms: int,
-    ) -> Send | None:
-        if not self._open:
-            reason = messages.Refusal.ISOLATED
-            return _refusal(front, ask, reason, _LEAST_RETRY_MS)
-        refused = self._key_refusal(front, ask, queue, now_ms)
-        if refused is not None:
-            return refused
-        missing = slots.missing_resource(queue, self._view.vms.values())
-        if missing:
-            reason = messages.Refusal.NO_CAPABLE_VM
-            return _refusal(front, ask, reason, 0, missing)
-        if self._waiting.count(queue.queue) >= queue.queue_limit:
-            reason = messages.Refusal.QUEUE_FULL
-            return _refusal(front, ask, reason, self._retry_ms(queue))
-        if not self._can_finish(ask, queue, now_ms):
-            reason = messages.Refusal.OVERLOADED
-            return _refusal(front, ask, reason, self._retry_ms(queue))
-        return None
-
-    def _key_refusal(
-        self,
-        front: ids.GatewayId,
-        ask: messages.Ask,
-        queue: settings.QueueSettings,
-        now_ms: int,
-    ) -> Send | None:
-        if queue.idempotent:
-            return None
-        for entry in self._waiting.in_order() if ask.key else ():
-            same_queue = entry.queue.queue == queue.queue
-            if same_queue and entry.ask.key == ask.key:
-                return _refusal(front, ask, messages.Refusal.DUPLICATE, 0)
-        verdict = self._keys.judge(
-            queue.queue,
-            ask.key,
-            ask.key_age_ms,
-            queue.resend_window_ms,
-            now_ms,
-        )
-        match verdict:
-            case resends.KeyVerdict.SPENT:
-                return _refusal(front, ask, messages.Refusal.DUPLICATE, 0)
-            case resends.KeyVerdict.UNCERTAIN:
-                return _refusal(front, ask, messages.Refusal.MAYBE_RUN, 0)
-        return None
-
-    def _can_finish(
-        self, ask: messages.Ask, queue: settings.QueueSettings, now_ms: int
-    ) -> bool:
-        slot_count = self._slots.serving_slots()
-        if slot_count == 0:
-            return False
-        run_ms = self._times(queue).quantile_ms(_DOOR_QUANTILE)
-        longest_ms = ask.deadline_in_ms - run_ms
-        if queue.priority is ids.Priority.URGENT:
-            longest_ms = min(longest_ms, URGENT_START_MS)
-        if len(self._grants) < slot_count and not self._waiting:
-            return longest_ms >= 0
-        return self._wait_ms(ask, queue, slot_count, now_ms) <= longest_ms
-
-    def _wait_ms(
-        self,
-        ask: messages.Ask,
-        queue: settings.QueueSettings,
-        slot_count: int,
-        now_ms: int,
-    ) -> float:
-        """Predict a newcomer's wait from the work ahead of it.
-
-        A team within its quota waits for its own work on its own part of the
-        slots, however much the others have asked for.
-        """
-        deadline_ms = now_ms + ask.deadline_in_ms
-        backlog = self._waiting.ahead(queue.priority, deadline_ms, ask.team)
-        together_ms = backlog.total_ms / slot_count
-        quotas = self._wanted_quotas() | {ask.team: ask.quota_percent}
-        part = ask.quota_percent / sum(quotas.values())
-        alone_ms = backlog.own_ms / (slot_count * part)
-        if ask.team in self._shares.over_quota(quotas, now_ms):
-            return max(together_ms, alone_ms)
-        return min(together_ms, alone_ms)
-
     def _place(self, now_ms: int) -> list[Send]:
         if not self._waiting or not self._open or not self._settled(now_ms):
             return []
@@ -380,9 +271,9 @@
         due = self._waiting.due_before(priority, now_ms + longest_ms)
         return [
             self._refuse(
-                self._take(entry),
+                entry,
                 messages.Refusal.TOO_LATE,
-                self._retry_ms(entry.queue),
+                self._door.retry_ms(entry.queue),
             )
             for entry in due
             if self._too_late(entry, now_ms)
@@ -391,7 +282,7 @@
     def _too_late(self, entry: waiting.Entry, now_ms: int) -> bool:
         if entry.queue.priority is ids.Priority.URGENT:
             waited_ms = now_ms - entry.arrived_ms
-            if waited_ms > URGENT_START_MS:
+            if waited_ms > door.URGENT_START_MS:
                 return True
         return now_ms + self._safe_run_ms(entry.queue) > entry.deadline_ms
 
@@ -415,13 +306,10 @@
         return fallback
 
     def _safe_run_ms(self, queue: settings.QueueSettings) -> float:
-        return self._times(queue).quantile_ms(_GRANT_QUANTILE)
+        return self._run_times.of(queue).quantile_ms(_GRANT_QUANTILE)
 
     def _over_quota(self, now_ms: int) -> set[ids.TeamId]:
-        return self._shares.over_quota(self._wanted_quotas(), now_ms)
-
-    def _wanted_quotas(self) -> dict[ids.TeamId, float]:
-        return {team: self._quotas[team] for team in self._waiting.teams()}
+        return self._shares.over_quota(self._waiting.quotas(), now_ms)
 
     def _grant(self, entry: waiting.Entry, vm: ids.VmId, now_ms: int) -> Send:
         self._take(entry)
@@ -430,11 +318,11 @@
             self._keys.spend(
                 queue.queue, entry.ask.key, queue.resend_window_ms, now_ms
             )
-        work_ms = self._times(queue).mean_ms()
+        work_ms = self._run_times.of(queue).mean_ms()
         self._shares.charge(entry.ask.team, work_ms, now_ms)
-        self._hold(
+        self._grants.hold(
             entry.name,
-            Grant(
+            grants.Grant(
                 vm=vm,
                 queue=queue.queue,
                 team=entry.ask.team,
@@ -450,7 +338,7 @@
     def _done(
         self, front: ids.GatewayId, done: messages.Done, now_ms: int
     ) -> None:
-        grant = self._free((front, done.seq))
+        grant = self._grants.free((front, done.seq))
         if grant is None:
             return
         outcome = done.outcome
@@ -458,7 +346,7 @@
             self._keys.release(grant.queue, grant.key)
         queue = self._view.queues.get(grant.queue)
         if queue is not None and outcome is messages.RunOutcome.ANSWERED:
-            self._times(queue).observe(done.run_ms)
+            self._run_times.of(queue).observe(done.run_ms)
         spent_ms = now_ms - grant.since_ms - grant.charged_ms
         self._shares.charge(grant.team, spent_ms, now_ms)
         self._slots.observe(grant.vm, grant.queue, outcome, now_ms)
@@ -468,10 +356,8 @@
     ) -> None:
         if report.epoch < self.epoch or front not in self._fronts:
             return
-        self._drop_unlisted(front, {run.seq for run in report.running})
-        for run in report.running:
-            if (front, run.seq) not in self._grants:
-                self._hold((front, run.seq), _reported_grant(run, now_ms))
+        self._drop_waiting(front)
+        self._grants.match(front, report.running, now_ms)
         for spent in report.keys:
             queue = self._view.queues.get(spent.queue)
             if queue is not None:
@@ -483,91 +369,21 @@
         if not self._unreported and self._history_complete:
             self._keys.close_gap()
 
-    def _drop_unlisted(self, front: ids.GatewayId, listed: set[int]) -> None:
-        for entry in self._waiting.front_entries(front):
-            self._take(entry)
-        for name in list(self._grants):
-            if name[0] == front and name[1] not in listed:
-                self._free(name)
-
-    def _lose_front(
-        self, front: ids.GatewayId, incarnation: str, now_ms: int
-    ) -> None:
-        """Keep a vanished gateway's grants until they must have ended.
-
-        They get a name of their own, since the gateway may come back under
-        its old one and count its requests from the start.
-        """
-        for entry in self._waiting.front_entries(front):
-            self._take(entry)
-        former = ids.GatewayId(f"{front}@{incarnation}")
-        for name in [each for each in self._grants if each[0] == front]:
-            grant = self._grants.pop(name)
-            queue = self._view.queues.get(grant.queue)
-            limit_ms = queue.run_limit_ms if queue else 0
-            grant.expires_ms = now_ms + GRANT_VALID_MS + limit_ms
-            self._grants[(former, name[1])] = grant
-
     def _settled(self, now_ms: int) -> bool:
         return self._active and (
             not self._unreported or now_ms >= self._settled_at_ms
         )
 
-    def _times(self, queue: settings.QueueSettings) -> estimates.RunTimes:
-        times = self._run_times.get(queue.queue)
-        if times is None:
-            times = estimates.RunTimes(queue.expected_run_ms)
-            self._run_times[queue.queue] = times
-        return times
-
-    def _retry_ms(self, queue: settings.QueueSettings) -> int:
-        """Return when the backlog has passed, spread so that none crowd."""
-        slot_count = self._slots.serving_slots()
-        spread = self._random.uniform(0.5, 1.5)
-        if slot_count == 0:
-            return int(_NO_VM_RETRY_MS * spread)
-        run_ms = self._times(queue).mean_ms()
-        backlog_ms = self._waiting.work_ms()
-        wait_ms = (backlog_ms + run_ms) / slot_count + run_ms
-        return int(max(_LEAST_RETRY_MS, wait_ms) * spread)
-
-    def _take(self, entry: waiting.Entry) -> waiting.Entry:
+    def _take(self, entry: waiting.Entry) -> None:
         self._waiting.remove(entry.name)
-        return entry
+
+    def _drop_waiting(self, front: ids.GatewayId) -> None:
+        for entry in self._waiting.front_entries(front):
+            self._take(entry)
 
     def _refuse(
         self, entry: waiting.Entry, reason: messages.Refusal, retry_ms: int
     ) -> Send:
-        return _refusal(entry.front, entry.ask, reason, retry_ms)
-
-    def _hold(self, name: waiting.FrontSeq, grant: Grant) -> None:
-        self._grants[name] = grant
-        self._slots.hold(grant.vm)
-
-    def _free(self, name: waiting.FrontSeq) -> Grant | None:
-        grant = self._grants.pop(name, None)
-        if grant is not None:
-            self._slots.free(grant.vm)
-        return grant
-
-
-def _reported_grant(run: messages.Running, now_ms: int) -> Grant:
-    return Grant(
-        vm=run.vm,
-        queue=run.queue,
-        team=run.team,
-        key=run.key,
-        since_ms=now_ms - run.age_ms,
-        charged_ms=0.0,
-    )
-
-
-def _refusal(
-    front: ids.GatewayId,
-    ask: messages.Ask,
-    reason: messages.Refusal,
-    retry_after_ms: int,
-    detail: str = "",
-) -> Send:
-    message = messages.Refuse(ask.seq, reason, retry_after_ms, detail)
-    return Send(front, message)
+        self._take(entry)
+        refuse = messages.Refuse(entry.ask.seq, reason, retry_ms)
+        return Send(entry.front, refuse)
--- a/src/wagtailtiller/dispatch/estimates.py
+++ b/src/wagtailtiller/dispatch/estimates.py
@@ -2,6 +2,9 @@
 
 import math
 
+from wagtailtiller import ids
+from wagtailtiller import settings
+
 _GROWTH = 1.25
 _SMALLEST_MS = 1.0
 _BUCKETS = 80
@@ -65,3 +68,18 @@
         self._weights[min(index, _BUCKETS - 1)] += weight
         self._total += weight
         self._sum_ms += run_ms * weight
+
+
+class RunTimesByQueue:
+    """The learned run times of a pool's queues."""
+
+    def __init__(self) -> None:
+        self._times: dict[ids.QueueId, RunTimes] = {}
+
+    def of(self, queue: settings.QueueSettings) -> RunTimes:
+        """Return a queue's run times; the declared one until more is known."""
+        times = self._times.get(queue.queue)
+        if times is None:
+            times = RunTimes(queue.expected_run_ms)
+            self._times[queue.queue] = times
+        return times
--- a/src/wagtailtiller/dispatch/slots.py
+++ b/src/wagtailtiller/dispatch/slots.py
@@ -1,6 +1,5 @@
 """The slots of a pool's VMs: which are free, and which VM to pick."""
 
-from collections.abc import Iterable
 import dataclasses
 import random
 
@@ -82,6 +81,19 @@
         serving = sum(view.serving for view in self._view.vms.values())
         return serving * self._slots_per_vm()
 
+    def missing_resource(self, queue: settings.QueueSettings) -> str:
+        """Name the resource that no VM of the pool has enough of.
+
+        Returns:
+            The resource, or an empty string when some VM can run the
+            queue's requests or there are no VMs at all.
+        """
+        vms = self._view.vms.values()
+        missing = [lacking(queue, view.shape) for view in vms]
+        if not missing or not all(missing):
+            return ""
+        return max(set(missing), key=missing.count)
+
     def any_free(self, now_ms: int) -> bool:
         """Whether any request could be placed now."""
         return any(self._room(vm, now_ms) > 0 for vm in self._view.vms)
@@ -151,21 +163,6 @@
         return min(pool.slots_per_vm, pool.connections_per_vm)
 
 
-def missing_resource(
-    queue: settings.QueueSettings, vms: Iterable[VmView]
-) -> str:
-    """Name the resource that no VM of a pool has enough of.
-
-    Returns:
-        The resource, or an empty string when some VM can run the request or
-        there are no VMs at all.
-    """
-    missing = [lacking(queue, view.shape) for view in vms]
-    if not missing or not all(missing):
-        return ""
-    return max(set(missing), key=missing.count)
-
-
 def lacking(queue: settings.QueueSettings, shape: settings.VmSettings) -> str:
     """Name the resource that a VM has too little of; empty for none."""
     if queue.needs_processors > shape.processors:
--- a/src/wagtailtiller/dispatch/waiting.py
+++ b/src/wagtailtiller/dispatch/waiting.py
@@ -66,6 +66,9 @@
         self._per_queue: collections.Counter[ids.QueueId]
         self._per_queue = collections.Counter()
         self._per_team: collections.Counter[ids.TeamId] = collections.Counter()
+        self._per_key: collections.Counter[tuple[ids.QueueId, int]]
+        self._per_key = collections.Counter()
+        self._quotas: dict[ids.TeamId, float] = {}
         self._order = itertools.count()
 
     def __len__(self) -> int:
@@ -82,9 +85,17 @@
         """Whether any request of a class waits."""
         return bool(self._rows[priority])
 
-    def teams(self) -> list[ids.TeamId]:
-        """Return the teams that have requests waiting."""
-        return [team for team, count in self._per_team.items() if count]
+    def quotas(self) -> dict[ids.TeamId, float]:
+        """Return the quota of each team that has requests waiting."""
+        return {
+            team: self._quotas[team]
+            for team, count in self._per_team.items()
+            if count
+        }
+
+    def has_key(self, queue: ids.QueueId, key: int) -> bool:
+        """Whether a request of a queue waits with an idempotency key."""
+        return self._per_key[(queue, key)] > 0
 
     def add(self, entry: Entry) -> None:
         """Add a request."""
@@ -162,3 +173,9 @@
     def _count(self, entry: Entry, change: int) -> None:
         self._per_queue[entry.queue.queue] += change
         self._per_team[entry.ask.team] += change
+        self._quotas[entry.ask.team] = entry.ask.quota_percent
+        if entry.ask.key:
+            name = (entry.queue.queue, entry.ask.key)
+            self._per_key[name] += change
+            if not self._per_key[name]:
+                del self._per_key[name]
--- a/src/wagtailtiller/gateway/front.py
+++ b/src/wagtailtiller/gateway/front.py
@@ -17,6 +17,7 @@
 from wagtailtiller import roster
 from wagtailtiller import settings
 from wagtailtiller.dispatch import dispatcher
+from wagtailtiller.dispatch import grants
 from wagtailtiller.dispatch import messages
 
 _REASK_MS = 50
@@ -163,7 +164,7 @@
         age_ms = self._clock.monotonic_ms() - granted.stamp_ms
         record = self._replica.fleet.vms.get(granted.vm)
         return (
-            age_ms < dispatcher.GRANT_VALID_MS
+            age_ms < grants.GRANT_VALID_MS
             and self._view_valid()
             and record is not None
             and record.pool == pool
--- a/src/wagtailtiller/gateway/host.py
+++ b/src/wagtailtiller/gateway/host.py
@@ -11,6 +11,7 @@
 from wagtailtiller import replica
 from wagtailtiller import roster
 from wagtailtiller.dispatch import dispatcher
+from wagtailtiller.dispatch import grants
 from wagtailtiller.dispatch import messages
 from wagtailtiller.dispatch import slots
 from wagtailtiller.fleet import balancing
@@ -165,7 +166,7 @@
         if loss_ms == 0:
             return 0
         age_ms = self._clock.wall_ms() - loss_ms
-        limit_ms = dispatcher.GRANT_VALID_MS + longest_run_ms
+        limit_ms = grants.GRANT_VALID_MS + longest_run_ms
         return max(0, limit_ms + _WALL_CLOCK_SKEW_MS - age_ms)
 
     def _replay_reports(
--- a/src/wagtailtiller/gateway/main.py
+++ b/src/wagtailtiller/gateway/main.py
@@ -1,21 +1,15 @@
 """``wagtail-gateway``: the program that callers' requests pass through."""
 
-import argparse
-import sys
-
-from wagtailtiller import runtime  # isort: skip
+from wagtailtiller import program  # isort: skip
 
 import aiomisc
 
 from wagtailtiller import clock
-from wagtailtiller import events
 from wagtailtiller import metrics
 from wagtailtiller import process
 from wagtailtiller.adapters import http_store
 from wagtailtiller.gateway import node
 
-_EXIT_BAD_SETTINGS = 2
-
 
 class GatewayService(aiomisc.Service):
     """A gateway with its connection to the store.
@@ -48,19 +42,12 @@
 
 def main() -> int:
     """Read the settings file named on the command line and serve."""
-    parser = argparse.ArgumentParser(
-        prog="wagtail-gateway",
+    return program.run(
+        name="wagtail-gateway",
         description="Admits, queues, places and answers requests.",
-        epilog="example: wagtail-gateway --settings gateway.json",
+        kind=process.GatewaySettings,
+        service=GatewayService,
     )
-    parser.add_argument("--settings", required=True, metavar="FILE")
-    options = parser.parse_args()
-    loaded = process.load(options.settings, process.GatewaySettings)
-    if loaded.is_error():
-        print(f"{options.settings}: {loaded.error}", file=sys.stderr)
-        return _EXIT_BAD_SETTINGS
-    events.start_logging()
-    return runtime.serve(GatewayService(loaded.ok))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/wagtailtiller/program.py
@@ -0,0 +1,50 @@
+"""What the daemons' entry points share: arguments, settings, the service."""
+
+import argparse
+from collections.abc import Callable
+import sys
+from typing import TypeVar
+
+from wagtailtiller import runtime  # isort: skip
+
+import aiomisc
+import msgspec
+
+from wagtailtiller import events
+from wagtailtiller import process
+
+EXIT_BAD_SETTINGS = 2
+
+_T = TypeVar("_T", bound=msgspec.Struct)
+
+
+def run(
+    name: str,
+    description: str,
+    kind: type[_T],
+    service: Callable[[_T], aiomisc.Service],
+) -> int:
+    """Run a daemon until it is told to stop.
+
+    Args:
+        name: The program's name.
+        description: What it does, for ``--help``.
+        kind: The type of its process settings.
+        service: Makes the service from the settings.
+
+    Returns:
+        The exit code.
+    """
+    parser = argparse.ArgumentParser(
+        prog=name,
+        description=description,
+        epilog=f"example: {name} --settings {name}.json",
+    )
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    options = parser.parse_args()
+    loaded = process.load(options.settings, kind)
+    if loaded.is_error():
+        print(f"{options.settings}: {loaded.error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    events.start_logging()
+    return runtime.serve(service(loaded.ok))
--- a/src/wagtailtiller/view.py
+++ b/src/wagtailtiller/view.py
@@ -61,13 +61,6 @@
             return 1 << 40
         return now_ms - self._store_ms
 
-    def behind(self, revision: ids.Revision) -> ids.GatewayId | None:
-        """Return a peer that knows something newer."""
-        for peer, said in self._peers.items():
-            if said.revision > revision:
-                return peer
-        return None
-
     def confirmation(
         self, now_ms: int, revision: ids.Revision, members: roster.Roster
     ) -> Confirmation:
