Bring idle gateways and controllers under the control limits

Cause: a watch of 1 s left the view 1 to 2 s old at all times, so beats never became quiet and the 2.5 s lease had little slack; the keeper of the roster read every session each second; the leader polled twice a second. Change: gateways watch for 600 ms, controllers for 2 s; the keeper reads only after a change; the platform is polled each second.

--- a/src/wagtailtiller/controller/maintenance.py
+++ b/src/wagtailtiller/controller/maintenance.py
@@ -19,7 +19,7 @@
 from wagtailtiller.fleet import writing
 from wagtailtiller.ports import platform
 
-_LOADS_EVERY_MS = 2_000
+_LOADS_EVERY_MS = 5_000
 
 
 class Maintenance:
--- a/src/wagtailtiller/controller/membership.py
+++ b/src/wagtailtiller/controller/membership.py
@@ -48,6 +48,7 @@
         self._backoff = backoff
         self._answering_since_ms: int | None = None
         self._position = store.ABSENT
+        self._settled = False
 
     async def run(self) -> None:
         """Keep the roster for ever."""
@@ -55,12 +56,18 @@
             if await self._step():
                 self._backoff.reset()
             else:
-                self._answering_since_ms = None
-                self._position = store.ABSENT
+                self._forget()
                 await self._backoff.wait()
 
+    def _forget(self) -> None:
+        """Take nothing for granted after a time without the store or lead."""
+        self._answering_since_ms = None
+        self._position = store.ABSENT
+        self._settled = False
+
     async def _step(self) -> bool:
         if not self._leads():
+            self._forget()
             await asyncio.sleep(_WATCH_WAIT_MS / 4_000)
             return True
         if self._position != store.ABSENT:
@@ -69,6 +76,8 @@
             )
             if seen.is_error():
                 return False
+            if self._settled and not seen.ok.items:
+                return True
         if self._answering_since_ms is None:
             self._answering_since_ms = self._clock.monotonic_ms()
         return await self._reconcile()
@@ -84,6 +93,7 @@
         if not self._may_remove():
             present += _absent(old, present)
         new = roster.succeed(old, present, self._clock.wall_ms())
+        self._settled = new == old and self._may_remove()
         if new == old:
             return True
         written = await self._write(new, revision)
--- a/src/wagtailtiller/controller/node.py
+++ b/src/wagtailtiller/controller/node.py
@@ -20,6 +20,7 @@
 
 _IN_MOTION_POLL_MS = 150
 _COMPACT_EVERY_MS = 5_000
+_WATCH_WAIT_MS = 2_000
 
 
 class ControllerNode:
@@ -59,6 +60,7 @@
             confirmed=lambda asked_ms: None,
             changed=lambda: None,
             random_source=randomness,
+            wait_ms=_WATCH_WAIT_MS,
         )
         self._roster = membership.RosterKeeper(
             target,
--- a/src/wagtailtiller/follower.py
+++ b/src/wagtailtiller/follower.py
@@ -10,7 +10,6 @@
 from wagtailtiller import replica
 from wagtailtiller.ports import store
 
-WATCH_WAIT_MS = 1_000
 _FIRST_BACKOFF_MS = 100
 _LONGEST_BACKOFF_MS = 1_000
 
@@ -46,6 +45,8 @@
         confirmed: Called with the time before the question, at each answer.
         changed: Called when the replica has changed.
         random_source: Spreads retries.
+        wait_ms: How long a watch may wait; the view's age is at most twice
+            that while the store answers.
     """
 
     def __init__(
@@ -56,7 +57,9 @@
         confirmed: Callable[[int], None],
         changed: Callable[[], None],
         random_source: random.Random,
+        wait_ms: int,
     ) -> None:
+        self._wait_ms = wait_ms
         self._store = source
         self._replica = shared
         self._clock = time
@@ -82,7 +85,7 @@
         if self._position == store.ABSENT:
             return await self._read_all()
         answer = await self._store.watch(
-            replica.PREFIX, self._position, WATCH_WAIT_MS
+            replica.PREFIX, self._position, self._wait_ms
         )
         if answer.is_error():
             return False
--- a/src/wagtailtiller/gateway/callers.py
+++ b/src/wagtailtiller/gateway/callers.py
@@ -152,6 +152,8 @@
             raise _BodyError(_too_large(limit))
         head = b""
         while len(head) <= _REPLAY_BYTES:
+            if request.content.at_eof():
+                return head
             chunk = await self._read_chunk(request)
             if not chunk:
                 return head
--- a/src/wagtailtiller/gateway/core.py
+++ b/src/wagtailtiller/gateway/core.py
@@ -19,7 +19,7 @@
 
 _BEAT_MS = 1_000
 _QUIET_BEAT_MS = 10_000
-_STORE_LATE_MS = 1_250
+_STORE_LATE_MS = 1_400
 _PULL_EVERY_MS = 500
 
 
--- a/src/wagtailtiller/gateway/node.py
+++ b/src/wagtailtiller/gateway/node.py
@@ -23,6 +23,7 @@
 from wagtailtiller.ports import store
 
 _TICK_MS = 100
+_WATCH_WAIT_MS = 600
 
 
 class GatewayNode:
@@ -84,6 +85,7 @@
             confirmed=self._core.lease.confirm_by_store,
             changed=self._view_changed,
             random_source=randomness,
+            wait_ms=_WATCH_WAIT_MS,
         )
         self._session = session.SessionKeeper(
             source, self._describe(), own.session_ttl_ms, randomness
--- a/src/wagtailtiller/process.py
+++ b/src/wagtailtiller/process.py
@@ -70,7 +70,7 @@
     platform_url: str
     statsd_address: str = ""
     lease_ttl_ms: schema.DurationMs = 3_000
-    poll_ms: schema.DurationMs = 500
+    poll_ms: schema.DurationMs = 1_000
 
 
 def load(path: str, kind: type[_T]) -> Result[_T, errors.InvalidSetting]:
--- a/support/demo/run.py
+++ b/support/demo/run.py
@@ -195,7 +195,8 @@
             f"{times[len(times) // 2]:>8}{times[len(times) * 99 // 100]:>8}"
         )
     calls_made = cluster.get_json(f"{running.store_url}/calls")
-    print(f"wave: {wave_s:.1f} s; store calls: {sum(calls_made.values()) // 2}")
+    made = sum(n for who, n in calls_made.items() if who.startswith("by "))
+    print(f"wave: {wave_s:.1f} s; store calls: {made}")
 
 
 def main() -> int:
--- a/support/faults/run.py
+++ b/support/faults/run.py
@@ -50,6 +50,7 @@
         self.killed: list[Kill] = []
         self._actions = {
             "kill gateway": self._kill_gateway,
+            "kill all gateways": self._kill_all_gateways,
             "stop gateway": self._stop_gateway,
             "freeze gateway": self._freeze_gateway,
             "kill controller": self._kill_controller,
@@ -89,7 +90,13 @@
         return self._random.choice([n for n in names if n.startswith(prefix)])
 
     def _kill_gateway(self) -> None:
-        name = self._pick("gw")
+        self._kill(self._pick("gw"))
+
+    def _kill_all_gateways(self) -> None:
+        for name in list(self._running.gateway_urls):
+            self._kill(name)
+
+    def _kill(self, name: str) -> None:
         before_ms = time.time_ns() // 1_000_000
         self._running.signal(name, signal.SIGKILL)
         self._running.processes[name].wait()
--- a/support/measure/idle.py
+++ b/support/measure/idle.py
@@ -17,7 +17,7 @@
 from support.measure import tables
 
 _GATEWAYS = (2, 4, 6, 9)
-_SETTLE_S = 3.0
+_SETTLE_S = 6.0
 _WATCH_S = 10.0
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -97,11 +97,8 @@
     rows: list[tuple[object, ...]] = []
     for role, prefix in (("gateway", "gw"), ("controller", "ctl")):
         own = [name for name in pids if name.startswith(prefix)]
-        by_role = {
-            who: count - calls_before.get(who, 0)
-            for who, count in calls.items()
-            if who.startswith(f"by {role}/")
-        }
+        made = _since(calls_before, calls, f"by {role}/")
+        store_bytes = _since(calls_before, calls, f"bytes {role}/")
         rows.append(
             (
                 len([name for name in pids if name.startswith("gw")]),
@@ -110,12 +107,21 @@
                 f"{100 * max(used[name] for name in own):.2f}",
                 f"{max(_resident_mb(pids[name]) for name in own):.0f}",
                 f"{sent / _WATCH_S / len(own):.0f}" if prefix == "gw" else "",
-                f"{sum(by_role.values()) / _WATCH_S / len(own):.1f}",
+                f"{store_bytes / _WATCH_S / len(own):.0f}",
+                f"{made / _WATCH_S / len(own):.1f}",
             )
         )
     return rows
 
 
+def _since(before: dict[str, int], after: dict[str, int], prefix: str) -> int:
+    return sum(
+        count - before.get(who, 0)
+        for who, count in after.items()
+        if who.startswith(prefix)
+    )
+
+
 def measure(seed: int) -> str:
     """Measure every number of gateways."""
     rows = [row for count in _GATEWAYS for row in _run(count)]
@@ -125,7 +131,8 @@
         "core % mean",
         "core % max",
         "memory MB",
-        "control B/s sent",
+        "peers B/s sent",
+        "store B/s both ways",
         "store calls/s each",
     )
     return tables.table("Capacity: idle processes", headings, rows)
--- a/support/standins/store.py
+++ b/support/standins/store.py
@@ -21,6 +21,7 @@
 
 _MAX_VALUE_BYTES = 1_000_000
 _LEASE_SCAN_MS = 100
+_LINES_BYTES = 130
 
 
 class FaultMode(enum.Enum):
@@ -190,6 +191,7 @@
         if self.mode is FaultMode.SLOW:
             await asyncio.sleep(self.delay_ms / 1_000)
         response = await handler(request)
+        self.calls[f"bytes {who}"] += _size(request, response)
         if self.mode is FaultMode.LOSE and request.method != "GET":
             raise web.HTTPGatewayTimeout()
         return response
@@ -265,6 +267,16 @@
     )
 
 
+def _size(request: web.Request, response: web.StreamResponse) -> int:
+    """Return about how many bytes a call took, both ways."""
+    heads = [*request.headers.items(), *response.headers.items()]
+    head_bytes = sum(len(name) + len(value) + 4 for name, value in heads)
+    body = getattr(response, "body", None) or b""
+    line_bytes = len(request.path_qs) + _LINES_BYTES
+    content_bytes = (request.content_length or 0) + len(body)
+    return head_bytes + line_bytes + content_bytes
+
+
 def _written(done: store.Item | int) -> web.Response:
     if isinstance(done, store.Item):
         return _json(done, status=412)
