--- a/src/wagtailtiller/dispatch/dispatcher.py
+++ b/src/wagtailtiller/dispatch/dispatcher.py
@@ -13,7 +13,7 @@
 
 from wagtailtiller import ids
 from wagtailtiller import settings
-from wagtailtiller import view as views
+from wagtailtiller import view_lease
 from wagtailtiller.dispatch import door
 from wagtailtiller.dispatch import estimates
 from wagtailtiller.dispatch import grants
@@ -24,7 +24,7 @@
 from wagtailtiller.dispatch import waiting
 from wagtailtiller.fleet import balancing
 
-SETTLE_MS = views.VIEW_LEASE_MS + 500
+SETTLE_MS = view_lease.VIEW_LEASE_MS + 500
 _GRANT_QUANTILE = 0.95
 
 CERTAINLY_NOT_RUN = (
--- a/src/wagtailtiller/gateway/core.py
+++ b/src/wagtailtiller/gateway/core.py
@@ -12,7 +12,7 @@
 from wagtailtiller import ids
 from wagtailtiller import metrics
 from wagtailtiller import replica
-from wagtailtiller import view
+from wagtailtiller import view_lease
 from wagtailtiller.dispatch import messages
 from wagtailtiller.gateway import front
 from wagtailtiller.gateway import host
@@ -61,12 +61,12 @@
         self._own = own
         self._clock = time
         self._transport = transport
-        self._confirmation = view.Confirmation.NONE
+        self._confirmation = view_lease.Confirmation.NONE
         self._peer_stamps: dict[ids.GatewayId, int] = {}
         self._beats_ms: dict[ids.GatewayId, int] = {}
         self._last_pull_ms = 0
         self.replica = replica.Replica(region)
-        self.lease = view.ViewLease(own)
+        self.lease = view_lease.ViewLease(own)
         self.front = front.Front(
             time, self.replica, transport.to_dispatcher, self.view_valid
         )
@@ -81,9 +81,9 @@
 
     def view_valid(self) -> bool:
         """Whether this gateway may act on its view now."""
-        return self.confirm() is not view.Confirmation.NONE
+        return self.confirm() is not view_lease.Confirmation.NONE
 
-    def confirm(self) -> view.Confirmation:
+    def confirm(self) -> view_lease.Confirmation:
         """Say what the view rests on, and open or close the dispatchers."""
         now_ms = self._clock.monotonic_ms()
         confirmation = self.lease.confirmation(
@@ -95,7 +95,7 @@
                 events.Event.VIEW_CONFIRMATION_CHANGED,
                 confirmation=confirmation.value,
             )
-            self.host.set_open(confirmation is not view.Confirmation.NONE)
+            self.host.set_open(confirmation is not view_lease.Confirmation.NONE)
         return confirmation
 
     def tick(self) -> None:
@@ -194,7 +194,11 @@
             self._transport.to_dispatcher(peer, self.beat(peer))
 
     def _hear(self, peer: ids.GatewayId, beat: messages.Beat) -> None:
-        said = view.PeerView(beat.echo_ms, beat.revision, beat.store_age_ms)
+        said = view_lease.PeerView(
+            asked_ms=beat.echo_ms,
+            revision=beat.revision,
+            store_age_ms=beat.store_age_ms,
+        )
         self.lease.hear(peer, said)
         now_ms = self._clock.monotonic_ms()
         if beat.revision <= self.replica.revision:
--- a/support/faults/run.py
+++ b/support/faults/run.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import collections
 import dataclasses
 import pathlib
 import random
@@ -180,6 +181,12 @@
     for each in excused:
         each.outcome = caller.Outcome.UNKNOWN
     verdict = run.collect(running, calls)
+    reasons = collections.Counter(
+        f"{call.outcome.value}/{call.reason}"
+        for call in calls
+        if call.outcome is not caller.Outcome.ANSWER
+    )
+    print(f"reasons: {dict(reasons.most_common())}")
     print(_last_line(verdict, len(excused)))
     for call in lost:
         if call not in excused:
--- a/support/fuzz/world.py
+++ b/support/fuzz/world.py
@@ -20,7 +20,7 @@
 from wagtailtiller import metrics
 from wagtailtiller import roster
 from wagtailtiller import settings
-from wagtailtiller import view
+from wagtailtiller import view_lease
 from wagtailtiller.dispatch import messages
 from wagtailtiller.fleet import model
 from wagtailtiller.gateway import core
@@ -402,7 +402,7 @@
             vm=vm,
             pool=request.queue.pool,
             now_ms=self.clock.now_ms,
-            outage=confirmed_by is view.Confirmation.MAJORITY,
+            outage=confirmed_by is view_lease.Confirmation.MAJORITY,
         )
         work_ms = self.random.choice((20, 100, 300, 1_500))
         due_ms = self.clock.now_ms + work_ms
--- a/tests/fuzz/test_schedules.py
+++ b/tests/fuzz/test_schedules.py
@@ -3,7 +3,7 @@
 import testtools
 
 from support.fuzz import schedules
-from wagtailtiller import view
+from wagtailtiller import view_lease
 from wagtailtiller.dispatch import dispatcher
 from wagtailtiller.dispatch import messages
 from wagtailtiller.dispatch import resends
@@ -70,8 +70,8 @@
         self.assertRegex(self.caught(), "cut off|moved with work|ran")
 
     def test_view_never_expires(self):
-        store = view.Confirmation.STORE
-        self.patch(view.ViewLease, "confirmation", lambda *_: store)
+        store = view_lease.Confirmation.STORE
+        self.patch(view_lease.ViewLease, "confirmation", lambda *_: store)
         broken = self.caught(first_seed=440)
         self.assertIn("began to leave", broken)
 
