Survive unreadable values in the store; stop when a task fails

Cause: a value that cannot be decoded ended the task that follows the store, silently; the gateway then refused all work once its view lease had lapsed. Change: the value before stays in force and an event names the key; a task that fails all the same stops its process with exit code 1.

--- a/src/wagtailtiller/controller/node.py
+++ b/src/wagtailtiller/controller/node.py
@@ -9,6 +9,7 @@
 from wagtailtiller import metrics
 from wagtailtiller import process
 from wagtailtiller import replica
+from wagtailtiller import runtime
 from wagtailtiller.controller import compaction
 from wagtailtiller.controller import leader
 from wagtailtiller.controller import maintenance
@@ -87,11 +88,11 @@
     async def start(self) -> None:
         """Start every task."""
         self._tasks = [
-            asyncio.create_task(self._follower.run()),
-            asyncio.create_task(self._leadership.run()),
-            asyncio.create_task(self._roster.run()),
-            asyncio.create_task(self._maintain()),
-            asyncio.create_task(self._compact()),
+            runtime.spawn(self._follower.run()),
+            runtime.spawn(self._leadership.run()),
+            runtime.spawn(self._roster.run()),
+            runtime.spawn(self._maintain()),
+            runtime.spawn(self._compact()),
         ]
         events.emit(
             events.Event.CONTROLLER_STARTED, controller=self._own.controller
--- a/src/wagtailtiller/events.py
+++ b/src/wagtailtiller/events.py
@@ -36,6 +36,8 @@
     WAVE_ENDED = 2204
     PLATFORM_UNREACHABLE = 2301
     SETTINGS_COMPACTED = 2401
+    TASK_FAILED = 3001
+    STATE_UNREADABLE = 3002
 
 
 class _Log:
--- a/src/wagtailtiller/gateway/node.py
+++ b/src/wagtailtiller/gateway/node.py
@@ -13,6 +13,7 @@
 from wagtailtiller import metrics
 from wagtailtiller import process
 from wagtailtiller import roster
+from wagtailtiller import runtime
 from wagtailtiller.dispatch import messages
 from wagtailtiller.gateway import callers
 from wagtailtiller.gateway import core
@@ -95,9 +96,9 @@
         """Start every task."""
         await self._server.start()
         self._tasks = [
-            asyncio.create_task(self._follower.run()),
-            asyncio.create_task(self._session.run()),
-            asyncio.create_task(self._tick()),
+            runtime.spawn(self._follower.run()),
+            runtime.spawn(self._session.run()),
+            runtime.spawn(self._tick()),
         ]
         await self._callers.start()
         events.emit(
--- a/src/wagtailtiller/replica.py
+++ b/src/wagtailtiller/replica.py
@@ -5,9 +5,11 @@
 """
 
 from collections.abc import Iterable
+from typing import TypeVar
 
 import msgspec
 
+from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller import roster
 from wagtailtiller.fleet import model
@@ -16,10 +18,12 @@
 
 PREFIX = "state/"
 
+_T = TypeVar("_T")
+
 _items_decoder = msgspec.msgpack.Decoder(list[store.Item])
 _fleet_decoder = msgspec.json.Decoder(model.Fleet)
-_base_decoder = msgspec.json.Decoder(changes.Base)
-_change_decoder = msgspec.json.Decoder(changes.Change)
+_base_decoder = msgspec.json.Decoder(changes.Base | None)
+_change_decoder = msgspec.json.Decoder(changes.Change | None)
 _roster_decoder = msgspec.json.Decoder(roster.Roster)
 
 
@@ -93,15 +97,33 @@
         if any(key.startswith("state/settings") for key in changed):
             self._fold_settings()
         if self._fleet_key in changed:
-            value = self._value(self._fleet_key)
-            self.fleet = (
-                _fleet_decoder.decode(value) if value else (model.Fleet())
+            empty = model.Fleet()
+            self.fleet = self._decode(
+                self._fleet_key, _fleet_decoder, empty, self.fleet
             )
         if self._roster_key in changed:
-            value = self._value(self._roster_key)
-            self.roster = (
-                _roster_decoder.decode(value) if value else (roster.EMPTY)
+            self.roster = self._decode(
+                self._roster_key, _roster_decoder, roster.EMPTY, self.roster
+            )
+
+    def _decode(
+        self,
+        key: str,
+        decoder: "msgspec.json.Decoder[_T]",
+        empty: _T,
+        current: _T,
+    ) -> _T:
+        """Decode a key; what cannot be understood changes nothing."""
+        value = self._value(key)
+        if value is None:
+            return empty
+        try:
+            return decoder.decode(value)
+        except msgspec.MsgspecError as error:
+            events.emit(
+                events.Event.STATE_UNREADABLE, key=key, reason=str(error)
             )
+            return current
 
     def _value(self, key: str) -> bytes | None:
         item = self._items.get(key)
@@ -109,17 +131,18 @@
 
     def _fold_settings(self) -> None:
         current = self.settings
-        snapshot = self._value(changes.SNAPSHOT_KEY)
-        if snapshot is not None:
-            base = _base_decoder.decode(snapshot)
-            if base.revision > current.revision:
-                loaded = changes.from_plain(base.revision, base.plain)
-                current = loaded.default_value(current)
-        log = [
-            _change_decoder.decode(item.value)
-            for key, item in self._items.items()
-            if key > changes.log_key(current.revision)
-            and key.startswith(changes.LOG_PREFIX)
-            and item.value is not None
+        base = self._decode(changes.SNAPSHOT_KEY, _base_decoder, None, None)
+        if base is not None and base.revision > current.revision:
+            loaded = changes.from_plain(base.revision, base.plain)
+            current = loaded.default_value(current)
+        keys = [
+            key
+            for key in self._items
+            if key.startswith(changes.LOG_PREFIX)
+            and key > changes.log_key(current.revision)
+        ]
+        decoded = [
+            self._decode(key, _change_decoder, None, None) for key in keys
         ]
+        log = [change for change in decoded if change is not None]
         self.settings = changes.fold(current, log).default_value(current)
--- a/src/wagtailtiller/runtime.py
+++ b/src/wagtailtiller/runtime.py
@@ -16,7 +16,9 @@
 import uvloop  # noqa: E402
 
 from wagtailtiller import errors  # noqa: E402
+from wagtailtiller import events  # noqa: E402
 
+_EXIT_FAILED = 1
 _LONGEST_STOP_S = 86_400.0
 _FD_DIRECTORY = "/proc/self/fd"
 
@@ -79,4 +81,27 @@
         shutdown_timeout=_LONGEST_STOP_S,
     ):
         await stopping.wait()
-    return 0
+    return _EXIT_FAILED if _Failures.seen else 0
+
+
+class _Failures:
+    seen = False
+
+
+def spawn(main: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
+    """Start a task that should never end by itself.
+
+    If it fails, the process stops gracefully with exit code 1: its state can
+    no longer be trusted, and another process takes over.
+    """
+    task = asyncio.get_running_loop().create_task(main)
+    task.add_done_callback(_check)
+    return task
+
+
+def _check(task: "asyncio.Task[None]") -> None:
+    if task.cancelled() or task.exception() is None:
+        return
+    events.emit(events.Event.TASK_FAILED, reason=repr(task.exception()))
+    _Failures.seen = True
+    signal.raise_signal(signal.SIGTERM)
