--- a/tests/gateway/test_host.py
+++ b/tests/gateway/test_host.py
@@ -9,6 +9,7 @@
 from wagtailtiller import metrics
 from wagtailtiller import replica
 from wagtailtiller import roster
+from wagtailtiller.dispatch import dispatcher
 from wagtailtiller.dispatch import messages
 from wagtailtiller.fleet import model
 from wagtailtiller.gateway import host
@@ -16,6 +17,8 @@
 from wagtailtiller.settings import changes
 
 _REGION = ids.RegionId("kerala")
+# A name whose ownership of the pool loses against "a".
+_SILENT = ids.GatewayId("b")
 
 
 class DispatchHostTest(testtools.TestCase):
@@ -43,15 +46,17 @@
         item = store.Item(key, msgspec.json.encode(value), self.revision)
         self.replica.update([item])
 
-    def set_epoch(self, epoch, loss_ms=0):
-        session = roster.Session("a", "i", _REGION, "", "")
-        current = roster.Roster(epoch, {"a": session}, loss_ms)
+    def set_epoch(self, epoch, loss_ms=0, names=("a",)):
+        members = {
+            name: roster.Session(name, "i", _REGION, "", "") for name in names
+        }
+        current = roster.Roster(epoch, members, loss_ms)
         self.write(roster.key(_REGION), current)
         self.host.view_changed()
 
-    def report(self, epoch, running=()):
-        message = messages.Report(examples.POOL, epoch, tuple(running), ())
-        self.host.receive("a", message)
+    def report(self, epoch, front="a"):
+        message = messages.Report(examples.POOL, epoch, (), ())
+        self.host.receive(front, message)
 
     def ask(self, seq):
         self.sent.clear()
@@ -78,16 +83,19 @@
         loads = {load.pool: load.running for load in self.host.loads()}
         self.assertEqual(1, loads[examples.POOL])
 
-    def test_missed_epoch_starts_afresh(self):
+    def test_missed_epoch_waits_for_all_reports_again(self):
         """An owner that slept through an epoch ran a key a second time."""
-        self.set_epoch(1)
-        self.report(1)
-        self.ask(1)
-        self.set_epoch(3)
-        self.assertEqual([], self.ask(2))
+        names = ("a", _SILENT)
+        self.set_epoch(1, names=names)
+        for name in names:
+            self.report(1, name)
+        self.clock.advance(2 * dispatcher.SETTLE_MS)
+        self.assertEqual([messages.Grant], self.ask(1))
+        self.set_epoch(3, names=names)
         self.report(3)
-        loads = {load.pool: load.running for load in self.host.loads()}
-        self.assertEqual(0, loads[examples.POOL])
+        self.assertEqual([], self.ask(2))
+        self.report(3, _SILENT)
+        self.assertEqual([messages.Grant], self.ask(3))
 
     def test_lost_gateway_blocks_drains_until_its_requests_have_ended(self):
         self.set_epoch(1, loss_ms=self.clock.now_ms)
