--- a/tests/processes/test_site.py
+++ b/tests/processes/test_site.py
@@ -130,6 +130,19 @@
             )
         self.assertEqual(200, _send()[0])
 
+    def test_body_above_the_limit_is_refused(self):
+        self.assert_invalid(_send(body=b"z" * 67_108_865), 413, "body")
+
+    def test_callers_that_never_finish_their_headers_hold_up_nobody(self):
+        parts = urllib.parse.urlsplit(Shared.site.gateway_urls["gw-1"])
+        address = (parts.hostname, parts.port)
+        slow = [socket.create_connection(address) for _ in range(50)]
+        for raw in slow:
+            raw.sendall(b"POST /q/proofs/run HTTP/1.1\r\nHost: x\r\nX-")
+        self.assertEqual(200, _send()[0])
+        for raw in slow:
+            raw.close()
+
     def test_stalled_body_is_answered(self):
         parts = urllib.parse.urlsplit(Shared.site.gateway_urls["gw-1"])
         with socket.create_connection((parts.hostname, parts.port)) as raw:
