--- a/src/wagtailtiller/ctl/fleet_commands.py
+++ b/src/wagtailtiller/ctl/fleet_commands.py
@@ -1,9 +1,8 @@
-"""Commands on pools, queues, VMs and waves."""
+"""Commands on VMs, waves and gateways, and the overview."""
 
 import asyncio
 import collections
 import json
-from typing import Any
 from typing import ClassVar
 import uuid
 
@@ -18,116 +17,8 @@
 from wagtailtiller.ctl import base
 from wagtailtiller.ctl import output
 from wagtailtiller.ctl import session
-from wagtailtiller.ctl import settings_commands
-from wagtailtiller.settings import changes
 
 _POLL_S = 0.2
-_SET = option("set", None, "Set FIELD=VALUE.", False, multiple=True)
-
-
-class NodeCommand(base.StoreCommand):
-    """Lists nodes of one kind, or sets values of one of them."""
-
-    options: ClassVar[list[Option]] = [
-        *base.StoreCommand.options,
-        _SET,
-        settings_commands.EXPECT,
-    ]
-
-    async def set_values(self, current: session.Session, path: str) -> int:
-        """Append the values given with ``--set`` to the node at a path."""
-        values: dict[str, Any] = {}
-        for text in self.option("set"):
-            field, separator, value = text.partition("=")
-            if not separator:
-                fault = errors.InvalidSetting("--set", text, "FIELD=VALUE")
-                return self.fail(fault)
-            values[field] = _plain(value)
-        patch: changes.Plain = {"values": values}
-        for part in reversed(path.strip("/").split("/")):
-            patch = {part: patch}
-        return await settings_commands.append_patch(self, current, patch)
-
-
-class PoolCommand(NodeCommand):
-    """Lists pools, or changes one."""
-
-    name = "pool"
-    description = (
-        "List pools or change one."
-        " Example: wagtailctl pool plates --set max_unavailable_vms=2"
-    )
-    arguments: ClassVar[list[Argument]] = [
-        argument("pool", "The pool.", optional=True)
-    ]
-
-    async def perform(self, current: session.Session) -> int:
-        """List or change."""
-        pools = current.replica.settings.catalogue.pools
-        name = self.argument("pool")
-        if name and name not in pools:
-            return self.not_found(f"pool {name}")
-        if self.option("set"):
-            return await self.set_values(current, pools[name].path)
-        chosen = [pools[name]] if name else list(pools.values())
-        counts = _counts(current.replica.fleet)
-        rows = [
-            (
-                pool.pool,
-                sum(counts[pool.pool].values()),
-                counts[pool.pool][fleet.VmState.SERVING],
-                fleet.unavailable(current.replica.fleet, pool.pool),
-                pool.max_unavailable_vms,
-            )
-            for pool in chosen
-        ]
-        headings = ("POOL", "VMS", "SERVING", "UNAVAILABLE", "ALLOWED")
-        self.show(headings, rows, chosen)
-        return output.ExitCode.OK
-
-
-class QueueCommand(NodeCommand):
-    """Lists queues, or changes one."""
-
-    name = "queue"
-    description = (
-        "List queues or change one."
-        " Example: wagtailctl queue proofs --set deadline_ms=5000"
-    )
-    arguments: ClassVar[list[Argument]] = [
-        argument("queue", "The queue.", optional=True)
-    ]
-
-    async def perform(self, current: session.Session) -> int:
-        """List or change."""
-        queues = current.replica.settings.catalogue.queues
-        name = self.argument("queue")
-        if name and name not in queues:
-            return self.not_found(f"queue {name}")
-        if self.option("set"):
-            return await self.set_values(current, queues[name].path)
-        chosen = [queues[name]] if name else list(queues.values())
-        rows = [
-            (
-                queue.queue,
-                queue.pool,
-                queue.priority.name.lower(),
-                queue.deadline_ms,
-                queue.idempotent,
-                queue.owner or "-",
-            )
-            for queue in chosen
-        ]
-        headings = (
-            "QUEUE",
-            "POOL",
-            "PRIORITY",
-            "DEADLINE_MS",
-            "IDEMPOTENT",
-            "OWNER",
-        )
-        self.show(headings, rows, chosen)
-        return output.ExitCode.OK
 
 
 class VmCommand(base.StoreCommand):
@@ -300,7 +191,7 @@
     async def perform(self, current: session.Session) -> int:
         """Print the overview."""
         shared = current.replica
-        counts = _counts(shared.fleet)
+        counts = fleet.count_states(shared.fleet)
         states: collections.Counter[str] = collections.Counter()
         for per_state in counts.values():
             for state, count in per_state.items():
@@ -323,20 +214,3 @@
         ]
         self.show(("WHAT", "VALUE"), rows, value)
         return output.ExitCode.OK
-
-
-def _counts(
-    current: fleet.Fleet,
-) -> dict[ids.PoolId, "collections.Counter[fleet.VmState]"]:
-    counts: dict[ids.PoolId, collections.Counter[fleet.VmState]]
-    counts = collections.defaultdict(collections.Counter)
-    for record in current.vms.values():
-        counts[record.pool][record.state] += 1
-    return counts
-
-
-def _plain(text: str) -> Any:
-    try:
-        return json.loads(text)
-    except ValueError:
-        return text
--- a/src/wagtailtiller/ctl/main.py
+++ b/src/wagtailtiller/ctl/main.py
@@ -4,6 +4,7 @@
 
 import wagtailtiller
 from wagtailtiller.ctl import fleet_commands
+from wagtailtiller.ctl import node_commands
 from wagtailtiller.ctl import settings_commands
 
 _COMMANDS = (
@@ -12,8 +13,8 @@
     settings_commands.GetCommand,
     settings_commands.ExplainCommand,
     settings_commands.HistoryCommand,
-    fleet_commands.PoolCommand,
-    fleet_commands.QueueCommand,
+    node_commands.PoolCommand,
+    node_commands.QueueCommand,
     fleet_commands.VmCommand,
     fleet_commands.WaveCommand,
     fleet_commands.GatewayCommand,
--- a/src/wagtailtiller/fleet/__init__.py
+++ b/src/wagtailtiller/fleet/__init__.py
@@ -1,6 +1,7 @@
 """The fleet aggregate: who owns each VM, and what may be disrupted when."""
 
 from wagtailtiller.fleet.aggregate import apply
+from wagtailtiller.fleet.aggregate import count_states
 from wagtailtiller.fleet.aggregate import unavailable
 from wagtailtiller.fleet.commands import BeginLeave
 from wagtailtiller.fleet.commands import CancelLeave
@@ -41,5 +42,6 @@
     "Wave",
     "WaveState",
     "apply",
+    "count_states",
     "unavailable",
 ]
--- a/src/wagtailtiller/fleet/aggregate.py
+++ b/src/wagtailtiller/fleet/aggregate.py
@@ -78,6 +78,17 @@
     return counts
 
 
+def count_states(
+    fleet: model.Fleet,
+) -> dict[ids.PoolId, "collections.Counter[model.VmState]"]:
+    """Count the VMs of each pool by state."""
+    counts: dict[ids.PoolId, collections.Counter[model.VmState]]
+    counts = collections.defaultdict(collections.Counter)
+    for record in fleet.vms.values():
+        counts[record.pool][record.state] += 1
+    return counts
+
+
 def planned_allowance(pool: settings.PoolSettings) -> int:
     """Return how many VMs planned work may bring out of service.
 
--- a/src/wagtailtiller/gateway/front.py
+++ b/src/wagtailtiller/gateway/front.py
@@ -108,11 +108,6 @@
         self._epoch = ids.Epoch(0)
         self._owners: dict[ids.PoolId, roster.Session | None] = {}
 
-    @property
-    def in_flight(self) -> int:
-        """Requests that wait for a slot or hold one."""
-        return len(self._pending) + len(self._running)
-
     def waiting_at(self) -> set[ids.GatewayId]:
         """Return the owners that requests of this gateway wait at."""
         pools = {each.want.queue.pool for each in self._pending.values()}
