--- a/support/demo/run.py
+++ b/support/demo/run.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import http
 import json
 import pathlib
 import subprocess
@@ -32,6 +33,7 @@
 _CHANGED_QUEUES = {"kadalpura": "previews", "riga": "quotations"}
 _PROBE_BYTES = 200
 _PROBE_PERIOD_S = 0.02
+_TOO_LARGE = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
 def load_plan(
@@ -113,21 +115,34 @@
 
 async def _first_rejection_ms(url: str, queue: str, token: str) -> int:
     """Wait until a gateway rejects a body that it accepted before."""
+    await last_acceptance_ms(url, queue, token)
+    return time.time_ns() // 1_000_000
+
+
+async def last_acceptance_ms(url: str, queue: str, token: str) -> int:
+    """Probe until a gateway rejects a body; return its last acceptance.
+
+    Returns:
+        The wall clock when it last accepted the body; 0 for never.
+    """
     headers = {"Authorization": f"Bearer {token}", "X-Work-Ms": "1"}
     headers["X-Caller-Id"] = "probe"
+    accepted_ms = 0
     async with aiohttp.ClientSession() as session:
         while True:
             async with session.post(
                 f"{url}/q/{queue}", data=b"x" * _PROBE_BYTES, headers=headers
             ) as response:
                 await response.read()
-                if response.status == 413:
-                    return time.time_ns() // 1_000_000
+                if response.status == http.HTTPStatus.OK:
+                    accepted_ms = time.time_ns() // 1_000_000
+                if response.status == _TOO_LARGE:
+                    return accepted_ms
             await asyncio.sleep(_PROBE_PERIOD_S)
 
 
-async def _in_force_ms(running: cluster.Cluster, queue: str, token: str) -> int:
-    """Lower a limit and time until every gateway applies it."""
+async def in_force_ms(running: cluster.Cluster, queue: str, token: str) -> int:
+    """Lower a limit and return the time until every gateway applies it."""
     probes = [
         asyncio.create_task(_first_rejection_ms(url, queue, token))
         for url in running.gateway_urls.values()
@@ -153,9 +168,7 @@
         for each in running.plan.queues
         if each.queue == _CHANGED_QUEUES[name]
     )
-    in_force_ms = asyncio.run(
-        _in_force_ms(running, queue.queue, queue.tokens[0])
-    )
+    took_ms = asyncio.run(in_force_ms(running, queue.queue, queue.tokens[0]))
     callers.wait()
     verdict = collect(running, read_calls(folder))
     _print_table(running, read_calls(folder), wave_s)
@@ -169,7 +182,7 @@
         f" lost={verdict.lost} doubled={verdict.doubled}"
         f" cut_off={verdict.cut_off} crossed={verdict.crossed}"
         f" budget_breaches={verdict.budget_breaches}"
-        f" config_in_force_ms={in_force_ms}"
+        f" config_in_force_ms={took_ms}"
     )
     return 0 if verdict.clean() and graceful else 1
 
--- a/support/measure/run.py
+++ b/support/measure/run.py
@@ -4,6 +4,7 @@
 import sys
 
 from support.measure import fairness
+from support.measure import freshness
 from support.measure import hop
 from support.measure import idle
 from support.measure import moves
@@ -16,6 +17,7 @@
     "fairness": fairness.measure,
     "rollout": rollout.measure,
     "moves": moves.measure,
+    "freshness": freshness.measure,
     "slopes": slopes.measure,
     "hop": hop.measure,
     "idle": idle.measure,
