Drop what a front's former process waits for when a new one says hello

Cause: fuzz, 1 of 78200 schedules. A restarted gateway connected before the owner had its new epoch; a refusal for a request of the former process, with the same number, reached the new one, which told a keyed caller 'not run' although the key had run. Change: a Hello drops the front's waiting requests; the front asks again for those that are still its own. The schedules' streams answer only after the Hello, as the real ones do.

--- a/src/wagtailtiller/dispatch/dispatcher.py
+++ b/src/wagtailtiller/dispatch/dispatcher.py
@@ -135,10 +135,12 @@
         """Grant nothing more to a front until it has reported again.
 
         A grant that crossed a report on the way would be taken by the front
-        and yet counted as free here.
+        and yet counted as free here. What waited is asked for again; a
+        restarted front would take answers to its former self for its own.
         """
         if front in self._fronts:
             self._unreported.add(front)
+        self._drop_waiting(front)
 
     def suspend(self) -> list[Send]:
         """Refuse all that waits, and grant nothing until resumed."""
--- a/support/fuzz/channels.py
+++ b/support/fuzz/channels.py
@@ -25,11 +25,13 @@
         front: Its opener.
         peer: The other end.
         open: Whether it carries messages.
+        greeted: Whether the peer knows who opened it; it answers only then.
     """
 
     front: ids.GatewayId
     peer: ids.GatewayId
     open: bool = True
+    greeted: bool = False
     up: _Lane = dataclasses.field(
         default_factory=lambda: _Lane(collections.deque())
     )
@@ -45,10 +47,10 @@
         source: random.Random,
     ) -> None:
         """Send a message; lost when the stream is broken."""
-        if not self.open:
+        local = self.front == self.peer
+        if not self.open or not (outwards or local or self.greeted):
             return
         lane = self.up if outwards else self.down
-        local = self.front == self.peer
         delay_ms = 0 if local else source.randrange(_LONGEST_DELAY_MS)
         lane.last_due_ms = max(lane.last_due_ms, now_ms + delay_ms)
         lane.waiting.append((lane.last_due_ms, message))
@@ -62,7 +64,9 @@
         """Hand over what is due, in order."""
         waiting = (self.up if outwards else self.down).waiting
         while waiting and waiting[0][0] <= now_ms:
-            take(waiting.popleft()[1])
+            message = waiting.popleft()[1]
+            self.greeted |= isinstance(message, messages.Hello)
+            take(message)
 
     def cut(self) -> None:
         """Break the stream and lose what it carries."""
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -213,6 +213,15 @@
         self.assertEqual([], self.ask(1))
         self.assertEqual(1, len(self.ask(2, front="b")))
 
+    def test_reconnected_front_gets_no_answer_to_its_former_self(self):
+        """A refusal of the old process was taken for the new one's."""
+        self.make()
+        self.fill()
+        self.ask(10)
+        self.dispatcher.expect_report("a")
+        self.now_ms += 20_000
+        self.assertEqual([], self.dispatcher.tick(self.now_ms))
+
     def test_report_of_an_older_epoch_changes_nothing(self):
         self.make()
         self.now_ms += dispatcher.SETTLE_MS
