--- a/tests/processes/test_site.py
+++ b/tests/processes/test_site.py
@@ -9,6 +9,8 @@
 import pathlib
 import signal
 import socket
+import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -223,6 +225,22 @@
         for vm, starts in self.starts().items():
             self.assertEqual(before[vm] + 1, starts)
 
+    def test_command_line_opens_no_io_uring_and_starts_nothing(self):
+        command = [sys.executable, "-m", "wagtailtiller.ctl.main"]
+        command += ["wave", "start", "colouring", "--follow"]
+        command += ["--store", Shared.site.store_url]
+        command += ["--region", Shared.site.plan.region]
+        with subprocess.Popen(command, stdout=subprocess.PIPE) as running:
+            running.stdout.readline()
+            folder = f"/proc/{running.pid}"
+            names = os.listdir(f"{folder}/fd")
+            links = [os.readlink(f"{folder}/fd/{name}") for name in names]
+            path = pathlib.Path(f"{folder}/task/{running.pid}/children")
+            children = path.read_text(encoding="ascii")
+            running.communicate(timeout=_WAIT_S)
+        self.assertEqual([], [x for x in links if "io_uring" in x])
+        self.assertEqual("", children)
+
     def starts(self):
         listed = json.loads(self.ctl("vm", "--json").stdout)
         return {
