--- a/src/wagtailtiller/ctl/session.py
+++ b/src/wagtailtiller/ctl/session.py
@@ -1,7 +1,6 @@
 """One operator's connection to the store, for one command."""
 
 import dataclasses
-import time
 import uuid
 
 from expression import Error
@@ -166,7 +165,7 @@
     async def _note(
         self, command: str, detail: dict[str, object]
     ) -> Result[ids.Revision, errors.StoreError]:
-        at_ms = time.time_ns() // 1_000_000
+        at_ms = self._clock.wall_ms()
         entry = AuditEntry(
             who=self.operator.who,
             why=self.operator.why,
