--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -21,9 +21,13 @@
 from wagtailtiller.ports import machines
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
+from wagtailtiller.upkeep import keeper as keeper_module
 
 MACHINES_SHARD = ids.ShardId("machines")
 _ORDERS_LOOK_MS = 250
+_ASK_TIMEOUT_MS = 500
+# No machine is ordered on a lease that may have lapsed.
+_KEEPER_LEASE_MS = 1_500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,6 +78,8 @@
             outside.store, own, clock, self._gained, self._lost
         )
         self.front = front.Front(self, self._peers, outside.store, clock)
+        self._keeper: keeper_module.Keeper | None = None
+        self._vms_task: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -91,12 +97,17 @@
 
     async def hand_over(self) -> None:
         """Give up all shards, so that others own them at once."""
+        if self._keeper is not None:
+            await self._keeper.stop()
+            self._keeper = None
         owners, self._owners = self._owners, {}
         await asyncio.gather(*(owner.stop() for owner in owners.values()))
         await self._shards.close()
 
     async def stop(self) -> None:
         """Stop everything."""
+        if self._vms_task is not None:
+            self._tasks.append(self._vms_task)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -133,6 +144,8 @@
         if declared.catalogue is None:
             return
         wanted = {ids.ShardId(q.pool) for q in declared.catalogue.queues}
+        if self._outside.machines is not None:
+            wanted.add(MACHINES_SHARD)
         self._shards.want(wanted)
         for owner in self._owners.values():
             self._inform(owner)
@@ -150,6 +163,11 @@
         )
 
     def _gained(self, held: claims.Claim) -> None:
+        if held.shard == MACHINES_SHARD:
+            self._keep_machines(held)
+            return
+        if self._vms_task is None:
+            self._vms_task = runtime.spawn(self._outside.declared.run_vms())
         owner = pool_owner.PoolOwner(
             held,
             self._outside.store,
@@ -163,10 +181,38 @@
         self._owners[owner.pool_id] = owner
         self._inform(owner)
 
+    def _keep_machines(self, held: claims.Claim) -> None:
+        assert self._outside.machines is not None
+        self._keeper = keeper_module.Keeper(
+            held,
+            self._outside.store,
+            self._outside.machines,
+            self._outside.declared,
+            self._ask_owner,
+            self._clock,
+            self._settings.machine_lease_ms,
+        )
+
+    async def _ask_owner(
+        self, pool: ids.PoolId, request: messages.Request
+    ) -> messages.Answer | None:
+        address = self.owner_address(pool)
+        if address is None:
+            return None
+        if address == self.own_address():
+            return await self.ask_local(request)
+        return await self._peers.ask(address, request, _ASK_TIMEOUT_MS)
+
     def _lost(self, held: claims.Claim, reason: str) -> None:
+        if self._keeper is not None and self._keeper.held == held:
+            self._tasks.append(runtime.spawn(self._keeper.stop()))
+            self._keeper = None
         owner = self._owners.get(ids.PoolId(held.shard))
         if owner is not None and owner.held == held:
             del self._owners[owner.pool_id]
+            if not self._owners and self._vms_task is not None:
+                self._vms_task.cancel()
+                self._vms_task = None
             self._tasks.append(runtime.spawn(owner.stop()))
 
     def _owner_lost(self, owner: pool_owner.PoolOwner, reason: str) -> None:
@@ -186,3 +232,6 @@
             if age_ms > pool_owner.ORDERS_WITHOUT_STORE_MS:
                 for owner in list(self._owners.values()):
                     self._owner_lost(owner, "store_silent")
+            if self._keeper is not None and age_ms > _KEEPER_LEASE_MS:
+                self._shards.drop(self._keeper.held)
+                self._lost(self._keeper.held, "store_silent")
--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -46,7 +46,7 @@
         phase: What is known of it.
         started_ms: When it was ordered, on the owner's clock.
         confirmed_ms: When its start was first known, on the owner's clock.
-        percent: The share that it may work at.
+        percent: What its VM listed: progress, or the share at work.
         stop_sent_ms: When a stop was last ordered; 0: never.
     """
 
@@ -56,7 +56,7 @@
     phase: RunPhase
     started_ms: int
     confirmed_ms: int = 0
-    percent: int = 100
+    percent: int = 0
     stop_sent_ms: int = 0
 
 
--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -1,5 +1,7 @@
 """What the system's own processes say to each other, as msgpack."""
 
+import enum
+
 import msgspec
 
 from wagtailtiller import ids
@@ -43,18 +45,26 @@
     pool: ids.PoolId
 
 
+class VacateMode(enum.Enum):
+    """What happens to the tasks on a VM that is to be emptied."""
+
+    MOVE_LASTING = "move_lasting"
+    MOVE_ALL = "move_all"
+
+
 class Vacate(msgspec.Struct, frozen=True, tag=True):
     """Empty a VM, start nothing there, and say what is left on it.
 
     Attributes:
         pool: Whose VM.
         vm: Which.
-        stop_runs: Move what runs there at once, as far as that is allowed.
+        mode: Which tasks are stopped and started elsewhere; the others may
+            finish.
     """
 
     pool: ids.PoolId
     vm: ids.VmId
-    stop_runs: bool
+    mode: VacateMode
 
 
 Request = Submit | AskState | Cancel | AskPending | AskLoad | Vacate
@@ -91,6 +101,7 @@
         runs: How many tasks run there.
         lasting_runs: How many of them last until their job is cancelled.
         free_cpu: Thousandths of a core that are not taken.
+        short_millicores: What tasks that end take.
         usable: It answers and is not leaving.
     """
 
@@ -98,6 +109,7 @@
     runs: int
     lasting_runs: int
     free_cpu: int
+    short_millicores: int
     usable: bool
 
 
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -37,6 +37,7 @@
 _TAKEOVER_RETRY_MS = 200
 # How long an emptied VM stays closed without being asked about again.
 _VACATE_HOLD_MS = 3_000
+_TRIM_EVERY_MS = 1_000
 
 
 class OwnerSettings(msgspec.Struct, frozen=True):
@@ -91,6 +92,7 @@
         self._stored_members: set[ids.VmId] = set()
         self._members_revision = store.ABSENT
         self._arrived_core_ms = 0.0
+        self._trimmed_ms = clock.monotonic_ms()
         self._wake = asyncio.Event()
         self._stopped = False
         self._tasks = [
@@ -222,8 +224,10 @@
         if vm is None:
             return messages.Vacated(0)
         vm.closed_until_ms = self._clock.monotonic_ms() + _VACATE_HOLD_MS
-        if request.stop_runs:
-            vm.evacuating_until_ms = vm.closed_until_ms
+        vm.moves_lasting_until_ms = vm.closed_until_ms
+        if request.mode is messages.VacateMode.MOVE_ALL:
+            vm.moves_all_until_ms = vm.closed_until_ms
+        if vm.runs:
             self._wake.set()
         return messages.Vacated(len(vm.runs))
 
@@ -334,6 +338,7 @@
             return
         for vm in self.pool.expire():
             await self._forget(vm)
+        self._wake_at_next_due()
         if not await self._store_members():
             return
         for command in self.pool.plan():
@@ -345,6 +350,12 @@
                 self._journal.write(job)
         await asyncio.sleep(_PLAN_GAP_MS / 1_000)
 
+    def _wake_at_next_due(self) -> None:
+        due_ms = self.pool.next_due_in_ms()
+        if due_ms is not None and due_ms < _PLAN_AT_LEAST_MS:
+            loop = asyncio.get_running_loop()
+            loop.call_later(max(due_ms, 1) / 1_000, self._wake.set)
+
     def _dispatch(self, command: commands.Command) -> None:
         link = self._links.get(command.vm)
         if link is not None:
@@ -359,6 +370,8 @@
     async def _store_members(self) -> bool:
         # A successor must know of a VM before anything can run there.
         if self._members <= self._stored_members:
+            if self._members != self._stored_members:
+                self._trim_members()
             return True
         wanted = set(self._members)
         key = keys.members(self.pool_id)
@@ -377,6 +390,13 @@
         await asyncio.sleep(_TAKEOVER_RETRY_MS / 1_000)
         return False
 
+    def _trim_members(self) -> None:
+        # Former members would make a successor wait; there is no hurry.
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._trimmed_ms >= _TRIM_EVERY_MS:
+            self._trimmed_ms = now_ms
+            self._stored_members = set()
+
     def _correct_members(self, items: tuple[store.Item, ...]) -> None:
         for item in items:
             if item.key == keys.members(self.pool_id):
@@ -386,11 +406,17 @@
 
 
 def _vm_load(vm: vm_module.Vm) -> messages.VmLoad:
-    lasting = sum(1 for r in vm.runs.values() if r.task.step.long_running)
+    lasting = [r for r in vm.runs.values() if r.task.step.long_running]
+    short_millicores = sum(
+        run.task.step.cpu_millicores
+        for run in vm.runs.values()
+        if not run.task.step.long_running
+    )
     return messages.VmLoad(
         vm.report.vm,
         len(vm.runs),
-        lasting,
+        len(lasting),
         vm.free_cpu,
+        short_millicores,
         vm.standing is vm_module.Standing.USABLE and not vm.draining,
     )
--- a/src/wagtailtiller/platform/declarations.py
+++ b/src/wagtailtiller/platform/declarations.py
@@ -1,6 +1,5 @@
 """Follows what operators and workers write into the platform's store."""
 
-import asyncio
 from collections.abc import Callable
 import random
 
@@ -16,6 +15,8 @@
 from wagtailtiller.ports import vms
 
 _WATCH_WAIT_MS = 1_000
+# VMs write at each heartbeat, and each change would end a watch.
+_VM_PAUSE_MS = 200
 
 
 class PlatformDeclarations:
@@ -47,15 +48,32 @@
             clock,
             follower.Backoff(randoms),
             self._registry_changed,
+            pause_ms=_VM_PAUSE_MS,
         )
 
+    def wave_status_key(self, wave: ids.WaveId) -> str:
+        """Return where the operators read about a wave."""
+        return f"{documents.STATUS_WAVE_PREFIX}{wave}"
+
+    def wave_status(self, wave: ids.WaveId, completed: bool) -> bytes:
+        """Encode what the operators read about a wave."""
+        return documents.wave_status(wave, completed)
+
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back after each change."""
         self._subscribers.append(changed)
 
     async def run(self) -> None:
-        """Follow for ever."""
-        await asyncio.gather(self._operators.run(), self._registry.run())
+        """Follow the operators for ever."""
+        await self._operators.run()
+
+    async def run_vms(self) -> None:
+        """Follow the VMs until cancelled; they are forgotten then."""
+        try:
+            await self._registry.run()
+        finally:
+            self._registry.reset()
+            self.vms.clear()
 
     def _operators_changed(self, items: list[store.Item]) -> None:
         for item in items:
--- a/src/wagtailtiller/platform/main.py
+++ b/src/wagtailtiller/platform/main.py
@@ -46,9 +46,7 @@
                 self._store,
                 declarations.PlatformDeclarations(self._store, clock),
                 vms.PlatformVm,
-                machines.PlatformMachines(
-                    self.settings.machines_address, self.settings.node
-                ),
+                self._machines(),
             ),
             clock,
         )
@@ -83,6 +81,13 @@
         await self._store.close()
         events.emit(events.Event.ENTRY_STOPPED, node=self.settings.node)
 
+    def _machines(self) -> machines.PlatformMachines | None:
+        if not self.settings.machines_address:
+            return None
+        return machines.PlatformMachines(
+            self.settings.machines_address, self.settings.node
+        )
+
     async def _ready(self, request: web.BaseRequest) -> web.Response:
         ready = (
             not self._callers.stopping and self._node.catalogue() is not None
--- a/src/wagtailtiller/ports/declarations.py
+++ b/src/wagtailtiller/ports/declarations.py
@@ -19,5 +19,14 @@
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back after each change."""
 
+    def wave_status_key(self, wave: ids.WaveId) -> str:
+        """Return where the operators read about a wave."""
+
+    def wave_status(self, wave: ids.WaveId, completed: bool) -> bytes:
+        """Encode what the operators read about a wave."""
+
     async def run(self) -> None:
-        """Follow for ever."""
+        """Follow the operators for ever."""
+
+    async def run_vms(self) -> None:
+        """Follow the VMs until cancelled; they are forgotten then."""
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -26,6 +26,8 @@
 _AVOID_MS = 200
 # A stop that has not led to an end is ordered again.
 _STOP_AGAIN_MS = 1_000
+# A task that lasts is at work when it has started up.
+_AT_WORK_PERCENT = 100
 _SLOWEST_CLOCK = vm_module.SLOWEST_CLOCK
 
 
@@ -193,6 +195,12 @@
     ) -> None:
         """Take in that a VM has answered."""
         vm.lease.note_clock(clock_ms, received_ms)
+        if vm.silent_since_ms is not None:
+            events.emit(
+                events.Event.VM_ANSWERS,
+                vm=vm.report.vm,
+                silent_ms=received_ms - vm.silent_since_ms,
+            )
         vm.silent_since_ms = None
         if vm.standing is vm_module.Standing.SILENT:
             vm.standing = vm_module.Standing.USABLE
@@ -217,7 +225,10 @@
                 del self.unsettled[vm_id]
         gone = []
         for vm in list(self.vms.values()):
-            if vm.silent_since_ms is None or now_ms < vm.lease.over_ms():
+            idle = not vm.registered and not vm.runs
+            if vm.silent_since_ms is None:
+                continue
+            if now_ms < vm.lease.over_ms() and not idle:
                 continue
             self._lose_runs(vm, "lease_over")
             if not vm.registered:
@@ -297,6 +308,13 @@
         if vm.standing is vm_module.Standing.JOINING:
             vm.standing = vm_module.Standing.USABLE
             self.unsettled.pop(vm.report.vm, None)
+            events.emit(
+                events.Event.VM_JOINED,
+                vm=vm.report.vm,
+                pool=self.pool,
+                token=token,
+                running=len(listing.running),
+            )
         return orders
 
     def plan(self) -> list[commands.Command]:
@@ -395,7 +413,7 @@
         orders: list[commands.Command] = []
         for vm in self.vms.values():
             for run in list(vm.runs.values()):
-                reason = self._stop_reason(vm, run)
+                reason = self._stop_reason(vm, run, now_ms)
                 if not reason or now_ms - run.stop_sent_ms < _STOP_AGAIN_MS:
                     continue
                 run.stop_sent_ms = now_ms
@@ -404,7 +422,9 @@
                 orders.append(commands.Stop(vm.report.vm, run, reason))
         return orders
 
-    def _stop_reason(self, vm: vm_module.Vm, run: job_module.Run) -> str:
+    def _stop_reason(
+        self, vm: vm_module.Vm, run: job_module.Run, now_ms: int
+    ) -> str:
         entry = self.entries.get(run.task.id.job)
         if entry is None or entry.job.is_final():
             return "job_final"
@@ -412,12 +432,33 @@
             return "task_done"
         if vm.draining and run.task.step.long_running:
             return "vm_draining"
-        if vm.evacuating_until_ms > self._clock.monotonic_ms():
-            return "vm_evacuated"
+        if self._moves(vm, run, now_ms) and self._may_take_away(entry, run):
+            return "vm_vacated"
         if run.task.step.gang and self._gang_broken(entry.job, run):
             return "gang_broken"
         return ""
 
+    def _moves(
+        self, vm: vm_module.Vm, run: job_module.Run, now_ms: int
+    ) -> bool:
+        if run.phase is not job_module.RunPhase.RUNNING:
+            return False
+        if run.task.step.long_running:
+            return vm.moves_lasting_until_ms > now_ms
+        return vm.moves_all_until_ms > now_ms
+
+    def _may_take_away(self, entry: Entry, run: job_module.Run) -> bool:
+        limit = run.task.step.max_unavailable
+        if limit is None or not run.task.step.long_running:
+            return True
+        members = entry.job.steps(run.task.id.occurrence)[run.task.id.step]
+        away = sum(
+            1
+            for member in members.tasks
+            if member.run is not run and not _at_work(member)
+        )
+        return away < limit
+
     def _gang_broken(self, job: job_module.Job, run: job_module.Run) -> bool:
         members = job.steps(run.task.id.occurrence)[run.task.id.step].tasks
         return any(member.run is None for member in members)
@@ -464,6 +505,12 @@
     def _finish(self, entry: Entry) -> None:
         self._active.pop(entry.job.id, None)
         entry.final_ms = self._clock.monotonic_ms()
+        events.emit(
+            events.Event.JOB_ENDED,
+            job=entry.job.id,
+            state=entry.job.state.value,
+            age_ms=entry.final_ms - entry.accepted_ms,
+        )
         self.changed.add(entry.job.id)
 
     def _listed_run(
@@ -551,3 +598,12 @@
         vm.remove(run)
         if run.task.run is run:
             run.task.run = None
+
+
+def _at_work(task: job_module.Task) -> bool:
+    run = task.run
+    return (
+        run is not None
+        and run.phase is job_module.RunPhase.RUNNING
+        and run.percent >= _AT_WORK_PERCENT
+    )
--- /dev/null
+++ b/src/wagtailtiller/upkeep/__init__.py
@@ -0,0 +1,1 @@
+"""Machines: maintenance waves, and moves between pools."""
--- /dev/null
+++ b/src/wagtailtiller/upkeep/fleet.py
@@ -0,0 +1,306 @@
+"""The fleet: which machines are due for what, and which orders are allowed.
+
+An aggregate without I/O. Its keeper feeds it the platform's list, the pools'
+loads and the waves, and carries out the orders that come out.
+"""
+
+import dataclasses
+import enum
+
+from wagtailtiller import clock as clock_module
+from wagtailtiller import ids
+from wagtailtiller.owner import messages
+from wagtailtiller.ports import machines
+from wagtailtiller.upkeep import demand
+
+# Until then, short tasks may finish on a machine that is due; after it they
+# are stopped, with their checkpoints.
+_WAIT_FOR_SHORT_MS = 3_000
+# An emptied machine is ordered only on word as fresh as this.
+_FRESH_MS = 400
+
+
+class Stage(enum.Enum):
+    """How far the work on a machine has come."""
+
+    EMPTYING = "emptying"
+    ORDERED = "ordered"
+
+
+@dataclasses.dataclass(slots=True)
+class Errand:
+    """What is to be done with a machine.
+
+    Attributes:
+        machine: Which.
+        wave: The wave that it is due for; None for a move.
+        pool: Where it is to move; None for a wave.
+        vm: The VM that stands on it at the beginning; empty for none.
+        since_ms: When it began.
+        stage: How far it has come.
+        empty_at_ms: When its VM was last known to run nothing.
+        tried_ms: When an order was last sent.
+    """
+
+    machine: ids.MachineId
+    wave: ids.WaveId | None
+    pool: ids.PoolId | None
+    vm: ids.VmId
+    since_ms: int
+    stage: Stage = Stage.EMPTYING
+    empty_at_ms: int | None = None
+    tried_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class WaveBook:
+    """A wave and the machines of it that have been maintained."""
+
+    wave: machines.Wave
+    done: set[ids.MachineId]
+    completed: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class PoolFacts:
+    """What is declared of a pool, and its demand."""
+
+    standby: bool
+    need: demand.Demand | None
+
+
+class Fleet:
+    """All machines under one keeper.
+
+    Args:
+        clock: The time.
+    """
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self.machines: dict[ids.MachineId, machines.Machine] = {}
+        self.errands: dict[ids.MachineId, Errand] = {}
+        self.waves: dict[ids.WaveId, WaveBook] = {}
+        self.pools: dict[ids.PoolId, PoolFacts] = {}
+        self.loads: dict[ids.VmId, messages.VmLoad] = {}
+
+    def list_machines(self, listed: list[machines.Machine]) -> None:
+        """Take the platform's list."""
+        self.machines = {machine.machine: machine for machine in listed}
+        for errand in list(self.errands.values()):
+            self._check(errand)
+        for book in self.waves.values():
+            book.done |= set(book.wave.machines) - self.machines.keys()
+
+    def in_motion(self) -> bool:
+        """Return whether the list is worth a look soon."""
+        return bool(self.errands) or any(
+            machine.state is not machines.MachineState.UP
+            for machine in self.machines.values()
+        )
+
+    def plan(self) -> None:
+        """Begin what may begin now."""
+        for book in self.waves.values():
+            self._plan_wave(book)
+        self._plan_moves()
+
+    def vacated(self, errand: Errand, runs_left: int) -> None:
+        """Take in how many runs are left on an errand's VM."""
+        if runs_left:
+            errand.empty_at_ms = None
+        else:
+            errand.empty_at_ms = self._clock.monotonic_ms()
+
+    def may_order(self, errand: Errand) -> bool:
+        """Return whether the machine may be ordered away now."""
+        if errand.stage is Stage.ORDERED:
+            return False
+        if not errand.vm:
+            return True
+        age_ms = self._clock.monotonic_ms() - (errand.empty_at_ms or 0)
+        return errand.empty_at_ms is not None and age_ms <= _FRESH_MS
+
+    def force(self, errand: Errand) -> bool:
+        """Return whether also short tasks are to be moved."""
+        age_ms = self._clock.monotonic_ms() - errand.since_ms
+        return age_ms > _WAIT_FOR_SHORT_MS
+
+    def ordered(self, errand: Errand, outcome: machines.MachineOutcome) -> None:
+        """Take in what became of an order."""
+        match outcome:
+            case machines.MachineOutcome.DONE:
+                errand.stage = Stage.ORDERED
+                self._note_done(errand)
+            case (
+                machines.MachineOutcome.NOT_IN_WAVE
+                | machines.MachineOutcome.INVALID
+            ):
+                self._note_done(errand)
+                self.errands.pop(errand.machine, None)
+            case _:
+                pass
+
+    def open_machines(self, pool: ids.PoolId) -> int:
+        """Return how many machines a pool has or will have soon."""
+        count = 0
+        for machine in self.machines.values():
+            errand = self.errands.get(machine.machine)
+            target = machine.pool
+            if errand is not None and errand.pool is not None:
+                target = errand.pool
+            if machine.state is machines.MachineState.DOWN:
+                continue
+            count += target == pool
+        return count
+
+    def _check(self, errand: Errand) -> None:
+        machine = self.machines.get(errand.machine)
+        if machine is None:
+            del self.errands[errand.machine]
+            return
+        if errand.stage is not Stage.ORDERED:
+            if machine.vm != errand.vm:
+                errand.vm = machine.vm
+                errand.empty_at_ms = None
+            return
+        up = machine.state is machines.MachineState.UP
+        if errand.pool is not None:
+            over = up and machine.pool == errand.pool
+        else:
+            over = up and self._is_back(machine, errand)
+        if over:
+            del self.errands[errand.machine]
+
+    def _is_back(self, machine: machines.Machine, errand: Errand) -> bool:
+        facts = self.pools.get(machine.pool)
+        if facts is not None and facts.standby:
+            return True
+        return bool(machine.vm) and machine.vm != errand.vm
+
+    def _note_done(self, errand: Errand) -> None:
+        if errand.wave is not None and errand.wave in self.waves:
+            self.waves[errand.wave].done.add(errand.machine)
+
+    def _plan_wave(self, book: WaveBook) -> None:
+        if book.completed:
+            return
+        out = sum(1 for e in self.errands.values() if e.wave == book.wave.wave)
+        for machine_id in self._wave_order(book):
+            if out >= book.wave.max_out:
+                return
+            machine = self.machines.get(machine_id)
+            if machine is None or machine_id in self.errands:
+                continue
+            if machine.state is not machines.MachineState.UP:
+                continue
+            self._begin(machine, wave=book.wave.wave)
+            out += 1
+
+    def _wave_order(self, book: WaveBook) -> list[ids.MachineId]:
+        waiting = [m for m in book.wave.machines if m not in book.done]
+        return sorted(waiting, key=self._burden)
+
+    def _burden(self, machine_id: ids.MachineId) -> tuple[int, int]:
+        machine = self.machines.get(machine_id)
+        load = self.loads.get(machine.vm) if machine is not None else None
+        if load is None:
+            return (0, 0)
+        return (load.lasting_runs, load.runs)
+
+    def _begin(
+        self,
+        machine: machines.Machine,
+        wave: ids.WaveId | None = None,
+        pool: ids.PoolId | None = None,
+    ) -> None:
+        self.errands[machine.machine] = Errand(
+            machine.machine,
+            wave,
+            pool,
+            machine.vm,
+            self._clock.monotonic_ms(),
+        )
+
+    # Moves.
+
+    def _plan_moves(self) -> None:
+        wanted = {
+            pool: facts.need.machines(self._machine_cores())
+            for pool, facts in self.pools.items()
+            if facts.need is not None
+        }
+        have = {pool: self.open_machines(pool) for pool in wanted}
+        missing = sorted(
+            (pool for pool in wanted if wanted[pool] > have[pool]),
+            key=lambda pool: have[pool] / wanted[pool],
+        )
+        for pool in missing:
+            while have[pool] < wanted[pool]:
+                source = self._spare_machine(wanted, have)
+                if source is None:
+                    break
+                have[pool] += 1
+                if source.pool in have:
+                    have[source.pool] -= 1
+                self._begin(source, pool=pool)
+        self._give_back(wanted, have)
+
+    def _spare_machine(
+        self, wanted: dict[ids.PoolId, int], have: dict[ids.PoolId, int]
+    ) -> machines.Machine | None:
+        for machine in self._movable():
+            if self._is_standby(machine.pool):
+                return machine
+        return self._surplus_machine(wanted, have)
+
+    def _surplus_machine(
+        self, wanted: dict[ids.PoolId, int], have: dict[ids.PoolId, int]
+    ) -> machines.Machine | None:
+        best: machines.Machine | None = None
+        best_runs = 0
+        for machine in self._movable():
+            pool = machine.pool
+            load = self.loads.get(machine.vm)
+            if pool not in wanted or have[pool] <= wanted[pool]:
+                continue
+            if load is None or load.lasting_runs or not load.usable:
+                continue
+            if best is None or load.runs < best_runs:
+                best, best_runs = machine, load.runs
+        return best
+
+    def _give_back(
+        self, wanted: dict[ids.PoolId, int], have: dict[ids.PoolId, int]
+    ) -> None:
+        standby = next(
+            (pool for pool, facts in self.pools.items() if facts.standby),
+            None,
+        )
+        if standby is None:
+            return
+        while True:
+            machine = self._surplus_machine(wanted, have)
+            if machine is None:
+                return
+            have[machine.pool] -= 1
+            self._begin(machine, pool=standby)
+
+    def _movable(self) -> list[machines.Machine]:
+        return [
+            machine
+            for machine in self.machines.values()
+            if machine.state is machines.MachineState.UP
+            and machine.machine not in self.errands
+        ]
+
+    def _is_standby(self, pool: ids.PoolId) -> bool:
+        facts = self.pools.get(pool)
+        return facts is not None and facts.standby
+
+    def _machine_cores(self) -> float:
+        cores = [
+            machine.capacity.cpu_millicores / 1_000
+            for machine in self.machines.values()
+        ]
+        return sum(cores) / len(cores) if cores else 1.0
--- /dev/null
+++ b/src/wagtailtiller/upkeep/keeper.py
@@ -0,0 +1,282 @@
+"""Keeps the machines: one process at a time, under the shard's ownership."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+import msgspec
+
+from wagtailtiller import clock as clock_module
+from wagtailtiller import events
+from wagtailtiller import follower
+from wagtailtiller import ids
+from wagtailtiller import runtime
+from wagtailtiller import tasks
+from wagtailtiller.owner import keys
+from wagtailtiller.owner import messages
+from wagtailtiller.ownership import claims
+from wagtailtiller.ports import declarations
+from wagtailtiller.ports import machines
+from wagtailtiller.ports import store
+from wagtailtiller.upkeep import demand
+from wagtailtiller.upkeep import fleet as fleet_module
+
+_LOOK_EVERY_MS = 200
+_LIST_IN_MOTION_MS = 400
+_LIST_AT_REST_MS = 2_000
+_ORDER_AGAIN_MS = 300
+# Orders by a former keeper may still be on their way.
+_TAKEOVER_MARGIN_MS = 500
+
+Ask = Callable[
+    [ids.PoolId, messages.Request], Awaitable[messages.Answer | None]
+]
+
+
+class _WaveProgress(msgspec.Struct, frozen=True):
+    done: list[ids.MachineId]
+    completed: bool
+
+
+class Keeper:
+    """The process side of the fleet.
+
+    Args:
+        held: The ownership of the machines.
+        source: The store.
+        platform: The machine service.
+        declared: What operators and VMs have written.
+        ask: Asks a pool's owner.
+        clock: The time.
+        machine_lease_ms: Two keepers must not order one machine within it.
+    """
+
+    def __init__(
+        self,
+        held: claims.Claim,
+        source: store.Store,
+        platform: machines.Machines,
+        declared: declarations.Declarations,
+        ask: Ask,
+        clock: clock_module.Clock,
+        machine_lease_ms: int,
+    ) -> None:
+        self.held = held
+        self._store = source
+        self._platform = platform
+        self._declared = declared
+        self._ask = ask
+        self._clock = clock
+        self._machine_lease_ms = machine_lease_ms
+        self._fleet = fleet_module.Fleet(clock)
+        self._demands: dict[ids.PoolId, demand.Demand] = {}
+        self._revisions: dict[str, ids.Revision] = {}
+        self._saved: dict[ids.WaveId, _WaveProgress] = {}
+        self._listed_ms: int | None = None
+        self._background = tasks.TaskGroup()
+        self._backoff = follower.Backoff(random.Random())
+        self._busy: set[ids.MachineId] = set()
+        self._main_task = runtime.spawn(self._main())
+
+    async def stop(self) -> None:
+        """Give no more orders."""
+        self._main_task.cancel()
+        await asyncio.gather(self._main_task, return_exceptions=True)
+        await self._background.cancel()
+
+    async def _main(self) -> None:
+        wait_ms = self._machine_lease_ms + _TAKEOVER_MARGIN_MS
+        if self.held.epoch == 1:
+            # Nobody has given orders before the first owner.
+            wait_ms = 0
+        await asyncio.sleep(wait_ms / 1_000)
+        while True:
+            await asyncio.sleep(_LOOK_EVERY_MS / 1_000)
+            await self._look()
+
+    async def _look(self) -> None:
+        if self._declared.catalogue is None:
+            return
+        await self._take_waves()
+        await self._take_loads()
+        await self._take_list()
+        if self._listed_ms is None:
+            return
+        self._fleet.plan()
+        for errand in list(self._fleet.errands.values()):
+            if errand.machine not in self._busy:
+                self._busy.add(errand.machine)
+                self._background.spawn(self._serve(errand))
+        await self._save_waves()
+
+    # What is known.
+
+    async def _take_waves(self) -> None:
+        for wave in self._declared.waves.values():
+            if wave.wave in self._fleet.waves:
+                continue
+            answer = await self._store.read_key(keys.wave(wave.wave))
+            if answer.is_error():
+                continue
+            book = fleet_module.WaveBook(wave, set())
+            if answer.ok is not None and answer.ok.value:
+                saved = msgspec.msgpack.decode(
+                    answer.ok.value, type=_WaveProgress
+                )
+                book.done = set(saved.done)
+                book.completed = saved.completed
+                self._revisions[answer.ok.key] = answer.ok.revision
+                self._saved[wave.wave] = saved
+            self._fleet.waves[wave.wave] = book
+            events.emit(
+                events.Event.WAVE_CHANGED,
+                wave=wave.wave,
+                state="taken",
+                machines=len(wave.machines),
+                done=len(book.done),
+                max_out=wave.max_out,
+            )
+
+    async def _take_loads(self) -> None:
+        declared = self._declared.catalogue
+        assert declared is not None
+        served = {queue.pool for queue in declared.queues}
+        answers = await asyncio.gather(
+            *(self._ask(pool, messages.AskLoad(pool)) for pool in served)
+        )
+        facts = {}
+        for pool in declared.pools:
+            need = self._demands.get(pool.pool)
+            facts[pool.pool] = fleet_module.PoolFacts(pool.standby, need)
+        self._fleet.pools = facts
+        for pool_id, answer in zip(served, answers, strict=True):
+            if isinstance(answer, messages.Load):
+                self._take_load(pool_id, answer)
+
+    def _take_load(self, pool: ids.PoolId, load: messages.Load) -> None:
+        need = self._demands.setdefault(pool, demand.Demand())
+        running = sum(vm.short_millicores for vm in load.vms)
+        need.note(
+            demand.PoolLoad(
+                self._clock.monotonic_ms(),
+                load.arrived_core_ms,
+                load.idle_core_ms,
+                running,
+                load.lasting_millicores,
+            )
+        )
+        for vm in load.vms:
+            self._fleet.loads[vm.vm] = vm
+
+    async def _take_list(self) -> None:
+        every_ms = _LIST_AT_REST_MS
+        if self._fleet.in_motion():
+            every_ms = _LIST_IN_MOTION_MS
+        now_ms = self._clock.monotonic_ms()
+        if self._listed_ms is not None and now_ms - self._listed_ms < every_ms:
+            return
+        answer = await self._platform.list()
+        if answer.is_error():
+            events.emit(
+                events.Event.PLATFORM_UNREACHABLE, reason=str(answer.error)
+            )
+            return
+        self._listed_ms = now_ms
+        self._fleet.list_machines(answer.ok)
+
+    # Orders.
+
+    async def _serve(self, errand: fleet_module.Errand) -> None:
+        try:
+            if errand.stage is fleet_module.Stage.EMPTYING and errand.vm:
+                await self._vacate(errand)
+            if self._fleet.may_order(errand):
+                await self._order(errand)
+        finally:
+            self._busy.discard(errand.machine)
+
+    async def _vacate(self, errand: fleet_module.Errand) -> None:
+        machine = self._fleet.machines.get(errand.machine)
+        if machine is None:
+            return
+        mode = messages.VacateMode.MOVE_LASTING
+        if self._fleet.force(errand):
+            mode = messages.VacateMode.MOVE_ALL
+        answer = await self._ask(
+            machine.pool, messages.Vacate(machine.pool, errand.vm, mode)
+        )
+        if isinstance(answer, messages.Vacated):
+            self._fleet.vacated(errand, answer.runs_left)
+
+    async def _order(self, errand: fleet_module.Errand) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - errand.tried_ms < _ORDER_AGAIN_MS:
+            return
+        errand.tried_ms = now_ms
+        epoch = self.held.epoch
+        if errand.wave is not None:
+            outcome = await self._platform.maintain(
+                errand.machine, errand.wave, epoch
+            )
+        else:
+            assert errand.pool is not None
+            outcome = await self._platform.move(
+                errand.machine, errand.pool, epoch
+            )
+        events.emit(
+            events.Event.MACHINE_ORDERED,
+            machine=errand.machine,
+            vm=errand.vm,
+            wave=errand.wave,
+            pool=errand.pool,
+            outcome=outcome.value,
+            epoch=epoch,
+            waited_ms=now_ms - errand.since_ms,
+        )
+        self._fleet.ordered(errand, outcome)
+
+    # What is kept.
+
+    async def _save_waves(self) -> None:
+        for wave_id, book in self._fleet.waves.items():
+            open_machines = set(book.wave.machines) - book.done
+            under_way = any(
+                errand.wave == wave_id
+                for errand in self._fleet.errands.values()
+            )
+            completed = not open_machines and not under_way
+            progress = _WaveProgress(sorted(book.done), completed)
+            if self._saved.get(wave_id) == progress:
+                continue
+            if await self._save(wave_id, progress):
+                self._saved[wave_id] = progress
+                book.completed = completed
+                if completed:
+                    events.emit(
+                        events.Event.WAVE_CHANGED,
+                        wave=wave_id,
+                        state="completed",
+                    )
+
+    async def _save(self, wave_id: ids.WaveId, progress: _WaveProgress) -> bool:
+        key = keys.wave(wave_id)
+        status_key = self._declared.wave_status_key(wave_id)
+        expected = self.held.expectation()
+        expected[key] = self._revisions.get(key, store.ABSENT)
+        status = self._declared.wave_status(wave_id, progress.completed)
+        writes = (
+            store.Write(key, msgspec.msgpack.encode(progress)),
+            store.Write(status_key, status),
+        )
+        answer = await self._store.commit(store.Transaction(expected, writes))
+        if answer.is_ok():
+            self._revisions[key] = answer.ok
+            self._backoff.reset()
+            return True
+        if isinstance(answer.error, store.PreconditionFailed):
+            for item in answer.error.items:
+                if item.key == key:
+                    self._revisions[key] = item.revision
+        await self._backoff.wait()
+        return False
