--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -95,7 +95,9 @@
         asked_ms = self._clock.monotonic_ms()
         token = self.vm.token
         until_ms = None
-        if self.vm.lease.vm_clock_ms:
+        # An unanswered hold may arrive late; it must not extend the time
+        # after which a silent VM is given up.
+        if self.vm.lease.vm_clock_ms and self.vm.silent_since_ms is None:
             until_ms = self.vm.lease.extend(asked_ms, self._lease_ms)
         answer = await self._client.hold(
             token, self._acknowledged, until_ms, wait_ms
--- /dev/null
+++ b/support/fake_vms.py
@@ -0,0 +1,180 @@
+"""A VM in memory that keeps the rules of the platform's worker interface."""
+
+import asyncio
+import dataclasses
+
+from wagtailtiller import clock as clock_module
+from wagtailtiller import ids
+from wagtailtiller.jobs import job
+from wagtailtiller.jobs import model
+from wagtailtiller.ports import vms
+
+_HOLD_S = 0.02
+DEFAULT_CAPACITY = vms.Resources(cpu_millicores=32_000, memory_mb=131_072)
+
+
+def report(
+    vm: str,
+    pool: str = "renders",
+    born_ms: int = 1,
+    labels: tuple[str, ...] = ("a", "r1"),
+    phase: vms.VmPhase = vms.VmPhase.READY,
+    capacity: vms.Resources = DEFAULT_CAPACITY,
+) -> vms.VmReport:
+    """Return what a VM registers."""
+    return vms.VmReport(
+        vm=ids.VmId(vm),
+        pool=ids.PoolId(pool),
+        address=f"{vm}:1",
+        data_centre=ids.DataCentreId("dc-1"),
+        phase=phase,
+        capacity=capacity,
+        labels=labels,
+        born_ms=born_ms,
+    )
+
+
+@dataclasses.dataclass
+class _Run:
+    number: int
+    lease_until_ms: int
+
+
+class FakeVm:
+    """One VM; orders can be lost, or held back and carried out later.
+
+    Args:
+        vm_report: What it registered.
+        clock: Its clock.
+        capacity_tasks: How many tasks it takes; None for any number.
+    """
+
+    def __init__(
+        self,
+        vm_report: vms.VmReport,
+        clock: clock_module.Clock,
+        capacity_tasks: int | None = None,
+    ) -> None:
+        self.report = vm_report
+        self.running: dict[model.TaskId, _Run] = {}
+        self.ended: list[vms.ListedEnd] = []
+        self.token = 0
+        self.silent = False
+        self.hold_back = False
+        self.held_back: list[vms.StartOrder] = []
+        self.starts: list[vms.StartOrder] = []
+        self._clock = clock
+        self._positions = 0
+        self._highest: dict[model.TaskId, int] = {}
+        self._capacity_tasks = capacity_tasks
+        self.lease_until_ms = 0
+
+    def connect(self, vm_report: vms.VmReport) -> "FakeVm":
+        """Return the client's end, which is the VM itself."""
+        return self
+
+    def expire(self) -> None:
+        """End what runs if the lease is over."""
+        if self._clock.monotonic_ms() >= self.lease_until_ms:
+            for task in list(self.running):
+                self.end(task, job.EndKind.LAPSED)
+
+    def end(self, task: model.TaskId, kind: job.EndKind) -> None:
+        """End a run."""
+        run = self.running.pop(task)
+        self._positions += 1
+        self.ended.append(
+            vms.ListedEnd(self._positions, task, run.number, kind, "")
+        )
+
+    def apply_held_back(self) -> None:
+        """Carry out the orders that were held back."""
+        late, self.held_back = self.held_back, []
+        for order in late:
+            self._start(order)
+
+    async def start(self, order: vms.StartOrder) -> vms.OrderAnswer:
+        """Start a task."""
+        if self.silent:
+            return vms.OrderAnswer(vms.OrderOutcome.UNANSWERED)
+        if self.hold_back:
+            self.held_back.append(order)
+            return vms.OrderAnswer(vms.OrderOutcome.UNANSWERED)
+        return vms.OrderAnswer(self._start(order), self._clock.monotonic_ms())
+
+    async def stop(
+        self, task: model.TaskId, number: int, token: int
+    ) -> vms.OrderAnswer:
+        """Stop a run."""
+        if self.silent:
+            return vms.OrderAnswer(vms.OrderOutcome.UNANSWERED)
+        if not self._take_token(token):
+            return vms.OrderAnswer(vms.OrderOutcome.FENCED)
+        self._highest[task] = max(self._highest.get(task, 0), number)
+        run = self.running.get(task)
+        if run is not None and run.number == number:
+            self.end(task, job.EndKind.STOPPED)
+        return vms.OrderAnswer(vms.OrderOutcome.DONE)
+
+    async def pace(
+        self, task: model.TaskId, number: int, percent: int, token: int
+    ) -> vms.OrderAnswer:
+        """Accept any pace."""
+        return vms.OrderAnswer(vms.OrderOutcome.DONE)
+
+    async def hold(
+        self,
+        token: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+    ) -> vms.HoldAnswer:
+        """Extend the lease and list the runs, after a short wait."""
+        await asyncio.sleep(_HOLD_S if wait_ms else 0)
+        if self.silent:
+            return vms.HoldAnswer(vms.OrderOutcome.UNANSWERED)
+        if not self._take_token(token):
+            return vms.HoldAnswer(vms.OrderOutcome.FENCED)
+        self.expire()
+        if lease_until_ms is not None:
+            self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+        self.ended = [e for e in self.ended if e.position > acknowledged]
+        running = tuple(
+            vms.ListedRun(task, run.number, "", 100, 0)
+            for task, run in self.running.items()
+        )
+        listing = vms.Listing(
+            self._clock.monotonic_ms(),
+            self.report.born_ms,
+            running,
+            tuple(self.ended),
+        )
+        return vms.HoldAnswer(vms.OrderOutcome.DONE, listing)
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+    def _take_token(self, token: int) -> bool:
+        if token < self.token:
+            return False
+        self.token = token
+        return True
+
+    def _start(self, order: vms.StartOrder) -> vms.OrderOutcome:
+        if not self._take_token(order.token):
+            return vms.OrderOutcome.FENCED
+        if self._clock.monotonic_ms() >= order.lease_until_ms:
+            return vms.OrderOutcome.LATE
+        running = self.running.get(order.task)
+        if running is not None and running.number == order.number:
+            return vms.OrderOutcome.DONE
+        if order.number <= self._highest.get(order.task, 0):
+            return vms.OrderOutcome.OLD_RUN
+        full = self._capacity_tasks
+        if full is not None and len(self.running) >= full:
+            return vms.OrderOutcome.NO_ROOM
+        self._highest[order.task] = order.number
+        self.lease_until_ms = max(self.lease_until_ms, order.lease_until_ms)
+        self.running[order.task] = _Run(order.number, order.lease_until_ms)
+        self.starts.append(order)
+        return vms.OrderOutcome.DONE
