Count tasks on silent VMs as away; shorter leases on VMs

Change: at work means on a VM that answers; leases of 5 s at most, and a successor waits for what the former owner's lease leaves. Tests seen failing (the first by the change reverted).

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -20,6 +20,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import session
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
@@ -31,6 +32,9 @@
 # How long an owner goes on without having renewed its lease in the store;
 # its successor waits for that where a VM of the pool does not answer it.
 ORDERS_WITHOUT_STORE_MS = 6_000
+# Long enough for a successor to extend what runs; a VM that has died is given
+# up this late.
+_LONGEST_LEASE_MS = 5_000
 _PLAN_GAP_MS = 8
 _PLAN_AT_LEAST_MS = 100
 _RETRY_AFTER_MS = 1_000
@@ -81,6 +85,7 @@
         self._connect = connect
         self._clock = clock
         self._settings = settings
+        self._lease_ms = min(settings.lease_ms, _LONGEST_LEASE_MS)
         self._lost = lost
         self._random = random.Random()
         self._journal = journal_module.Journal(
@@ -279,8 +284,10 @@
         return True
 
     def _foreign_lease_over_ms(self) -> int:
-        lease_ms = int(self._settings.lease_ms / vm_module.SLOWEST_CLOCK)
-        return self._clock.monotonic_ms() + ORDERS_WITHOUT_STORE_MS + lease_ms
+        # The former owner's last renewal is older than the store's lease.
+        orders_ms = ORDERS_WITHOUT_STORE_MS - session.LEASE_TTL_MS
+        lease_ms = int(self._lease_ms / vm_module.SLOWEST_CLOCK)
+        return self._clock.monotonic_ms() + orders_ms + lease_ms
 
     def _restore(self, item: store.Item) -> None:
         decoded = record.decode(item.value or b"")
@@ -317,7 +324,7 @@
             self._connect(report),
             self._journal,
             self._clock,
-            self._settings.lease_ms,
+            self._lease_ms,
             self._wake.set,
             self._fenced,
         )
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -455,10 +455,18 @@
         away = sum(
             1
             for member in members.tasks
-            if member.run is not run and not _at_work(member)
+            if member.run is not run and not self._at_work(member)
         )
         return away < limit
 
+    def _at_work(self, task: job_module.Task) -> bool:
+        run = task.run
+        if run is None or run.phase is not job_module.RunPhase.RUNNING:
+            return False
+        vm = self.vms.get(run.vm)
+        answers = vm is not None and vm.standing is vm_module.Standing.USABLE
+        return answers and run.percent >= _AT_WORK_PERCENT
+
     def _gang_broken(self, job: job_module.Job, run: job_module.Run) -> bool:
         members = job.steps(run.task.id.occurrence)[run.task.id.step].tasks
         return any(member.run is None for member in members)
@@ -598,12 +606,3 @@
         vm.remove(run)
         if run.task.run is run:
             run.task.run = None
-
-
-def _at_work(task: job_module.Task) -> bool:
-    run = task.run
-    return (
-        run is not None
-        and run.phase is job_module.RunPhase.RUNNING
-        and run.percent >= _AT_WORK_PERCENT
-    )
--- /dev/null
+++ b/tests/scheduling/test_pool.py
@@ -0,0 +1,189 @@
+"""Tests of a pool's decisions, in virtual time."""
+
+import testtools
+
+from support import fake_vms
+from support import jobs
+from wagtailtiller import clock
+from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import model
+from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import commands
+from wagtailtiller.scheduling import pool as pool_module
+
+_LASTING = {"long_running": True, "max_unavailable": 1, "max_per_vm": 1}
+
+
+class PoolTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.FakeClock()
+        self.pool = pool_module.Pool(jobs.POOL, 1, self.clock)
+        self.pool.set_queues([jobs.queue()])
+
+    def add_vm(self, name, **fields):
+        vm = self.pool.vm_reported(fake_vms.report(name, **fields))
+        self.answer(vm)
+        return vm
+
+    def answer(self, vm, percent=100, ended=()):
+        """Let a VM list all that the pool believes to run there."""
+        self.clock.advance(1)
+        self.pool.vm_answered(vm, self.clock.now_ms, self.clock.now_ms)
+        rows = tuple(
+            vms.ListedRun(task, run.number, "", percent, 0)
+            for task, run in vm.runs.items()
+            if not any(end.task == task for end in ended)
+        )
+        listing = vms.Listing(
+            self.clock.now_ms, vm.report.born_ms, rows, tuple(ended)
+        )
+        return self.pool.listed(vm, vm.token, self.clock.now_ms, listing)
+
+    def add_job(self, name, *steps, inherited=False):
+        job = jobs.job(name * 16, jobs.spec(*steps))
+        return self.pool.add(job, inherited, model.JobState.QUEUED)
+
+    def start_all(self):
+        starts = [c for c in self.pool.plan() if isinstance(c, commands.Start)]
+        for start in starts:
+            vm = self.pool.vms[start.vm]
+            self.pool.start_answered(vm, start.run, vms.OrderOutcome.DONE)
+        return starts
+
+    def end(self, vm, run, kind):
+        position = vm.seen_end + 1
+        task = run.task.id
+        ended = vms.ListedEnd(position, task, run.number, kind, "")
+        return self.answer(vm, ended=[ended])
+
+    def stops(self):
+        return [c for c in self.pool.plan() if isinstance(c, commands.Stop)]
+
+
+class LastingTasksTest(PoolTest):
+    def test_vacating_waits_while_another_task_is_on_a_silent_vm(self):
+        vms_up = [self.add_vm(f"vm-{number}") for number in range(4)]
+        self.add_job("a", jobs.step(3, **_LASTING))
+        self.start_all()
+        busy = [vm for vm in vms_up if vm.runs]
+        for vm in busy:
+            self.answer(vm)
+        self.pool.vm_silent(busy[0])
+        busy[1].moves_lasting_until_ms = self.clock.now_ms + 10_000
+        self.assertEqual([], self.stops())
+        self.answer(busy[0])
+        self.assertEqual(1, len(self.stops()))
+
+    def test_vacating_takes_one_task_of_a_step_at_a_time(self):
+        vms_up = [self.add_vm(f"vm-{number}") for number in range(5)]
+        self.add_job("a", jobs.step(3, **_LASTING))
+        self.start_all()
+        for vm in vms_up:
+            self.answer(vm)
+            vm.moves_lasting_until_ms = self.clock.now_ms + 10_000
+        self.assertEqual(1, len(self.stops()))
+        self.assertEqual(0, len(self.stops()))
+
+    def test_a_task_that_starts_up_counts_as_away(self):
+        vms_up = [self.add_vm(f"vm-{number}") for number in range(4)]
+        self.add_job("a", jobs.step(3, **_LASTING))
+        self.start_all()
+        busy = [vm for vm in vms_up if vm.runs]
+        self.answer(busy[0], percent=40)
+        self.answer(busy[1])
+        self.answer(busy[2])
+        busy[1].moves_lasting_until_ms = self.clock.now_ms + 10_000
+        self.assertEqual([], self.stops())
+
+
+class RetryTest(PoolTest):
+    def test_the_job_fails_after_the_last_attempt(self):
+        vm = self.add_vm("vm-1")
+        entry = self.add_job("a")
+        for _ in range(3):
+            (start,) = self.start_all()
+            self.end(vm, start.run, job_module.EndKind.FAILED)
+        self.assertIs(model.JobState.FAILED, entry.job.state)
+        self.assertEqual([], self.start_all())
+
+    def test_ends_without_fault_do_not_count_as_attempts(self):
+        vm = self.add_vm("vm-1")
+        entry = self.add_job("a")
+        for _ in range(5):
+            (start,) = self.start_all()
+            self.end(vm, start.run, job_module.EndKind.LAPSED)
+        self.assertIs(model.JobState.RUNNING, entry.job.state)
+
+    def test_run_numbers_rise(self):
+        vm = self.add_vm("vm-1")
+        self.add_job("a")
+        numbers = []
+        for _ in range(3):
+            (start,) = self.start_all()
+            numbers.append(start.run.number)
+            self.end(vm, start.run, job_module.EndKind.STOPPED)
+        self.assertEqual([1, 2, 3], numbers)
+
+
+class OrderOfStepsTest(PoolTest):
+    def test_a_step_waits_for_all_tasks_of_the_one_before(self):
+        vm = self.add_vm("vm-1")
+        self.add_job("a", jobs.step(2), jobs.step(1, after=(0,)))
+        first, second = self.start_all()
+        self.end(vm, first.run, job_module.EndKind.DONE)
+        self.assertEqual([], self.start_all())
+        self.end(vm, second.run, job_module.EndKind.DONE)
+        (third,) = self.start_all()
+        self.assertEqual(1, third.run.task.id.step)
+
+
+class TakeoverTest(PoolTest):
+    def test_inherited_tasks_wait_for_members_that_do_not_answer(self):
+        self.pool.unsettled = {"vm-9": self.clock.now_ms + 5_000}
+        self.add_vm("vm-1")
+        self.add_job("a", inherited=True)
+        self.add_job("b")
+        jobs_started = {s.run.task.id.job[0] for s in self.start_all()}
+        self.assertEqual({"b"}, jobs_started)
+        self.clock.advance(5_000)
+        self.pool.expire()
+        (start,) = self.start_all()
+        self.assertEqual("a", start.run.task.id.job[0])
+
+    def test_what_a_vm_lists_is_adopted_and_not_started_again(self):
+        vm = self.pool.vm_reported(fake_vms.report("vm-1"))
+        entry = self.add_job("a", inherited=True)
+        task = model.TaskId(entry.job.id, 0, 0, 0)
+        row = vms.ListedRun(task, 7, "saved", 10, 0)
+        listing = vms.Listing(self.clock.now_ms, 1, (row,), ())
+        self.pool.listed(vm, vm.token, self.clock.now_ms, listing)
+        self.assertEqual([], self.start_all())
+        self.assertEqual(7, entry.job.task(task).last_run)
+
+    def test_a_run_of_an_unknown_job_is_stopped(self):
+        vm = self.pool.vm_reported(fake_vms.report("vm-1"))
+        task = model.TaskId(model.JobId("f" * 16), 0, 0, 0)
+        row = vms.ListedRun(task, 7, "", 10, 0)
+        listing = vms.Listing(self.clock.now_ms, 1, (row,), ())
+        orders = self.pool.listed(vm, vm.token, self.clock.now_ms, listing)
+        self.assertIsInstance(orders[0], commands.StopUnknown)
+
+
+class GangTest(PoolTest):
+    def test_a_gang_starts_whole_or_not_at_all(self):
+        small = vms.Resources(2_000, 1_000)
+        self.add_vm("vm-1", capacity=small)
+        self.add_job("a", jobs.step(3, gang=True))
+        self.assertEqual([], self.start_all())
+        self.add_vm("vm-2", capacity=small)
+        starts = self.start_all()
+        self.assertEqual(3, len(starts))
+        self.assertEqual(1, len({start.run.number for start in starts}))
+
+    def test_one_good_end_is_the_whole_gang_s(self):
+        vm = self.add_vm("vm-1")
+        entry = self.add_job("a", jobs.step(3, gang=True))
+        starts = self.start_all()
+        self.end(vm, starts[0].run, job_module.EndKind.DONE)
+        self.assertIs(model.JobState.COMPLETED, entry.job.state)
