Acknowledge ends only after the commit that holds them

Ruled out: late transactions (each write expects its job's revision). Change: a flush also waits for what is being committed.

--- a/src/wagtailtiller/owner/journal.py
+++ b/src/wagtailtiller/owner/journal.py
@@ -54,6 +54,7 @@
         self._held = held
         self._backoff = backoff
         self._waiting: dict[model.JobId, asyncio.Future[Outcome]] = {}
+        self._under_way: list[asyncio.Future[Outcome]] = []
         self._uncertain: set[model.JobId] = set()
         self._wake = asyncio.Event()
         self.deposed = asyncio.Event()
@@ -70,8 +71,9 @@
     async def flush(self, timeout_ms: int) -> bool:
         """Write all changed jobs; say whether all were stored in time."""
         jobs, self._pool.changed = self._pool.changed, set()
-        futures = [self.write(job) for job in jobs]
-        futures += [f for f in self._waiting.values() if f not in futures]
+        for job in jobs:
+            self.write(job)
+        futures = {*self._waiting.values(), *self._under_way}
         if not futures:
             return True
         _, pending = await asyncio.wait(futures, timeout=timeout_ms / 1_000)
@@ -88,7 +90,9 @@
             if not self._waiting:
                 self._wake.clear()
             if batch:
+                self._under_way = list(batch.values())
                 await self._commit(batch)
+                self._under_way = []
 
     def stop(self) -> None:
         """Answer all that wait; nothing more is written."""
--- a/support/fakes.py
+++ b/support/fakes.py
@@ -34,6 +34,7 @@
         self.state = standin.StoreState()
         self.faults = list(faults)
         self.writes = 0
+        self.refuse_commits = False
         self.late: list[store.Transaction] = []
 
     async def read(self, prefix: str) -> store.ReadAnswer:
@@ -56,6 +57,8 @@
     ) -> store.CommitAnswer:
         """Apply a transaction, with the next fault."""
         fault = await self._fault()
+        if self.refuse_commits:
+            return Error(errors.StoreUnavailable("refused", may_apply=False))
         if fault is Fault.BEFORE:
             return Error(errors.StoreUnavailable("fault"))
         if fault is Fault.LATE:
