Write logs through a bounded writer that never blocks; serve meters

Logs: a queue of limited length, a rate with a burst, a line that says how many were left out, vital events always kept. Meters: every event counts by name and outcome, durations go into histograms, served as text on the metrics address. SIGHUP checks the settings file and is logged; before, it ended the process.

--- a/src/wagtailtiller/entry/settings.py
+++ b/src/wagtailtiller/entry/settings.py
@@ -14,6 +14,7 @@
         caller_address: Where it listens for callers.
         ready_address: Where the balancer asks whether it takes requests.
         peer_address: Where it listens for the other processes.
+        metrics_address: Where meters are served.
         store_address: The key-value store.
         machines_address: The machine service; empty for none.
         policy_address: The placement policy service; empty for none.
@@ -32,6 +33,7 @@
     caller_address: str
     ready_address: str
     peer_address: str
+    metrics_address: str
     store_address: str
     machines_address: str
     policy_address: str
--- a/src/wagtailtiller/events.py
+++ b/src/wagtailtiller/events.py
@@ -4,10 +4,14 @@
 """
 
 import enum
-import sys
+import time
 from typing import Any
 
 import eliot
+import msgspec
+
+from wagtailtiller import logs
+from wagtailtiller import meters
 
 
 class Event(enum.Enum):
@@ -66,27 +70,76 @@
     STATE_UNREADABLE = 3002
 
 
+_VITAL = frozenset(
+    {
+        Event.ENTRY_STARTED,
+        Event.ENTRY_STOPPING,
+        Event.ENTRY_STOPPED,
+        Event.SETTINGS_RELOADED,
+        Event.SESSION_LAPSED,
+        Event.SHARD_CLAIMED,
+        Event.SHARD_LOST,
+        Event.STORE_UNREACHABLE,
+        Event.STORE_REACHED,
+        Event.TASK_FAILED,
+    }
+)
+_VITAL_NUMBERS = frozenset(str(event.value) for event in _VITAL)
+_PREFIX = "wagtailtiller:"
+_STANDARD_OUTPUT = 1
+
+
 class _Log:
-    enabled = False
+    writer: logs.LineWriter | None = None
 
 
 def start_logging() -> None:
     """Send events to standard output; before this, none are kept."""
-    eliot.to_file(sys.stdout)
-    _Log.enabled = True
+    _Log.writer = logs.LineWriter(_STANDARD_OUTPUT, _dropped, time.monotonic)
+    eliot.add_destinations(_write)
+
+
+def stop_logging() -> None:
+    """Write what still waits, as far as the reader takes it."""
+    if _Log.writer is not None:
+        _Log.writer.flush()
 
 
 def emit(event: Event, **fields: Any) -> None:
-    """Log one event.
+    """Log and count one event.
 
     Args:
         event: Which one.
         **fields: What it was about; names carry their unit.
     """
-    if not _Log.enabled:
+    if _Log.writer is None:
         return
+    name = event.name.lower()
+    meters.note(name, fields)
     eliot.log_message(
-        message_type=f"wagtailtiller:{event.value}",
-        event=event.name.lower(),
-        **fields,
+        message_type=f"{_PREFIX}{event.value}", event=name, **fields
+    )
+
+
+def _write(message: dict[str, Any]) -> None:
+    if _Log.writer is None:
+        return
+    kind = str(message.get("message_type", ""))
+    vital = kind.removeprefix(_PREFIX) in _VITAL_NUMBERS
+    _Log.writer.put(_encode(message), vital)
+
+
+def _encode(message: dict[str, Any]) -> bytes:
+    return msgspec.json.encode(message, enc_hook=str)
+
+
+def _dropped(count: int) -> bytes:
+    event = Event.LINES_DROPPED
+    return _encode(
+        {
+            "event": event.name.lower(),
+            "count": count,
+            "timestamp": time.time(),
+            "message_type": f"{_PREFIX}{event.value}",
+        }
     )
--- a/src/wagtailtiller/platform/main.py
+++ b/src/wagtailtiller/platform/main.py
@@ -12,6 +12,7 @@
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
+from wagtailtiller import meters
 from wagtailtiller.entry import node as node_module
 from wagtailtiller.entry import settings as settings_module
 from wagtailtiller.platform import callers as callers_module
@@ -24,6 +25,7 @@
 _Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 _EXIT_BAD_SETTINGS = 2
+_METRICS_PATH = "/metrics"
 # The balancer stops sending new connections after two checks that fail.
 _BALANCER_NOTICE_S = 2.5
 _LOOK_EVERY_S = 0.05
@@ -54,6 +56,7 @@
         self._runners = [
             await _listen(self._callers.handle, self.settings.caller_address),
             await _listen(self._ready, self.settings.ready_address),
+            await _listen(_metrics, self.settings.metrics_address),
         ]
         await self._node.start()
         events.emit(
@@ -95,6 +98,14 @@
         return web.Response(status=200 if ready else 503)
 
 
+async def _metrics(request: web.BaseRequest) -> web.Response:
+    if request.path != _METRICS_PATH:
+        return web.Response(status=404)
+    return web.Response(
+        body=meters.text(), headers={"Content-Type": meters.CONTENT_TYPE}
+    )
+
+
 async def _listen(handler: _Handler, address: str) -> web.ServerRunner:
     runner = web.ServerRunner(
         web.Server(handler, keepalive_timeout=75.0), shutdown_timeout=0.2
@@ -105,6 +116,17 @@
     return runner
 
 
+def _reload() -> None:
+    # Addresses and bounds last as long as the process; a changed file is
+    # checked now, so that a fault in it shows before the next start.
+    loaded = settings_file.load()
+    events.emit(
+        events.Event.SETTINGS_RELOADED,
+        outcome="valid" if loaded.is_ok() else "invalid",
+        detail="" if loaded.is_ok() else str(loaded.error),
+    )
+
+
 def main() -> int:
     """Run the entry process until it is told to stop.
 
@@ -116,4 +138,4 @@
         print(f"settings: {loaded.error}", file=sys.stderr)
         return _EXIT_BAD_SETTINGS
     events.start_logging()
-    return runtime.serve(EntryService(settings=loaded.ok))
+    return runtime.serve(EntryService(settings=loaded.ok), _reload)
--- a/src/wagtailtiller/platform/settings.py
+++ b/src/wagtailtiller/platform/settings.py
@@ -13,6 +13,8 @@
 from wagtailtiller import ids
 from wagtailtiller.entry import settings
 
+# The same port stands in the deploy file.
+_METRICS_PORT = 9464
 PATH_VARIABLE = "WAGTAILTILLER_BOOT"
 
 
@@ -82,6 +84,7 @@
             caller_address=found.listen.front,
             ready_address=found.listen.ready,
             peer_address=f"{found.ip}:{found.port_range[0]}",
+            metrics_address=f"{found.ip}:{_METRICS_PORT}",
             store_address=found.platform.address,
             machines_address=found.cloud.address if found.cloud else "",
             policy_address=found.advice or "",
--- a/src/wagtailtiller/runtime.py
+++ b/src/wagtailtiller/runtime.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import os
 import signal
@@ -56,23 +57,30 @@
         return runner.run(main)
 
 
-def serve(service: aiomisc.Service) -> int:
+def serve(
+    service: aiomisc.Service, reload: Callable[[], None] | None = None
+) -> int:
     """Run a service until SIGTERM or SIGINT, then stop it gracefully.
 
     Args:
         service: Its ``stop`` may take as long as requests in flight need.
+        reload: Called at SIGHUP; None leaves that signal alone.
 
     Returns:
         The exit code.
     """
-    return run(_serve(service))
+    return run(_serve(service, reload))
 
 
-async def _serve(service: aiomisc.Service) -> int:
+async def _serve(
+    service: aiomisc.Service, reload: Callable[[], None] | None
+) -> int:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     # The library's own handling of signals cancels what is in flight.
     async with aiomisc.entrypoint(
         service,
@@ -81,6 +89,7 @@
         shutdown_timeout=_LONGEST_STOP_S,
     ):
         await stopping.wait()
+    events.stop_logging()
     return _EXIT_FAILED if _Failures.seen else 0
 
 
--- a/tests/owner/test_journal.py
+++ b/tests/owner/test_journal.py
@@ -49,8 +49,7 @@
         asyncio.run(wrapped())
 
     def add_job(self, *steps):
-        entry = self.pool.add(jobs.job(_JOB, jobs.spec(*steps)), False)
-        return entry
+        return self.pool.add(jobs.job(_JOB, jobs.spec(*steps)), False)
 
     def stored(self):
         return record.decode(self.store.state.item(_KEY).value).ok
@@ -147,4 +146,3 @@
             self.assertIs(model.JobState.CANCELLED, self.stored().state)
 
         self.run_with(main)
-
