Let a wave's machine count as absent, and lasting tasks bring machines in

Ruled out: order of tasks (nothing else waited). Change: machines due for a wave do not count as present; a lasting task that finds no room asks for one machine more.

--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -121,6 +121,7 @@
         idle_core_ms: The part of it that waits for a start.
         arrived_core_ms: Work that has arrived since the owner took over.
         lasting_millicores: What tasks that last need.
+        lasting_waiting: How many of them have waited for a while.
         vms: Each VM.
     """
 
@@ -128,6 +129,7 @@
     idle_core_ms: float
     arrived_core_ms: float
     lasting_millicores: int
+    lasting_waiting: int
     vms: tuple[VmLoad, ...]
 
 
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -243,6 +243,7 @@
             idle_core_ms,
             self._arrived_core_ms,
             lasting,
+            self.pool.lasting_waiting(),
             tuple(_vm_load(vm) for vm in self.pool.vms.values()),
         )
 
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -26,6 +26,8 @@
 _AVOID_MS = 200
 # A stop that has not led to an end is ordered again.
 _STOP_AGAIN_MS = 1_000
+# A task that lasts starts at once where there is room.
+_LASTING_PATIENCE_MS = 500
 # A task that lasts is at work when it has started up.
 _AT_WORK_PERCENT = 100
 _SLOWEST_CLOCK = vm_module.SLOWEST_CLOCK
@@ -168,6 +170,21 @@
                 )
         return idle_core_ms, lasting
 
+    def lasting_waiting(self) -> int:
+        """Return how many tasks that last have found no room for a while."""
+        now_ms = self._clock.monotonic_ms()
+        wall_ms = self._clock.wall_ms()
+        count = 0
+        for entry in self._active.values():
+            if not entry.job.long_running:
+                continue
+            if now_ms - entry.accepted_ms < _LASTING_PATIENCE_MS:
+                continue
+            for step_run in entry.job.ready_steps(wall_ms):
+                if step_run.step.long_running:
+                    count += len(step_run.idle_tasks())
+        return count
+
     # VMs.
 
     def vm_reported(self, report: vms.VmReport) -> vm_module.Vm | None:
--- a/src/wagtailtiller/upkeep/demand.py
+++ b/src/wagtailtiller/upkeep/demand.py
@@ -27,6 +27,7 @@
         idle_core_ms: Work that waits for a start.
         running_millicores: What tasks that end take now.
         lasting_millicores: What tasks that last need.
+        lasting_waiting: How many of them wait for a start.
     """
 
     at_ms: int
@@ -34,6 +35,7 @@
     idle_core_ms: float
     running_millicores: int
     lasting_millicores: int
+    lasting_waiting: int
 
 
 class Demand:
@@ -56,10 +58,20 @@
         while load.at_ms - self._needs[0][0] > _KEEP_MS:
             self._needs.popleft()
 
-    def machines(self, machine_cores: float) -> int:
-        """Return how many machines the pool needs, at least one."""
+    def machines(self, machine_cores: float, present: int) -> int:
+        """Return how many machines the pool needs, at least one.
+
+        Args:
+            machine_cores: What one machine offers.
+            present: How many machines stand in the pool, without those on
+                their way to it.
+        """
         cores = max((cores for _, cores in self._needs), default=0.0)
-        return max(1, math.ceil(cores / machine_cores))
+        wanted = max(1, math.ceil(cores / machine_cores))
+        if self._loads and self._loads[-1].lasting_waiting:
+            # Memory or spread may keep it from starting, not cores.
+            return max(wanted, present + 1)
+        return wanted
 
     def _cores_now(self) -> float:
         newest = self._loads[-1]
--- a/src/wagtailtiller/upkeep/fleet.py
+++ b/src/wagtailtiller/upkeep/fleet.py
@@ -142,7 +142,7 @@
                 pass
 
     def open_machines(self, pool: ids.PoolId) -> int:
-        """Return how many machines a pool has or will have soon."""
+        """Return how many machines a pool can use now or very soon."""
         count = 0
         for machine in self.machines.values():
             errand = self.errands.get(machine.machine)
@@ -151,9 +151,20 @@
                 target = errand.pool
             if machine.state is machines.MachineState.DOWN:
                 continue
+            if errand is not None and errand.wave is not None:
+                continue
             count += target == pool
         return count
 
+    def _present(self, pool: ids.PoolId) -> int:
+        return sum(
+            1
+            for machine in self.machines.values()
+            if machine.pool == pool
+            and machine.state is machines.MachineState.UP
+            and machine.machine not in self.errands
+        )
+
     def _check(self, errand: Errand) -> None:
         machine = self.machines.get(errand.machine)
         if machine is None:
@@ -225,12 +236,17 @@
     # Moves.
 
     def _plan_moves(self) -> None:
-        wanted = {
-            pool: facts.need.machines(self._machine_cores())
+        needs = {
+            pool: facts.need
             for pool, facts in self.pools.items()
             if facts.need is not None
         }
-        have = {pool: self.open_machines(pool) for pool in wanted}
+        have = {pool: self.open_machines(pool) for pool in needs}
+        cores = self._machine_cores()
+        wanted = {
+            pool: need.machines(cores, self._present(pool))
+            for pool, need in needs.items()
+        }
         missing = sorted(
             (pool for pool in wanted if wanted[pool] > have[pool]),
             key=lambda pool: have[pool] / wanted[pool],
--- a/src/wagtailtiller/upkeep/keeper.py
+++ b/src/wagtailtiller/upkeep/keeper.py
@@ -164,6 +164,7 @@
                 load.idle_core_ms,
                 running,
                 load.lasting_millicores,
+                load.lasting_waiting,
             )
         )
         for vm in load.vms:
--- /dev/null
+++ b/tests/upkeep/test_fleet.py
@@ -0,0 +1,150 @@
+"""Tests of the fleet's decisions on machines, in virtual time."""
+
+import testtools
+
+from wagtailtiller import clock
+from wagtailtiller import ids
+from wagtailtiller.owner import messages
+from wagtailtiller.ports import machines
+from wagtailtiller.ports import vms
+from wagtailtiller.upkeep import demand
+from wagtailtiller.upkeep import fleet as fleet_module
+
+_RENDERS = ids.PoolId("renders")
+_SPARE = ids.PoolId("spare")
+_WAVE = ids.WaveId("1")
+
+
+class FleetTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.FakeClock()
+        self.fleet = fleet_module.Fleet(self.clock)
+        self.need = demand.Demand()
+        self.fleet.pools = {
+            _RENDERS: fleet_module.PoolFacts(False, self.need),
+            _SPARE: fleet_module.PoolFacts(True, None),
+        }
+        self.listed = {}
+
+    def add(self, name, pool, state=machines.MachineState.UP):
+        self.listed[name] = machines.Machine(
+            ids.MachineId(name),
+            pool,
+            state,
+            ids.DataCentreId("dc-1"),
+            ("a", "r1"),
+            vms.Resources(32_000, 131_072),
+            ids.VmId("" if pool == _SPARE else f"vm-{name}"),
+        )
+        self.fleet.list_machines(list(self.listed.values()))
+
+    def load(self, name, lasting_runs=0, runs=0):
+        vm = ids.VmId(f"vm-{name}")
+        self.fleet.loads[vm] = messages.VmLoad(
+            vm, runs + lasting_runs, lasting_runs, 32_000, 0, True
+        )
+
+    def demand(self, cores=0.0, lasting_waiting=0):
+        self.need.note(
+            demand.PoolLoad(
+                self.clock.now_ms,
+                0.0,
+                0.0,
+                int(cores * 1_000),
+                0,
+                lasting_waiting,
+            )
+        )
+
+    def wave(self, *names, max_out=1):
+        wave = machines.Wave(_WAVE, names, 20_000, max_out)
+        self.fleet.waves[_WAVE] = fleet_module.WaveBook(wave, set())
+
+    def errands(self, **fields):
+        return [
+            errand
+            for errand in self.fleet.errands.values()
+            if all(getattr(errand, k) == v for k, v in fields.items())
+        ]
+
+    def test_a_wave_over_a_pool_s_only_machine_brings_another_in(self):
+        self.add("a", _RENDERS)
+        self.add("b", _SPARE)
+        self.load("a", lasting_runs=4)
+        self.demand(cores=2)
+        self.wave("a")
+        self.fleet.plan()
+        self.assertEqual(["b"], [e.machine for e in self.errands(wave=None)])
+
+    def test_a_lasting_task_without_room_brings_a_machine_in(self):
+        self.add("a", _RENDERS)
+        self.add("b", _SPARE)
+        self.load("a", lasting_runs=3)
+        self.demand(cores=2, lasting_waiting=1)
+        self.fleet.plan()
+        self.assertEqual(["b"], [e.machine for e in self.errands()])
+
+    def test_a_lasting_task_without_room_brings_in_only_one(self):
+        self.add("a", _RENDERS)
+        for name in "bcd":
+            self.add(name, _SPARE)
+        self.load("a", lasting_runs=3)
+        self.demand(cores=2, lasting_waiting=1)
+        for _ in range(4):
+            self.fleet.plan()
+        self.assertEqual(1, len(self.errands()))
+
+    def test_no_more_are_out_than_the_wave_allows(self):
+        for name in "abcd":
+            self.add(name, _RENDERS)
+            self.load(name)
+        self.demand(cores=100)
+        self.wave("a", "b", "c", "d", max_out=2)
+        self.fleet.plan()
+        self.fleet.plan()
+        self.assertEqual(2, len(self.errands(wave=_WAVE)))
+
+    def test_a_maintained_machine_counts_as_out_until_it_is_back(self):
+        for name in "ab":
+            self.add(name, _RENDERS)
+            self.load(name)
+        self.demand(cores=60)
+        self.wave("a", "b")
+        self.fleet.plan()
+        (errand,) = self.errands(wave=_WAVE)
+        self.fleet.ordered(errand, machines.MachineOutcome.DONE)
+        self.fleet.list_machines(list(self.listed.values()))
+        self.fleet.plan()
+        self.assertEqual(1, len(self.errands(wave=_WAVE)))
+
+    def test_a_machine_is_ordered_only_on_fresh_word_that_it_is_empty(self):
+        self.add("a", _RENDERS)
+        self.load("a")
+        self.demand()
+        self.wave("a")
+        self.fleet.plan()
+        (errand,) = self.errands(wave=_WAVE)
+        self.assertFalse(self.fleet.may_order(errand))
+        self.fleet.vacated(errand, 0)
+        self.assertTrue(self.fleet.may_order(errand))
+        self.clock.advance(1_000)
+        self.assertFalse(self.fleet.may_order(errand))
+
+    def test_an_idle_machine_goes_back_to_standby(self):
+        for name in "abc":
+            self.add(name, _RENDERS)
+            self.load(name)
+        self.add("s", _SPARE)
+        self.demand(cores=20)
+        self.fleet.plan()
+        self.assertEqual(2, len(self.errands(pool=_SPARE)))
+
+    def test_a_machine_with_lasting_tasks_stays(self):
+        for name in "ab":
+            self.add(name, _RENDERS)
+            self.load(name, lasting_runs=1)
+        self.add("s", _SPARE)
+        self.demand(cores=5)
+        self.fleet.plan()
+        self.assertEqual([], self.errands())
