Ask the placement policy, pace fillers, store jobs without an owner

Change: steps of queues with a policy start only with a ticket that holds; the policy is asked one question at a time. Fillers beside serving tasks are paced by the worst tail on their VM. A front stores a job itself when its pool has no owner in reach, and owners follow such jobs; ended jobs are forgotten after their time.

--- a/src/wagtailtiller/entry/front.py
+++ b/src/wagtailtiller/entry/front.py
@@ -5,9 +5,11 @@
 from typing import Protocol
 
 from wagtailtiller import clock as clock_module
+from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller.entry import peers
+from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import keys
@@ -21,6 +23,8 @@
 # Kept back from a caller's time, so that the answer still reaches it.
 _MARGIN_MS = 150
 _NO_OWNER_RETRY_MS = 1_000
+# Jobs that no owner has accepted carry no owner's epoch.
+_NO_EPOCH = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -156,11 +160,15 @@
                     pass
                 case _:
                     sent = sent or address is not None
-            if address is None and not sent:
-                outcome = Refused(
-                    admission.RefusalReason.NO_OWNER, _NO_OWNER_RETRY_MS
-                )
-                break
+            if answer is None:
+                stored = await self._store_directly(queue, job, spec)
+                if isinstance(stored, Accepted):
+                    outcome = stored
+                    break
+                if stored is not None and not sent:
+                    outcome = stored
+                    break
+                sent = True
             if self._clock.monotonic_ms() >= end_ms:
                 outcome = Unknown()
                 break
@@ -221,6 +229,34 @@
                 return Unknown()
             await asyncio.sleep(_AGAIN_MS / 1_000)
 
+    async def _store_directly(
+        self, queue: catalogue.Queue, job: model.JobId, spec: model.JobSpec
+    ) -> Outcome | None:
+        """Store a job whose pool has no owner in reach; None: uncertain.
+
+        The owner, or the next one, finds it in the store.
+        """
+        fresh = job_module.Job(
+            job, queue.queue, spec, self._clock.wall_ms(), _NO_EPOCH
+        )
+        key = keys.job(queue.pool, job)
+        write = store.Write(key, record.encode(fresh))
+        answer = await self._store.commit(
+            store.Transaction({key: store.ABSENT}, (write,))
+        )
+        if answer.is_ok():
+            return Accepted()
+        match answer.error:
+            case store.PreconditionFailed():
+                return Accepted()
+            case errors.StoreUnavailable(may_apply=False):
+                return Refused(
+                    admission.RefusalReason.STORE_UNAVAILABLE,
+                    _NO_OWNER_RETRY_MS,
+                )
+            case _:
+                return None
+
     async def _ask(
         self, address: str | None, request: messages.Request, end_ms: int
     ) -> messages.Answer | None:
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -19,6 +19,7 @@
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import declarations
 from wagtailtiller.ports import machines
+from wagtailtiller.ports import policy
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
 from wagtailtiller.upkeep import keeper as keeper_module
@@ -39,12 +40,14 @@
         declared: What operators and VMs have written.
         connect: Opens the connection to a VM.
         machines: The machine service; None if there is none.
+        placement_policy: The placement policy service; None if there is none.
     """
 
     store: store.Store
     declared: declarations.Declarations
     connect: Callable[[vms.VmReport], vms.VmClient]
     machines: machines.Machines | None
+    placement_policy: policy.Policy | None = None
 
 
 class Node:
@@ -177,6 +180,7 @@
                 self._settings.vm_lease_ms, self._settings.job_kept_ms
             ),
             self._owner_lost,
+            self._outside.placement_policy,
         )
         self._owners[owner.pool_id] = owner
         self._inform(owner)
--- a/src/wagtailtiller/events.py
+++ b/src/wagtailtiller/events.py
@@ -60,6 +60,8 @@
     RUN_ENDED = 4302
     RUN_STOPPED = 4303
     RUN_LOST = 4304
+    RUN_PACED = 4305
+    POLICY_ASKED = 4306
     VM_JOINED = 4401
     VM_SILENT = 4402
     VM_ANSWERS = 4403
--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -47,6 +47,8 @@
         started_ms: When it was ordered, on the owner's clock.
         confirmed_ms: When its start was first known, on the owner's clock.
         percent: What its VM listed: progress, or the share at work.
+        pace_percent: The share of its speed that it was last allowed.
+        usage: Tail latency in ms of a serving task, else processor use.
         stop_sent_ms: When a stop was last ordered; 0: never.
     """
 
@@ -57,6 +59,8 @@
     started_ms: int
     confirmed_ms: int = 0
     percent: int = 0
+    pace_percent: int = 100
+    usage: int = 0
     stop_sent_ms: int = 0
 
 
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -20,8 +20,10 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import mirror
 from wagtailtiller.ownership import session
 from wagtailtiller.ports import catalogue
+from wagtailtiller.ports import policy
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import admission
@@ -42,6 +44,11 @@
 # How long an emptied VM stays closed without being asked about again.
 _VACATE_HOLD_MS = 3_000
 _TRIM_EVERY_MS = 1_000
+_FOREIGN_WAIT_MS = 5_000
+_FOREIGN_PAUSE_MS = 1_000
+_FORGET_EVERY_MS = 5_000
+# Jobs are kept somewhat longer than promised.
+_KEPT_FACTOR = 1.2
 
 
 class OwnerSettings(msgspec.Struct, frozen=True):
@@ -66,6 +73,8 @@
         clock: The time.
         settings: What the platform lays down.
         lost: Called when the ownership turns out to be lost.
+        placement_policy: Asked where a queue has a policy; None if there is
+            no such service.
     """
 
     def __init__(
@@ -76,6 +85,7 @@
         clock: clock_module.Clock,
         settings: OwnerSettings,
         lost: Callable[["PoolOwner", str], None],
+        placement_policy: policy.Policy | None = None,
     ) -> None:
         self.held = held
         self.pool_id = ids.PoolId(held.shard)
@@ -87,10 +97,21 @@
         self._settings = settings
         self._lease_ms = min(settings.lease_ms, _LONGEST_LEASE_MS)
         self._lost = lost
+        self._policy = placement_policy
+        self._questions: asyncio.Queue[commands.AskPolicy] = asyncio.Queue()
         self._random = random.Random()
         self._journal = journal_module.Journal(
             source, self.pool, held, follower.Backoff(self._random)
         )
+        self._foreign_jobs = mirror.Mirror(
+            source,
+            keys.jobs(self.pool_id),
+            _FOREIGN_WAIT_MS,
+            clock,
+            follower.Backoff(self._random),
+            self._jobs_changed,
+            pause_ms=_FOREIGN_PAUSE_MS,
+        )
         self._links: dict[ids.VmId, vm_link.VmLink] = {}
         self._reports: dict[ids.VmId, vms.VmReport] = {}
         self._members: set[ids.VmId] = set()
@@ -103,6 +124,9 @@
         self._tasks = [
             runtime.spawn(self._main()),
             runtime.spawn(self._journal.run()),
+            runtime.spawn(self._ask_policy()),
+            runtime.spawn(self._forget_old_jobs()),
+            runtime.spawn(self._foreign_jobs.run()),
         ]
 
     async def stop(self) -> None:
@@ -364,7 +388,70 @@
             loop = asyncio.get_running_loop()
             loop.call_later(max(due_ms, 1) / 1_000, self._wake.set)
 
-    def _dispatch(self, command: commands.Command) -> None:
+    async def _ask_policy(self) -> None:
+        # The service takes one question of a process at a time.
+        while True:
+            question = await self._questions.get()
+            if self._policy is None:
+                continue
+            asked_ms = self._clock.monotonic_ms()
+            answer = await self._policy.ask(
+                question.task, question.vms, question.within_ms
+            )
+            now_ms = self._clock.monotonic_ms()
+            allowed = 0
+            if answer.is_ok():
+                found = answer.ok
+                allowed = len(found.tickets)
+                self.pool.tickets.answered(
+                    question.task,
+                    question.vms,
+                    found.tickets,
+                    now_ms + found.valid_ms,
+                )
+            else:
+                self.pool.tickets.failed(question.task)
+            events.emit(
+                events.Event.POLICY_ASKED,
+                job=question.task.job,
+                task=question.task[1:],
+                vms=len(question.vms),
+                allowed=allowed,
+                outcome="answered" if answer.is_ok() else str(answer.error),
+                took_ms=now_ms - asked_ms,
+            )
+            self._wake.set()
+
+    async def _forget_old_jobs(self) -> None:
+        kept_ms = int(self._settings.job_kept_ms * _KEPT_FACTOR)
+        while True:
+            await asyncio.sleep(_FORGET_EVERY_MS / 1_000)
+            old = self.pool.expired_jobs(kept_ms)[: store.MOST_ENTRIES - 2]
+            if not old:
+                continue
+            deletes = tuple(keys.job(self.pool_id, job) for job in old)
+            answer = await self._store.commit(
+                store.Transaction(self.held.expectation(), deletes=deletes)
+            )
+            if answer.is_ok():
+                for job in old:
+                    self.pool.drop(job)
+                    self._journal.revisions.pop(job, None)
+
+    def _jobs_changed(self, items: list[store.Item]) -> None:
+        # Fronts store jobs themselves while they cannot reach the owner.
+        if not self.ready:
+            return
+        for item in items:
+            job = model.JobId(item.key.rpartition("/")[2])
+            if item.value is not None and job not in self.pool.entries:
+                self._restore(item)
+                self._wake.set()
+
+    def _dispatch(self, command: commands.Decision) -> None:
+        if isinstance(command, commands.AskPolicy):
+            self._questions.put_nowait(command)
+            return
         link = self._links.get(command.vm)
         if link is not None:
             link.order(command)
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -70,6 +70,8 @@
                 self._background.spawn(self._start(command))
             case commands.Stop() | commands.StopUnknown():
                 self._background.spawn(self._stop(command))
+            case commands.SetPace():
+                self._background.spawn(self._set_pace(command))
 
     async def _run(self) -> None:
         while True:
@@ -142,6 +144,7 @@
             self.vm.lease.extend(now_ms, self._lease_ms),
             token,
             run.task.checkpoint,
+            command.ticket,
         )
         answer = await self._client.start(order)
         events.emit(
@@ -183,3 +186,21 @@
             reason=getattr(command, "reason", "unknown_run"),
             outcome=answer.outcome.value,
         )
+
+    async def _set_pace(self, command: commands.SetPace) -> None:
+        run = command.run
+        answer = await self._client.pace(
+            run.task.id, run.number, command.percent, self.vm.token
+        )
+        if answer.outcome is vms.OrderOutcome.UNANSWERED:
+            # The next listing finds another pace than wanted.
+            run.pace_percent = -1
+        events.emit(
+            events.Event.RUN_PACED,
+            job=run.task.id.job,
+            task=run.task.id[1:],
+            run=run.number,
+            vm=self.vm.report.vm,
+            percent=command.percent,
+            outcome=answer.outcome.value,
+        )
--- a/src/wagtailtiller/platform/main.py
+++ b/src/wagtailtiller/platform/main.py
@@ -18,6 +18,7 @@
 from wagtailtiller.platform import callers as callers_module
 from wagtailtiller.platform import declarations
 from wagtailtiller.platform import machines
+from wagtailtiller.platform import policy
 from wagtailtiller.platform import settings as settings_file
 from wagtailtiller.platform import store
 from wagtailtiller.platform import vms
@@ -49,6 +50,7 @@
                 declarations.PlatformDeclarations(self._store, clock),
                 vms.PlatformVm,
                 self._machines(),
+                self._policy(),
             ),
             clock,
         )
@@ -91,6 +93,11 @@
             self.settings.machines_address, self.settings.node
         )
 
+    def _policy(self) -> policy.PlatformPolicy | None:
+        if not self.settings.policy_address:
+            return None
+        return policy.PlatformPolicy(self.settings.policy_address)
+
     async def _ready(self, request: web.BaseRequest) -> web.Response:
         ready = (
             not self._callers.stopping and self._node.catalogue() is not None
--- /dev/null
+++ b/src/wagtailtiller/platform/policy.py
@@ -0,0 +1,51 @@
+"""Client of the platform's advice service, our placement policy."""
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from wagtailtiller import errors
+from wagtailtiller import ids
+from wagtailtiller.jobs import model
+from wagtailtiller.platform import http
+from wagtailtiller.platform import names
+from wagtailtiller.ports import policy
+
+
+class _Answer(msgspec.Struct):
+    # Rows of a worker's id and the ticket for it.
+    good: list[tuple[str, str]]
+    valid_ms: int = 0
+
+
+class PlatformPolicy:
+    """The ``Policy`` port over the platform's HTTP interface.
+
+    Args:
+        address: The service, as ``ip:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._http = http.Caller(address, 1, 0)
+
+    async def ask(
+        self, task: model.TaskId, vms: list[ids.VmId], within_ms: int
+    ) -> Result[policy.Permissions, errors.PlatformUnavailable]:
+        """Ask which of some VMs may run the step of a task."""
+        body = {"step": names.format_step(task), "workers": vms}
+        answer = await self._http.call(
+            "POST",
+            "/v1/advise",
+            msgspec.json.encode(body),
+            timeout_ms=within_ms,
+        )
+        decoded = http.decode(answer, _Answer)
+        if decoded.is_error():
+            return Error(errors.PlatformUnavailable(decoded.error.reason))
+        tickets = {ids.VmId(vm): ticket for vm, ticket in decoded.ok.good}
+        return Ok(policy.Permissions(tickets, decoded.ok.valid_ms))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
--- a/src/wagtailtiller/scheduling/commands.py
+++ b/src/wagtailtiller/scheduling/commands.py
@@ -4,6 +4,7 @@
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import job
+from wagtailtiller.jobs import model
 
 
 @dataclasses.dataclass(frozen=True)
@@ -13,7 +14,7 @@
     vm: ids.VmId
     run: job.Run
     payload: str
-    queue: ids.QueueId
+    ticket: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,4 +34,23 @@
     run: job.Run
 
 
-Command = Start | Stop | StopUnknown
+@dataclasses.dataclass(frozen=True)
+class SetPace:
+    """Order the share of its speed that a run may use."""
+
+    vm: ids.VmId
+    run: job.Run
+    percent: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AskPolicy:
+    """Ask which VMs may run a task's step."""
+
+    task: model.TaskId
+    vms: list[ids.VmId]
+    within_ms: int
+
+
+Command = Start | Stop | StopUnknown | SetPace
+Decision = Command | AskPolicy
--- a/src/wagtailtiller/scheduling/placement.py
+++ b/src/wagtailtiller/scheduling/placement.py
@@ -23,7 +23,9 @@
     for candidate in candidates:
         if not candidate.fits(task.step) or not _apart(task, candidate):
             continue
-        rank = (_far(task, candidate), candidate.free_cpu)
+        room = candidate.free_cpu
+        # A filler lives on what is left over, so it goes where most is.
+        rank = (_far(task, candidate), -room if task.step.filler else room)
         if best_rank is None or rank < best_rank:
             best, best_rank = candidate, rank
     return best
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -18,6 +18,7 @@
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import order
 from wagtailtiller.scheduling import placement
+from wagtailtiller.scheduling import tickets
 from wagtailtiller.scheduling import vm as vm_module
 
 # Tokens of one owner's epoch; it raises them to settle unanswered orders.
@@ -26,6 +27,9 @@
 _AVOID_MS = 200
 # A stop that has not led to an end is ordered again.
 _STOP_AGAIN_MS = 1_000
+# A question about a step names no more VMs; each costs the service time.
+_MOST_ASKED_VMS = 30
+_POLICY_MARGIN_MS = 2_000
 # A task that lasts starts at once where there is room.
 _LASTING_PATIENCE_MS = 500
 # A task that lasts is at work when it has started up.
@@ -69,7 +73,7 @@
         self.entries: dict[model.JobId, Entry] = {}
         self.vms: dict[ids.VmId, vm_module.Vm] = {}
         self.changed: set[model.JobId] = set()
-        self.deposed = False
+        self.tickets = tickets.Tickets()
         self._clock = clock
         self._queues: dict[ids.QueueId, catalogue.Queue] = {}
         self._active: dict[model.JobId, Entry] = {}
@@ -106,7 +110,9 @@
         accepted_ms = self._clock.monotonic_ms() - (age_ms if inherited else 0)
         entry = Entry(job, accepted_ms, inherited, stored_state)
         self.entries[job.id] = entry
-        if not job.is_final():
+        if job.is_final():
+            entry.final_ms = self._clock.monotonic_ms()
+        else:
             self._active[job.id] = entry
         return entry
 
@@ -115,6 +121,7 @@
         self.entries.pop(job, None)
         self._active.pop(job, None)
         self.changed.discard(job)
+        self.tickets.drop(job)
 
     def cancel(self, job: model.JobId) -> None:
         """Cancel a job; its runs are stopped with the next plan."""
@@ -170,6 +177,17 @@
                 )
         return idle_core_ms, lasting
 
+    def expired_jobs(self, kept_ms: int) -> list[model.JobId]:
+        """Return the jobs that ended longer ago than they must be known."""
+        now_ms = self._clock.monotonic_ms()
+        return [
+            entry.job.id
+            for entry in self.entries.values()
+            if entry.stored_state in model.FINAL_STATES
+            and entry.final_ms
+            and now_ms - entry.final_ms > kept_ms
+        ]
+
     def lasting_waiting(self) -> int:
         """Return how many tasks that last have found no room for a while."""
         now_ms = self._clock.monotonic_ms()
@@ -275,6 +293,9 @@
                 if run.phase is job_module.RunPhase.STARTING:
                     run.phase = job_module.RunPhase.UNCERTAIN
                 return True
+            case vms.OrderOutcome.BAD_TICKET:
+                self.tickets.reject(run.task.id, vm.report.vm)
+                self._clear(vm, run)
             case vms.OrderOutcome.OLD_RUN:
                 # It may be listed as ended; a later run has a higher number.
                 self._clear(vm, run)
@@ -322,6 +343,7 @@
             orders.extend(self._listed_run(vm, row))
         if len(listing.ended) < vms.MOST_ENDS:
             self._drop_unlisted(vm, token, asked_ms, running)
+        orders.extend(self._pace(vm))
         if vm.standing is vm_module.Standing.JOINING:
             vm.standing = vm_module.Standing.USABLE
             self.unsettled.pop(vm.report.vm, None)
@@ -334,10 +356,34 @@
             )
         return orders
 
-    def plan(self) -> list[commands.Command]:
+    def _pace(self, vm: vm_module.Vm) -> list[commands.Command]:
+        fillers = [
+            run
+            for run in vm.runs.values()
+            if run.task.step.filler and run.phase is job_module.RunPhase.RUNNING
+        ]
+        if not fillers:
+            return []
+        worst = max(
+            (
+                run.usage / run.task.step.tail_target_ms
+                for run in vm.runs.values()
+                if run.task.step.tail_target_ms
+            ),
+            default=0.0,
+        )
+        percent = vm.pace.adapt(worst, self._clock.monotonic_ms())
+        orders: list[commands.Command] = []
+        for run in fillers:
+            if run.pace_percent != percent:
+                run.pace_percent = percent
+                orders.append(commands.SetPace(vm.report.vm, run, percent))
+        return orders
+
+    def plan(self) -> list[commands.Decision]:
         """Decide what to start and stop now."""
         now_ms = self._clock.monotonic_ms()
-        orders = self._stops(now_ms)
+        orders: list[commands.Decision] = list(self._stops(now_ms))
         open_vms = [
             vm for vm in self.vms.values() if vm.open_for_starts(now_ms)
         ]
@@ -378,17 +424,26 @@
         entry: Entry,
         step_run: job_module.StepRun,
         open_vms: list[vm_module.Vm],
-    ) -> list[commands.Command]:
+    ) -> list[commands.Decision]:
         idle = step_run.idle_tasks()
         if not idle:
             return []
+        queue = self._queues.get(entry.job.queue)
+        policy = queue.policy if queue is not None else None
+        if policy is not None:
+            asked = self._ask(idle[0], policy, open_vms)
+            if asked is not None:
+                return [asked]
+            open_vms = [
+                vm for vm in open_vms if self._ticket(idle[0], vm) is not None
+            ]
         if step_run.step.gang:
             if len(idle) < len(step_run.tasks):
                 return []
             placed = placement.choose_gang(idle, open_vms) or []
         else:
             placed = []
-        orders: list[commands.Command] = []
+        orders: list[commands.Decision] = []
         if step_run.step.gang:
             number = max(
                 entry.job.next_run_number(task, self.epoch) for task in idle
@@ -422,8 +477,32 @@
         task.last_run = number
         vm.add(run)
         entry.job.note_started()
-        return commands.Start(
-            vm.report.vm, run, entry.job.spec.payload, entry.job.queue
+        ticket = self._ticket(task, vm) or ""
+        return commands.Start(vm.report.vm, run, entry.job.spec.payload, ticket)
+
+    def _ticket(self, task: job_module.Task, vm: vm_module.Vm) -> str | None:
+        now_ms = self._clock.monotonic_ms()
+        return self.tickets.ticket(task.id, vm.report.vm, now_ms)
+
+    def _ask(
+        self,
+        task: job_module.Task,
+        policy: catalogue.PlacementPolicy,
+        open_vms: list[vm_module.Vm],
+    ) -> commands.AskPolicy | None:
+        fitting = [vm for vm in open_vms if vm.fits(task.step)]
+        if not fitting:
+            return None
+        if any(self._ticket(task, vm) is not None for vm in fitting):
+            return None
+        fitting.sort(key=lambda vm: -vm.free_cpu)
+        names = [vm.report.vm for vm in fitting]
+        asked = self.tickets.question(task.id, names, _MOST_ASKED_VMS)
+        if not asked:
+            return None
+        within_ms = policy.decide_ms + policy.each_ms * len(asked)
+        return commands.AskPolicy(
+            task.id, asked, 2 * within_ms + _POLICY_MARGIN_MS
         )
 
     def _stops(self, now_ms: int) -> list[commands.Command]:
@@ -549,6 +628,7 @@
             if row.checkpoint:
                 known.task.checkpoint = row.checkpoint
             known.percent = row.percent
+            known.usage = row.usage
             return []
         entry = self.entries.get(row.task.job)
         task = entry.job.task(row.task) if entry is not None else None
--- /dev/null
+++ b/tests/entry/test_front.py
@@ -0,0 +1,130 @@
+"""Tests of the callers' side."""
+
+import asyncio
+
+import testtools
+
+from support import fakes
+from support import jobs
+from wagtailtiller import clock
+from wagtailtiller.entry import front
+from wagtailtiller.jobs import model
+from wagtailtiller.jobs import record
+from wagtailtiller.owner import keys
+from wagtailtiller.owner import messages
+from wagtailtiller.ports import catalogue
+from wagtailtiller.scheduling import admission
+
+_JOB = model.JobId("a" * 16)
+_OWNER = "10.0.0.1:1"
+
+
+class _Directory:
+    def __init__(self):
+        self.address = _OWNER
+        self.declared = catalogue.Catalogue(1, (jobs.queue(),), (), 1_000)
+
+    def catalogue(self):
+        return self.declared
+
+    def owner_address(self, pool):
+        return self.address
+
+    def own_address(self):
+        return "10.0.0.9:1"
+
+
+class _Peers:
+    def __init__(self):
+        self.answers = []
+        self.asked = []
+
+    async def ask(self, address, request, timeout_ms):
+        self.asked.append(request)
+        await asyncio.sleep(0)
+        return self.answers.pop(0) if self.answers else None
+
+
+class FrontTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.directory = _Directory()
+        self.peers = _Peers()
+        self.store = fakes.FakeStore()
+        self.front = front.Front(
+            self.directory, self.peers, self.store, clock.SystemClock()
+        )
+
+    def submit(self, within_ms=400):
+        return asyncio.run(
+            self.front.submit(jobs.queue(), _JOB, jobs.spec(), within_ms)
+        )
+
+    def state(self):
+        return asyncio.run(self.front.state(jobs.queue(), _JOB, 400))
+
+    def test_the_owner_accepts(self):
+        self.peers.answers = [messages.Accepted()]
+        self.assertEqual(front.Accepted(), self.submit())
+
+    def test_the_owner_s_refusal_is_passed_on_at_once(self):
+        reason = admission.RefusalReason.OVERLOADED
+        self.peers.answers = [messages.Rejected(reason, 700)]
+        self.assertEqual(front.Refused(reason, 700), self.submit())
+
+    def test_without_an_owner_the_job_is_stored_for_the_next_one(self):
+        self.directory.address = None
+        self.assertEqual(front.Accepted(), self.submit())
+        item = self.store.state.item(keys.job(jobs.POOL, _JOB))
+        self.assertEqual(_JOB, record.decode(item.value).ok.id)
+
+    def test_a_silent_owner_s_accept_is_found_and_not_doubled(self):
+        key = keys.job(jobs.POOL, _JOB)
+        stored = record.encode(jobs.job(_JOB))
+        self.store.state.write(key, stored, 0, "")
+        self.assertEqual(front.Accepted(), self.submit())
+        self.assertEqual(stored, self.store.state.item(key).value)
+
+    def test_a_store_that_certainly_did_nothing_means_not_run(self):
+        self.directory.address = None
+        self.store.refuse_commits = True
+        outcome = self.submit()
+        self.assertIsInstance(outcome, front.Refused)
+
+    def test_an_uncertain_store_never_means_not_run(self):
+        self.directory.address = None
+        self.store.faults = [fakes.Fault.LATE] * 50
+        self.assertEqual(front.Unknown(), self.submit())
+
+    def test_a_refusal_after_an_unanswered_attempt_is_not_passed_on(self):
+        reason = admission.RefusalReason.OVERLOADED
+        self.store.faults = [fakes.Fault.LATE] * 50
+        rejected = messages.Rejected(reason, 700)
+        self.peers.answers = [None] + [rejected] * 50
+        self.assertEqual(front.Unknown(), self.submit())
+
+    def test_a_job_that_nobody_knows_is_not_there(self):
+        self.peers.answers = [messages.State(None)]
+        self.assertEqual(front.NoSuchJob(), self.state())
+
+    def test_without_an_owner_the_stored_state_is_told(self):
+        self.directory.address = None
+        job = jobs.job(_JOB)
+        job.cancel(1)
+        key = keys.job(jobs.POOL, _JOB)
+        self.store.state.write(key, record.encode(job), 0, "")
+        expected = front.JobStatus(model.JobState.CANCELLED)
+        self.assertEqual(expected, self.state())
+
+    def test_the_longest_prefix_wins(self):
+        queue = jobs.queue()
+        longer = catalogue.Queue(
+            "long", "host", "/proofs/a/", jobs.POOL, 0, 1, 1.0, 0
+        )
+        self.directory.declared = catalogue.Catalogue(
+            1, (queue, longer), (), 1_000
+        )
+        self.assertEqual(longer, self.front.route("HOST:80", "/proofs/a/b"))
+        self.assertEqual(queue, self.front.route("host", "/proofs/b"))
+        missing = self.front.route("other", "/proofs/b")
+        self.assertEqual(front.NoSuchQueue(), missing)
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,82 @@
+"""Tests of what is decoded from the platform."""
+
+import json
+
+import testtools
+
+from wagtailtiller.platform import documents
+from wagtailtiller.platform import names
+from wagtailtiller.platform import settings
+from wagtailtiller.ports import vms
+
+_WORKER = {
+    "service": "proofs",
+    "address": "10.0.0.1:80",
+    "zone": "dc-1",
+    "state": "ready",
+    "capacity": {"cpu": 32_000, "mem_mb": 1_000, "gpu": 0},
+    "labels": ["a", "r1-2"],
+    "born": 12,
+    "machine": "m-1",
+    "seq": 4,
+    "unheard_of": True,
+}
+_SETTINGS = {
+    "node_name": "front-1",
+    "ip": "10.0.0.1",
+    "zone": "dc-1",
+    "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+    "port_range": [7000, 7010],
+    "bounds": {"hold_max_ms": 6_000, "grace_s": 6, "move_s": 1.5},
+    "platform": {"address": "10.9.0.1:1"},
+    "new_field": {"x": 1},
+}
+
+
+class DocumentsTest(testtools.TestCase):
+    def worker(self, **changed):
+        value = json.dumps({**_WORKER, **changed}).encode()
+        return documents.worker("i-1", value)
+
+    def test_a_worker_is_a_vm(self):
+        report = self.worker()
+        self.assertEqual("proofs", report.pool)
+        self.assertEqual("m-1", report.machine)
+        self.assertIs(vms.VmPhase.READY, report.phase)
+
+    def test_entries_by_other_writers_name_no_vm(self):
+        self.assertIsNone(self.worker(state="asleep"))
+        self.assertIsNone(self.worker(capacity="much"))
+        self.assertIsNone(self.worker(labels=None))
+        self.assertIsNone(documents.worker("i-1", b"\xff\x00"))
+        self.assertIsNone(documents.worker("i-1", b"{}"))
+
+    def test_a_wrong_job_names_the_field(self):
+        fault = documents.job(b'{"spec":"x","steps":[{"count":0}]}')
+        self.assertIn("steps.0.count", fault)
+        fault = documents.job(b'{"spec":"x","steps":[{"count":"many"}]}')
+        self.assertIn("count", fault)
+        fault = documents.job(b'{"spec":"x","steps":[{"count":1,"after":[0]}]}')
+        self.assertIn("steps.0.after", fault)
+
+    def test_fields_that_are_left_out_are_empty(self):
+        spec = documents.job(b'{"spec":"x","steps":[{"count":2}]}')
+        self.assertEqual(2, spec.steps[0].task_count)
+        self.assertIsNone(spec.steps[0].max_unavailable)
+
+    def test_task_names(self):
+        task = names.parse_task("5c0e7a21d94b36f8.0.1.17")
+        self.assertEqual("5c0e7a21d94b36f8.0.1.17", names.format_task(task))
+        self.assertIsNone(names.parse_task("5c0e7a21d94b36f8.0.1"))
+        self.assertIsNone(names.parse_task("5c0e7a21d94b36f8.0.1.x"))
+
+
+class SettingsTest(testtools.TestCase):
+    def test_unknown_fields_are_ignored(self):
+        found = settings.decode(_SETTINGS).ok
+        self.assertEqual("10.0.0.1:7000", found.peer_address)
+        self.assertEqual(6_000, found.stop_within_ms)
+
+    def test_a_missing_field_is_named(self):
+        wrong = {k: v for k, v in _SETTINGS.items() if k != "platform"}
+        self.assertIn("platform", str(settings.decode(wrong).error))
--- /dev/null
+++ b/tests/scheduling/test_tickets.py
@@ -0,0 +1,40 @@
+"""Tests of the placement policy's tickets."""
+
+import testtools
+
+from wagtailtiller.jobs import model
+from wagtailtiller.scheduling import tickets
+
+_TASK = model.TaskId(model.JobId("a" * 16), 0, 1, 2)
+_OTHER_TASK = model.TaskId(model.JobId("a" * 16), 0, 1, 3)
+
+
+class TicketsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.tickets = tickets.Tickets()
+
+    def test_a_ticket_is_valid_for_all_tasks_of_the_step(self):
+        self.tickets.answered(_TASK, ["x", "y"], {"x": "t"}, 3_000)
+        self.assertEqual("t", self.tickets.ticket(_OTHER_TASK, "x", 100))
+        self.assertIsNone(self.tickets.ticket(_OTHER_TASK, "y", 100))
+
+    def test_a_ticket_is_not_used_when_its_time_ends(self):
+        self.tickets.answered(_TASK, ["x"], {"x": "t"}, 3_000)
+        self.assertIsNone(self.tickets.ticket(_TASK, "x", 2_990))
+
+    def test_only_one_question_about_a_step_is_open(self):
+        self.assertEqual(["x"], self.tickets.question(_TASK, ["x"], 30))
+        self.assertEqual([], self.tickets.question(_OTHER_TASK, ["x"], 30))
+        self.tickets.failed(_TASK)
+        self.assertEqual(["x"], self.tickets.question(_TASK, ["x"], 30))
+
+    def test_a_barred_vm_is_not_asked_about_again(self):
+        self.tickets.question(_TASK, ["x", "y"], 30)
+        self.tickets.answered(_TASK, ["x", "y"], {"x": "t"}, 3_000)
+        self.assertEqual(["x"], self.tickets.question(_TASK, ["x", "y"], 30))
+
+    def test_a_rejected_ticket_is_dropped(self):
+        self.tickets.answered(_TASK, ["x"], {"x": "t"}, 3_000)
+        self.tickets.reject(_OTHER_TASK, "x")
+        self.assertIsNone(self.tickets.ticket(_TASK, "x", 100))
