--- /dev/null
+++ b/tests/processes/test_entry.py
@@ -0,0 +1,166 @@
+"""Entry processes on the stand-ins: the whole path, and deaths on it."""
+
+import itertools
+import pathlib
+import signal
+import tempfile
+import time
+
+import testtools
+
+from support.demo import entry_site
+
+_WAIT_S = 20.0
+_names = (f"{number:016x}" for number in itertools.count(1))
+
+
+class Shared:
+    """The site, started for the module."""
+
+    folder: tempfile.TemporaryDirectory
+    site: entry_site.EntrySite
+
+
+def setUpModule():
+    Shared.folder = tempfile.TemporaryDirectory()
+    Shared.site = entry_site.EntrySite(pathlib.Path(Shared.folder.name))
+    Shared.site.start()
+
+
+def tearDownModule():
+    Shared.site.stop()
+    Shared.folder.cleanup()
+
+
+def _job(work_ms=100, count=2, **extra):
+    payload = f"work_ms={work_ms}"
+    if "fail" in extra:
+        payload += f"&fail={extra.pop('fail')}"
+    step = {"count": count, "cpu": 500, "mem_mb": 10, "estimate_ms": work_ms}
+    return {"spec": payload, "steps": [{**step, **extra}]}
+
+
+class EntryTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.site = Shared.site
+
+    def submit(self, body, entry="e-0", pool="renders"):
+        path = f"/{pool}/{next(_names)}"
+        self.until(lambda: self.site.call(entry, "POST", path, body)[0] == 200)
+        return path
+
+    def state(self, path, entry="e-1"):
+        return (self.site.call(entry, "GET", path)[1] or {}).get("state")
+
+    def until(self, condition):
+        end_s = time.monotonic() + _WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), end_s, "not in time")
+            time.sleep(0.05)
+
+    def until_state(self, path, state, entry):
+        self.until(lambda: self.state(path, entry) == state)
+
+    def runs(self, path):
+        job = path.rpartition("/")[2]
+        records = self.site.service("GET", "/records")
+        return [r for r in records if r["task"].startswith(job)]
+
+    def assert_done_once(self, path):
+        done = [r["task"] for r in self.runs(path) if r["how"] == "done"]
+        self.assertEqual(sorted(set(done)), sorted(done))
+
+    def owner(self, pool="renders"):
+        self.until(lambda: self.site.owner(pool) in self.site.addresses)
+        return self.site.owner(pool)
+
+    def other(self, entry):
+        return next(name for name in self.site.addresses if name != entry)
+
+    def test_a_job_runs_and_is_shown_completed_everywhere(self):
+        path = self.submit(_job(count=4))
+        for entry in self.site.addresses:
+            self.until_state(path, "completed", entry)
+        self.assert_done_once(path)
+        self.assertEqual(4, len(self.runs(path)))
+
+    def test_a_repeat_is_one_job(self):
+        path = self.submit(_job())
+        for entry in self.site.addresses:
+            self.assertEqual(
+                200, self.site.call(entry, "POST", path, _job())[0]
+            )
+        self.until(lambda: self.state(path) == "completed")
+        self.assertEqual(2, len(self.runs(path)))
+
+    def test_a_cancelled_job_stops(self):
+        path = self.submit(_job(work_ms=30_000))
+        self.until(lambda: len(self.runs(path)) == 2)
+        self.assertEqual(200, self.site.call("e-2", "DELETE", path)[0])
+        self.until(lambda: all(r["how"] for r in self.runs(path)))
+        self.assertEqual("cancelled", self.state(path))
+
+    def test_a_job_that_always_fails_is_shown_failed(self):
+        path = self.submit(_job(count=1, fail=99))
+        self.until(lambda: self.state(path) == "failed")
+        self.assertEqual(2, len(self.runs(path)))
+
+    def test_unknown_queues_and_jobs(self):
+        self.assertEqual(404, self.site.call("e-0", "GET", "/nothing/")[0])
+        path = f"/renders/{'f' * 16}"
+        self.assertEqual(410, self.site.call("e-0", "GET", path)[0])
+        status, body = self.site.call("e-0", "POST", path, {"steps": []})
+        self.assertEqual(400, status)
+        self.assertIn("spec", body["error"])
+
+    def test_a_killed_owner_s_job_goes_on_elsewhere(self):
+        owner = self.owner()
+        other = self.other(owner)
+        path = self.submit(_job(work_ms=3_000), entry=other)
+        self.until(lambda: len(self.runs(path)) == 2)
+        self.site.signal(owner, signal.SIGKILL)
+        self.site.processes[owner].wait()
+        later = self.submit(_job(), entry=other)
+        self.until(lambda: self.state(path, other) == "completed")
+        self.until(lambda: self.state(later, other) == "completed")
+        self.assert_done_once(path)
+        self.assertEqual(2, len(self.runs(path)))
+        self.site.start_entry(owner)
+        self.until(lambda: self.state(path, owner) == "completed")
+
+    def test_a_stopped_owner_hands_over_and_exits_cleanly(self):
+        owner = self.owner("plates")
+        other = self.other(owner)
+        path = self.submit(_job(work_ms=2_000), entry=other, pool="plates")
+        self.site.signal(owner, signal.SIGTERM)
+        self.until(lambda: self.site.owner("plates") not in (owner, None))
+        self.assertEqual(0, self.site.processes[owner].wait(10))
+        self.until(lambda: self.state(path, other) == "completed")
+        self.assert_done_once(path)
+        self.site.start_entry(owner)
+        self.until(lambda: self.state(path, owner) == "completed")
+
+    def test_a_wave_is_done_and_reported(self):
+        wave = {
+            "wave": 7,
+            "machines": ["m-renders-0", "m-plates-1", "m-spare-0"],
+            "duration_s": 20,
+            "max_count": 1,
+        }
+        self.site.put("op/wave/7", wave)
+        self.until(
+            lambda: b"completed" in (self.site.item("status/wave/7") or b"")
+        )
+
+    def test_a_store_outage_loses_nothing(self):
+        path = self.submit(_job(work_ms=1_500))
+        self.site.fault_store("down")
+        status, _ = self.site.call(
+            "e-1", "POST", f"/renders/{'e' * 16}", _job()
+        )
+        self.assertIn(status, (503, 504))
+        time.sleep(1.0)
+        self.site.fault_store("up")
+        self.until(lambda: self.state(path) == "completed")
+        self.assert_done_once(path)
