Keep a restarted VM's runs uncertain until it lists them; refuse at once while the store is away

Cause: found by reading. A VM that restarts under its id takes starts meant for its former life; dropping them from the book would start them twice. A process that slept could order machines or use VMs that its successor has not fenced. Requests were held to their end while owner and store were both away. Change: runs are carried over and settled by the first listing under a higher token; orders to machines and links to new VMs need a fresh session; a front refuses at once when nothing was attempted. Tests seen failing.

--- a/src/wagtailtiller/entry/front.py
+++ b/src/wagtailtiller/entry/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from typing import Protocol
 
 from wagtailtiller import clock as clock_module
@@ -80,6 +81,25 @@
 )
 
 
+@dataclasses.dataclass
+class _Trial:
+    """A job that is being handed over.
+
+    Attributes:
+        end_ms: When the caller's time ends, on our clock.
+        uncertain: An attempt may have stored the job, or still may.
+    """
+
+    end_ms: int
+    uncertain: bool = False
+
+
+class _Stored(enum.Enum):
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
 class Directory(Protocol):
     """What the front needs to know of the rest of the system."""
 
@@ -95,6 +115,9 @@
     def own_address(self) -> str:
         """Return where this process listens for others."""
 
+    def store_answers(self) -> bool:
+        """Return whether the store has answered this process of late."""
+
 
 class Front:
     """Serves callers.
@@ -144,38 +167,56 @@
         """
         request = messages.Submit(queue.pool, job, queue.queue, spec)
         began_ms = self._clock.monotonic_ms()
-        end_ms = began_ms + within_ms - _MARGIN_MS
-        sent = False
-        while True:
-            address = self._directory.owner_address(queue.pool)
-            answer = await self._ask(address, request, end_ms)
-            match answer:
-                case messages.Accepted():
-                    outcome: Outcome = Accepted()
-                    break
-                case messages.Rejected() if not sent:
-                    outcome = Refused(answer.reason, answer.retry_after_ms)
-                    break
-                case messages.NotOwner() | messages.Rejected():
-                    pass
-                case _:
-                    sent = sent or address is not None
-            if answer is None:
-                stored = await self._store_directly(queue, job, spec)
-                if isinstance(stored, Accepted):
-                    outcome = stored
-                    break
-                if stored is not None and not sent:
-                    outcome = stored
-                    break
-                sent = True
-            if self._clock.monotonic_ms() >= end_ms:
+        trial = _Trial(began_ms + within_ms - _MARGIN_MS)
+        outcome = await self._try(request, trial)
+        while outcome is None:
+            if self._clock.monotonic_ms() >= trial.end_ms:
                 outcome = Unknown()
                 break
             await asyncio.sleep(_AGAIN_MS / 1_000)
+            outcome = await self._try(request, trial)
         self._log(job, queue, outcome, began_ms)
         return outcome
 
+    async def _try(
+        self, request: messages.Submit, trial: _Trial
+    ) -> Outcome | None:
+        """Hand a job over once; None: not certain yet."""
+        address = self._directory.owner_address(request.pool)
+        answer = await self._ask(address, request, trial.end_ms)
+        match answer:
+            case messages.Accepted():
+                return Accepted()
+            case messages.Rejected():
+                if trial.uncertain:
+                    return None
+                return Refused(answer.reason, answer.retry_after_ms)
+            case messages.NotOwner():
+                return None
+            case messages.Unsure():
+                trial.uncertain = True
+                return None
+            case _:
+                trial.uncertain = trial.uncertain or address is not None
+                return await self._try_store(request, trial)
+
+    async def _try_store(
+        self, request: messages.Submit, trial: _Trial
+    ) -> Outcome | None:
+        away = Refused(
+            admission.RefusalReason.STORE_UNAVAILABLE, _NO_OWNER_RETRY_MS
+        )
+        if not self._directory.store_answers():
+            return None if trial.uncertain else away
+        match await self._store_directly(request):
+            case _Stored.YES:
+                return Accepted()
+            case _Stored.NO:
+                return None if trial.uncertain else away
+            case _Stored.UNKNOWN:
+                trial.uncertain = True
+                return None
+
     async def state(
         self, queue: catalogue.Queue, job: model.JobId, within_ms: int
     ) -> Outcome:
@@ -229,33 +270,32 @@
                 return Unknown()
             await asyncio.sleep(_AGAIN_MS / 1_000)
 
-    async def _store_directly(
-        self, queue: catalogue.Queue, job: model.JobId, spec: model.JobSpec
-    ) -> Outcome | None:
-        """Store a job whose pool has no owner in reach; None: uncertain.
+    async def _store_directly(self, request: messages.Submit) -> _Stored:
+        """Store a job whose pool has no owner in reach.
 
         The owner, or the next one, finds it in the store.
         """
         fresh = job_module.Job(
-            job, queue.queue, spec, self._clock.wall_ms(), _NO_EPOCH
+            request.job,
+            request.queue,
+            request.spec,
+            self._clock.wall_ms(),
+            _NO_EPOCH,
         )
-        key = keys.job(queue.pool, job)
+        key = keys.job(request.pool, request.job)
         write = store.Write(key, record.encode(fresh))
         answer = await self._store.commit(
             store.Transaction({key: store.ABSENT}, (write,))
         )
         if answer.is_ok():
-            return Accepted()
+            return _Stored.YES
         match answer.error:
             case store.PreconditionFailed():
-                return Accepted()
+                return _Stored.YES
             case errors.StoreUnavailable(may_apply=False):
-                return Refused(
-                    admission.RefusalReason.STORE_UNAVAILABLE,
-                    _NO_OWNER_RETRY_MS,
-                )
+                return _Stored.NO
             case _:
-                return None
+                return _Stored.UNKNOWN
 
     async def _ask(
         self, address: str | None, request: messages.Request, end_ms: int
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -27,6 +27,7 @@
 MACHINES_SHARD = ids.ShardId("machines")
 _ORDERS_LOOK_MS = 250
 _ASK_TIMEOUT_MS = 500
+_STORE_AWAY_MS = 1_300
 # No machine is ordered on a lease that may have lapsed.
 _KEEPER_LEASE_MS = 1_500
 
@@ -129,6 +130,10 @@
         owner = self._shards.owner(ids.ShardId(pool))
         return owner.address if owner is not None else None
 
+    def store_answers(self) -> bool:
+        """Return whether the store has answered this process of late."""
+        return self._shards.session_age_ms() <= _STORE_AWAY_MS
+
     def own_address(self) -> str:
         """Return where this process listens for others."""
         return self._settings.peer_address
@@ -180,6 +185,7 @@
                 self._settings.vm_lease_ms, self._settings.job_kept_ms
             ),
             self._owner_lost,
+            self._shards.session_age_ms,
             self._outside.placement_policy,
         )
         self._owners[owner.pool_id] = owner
@@ -195,6 +201,7 @@
             self._ask_owner,
             self._clock,
             self._settings.machine_lease_ms,
+            lambda: self._shards.session_age_ms() <= _KEEPER_LEASE_MS,
         )
 
     async def _ask_owner(
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -37,6 +37,8 @@
 # Long enough for a successor to extend what runs; a VM that has died is given
 # up this late.
 _LONGEST_LEASE_MS = 5_000
+# The store is taken to be away when the lease was not renewed for so long.
+_FRESH_SESSION_MS = 1_300
 _PLAN_GAP_MS = 8
 _PLAN_AT_LEAST_MS = 100
 _RETRY_AFTER_MS = 1_000
@@ -73,6 +75,7 @@
         clock: The time.
         settings: What the platform lays down.
         lost: Called when the ownership turns out to be lost.
+        session_age_ms: How long ago this process's lease was alive.
         placement_policy: Asked where a queue has a policy; None if there is
             no such service.
     """
@@ -85,6 +88,7 @@
         clock: clock_module.Clock,
         settings: OwnerSettings,
         lost: Callable[["PoolOwner", str], None],
+        session_age_ms: Callable[[], int],
         placement_policy: policy.Policy | None = None,
     ) -> None:
         self.held = held
@@ -97,6 +101,7 @@
         self._settings = settings
         self._lease_ms = min(settings.lease_ms, _LONGEST_LEASE_MS)
         self._lost = lost
+        self._session_age_ms = session_age_ms
         self._policy = placement_policy
         self._questions: asyncio.Queue[commands.AskPolicy] = asyncio.Queue()
         self._random = random.Random()
@@ -153,9 +158,6 @@
         for vm_id in self._reports.keys() - reports.keys():
             self.pool.vm_unlisted(vm_id)
         self._reports = dict(reports)
-        if self.ready:
-            for report in reports.values():
-                self._take_report(report)
         self._wake.set()
 
     # What other processes ask.
@@ -181,6 +183,10 @@
     async def _submit(self, request: messages.Submit) -> messages.Answer:
         entry = self.pool.entries.get(request.job)
         if entry is None:
+            if self._session_age_ms() > _FRESH_SESSION_MS:
+                return messages.Rejected(
+                    admission.RefusalReason.STORE_UNAVAILABLE, _RETRY_AFTER_MS
+                )
             refusal = self._refuse(request)
             if refusal is not None:
                 return messages.Rejected(refusal.reason, refusal.retry_after_ms)
@@ -277,8 +283,6 @@
         while not await self._take_over():
             await asyncio.sleep(_TAKEOVER_RETRY_MS / 1_000)
         self.ready = True
-        for report in list(self._reports.values()):
-            self._take_report(report)
         events.emit(
             events.Event.POOL_TAKEN,
             pool=self.pool_id,
@@ -329,6 +333,14 @@
         self._journal.revisions[job.id] = item.revision
         self.pool.add(job, inherited=True, stored_state=job.state)
 
+    def _take_reports(self) -> None:
+        # A process that has slept may have a successor, which has fenced only
+        # the VMs that were there then.
+        if self._session_age_ms() > _FRESH_SESSION_MS:
+            return
+        for report in list(self._reports.values()):
+            self._take_report(report)
+
     def _take_report(self, report: vms.VmReport) -> None:
         was_unsettled = report.vm in self.pool.unsettled
         new = self.pool.vm_reported(report)
@@ -368,6 +380,7 @@
             self._lost(self, "store")
             await asyncio.sleep(1)
             return
+        self._take_reports()
         for vm in self.pool.expire():
             await self._forget(vm)
         self._wake_at_next_due()
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -25,6 +25,7 @@
 TOKENS_PER_EPOCH = 1 << 20
 # A VM that refused a start for want of room or health is passed over briefly.
 _AVOID_MS = 200
+_STRAY_PAUSE_MS = 1_200
 # A stop that has not led to an end is ordered again.
 _STOP_AGAIN_MS = 1_000
 # A question about a step names no more VMs; each costs the service time.
@@ -212,13 +213,24 @@
             known.report = report
             known.registered = True
             return None
-        if known is not None:
-            self._lose_runs(known, "vm_restarted")
         self.unsettled.pop(report.vm, None)
         new = vm_module.Vm(report, self.epoch * TOKENS_PER_EPOCH)
         self.vms[report.vm] = new
+        if known is not None:
+            self._carry_over(known, new)
         return new
 
+    def _carry_over(self, old: vm_module.Vm, new: vm_module.Vm) -> None:
+        # The new life may have taken orders that were meant for the old one;
+        # its first listing under a higher token tells.
+        new.token = old.token + 1
+        new.lease.floor_ms = old.lease.over_ms()
+        for run in list(old.runs.values()):
+            old.remove(run)
+            run.phase = job_module.RunPhase.UNCERTAIN
+            run.confirmed_ms = 0
+            new.add(run)
+
     def vm_unlisted(self, vm: ids.VmId) -> None:
         """Take in that a VM is no longer in the platform's list."""
         known = self.vms.get(vm)
@@ -341,6 +353,9 @@
         running = {(row.task, row.number) for row in listing.running}
         for row in listing.running:
             orders.extend(self._listed_run(vm, row))
+        if orders:
+            # What is being stopped takes room that no run here accounts for.
+            vm.avoid_until_ms = self._clock.monotonic_ms() + _STRAY_PAUSE_MS
         if len(listing.ended) < vms.MOST_ENDS:
             self._drop_unlisted(vm, token, asked_ms, running)
         orders.extend(self._pace(vm))
--- a/src/wagtailtiller/upkeep/keeper.py
+++ b/src/wagtailtiller/upkeep/keeper.py
@@ -50,6 +50,7 @@
         ask: Asks a pool's owner.
         clock: The time.
         machine_lease_ms: Two keepers must not order one machine within it.
+        may_order: Whether the ownership is certain at this moment.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         ask: Ask,
         clock: clock_module.Clock,
         machine_lease_ms: int,
+        may_order: Callable[[], bool],
     ) -> None:
         self.held = held
         self._store = source
@@ -69,6 +71,7 @@
         self._ask = ask
         self._clock = clock
         self._machine_lease_ms = machine_lease_ms
+        self._may_order = may_order
         self._fleet = fleet_module.Fleet(clock)
         self._demands: dict[ids.PoolId, demand.Demand] = {}
         self._revisions: dict[str, ids.Revision] = {}
@@ -214,6 +217,9 @@
         now_ms = self._clock.monotonic_ms()
         if now_ms - errand.tried_ms < _ORDER_AGAIN_MS:
             return
+        if not self._may_order():
+            # A process that has slept may have a successor.
+            return
         errand.tried_ms = now_ms
         epoch = self.held.epoch
         if errand.wave is not None:
--- a/support/standins/workers.py
+++ b/support/standins/workers.py
@@ -12,6 +12,7 @@
 
 import argparse
 import asyncio
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import enum
--- a/tests/entry/test_front.py
+++ b/tests/entry/test_front.py
@@ -22,6 +22,7 @@
 class _Directory:
     def __init__(self):
         self.address = _OWNER
+        self.store_away = False
         self.declared = catalogue.Catalogue(1, (jobs.queue(),), (), 1_000)
 
     def catalogue(self):
@@ -33,6 +34,9 @@
     def own_address(self):
         return "10.0.0.9:1"
 
+    def store_answers(self):
+        return not self.store_away
+
 
 class _Peers:
     def __init__(self):
@@ -103,6 +107,13 @@
         self.peers.answers = [None] + [rejected] * 50
         self.assertEqual(front.Unknown(), self.submit())
 
+    def test_nothing_is_held_while_owner_and_store_are_away(self):
+        self.directory.address = None
+        self.directory.store_away = True
+        outcome = self.submit(within_ms=60_000)
+        reason = admission.RefusalReason.STORE_UNAVAILABLE
+        self.assertEqual(front.Refused(reason, 1_000), outcome)
+
     def test_a_job_that_nobody_knows_is_not_there(self):
         self.peers.answers = [messages.State(None)]
         self.assertEqual(front.NoSuchJob(), self.state())
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -170,6 +170,36 @@
         self.assertIsInstance(orders[0], commands.StopUnknown)
 
 
+class RestartedVmTest(PoolTest):
+    def restart(self, vm):
+        return self.pool.vm_reported(fake_vms.report(vm.report.vm, born_ms=2))
+
+    def test_a_run_that_the_new_life_has_taken_is_not_started_again(self):
+        vm = self.add_vm("vm-1")
+        self.add_vm("vm-2")
+        self.add_job("a")
+        (start,) = self.start_all()
+        vm = self.pool.vms[start.vm]
+        new = self.restart(vm)
+        self.assertEqual([], self.start_all())
+        self.assertGreater(new.token, vm.token)
+        self.answer(new)
+        self.assertEqual([], self.start_all())
+        self.assertIs(job_module.RunPhase.RUNNING, start.run.phase)
+
+    def test_a_run_that_the_new_life_does_not_list_is_started_again(self):
+        self.add_vm("vm-1")
+        self.add_job("a")
+        (start,) = self.start_all()
+        new = self.restart(self.pool.vms["vm-1"])
+        listing = vms.Listing(5, 2, (), ())
+        now_ms = self.clock.now_ms
+        self.pool.vm_answered(new, 5, now_ms)
+        self.pool.listed(new, new.token, now_ms, listing)
+        (again,) = self.start_all()
+        self.assertEqual(2, again.run.number)
+
+
 class GangTest(PoolTest):
     def test_a_gang_starts_whole_or_not_at_all(self):
         small = vms.Resources(2_000, 1_000)
