Admit by what the keeper could bring in, not only by what stands there

Change: the keeper tells owners what is free to be moved; admission counts it after the time that a move takes. Ruled out: a store outage (no store_unreachable line).

--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -40,9 +40,15 @@
 
 
 class AskLoad(msgspec.Struct, frozen=True, tag=True):
-    """What a pool holds and needs."""
+    """What a pool holds and needs.
+
+    Attributes:
+        pool: Which.
+        spare_millicores: What the keeper of the machines could bring in.
+    """
 
     pool: ids.PoolId
+    spare_millicores: int
 
 
 class VacateMode(enum.Enum):
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -176,6 +176,7 @@
             case messages.AskPending():
                 return messages.Pending(self.pool.pending_count(request.queue))
             case messages.AskLoad():
+                self.pool.spare_millicores = request.spare_millicores
                 return self._load()
             case messages.Vacate():
                 return self._vacate(request)
@@ -227,6 +228,7 @@
                 retry_after_ms=refusal.retry_after_ms,
                 waiting_core_ms=int(self.pool.waiting_core_ms()),
                 vms=len(self.pool.vms),
+                spare_millicores=self.pool.spare_millicores,
                 epoch=self.held.epoch,
             )
         return refusal
--- a/src/wagtailtiller/scheduling/admission.py
+++ b/src/wagtailtiller/scheduling/admission.py
@@ -13,6 +13,10 @@
 # A job that fits nowhere may fit after the pool's VMs have changed.
 _NOWHERE_RETRY_MS = 10_000
 _SHORTEST_RETRY_MS = 500
+# How long it takes until a machine that is brought in takes work.
+_ARRIVAL_MS = 2_500
+# Until the keeper has said what could come: this many times what is there.
+_ASSUMED_GROWTH = 3.0
 
 
 class RefusalReason(enum.Enum):
@@ -32,11 +36,23 @@
     retry_after_ms: int
 
 
+class Backlog(msgspec.Struct, frozen=True):
+    """What stands before a new job.
+
+    Attributes:
+        core_ms: Processor work that waits or runs in the pool.
+        spare_millicores: What could be brought into the pool; None: unknown.
+    """
+
+    core_ms: float
+    spare_millicores: int | None = None
+
+
 def judge(
     spec: model.JobSpec,
     queue: catalogue.Queue,
     members: Iterable[vm_module.Vm],
-    waiting_core_ms: float,
+    backlog: Backlog,
 ) -> Refusal | None:
     """Refuse a job that cannot be served; None takes it in.
 
@@ -44,7 +60,7 @@
         spec: The job.
         queue: Its queue.
         members: The pool's VMs.
-        waiting_core_ms: Processor work that waits or runs in the pool.
+        backlog: What stands before it.
     """
     present = list(members)
     if present and not _fits_somewhere(spec, present):
@@ -54,7 +70,7 @@
     cores = sum(vm.report.capacity.cpu_millicores for vm in present) / 1_000
     if not cores:
         return None
-    wait_ms = waiting_core_ms / cores
+    wait_ms = _wait_ms(backlog, cores)
     chain_ms = spec.longest_chain_ms()
     limit_ms = order.WORTHLESS_AFTER * order.objective_ms(chain_ms, queue)
     excess_ms = wait_ms + chain_ms - limit_ms
@@ -64,6 +80,17 @@
     return Refusal(RefusalReason.OVERLOADED, retry_ms)
 
 
+def _wait_ms(backlog: Backlog, cores: float) -> float:
+    """Return how long the backlog takes, with machines brought in or not."""
+    spare = backlog.spare_millicores
+    spare_cores = _ASSUMED_GROWTH * cores if spare is None else spare / 1_000
+    as_it_is = backlog.core_ms / cores
+    done_meanwhile = cores * _ARRIVAL_MS
+    left = max(0.0, backlog.core_ms - done_meanwhile)
+    grown = _ARRIVAL_MS + left / (cores + spare_cores)
+    return min(as_it_is, grown)
+
+
 def _fits_somewhere(spec: model.JobSpec, present: list[vm_module.Vm]) -> bool:
     return all(
         any(vm.could_hold(step) for vm in present) for step in spec.steps
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -74,6 +74,8 @@
         self.entries: dict[model.JobId, Entry] = {}
         self.vms: dict[ids.VmId, vm_module.Vm] = {}
         self.changed: set[model.JobId] = set()
+        # What the keeper of the machines could bring in; None: not said yet.
+        self.spare_millicores: int | None = None
         self.tickets = tickets.Tickets()
         self._clock = clock
         self._queues: dict[ids.QueueId, catalogue.Queue] = {}
@@ -96,9 +98,10 @@
         self, spec: model.JobSpec, queue: catalogue.Queue
     ) -> admission.Refusal | None:
         """Refuse a job that cannot be served; None takes it in."""
-        return admission.judge(
-            spec, queue, self.vms.values(), self.waiting_core_ms()
-        )
+        return admission.judge(spec, queue, self.vms.values(), self._backlog())
+
+    def _backlog(self) -> admission.Backlog:
+        return admission.Backlog(self.waiting_core_ms(), self.spare_millicores)
 
     def add(
         self,
--- a/src/wagtailtiller/upkeep/fleet.py
+++ b/src/wagtailtiller/upkeep/fleet.py
@@ -156,6 +156,16 @@
             count += target == pool
         return count
 
+    def spare_millicores(self) -> int:
+        """Return what stands in standby or idle, free to be moved."""
+        total = 0
+        for machine in self._movable():
+            load = self.loads.get(machine.vm)
+            idle = load is not None and not load.runs
+            if idle or self._is_standby(machine.pool):
+                total += machine.capacity.cpu_millicores
+        return total
+
     def _present(self, pool: ids.PoolId) -> int:
         return sum(
             1
--- a/src/wagtailtiller/upkeep/keeper.py
+++ b/src/wagtailtiller/upkeep/keeper.py
@@ -27,7 +27,7 @@
 _LIST_AT_REST_MS = 2_000
 _ORDER_AGAIN_MS = 300
 # Orders by a former keeper may still be on their way.
-_TAKEOVER_MARGIN_MS = 500
+_TAKEOVER_MARGIN_MS = 250
 
 Ask = Callable[
     [ids.PoolId, messages.Request], Awaitable[messages.Answer | None]
@@ -145,8 +145,9 @@
         declared = self._declared.catalogue
         assert declared is not None
         served = {queue.pool for queue in declared.queues}
+        spare = self._fleet.spare_millicores()
         answers = await asyncio.gather(
-            *(self._ask(pool, messages.AskLoad(pool)) for pool in served)
+            *(self._ask(pool, messages.AskLoad(pool, spare)) for pool in served)
         )
         facts = {}
         for pool in declared.pools:
