Drop emptied VMs from a pool's members; rank jobs by what they can still reach

Change: only VMs with runs or open for starts are members; an owner that stops leaves those with runs only; starts go to stored members only.

--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -198,6 +198,21 @@
             task_id.position
         ]
 
+    def remaining_chain_ms(self) -> int:
+        """Return the estimated time of the longest chain yet to be started.
+
+        Steps whose tasks all run or are done count as nothing.
+        """
+        ends: list[int] = []
+        for step_run in self.steps(0):
+            begin = max(
+                (ends[earlier] for earlier in step_run.step.after), default=0
+            )
+            waits = any(not (t.done or t.run) for t in step_run.tasks)
+            own_ms = step_run.step.estimate_ms if waits else 0
+            ends.append(begin + own_ms)
+        return max(ends, default=0)
+
     def running(self) -> Iterator[Run]:
         """Yield the runs that are under way."""
         for steps in self._occurrences.values():
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -119,7 +119,6 @@
         )
         self._links: dict[ids.VmId, vm_link.VmLink] = {}
         self._reports: dict[ids.VmId, vms.VmReport] = {}
-        self._members: set[ids.VmId] = set()
         self._stored_members: set[ids.VmId] = set()
         self._members_revision = store.ABSENT
         self._arrived_core_ms = 0.0
@@ -143,6 +142,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(*(link.close() for link in self._links.values()))
+        if self.ready and self._session_age_ms() <= _FRESH_SESSION_MS:
+            await self._leave_members()
 
     def set_queues(self, queues: tuple[catalogue.Queue, ...]) -> None:
         """Take the operators' queues."""
@@ -307,9 +308,8 @@
             self._stored_members = set(
                 msgspec.json.decode(members.ok.value, type=list[ids.VmId])
             )
-            self._members = set(self._stored_members)
             until_ms = self._foreign_lease_over_ms()
-            self.pool.unsettled = dict.fromkeys(self._members, until_ms)
+            self.pool.unsettled = dict.fromkeys(self._stored_members, until_ms)
         for item in jobs.ok.items:
             self._restore(item)
         return True
@@ -353,7 +353,6 @@
             until_ms = self._foreign_lease_over_ms()
             self.pool.unsettled[report.vm] = until_ms
             new.lease.floor_ms = until_ms
-        self._members.add(report.vm)
         old = self._links.pop(report.vm, None)
         if old is not None:
             self._tasks.append(runtime.spawn(old.close()))
@@ -388,7 +387,7 @@
         self._wake_at_next_due()
         if not await self._store_members():
             return
-        for command in self.pool.plan():
+        for command in self.pool.plan(self._stored_members):
             self._dispatch(command)
         for job in list(self.pool.changed):
             entry = self.pool.entries.get(job)
@@ -473,21 +472,36 @@
 
     async def _forget(self, vm: vm_module.Vm) -> None:
         link = self._links.pop(vm.report.vm, None)
-        self._members.discard(vm.report.vm)
         if link is not None:
             await link.close()
 
     async def _store_members(self) -> bool:
-        # A successor must know of a VM before anything can run there.
-        if self._members <= self._stored_members:
-            if self._members != self._stored_members:
-                self._trim_members()
+        # A successor must know of a VM before anything can run there, and
+        # should not wait for one where nothing does any more.
+        wanted = self.pool.members()
+        if wanted <= self._stored_members:
+            now_ms = self._clock.monotonic_ms()
+            trim_due = now_ms - self._trimmed_ms >= _TRIM_EVERY_MS
+            if wanted == self._stored_members or not trim_due:
+                return True
+            self._trimmed_ms = now_ms
+        if await self._write_members(wanted):
             return True
-        wanted = set(self._members)
+        await asyncio.sleep(_TAKEOVER_RETRY_MS / 1_000)
+        return False
+
+    async def _leave_members(self) -> None:
+        # Nothing starts any more, so only VMs with runs concern a successor.
+        busy = {vm.report.vm for vm in self.pool.vms.values() if vm.runs}
+        await self._write_members(busy | self.pool.unsettled.keys())
+
+    async def _write_members(self, wanted: set[ids.VmId]) -> bool:
         key = keys.members(self.pool_id)
         expected = self.held.expectation()
         expected[key] = self._members_revision
         value = msgspec.json.encode(sorted(wanted))
+        # An unanswered write may come late and name too few.
+        self._stored_members &= wanted
         answer = await self._store.commit(
             store.Transaction(expected, (store.Write(key, value),))
         )
@@ -497,16 +511,8 @@
             return True
         if isinstance(answer.error, store.PreconditionFailed):
             self._correct_members(answer.error.items)
-        await asyncio.sleep(_TAKEOVER_RETRY_MS / 1_000)
         return False
 
-    def _trim_members(self) -> None:
-        # Former members would make a successor wait; there is no hurry.
-        now_ms = self._clock.monotonic_ms()
-        if now_ms - self._trimmed_ms >= _TRIM_EVERY_MS:
-            self._trimmed_ms = now_ms
-            self._stored_members = set()
-
     def _correct_members(self, items: tuple[store.Item, ...]) -> None:
         for item in items:
             if item.key == keys.members(self.pool_id):
--- a/src/wagtailtiller/scheduling/order.py
+++ b/src/wagtailtiller/scheduling/order.py
@@ -46,10 +46,11 @@
         return Rank(Lateness.ON_TIME, queue.priority, accepted_ms)
     chain_ms = waiting.spec.longest_chain_ms()
     limit_ms = objective_ms(chain_ms, queue)
-    age_ms = now_ms - accepted_ms
-    if age_ms > WORTHLESS_AFTER * limit_ms:
+    # The earliest end that the job can still reach.
+    reach_ms = now_ms - accepted_ms + waiting.remaining_chain_ms()
+    if reach_ms > WORTHLESS_AFTER * limit_ms:
         lateness = Lateness.LOST
-    elif age_ms > limit_ms:
+    elif reach_ms > limit_ms:
         lateness = Lateness.LATE
     else:
         lateness = Lateness.ON_TIME
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -286,6 +286,16 @@
                 gone.append(vm)
         return gone
 
+    def members(self) -> set[ids.VmId]:
+        """Return the VMs that may run something, now or after a start."""
+        now_ms = self._clock.monotonic_ms()
+        present = {
+            vm.report.vm
+            for vm in self.vms.values()
+            if vm.runs or vm.open_for_starts(now_ms)
+        }
+        return present | self.unsettled.keys()
+
     # Orders.
 
     def start_answered(
@@ -398,12 +408,22 @@
                 orders.append(commands.SetPace(vm.report.vm, run, percent))
         return orders
 
-    def plan(self) -> list[commands.Decision]:
-        """Decide what to start and stop now."""
+    def plan(
+        self, members: set[ids.VmId] | None = None
+    ) -> list[commands.Decision]:
+        """Decide what to start and stop now.
+
+        Args:
+            members: VMs that a successor knows of, where starts may go; None
+                for all.
+        """
         now_ms = self._clock.monotonic_ms()
         orders: list[commands.Decision] = list(self._stops(now_ms))
         open_vms = [
-            vm for vm in self.vms.values() if vm.open_for_starts(now_ms)
+            vm
+            for vm in self.vms.values()
+            if vm.open_for_starts(now_ms)
+            and (members is None or vm.report.vm in members)
         ]
         if not open_vms:
             return orders
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -217,3 +217,33 @@
         starts = self.start_all()
         self.end(vm, starts[0].run, job_module.EndKind.DONE)
         self.assertIs(model.JobState.COMPLETED, entry.job.state)
+
+
+class MembersTest(PoolTest):
+    def test_an_emptied_vm_that_is_closed_is_no_member(self):
+        vm = self.add_vm("vm-1")
+        self.add_vm("vm-2")
+        self.assertEqual({"vm-1", "vm-2"}, self.pool.members())
+        vm.closed_until_ms = self.clock.now_ms + 3_000
+        self.assertEqual({"vm-2"}, self.pool.members())
+
+    def test_a_silent_vm_is_a_member_only_while_it_may_run_something(self):
+        vm = self.add_vm("vm-1")
+        self.add_job("a")
+        (start,) = self.start_all()
+        self.answer(vm)
+        self.pool.vm_silent(vm)
+        self.assertEqual({"vm-1"}, self.pool.members())
+        self.clock.advance(60_000)
+        self.pool.expire()
+        self.assertEqual(set(), self.pool.members())
+
+    def test_members_that_have_not_answered_stay(self):
+        self.pool.unsettled = {"vm-9": self.clock.now_ms + 5_000}
+        self.assertEqual({"vm-9"}, self.pool.members())
+
+    def test_nothing_starts_where_no_successor_would_look(self):
+        self.add_vm("vm-1")
+        self.add_job("a")
+        self.assertEqual([], self.pool.plan(set()))
+        self.assertEqual(1, len(self.pool.plan({"vm-1"})))
