Tell failing and stalled VMs from failing jobs; retry elsewhere

Change: a retry prefers VMs where the task has not failed; the request path's health judge serves jobs too, with jobs in place of queues, and starts from the first outcome instead of from zero (a queue that failed once elsewhere no longer counts as doing well); a task without progress is stopped and moved.

--- a/src/wagtailtiller/dispatch/health.py
+++ b/src/wagtailtiller/dispatch/health.py
@@ -58,7 +58,7 @@
             return
         failed = outcome in _FAILURES
         rates = self._queues.setdefault(queue, _QueueHealth()).failure_rate
-        rate = rates.get(vm, 0.0)
+        rate = rates.get(vm, float(failed))
         rates[vm] = rate + _RATE_STEP * (failed - rate)
         health = self._vms.setdefault(vm, _VmHealth())
         if failed:
@@ -109,6 +109,10 @@
         """Count the ejected among some VMs."""
         return sum(self.ejected(vm, now_ms) for vm in vms)
 
+    def forget_queue(self, queue: ids.QueueId) -> None:
+        """Drop what was learned of a queue that is no more."""
+        self._queues.pop(queue, None)
+
     def forget(self, vm: ids.VmId) -> None:
         """Start afresh with a VM, after a restart or a move."""
         self._vms.pop(vm, None)
--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -48,6 +48,7 @@
         confirmed_ms: When its start was first known, on the owner's clock.
         percent: What its VM listed: progress, or the share at work.
         pace_percent: The share of its speed that it was last allowed.
+        progress_ms: When its progress last changed, on the owner's clock.
         usage: Tail latency in ms of a serving task, else processor use.
         stop_sent_ms: When a stop was last ordered; 0: never.
     """
@@ -60,6 +61,7 @@
     confirmed_ms: int = 0
     percent: int = 0
     pace_percent: int = 100
+    progress_ms: int = 0
     usage: int = 0
     stop_sent_ms: int = 0
 
@@ -76,6 +78,7 @@
         last_run: The highest run number known.
         checkpoint: What the last run saved; empty for none.
         run: The run that is under way, if any.
+        failed_on: VMs on which a run of it has failed.
     """
 
     id: model.TaskId
@@ -85,6 +88,7 @@
     last_run: int = 0
     checkpoint: str = ""
     run: Run | None = None
+    failed_on: set[ids.VmId] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/wagtailtiller/scheduling/placement.py
+++ b/src/wagtailtiller/scheduling/placement.py
@@ -19,13 +19,17 @@
         candidates: VMs that take new work.
     """
     best: vm_module.Vm | None = None
-    best_rank: tuple[bool, int] | None = None
+    best_rank: tuple[bool, bool, int] | None = None
     for candidate in candidates:
         if not candidate.fits(task.step) or not _apart(task, candidate):
             continue
         room = candidate.free_cpu
         # A filler lives on what is left over, so it goes where most is.
-        rank = (_far(task, candidate), -room if task.step.filler else room)
+        rank = (
+            candidate.report.vm in task.failed_on,
+            _far(task, candidate),
+            -room if task.step.filler else room,
+        )
         if best_rank is None or rank < best_rank:
             best, best_rank = candidate, rank
     return best
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -10,6 +10,8 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
 from wagtailtiller import ids
+from wagtailtiller.dispatch import health
+from wagtailtiller.dispatch import messages
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.ports import catalogue
@@ -28,6 +30,11 @@
 _STRAY_PAUSE_MS = 1_200
 # A stop that has not led to an end is ordered again.
 _STOP_AGAIN_MS = 1_000
+# A task whose progress has not changed for so long stands still.
+_STALLED_MS = 2_500
+# A VM that is this many times slower than estimated still makes a percent
+# of progress in an estimated run time's tenth.
+_PERCENT_SLOWNESS = 10
 # A question about a step names no more VMs; each costs the service time.
 _MOST_ASKED_VMS = 30
 _POLICY_MARGIN_MS = 2_000
@@ -77,6 +84,7 @@
         # What the keeper of the machines could bring in; None: not said yet.
         self.spare_millicores: int | None = None
         self.tickets = tickets.Tickets()
+        self.health = health.Health()
         self._clock = clock
         self._queues: dict[ids.QueueId, catalogue.Queue] = {}
         self._active: dict[model.JobId, Entry] = {}
@@ -125,6 +133,7 @@
         self.entries.pop(job, None)
         self._active.pop(job, None)
         self.changed.discard(job)
+        self.health.forget_queue(ids.QueueId(job))
         self.tickets.drop(job)
 
     def cancel(self, job: model.JobId) -> None:
@@ -424,6 +433,7 @@
             for vm in self.vms.values()
             if vm.open_for_starts(now_ms)
             and (members is None or vm.report.vm in members)
+            and not self.health.ejected(vm.report.vm, now_ms)
         ]
         if not open_vms:
             return orders
@@ -551,6 +561,9 @@
                 if not reason or now_ms - run.stop_sent_ms < _STOP_AGAIN_MS:
                     continue
                 run.stop_sent_ms = now_ms
+                if reason == "stalled":
+                    run.task.failed_on.add(vm.report.vm)
+                    self._observe(vm, run.task, messages.RunOutcome.TIMED_OUT)
                 if run.phase is job_module.RunPhase.RUNNING:
                     run.phase = job_module.RunPhase.STOPPING
                 orders.append(commands.Stop(vm.report.vm, run, reason))
@@ -566,12 +579,24 @@
             return "task_done"
         if vm.draining and run.task.step.long_running:
             return "vm_draining"
+        if self._stalled(run, now_ms):
+            return "stalled"
         if self._moves(vm, run, now_ms) and self._may_take_away(entry, run):
             return "vm_vacated"
         if run.task.step.gang and self._gang_broken(entry.job, run):
             return "gang_broken"
         return ""
 
+    def _stalled(self, run: job_module.Run, now_ms: int) -> bool:
+        step = run.task.step
+        if step.long_running or step.filler or step.gang:
+            return False
+        if run.phase is not job_module.RunPhase.RUNNING:
+            return False
+        # Progress is told in whole percents: a long task changes slowly.
+        patience_ms = _STALLED_MS + step.estimate_ms // _PERCENT_SLOWNESS
+        return 0 < run.progress_ms < now_ms - patience_ms
+
     def _moves(
         self, vm: vm_module.Vm, run: job_module.Run, now_ms: int
     ) -> bool:
@@ -629,9 +654,12 @@
             task.checkpoint = end.checkpoint
         match end.kind:
             case job_module.EndKind.DONE:
+                self._observe(vm, task, messages.RunOutcome.ANSWERED)
                 entry.job.note_done(task)
                 self._note_change(entry)
             case job_module.EndKind.FAILED:
+                task.failed_on.add(vm.report.vm)
+                self._observe(vm, task, messages.RunOutcome.SERVER_ERROR)
                 queue = self._queues.get(entry.job.queue)
                 attempts = queue.max_attempts if queue else 1
                 entry.job.note_failure(task, attempts)
@@ -639,6 +667,34 @@
             case _:
                 pass
 
+    def _observe(
+        self,
+        vm: vm_module.Vm,
+        task: job_module.Task,
+        outcome: messages.RunOutcome,
+    ) -> None:
+        # A job that does well elsewhere shows the VM's fault, one that fails
+        # wherever it runs its own; so jobs take the place of queues here.
+        kind = ids.QueueId(task.id.job)
+        self.health.observe(vm.report.vm, kind, outcome)
+        if outcome is messages.RunOutcome.ANSWERED:
+            return
+        now_ms = self._clock.monotonic_ms()
+        others = [
+            other.report.vm
+            for other in self.vms.values()
+            if other is not vm
+            and other.standing is vm_module.Standing.USABLE
+            and not other.draining
+        ]
+        if self.health.eject_if_due(vm.report.vm, others, len(others), now_ms):
+            events.emit(
+                events.Event.VM_EJECTED,
+                vm=vm.report.vm,
+                pool=self.pool,
+                others=len(others),
+            )
+
     def _note_change(self, entry: Entry) -> None:
         self.changed.add(entry.job.id)
         if entry.job.is_final():
@@ -665,6 +721,9 @@
             known.confirmed_ms = self._clock.monotonic_ms()
             if row.checkpoint:
                 known.task.checkpoint = row.checkpoint
+            now_ms = self._clock.monotonic_ms()
+            if row.percent != known.percent or not known.progress_ms:
+                known.progress_ms = now_ms
             known.percent = row.percent
             known.usage = row.usage
             return []
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -247,3 +247,60 @@
         self.add_job("a")
         self.assertEqual([], self.pool.plan(set()))
         self.assertEqual(1, len(self.pool.plan({"vm-1"})))
+
+
+class FailingVmTest(PoolTest):
+    def test_a_failed_task_is_tried_on_another_vm(self):
+        for number in range(3):
+            self.add_vm(f"vm-{number}")
+        self.add_job("a")
+        (first,) = self.start_all()
+        vm = self.pool.vms[first.vm]
+        self.end(vm, first.run, job_module.EndKind.FAILED)
+        (second,) = self.start_all()
+        self.assertNotEqual(first.vm, second.vm)
+
+    def test_a_vm_that_fails_what_does_well_elsewhere_gets_no_work(self):
+        bad, good = self.add_vm("bad"), self.add_vm("good")
+        for name in "abc":
+            good.closed_until_ms = self.clock.now_ms + 1
+            self.add_job(name, jobs.step(1))
+            (first,) = self.start_all()
+            self.end(bad, first.run, job_module.EndKind.FAILED)
+            good.closed_until_ms = 0
+            (again,) = self.start_all()
+            self.assertEqual("good", again.vm)
+            self.end(good, again.run, job_module.EndKind.DONE)
+        good.closed_until_ms = self.clock.now_ms + 1
+        self.add_job("d")
+        self.assertEqual([], self.start_all())
+
+    def test_a_job_that_fails_everywhere_ejects_nobody(self):
+        self.add_vm("vm-1")
+        self.add_vm("vm-2")
+        self.add_job("a", jobs.step(6))
+        for _ in range(3):
+            for start in self.start_all():
+                vm = self.pool.vms[start.vm]
+                self.end(vm, start.run, job_module.EndKind.FAILED)
+        for name in ("vm-1", "vm-2"):
+            self.assertFalse(self.pool.health.ejected(name, self.clock.now_ms))
+
+    def test_a_task_that_stands_still_is_moved(self):
+        vm = self.add_vm("vm-1")
+        self.add_vm("vm-2")
+        self.add_job("a", jobs.step(estimate_ms=600))
+        (start,) = self.start_all()
+        vm = self.pool.vms[start.vm]
+        for percent in (10, 20, 30):
+            self.clock.advance(1_000)
+            self.answer(vm, percent=percent)
+        self.assertEqual([], self.stops())
+        for _ in range(4):
+            self.clock.advance(1_000)
+            self.answer(vm, percent=30)
+        (stop,) = self.stops()
+        self.assertEqual("stalled", stop.reason)
+        self.end(vm, start.run, job_module.EndKind.STOPPED)
+        (again,) = self.start_all()
+        self.assertNotEqual(start.vm, again.vm)
