Judge progress on the VM's clock

Cause: found by reading: after a pause of the owner, or of a VM's answers, every run looked stalled and would have been stopped. Test seen failing.

--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -48,7 +48,8 @@
         confirmed_ms: When its start was first known, on the owner's clock.
         percent: What its VM listed: progress, or the share at work.
         pace_percent: The share of its speed that it was last allowed.
-        progress_ms: When its progress last changed, on the owner's clock.
+        progress_ms: When its progress last changed, on the VM's clock.
+        listed_ms: When it was last listed, on the VM's clock.
         usage: Tail latency in ms of a serving task, else processor use.
         stop_sent_ms: When a stop was last ordered; 0: never.
     """
@@ -62,6 +63,7 @@
     percent: int = 0
     pace_percent: int = 100
     progress_ms: int = 0
+    listed_ms: int = 0
     usage: int = 0
     stop_sent_ms: int = 0
 
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -579,7 +579,7 @@
             return "task_done"
         if vm.draining and run.task.step.long_running:
             return "vm_draining"
-        if self._stalled(run, now_ms):
+        if self._stalled(run):
             return "stalled"
         if self._moves(vm, run, now_ms) and self._may_take_away(entry, run):
             return "vm_vacated"
@@ -587,7 +587,7 @@
             return "gang_broken"
         return ""
 
-    def _stalled(self, run: job_module.Run, now_ms: int) -> bool:
+    def _stalled(self, run: job_module.Run) -> bool:
         step = run.task.step
         if step.long_running or step.filler or step.gang:
             return False
@@ -595,7 +595,9 @@
             return False
         # Progress is told in whole percents: a long task changes slowly.
         patience_ms = _STALLED_MS + step.estimate_ms // _PERCENT_SLOWNESS
-        return 0 < run.progress_ms < now_ms - patience_ms
+        # On the VM's clock, so that neither its silence nor a pause of this
+        # process counts.
+        return run.listed_ms - run.progress_ms > patience_ms
 
     def _moves(
         self, vm: vm_module.Vm, run: job_module.Run, now_ms: int
@@ -721,9 +723,9 @@
             known.confirmed_ms = self._clock.monotonic_ms()
             if row.checkpoint:
                 known.task.checkpoint = row.checkpoint
-            now_ms = self._clock.monotonic_ms()
+            known.listed_ms = vm.listed_clock_ms
             if row.percent != known.percent or not known.progress_ms:
-                known.progress_ms = now_ms
+                known.progress_ms = vm.listed_clock_ms
             known.percent = row.percent
             known.usage = row.usage
             return []
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -304,3 +304,11 @@
         self.end(vm, start.run, job_module.EndKind.STOPPED)
         (again,) = self.start_all()
         self.assertNotEqual(start.vm, again.vm)
+
+    def test_a_pause_of_the_owner_makes_nothing_stalled(self):
+        vm = self.add_vm("vm-1")
+        self.add_job("a", jobs.step(estimate_ms=600))
+        self.start_all()
+        self.answer(vm, percent=10)
+        self.clock.advance(20_000)
+        self.assertEqual([], self.stops())
