Notice lost answers of the store sooner

Change: the wait follows the last answers (400 ms to 1.5 s); the store counts as away only if it answers no call.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -28,7 +28,6 @@
 MACHINES_SHARD = ids.ShardId("machines")
 _ORDERS_LOOK_MS = 250
 _ASK_TIMEOUT_MS = 500
-_STORE_AWAY_MS = 1_300
 # The successors cannot begin before the owners' keys are gone.
 _HAND_OVER_S = 1.5
 # No machine is ordered on a lease that may have lapsed.
@@ -139,7 +138,7 @@
 
     def store_answers(self) -> bool:
         """Return whether the store has answered this process of late."""
-        return self._shards.session_age_ms() <= _STORE_AWAY_MS
+        return self._shards.store_answers()
 
     def own_address(self) -> str:
         """Return where this process listens for others."""
@@ -192,7 +191,7 @@
                 self._settings.vm_lease_ms, self._settings.job_kept_ms
             ),
             self._owner_lost,
-            self._shards.session_age_ms,
+            self._shards,
             self._outside.placement_policy,
         )
         self._owners[owner.pool_id] = owner
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -23,6 +23,8 @@
 # A process that has just started waits to see the others.
 _SETTLE_MS = 800
 _WATCH_WAIT_MS = 1_000
+# A watch that finds nothing is answered each second.
+_STORE_AWAY_MS = 1_400
 
 _T = TypeVar("_T")
 
@@ -87,6 +89,11 @@
         """Return how long ago this process's lease was known to be alive."""
         return self._session.age_ms()
 
+    def store_answers(self) -> bool:
+        """Return whether the store has answered any call of late."""
+        watch_age_ms = self._clock.monotonic_ms() - self._mirror.answered_ms
+        return min(watch_age_ms, self.session_age_ms()) <= _STORE_AWAY_MS
+
     async def run(self) -> None:
         """Follow, renew and claim for ever."""
         await asyncio.gather(
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 import random
+from typing import Protocol
 
 import msgspec
 
@@ -37,7 +38,7 @@
 # Long enough for a successor to extend what runs; a VM that has died is given
 # up this late.
 _LONGEST_LEASE_MS = 5_000
-# The store is taken to be away when the lease was not renewed for so long.
+# New VMs are used only on a lease that was renewed so recently.
 _FRESH_SESSION_MS = 1_300
 _PLAN_GAP_MS = 8
 _PLAN_AT_LEAST_MS = 100
@@ -65,6 +66,16 @@
     job_kept_ms: int
 
 
+class Contact(Protocol):
+    """What is known of the process's lease and the store."""
+
+    def session_age_ms(self) -> int:
+        """Return how long ago the process's lease was known to be alive."""
+
+    def store_answers(self) -> bool:
+        """Return whether the store has answered of late."""
+
+
 class PoolOwner:
     """One pool under this process.
 
@@ -75,7 +86,7 @@
         clock: The time.
         settings: What the platform lays down.
         lost: Called when the ownership turns out to be lost.
-        session_age_ms: How long ago this process's lease was alive.
+        contact: What is known of the process's lease and the store.
         placement_policy: Asked where a queue has a policy; None if there is
             no such service.
     """
@@ -88,7 +99,7 @@
         clock: clock_module.Clock,
         settings: OwnerSettings,
         lost: Callable[["PoolOwner", str], None],
-        session_age_ms: Callable[[], int],
+        contact: Contact,
         placement_policy: policy.Policy | None = None,
     ) -> None:
         self.held = held
@@ -101,7 +112,7 @@
         self._settings = settings
         self._lease_ms = min(settings.lease_ms, _LONGEST_LEASE_MS)
         self._lost = lost
-        self._session_age_ms = session_age_ms
+        self._contact = contact
         self._policy = placement_policy
         self._questions: asyncio.Queue[commands.AskPolicy] = asyncio.Queue()
         self._random = random.Random()
@@ -142,7 +153,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(*(link.close() for link in self._links.values()))
-        if self.ready and self._session_age_ms() <= _FRESH_SESSION_MS:
+        if self.ready and self._contact.store_answers():
             await self._leave_members()
 
     def set_queues(self, queues: tuple[catalogue.Queue, ...]) -> None:
@@ -185,7 +196,7 @@
     async def _submit(self, request: messages.Submit) -> messages.Answer:
         entry = self.pool.entries.get(request.job)
         if entry is None:
-            if self._session_age_ms() > _FRESH_SESSION_MS:
+            if not self._contact.store_answers():
                 return messages.Rejected(
                     admission.RefusalReason.STORE_UNAVAILABLE, _RETRY_AFTER_MS
                 )
@@ -338,7 +349,7 @@
     def _take_reports(self) -> None:
         # A process that has slept may have a successor, which has fenced only
         # the VMs that were there then.
-        if self._session_age_ms() > _FRESH_SESSION_MS:
+        if self._contact.session_age_ms() > _FRESH_SESSION_MS:
             return
         for report in list(self._reports.values()):
             self._take_report(report)
--- a/src/wagtailtiller/ownership/mirror.py
+++ b/src/wagtailtiller/ownership/mirror.py
@@ -37,6 +37,7 @@
     ) -> None:
         self.items: dict[str, store.Item] = {}
         self.confirmed_ms: int | None = None
+        self.answered_ms = 0
         self._store = source
         self._prefix = prefix
         self._wait_ms = wait_ms
@@ -54,6 +55,7 @@
             reason = await self._step()
             if not reason:
                 self.confirmed_ms = asked_ms
+                self.answered_ms = self._clock.monotonic_ms()
                 self._backoff.reset()
                 self._note_reachable(True, "")
                 if self._pause_ms:
--- a/src/wagtailtiller/platform/store.py
+++ b/src/wagtailtiller/platform/store.py
@@ -7,6 +7,7 @@
 
 import base64
 import binascii
+import time
 
 from expression import Error
 from expression import Ok
@@ -20,6 +21,9 @@
 
 _CALL_TIMEOUT_MS = 1_500
 _WATCH_MARGIN_MS = 1_500
+_SHORTEST_TIMEOUT_MS = 400
+# An answer may take this many times as long as the one before.
+_PATIENCE_FACTOR = 4
 _NOT_FOUND = 404
 _GONE = 410
 _PRECONDITION_FAILED = 412
@@ -27,6 +31,31 @@
 _NOTHING_DONE = frozenset({400, 403, 404, 429, 503})
 
 
+class Patience:
+    """How long to wait for an answer, by how the last ones came.
+
+    A lost answer is noticed soon while the store is quick, and a slow store
+    is given time.
+    """
+
+    def __init__(self) -> None:
+        self.timeout_ms = _SHORTEST_TIMEOUT_MS
+
+    def note(self, answered: bool, took_ms: int) -> None:
+        """Learn from a call.
+
+        Args:
+            answered: Whether an answer came.
+            took_ms: How long the call took.
+        """
+        wanted_ms = 2 * self.timeout_ms
+        if answered:
+            wanted_ms = _PATIENCE_FACTOR * took_ms
+        self.timeout_ms = min(
+            max(wanted_ms, _SHORTEST_TIMEOUT_MS), _CALL_TIMEOUT_MS
+        )
+
+
 class _Item(msgspec.Struct):
     key: str
     revision: int
@@ -92,6 +121,7 @@
         client: str = "",
         timeout_ms: int = _CALL_TIMEOUT_MS,
     ) -> None:
+        self._patience = Patience()
         self._http = http.Caller(address, 0, timeout_ms, client)
 
     async def close(self) -> None:
@@ -140,11 +170,22 @@
     ) -> store.CommitAnswer:
         """Apply a transaction if its expectations hold."""
         body = msgspec.json.encode(_encode(transaction))
-        answer = await self._http.call("POST", "/v1/kv-txn", body)
+        answer = await self._write("/v1/kv-txn", body)
         if answer.is_error():
             return Error(errors.StoreUnavailable(answer.error.reason))
         return _decode_commit(answer.ok, bool(transaction.writes))
 
+    async def _write(
+        self, path: str, body: bytes
+    ) -> Result[http.Answer, http.NoAnswer]:
+        began_s = time.monotonic()
+        answer = await self._http.call(
+            "POST", path, body, timeout_ms=self._patience.timeout_ms
+        )
+        took_ms = int((time.monotonic() - began_s) * 1_000)
+        self._patience.note(answer.is_ok(), took_ms)
+        return answer
+
     async def write(
         self,
         key: str,
@@ -170,7 +211,7 @@
     ) -> Result[str, errors.StoreUnavailable]:
         """Create a lease and return its id."""
         body = msgspec.json.encode({"ttl_ms": ttl_ms})
-        answer = await self._http.call("POST", "/v1/kv-lease", body)
+        answer = await self._write("/v1/kv-lease", body)
         granted = http.decode(answer, _Lease)
         if granted.is_error():
             return Error(errors.StoreUnavailable(granted.error.reason))
@@ -180,7 +221,7 @@
         self, lease: str
     ) -> Result[bool, errors.StoreUnavailable]:
         """Renew a lease; False says that it has lapsed."""
-        answer = await self._http.call("POST", f"/v1/kv-keep/{lease}", b"{}")
+        answer = await self._write(f"/v1/kv-keep/{lease}", b"{}")
         if answer.is_error():
             return Error(errors.StoreUnavailable(answer.error.reason))
         match answer.ok.status:
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -11,6 +11,7 @@
 from wagtailtiller import ids
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import record
 from wagtailtiller.owner import keys
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
@@ -27,7 +28,8 @@
             self.clock = clock.SystemClock()
             self.vms = {}
             self.lost = []
-            self.session_age_ms = 0
+            self.age_ms = 0
+            self.store_away = False
             await asyncio.wait_for(main(), 15)
 
         asyncio.run(wrapped())
@@ -43,12 +45,18 @@
             self.clock,
             _SETTINGS,
             lambda owner, reason: self.lost.append(reason),
-            lambda: self.session_age_ms,
+            self,
         )
         owner.set_queues((jobs.queue(),))
         owner.set_reports({v.report.vm: v.report for v in self.vms.values()})
         return owner
 
+    def session_age_ms(self):
+        return self.age_ms
+
+    def store_answers(self):
+        return not self.store_away
+
     def add_vm(self, name):
         vm = fake_vms.FakeVm(fake_vms.report(name), self.clock)
         self.vms[vm.report.vm] = vm
@@ -172,8 +180,6 @@
             vm = self.add_vm("vm-1")
             owner = self.own()
             await self.until(lambda: owner.ready)
-            from wagtailtiller.jobs import record
-
             job = jobs.job("c" * 16, epoch=0)
             key = keys.job(jobs.POOL, job.id)
             self.store.state.write(key, record.encode(job), 0, "")
@@ -186,7 +192,7 @@
         async def main():
             owner = self.own()
             await self.until(lambda: owner.ready)
-            self.session_age_ms = 5_000
+            self.store_away = True
             answer = await self.submit(owner)
             self.assertIsInstance(answer, messages.Rejected)
 
