--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -249,6 +249,3 @@
             if age_ms > pool_owner.ORDERS_WITHOUT_STORE_MS:
                 for owner in list(self._owners.values()):
                     self._owner_lost(owner, "store_silent")
-            if self._keeper is not None and age_ms > _KEEPER_LEASE_MS:
-                self._shards.drop(self._keeper.held)
-                self._lost(self._keeper.held, "store_silent")
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -46,7 +46,9 @@
 _TAKEOVER_RETRY_MS = 200
 # How long an emptied VM stays closed without being asked about again.
 _VACATE_HOLD_MS = 3_000
-_TRIM_EVERY_MS = 1_000
+# Former members are dropped in one write a while later.
+_TRIM_AFTER_MS = 700
+_MEMBERS_RETRY_MS = 50
 _FOREIGN_WAIT_MS = 5_000
 _FOREIGN_PAUSE_MS = 1_000
 _FORGET_EVERY_MS = 5_000
@@ -133,12 +135,13 @@
         self._stored_members: set[ids.VmId] = set()
         self._members_revision = store.ABSENT
         self._arrived_core_ms = 0.0
-        self._trimmed_ms = clock.monotonic_ms()
+        self._members_due = asyncio.Event()
         self._wake = asyncio.Event()
         self._stopped = False
         self._tasks = [
             runtime.spawn(self._main()),
             runtime.spawn(self._journal.run()),
+            runtime.spawn(self._keep_members()),
             runtime.spawn(self._ask_policy()),
             runtime.spawn(self._forget_old_jobs()),
             runtime.spawn(self._foreign_jobs.run()),
@@ -398,8 +401,8 @@
         for vm in self.pool.expire():
             await self._forget(vm)
         self._wake_at_next_due()
-        if not await self._store_members():
-            return
+        if self.pool.members() != self._stored_members:
+            self._members_due.set()
         for command in self.pool.plan(self._stored_members):
             self._dispatch(command)
         for job in list(self.pool.changed):
@@ -488,25 +491,40 @@
         if link is not None:
             await link.close()
 
-    async def _store_members(self) -> bool:
+    async def _keep_members(self) -> None:
         # A successor must know of a VM before anything can run there, and
-        # should not wait for one where nothing does any more.
-        wanted = self.pool.members()
-        if wanted <= self._stored_members:
-            now_ms = self._clock.monotonic_ms()
-            trim_due = now_ms - self._trimmed_ms >= _TRIM_EVERY_MS
-            if wanted == self._stored_members or not trim_due:
-                return True
-            self._trimmed_ms = now_ms
-        if await self._write_members(wanted):
-            return True
-        await asyncio.sleep(_TAKEOVER_RETRY_MS / 1_000)
-        return False
+        # should not wait for one where nothing does any more. Planning goes
+        # on meanwhile with the members that are stored.
+        while True:
+            await self._members_due.wait()
+            self._members_due.clear()
+            wanted = self.pool.members()
+            if wanted <= self._stored_members:
+                wanted = await self._later_members()
+            if wanted == self._stored_members:
+                continue
+            if await self._write_members(wanted):
+                self._wake.set()
+            else:
+                self._members_due.set()
+                await asyncio.sleep(_MEMBERS_RETRY_MS / 1_000)
+
+    async def _later_members(self) -> set[ids.VmId]:
+        # Dropping members can wait, adding one cannot.
+        end_ms = self._clock.monotonic_ms() + _TRIM_AFTER_MS
+        while self._clock.monotonic_ms() < end_ms:
+            await asyncio.sleep(_MEMBERS_RETRY_MS / 1_000)
+            if not self.pool.members() <= self._stored_members:
+                break
+        return self.pool.members()
 
     async def _leave_members(self) -> None:
         # Nothing starts any more, so only VMs with runs concern a successor.
         busy = {vm.report.vm for vm in self.pool.vms.values() if vm.runs}
-        await self._write_members(busy | self.pool.unsettled.keys())
+        wanted = busy | self.pool.unsettled.keys()
+        if not await self._write_members(wanted):
+            # The write that was under way has changed the revision.
+            await self._write_members(wanted)
 
     async def _write_members(self, wanted: set[ids.VmId]) -> bool:
         key = keys.members(self.pool_id)
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -197,3 +197,67 @@
             self.assertIsInstance(answer, messages.Rejected)
 
         self.run_with(main)
+
+    def test_planning_goes_on_while_members_cannot_be_stored(self):
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own()
+            await self.submit(owner)
+            await self.until(lambda: vm.running)
+            await self.submit(owner, "b")
+            commit = self.store.commit
+
+            async def slow_members(transaction):
+                if keys.members(jobs.POOL) in transaction.expected:
+                    await asyncio.sleep(30)
+                return await commit(transaction)
+
+            self.store.commit = slow_members
+            self.add_vm("vm-2")
+            owner.set_reports(
+                {v.report.vm: v.report for v in self.vms.values()}
+            )
+            await asyncio.sleep(0.2)
+            await self.submit(owner, "c")
+            await self.until(lambda: len(vm.running) == 3)
+            self.assertEqual({}, self.vms["vm-2"].running)
+            self.store.commit = commit
+            await owner.stop()
+
+        self.run_with(main)
+
+    def test_a_vm_is_used_only_after_it_is_stored_as_a_member(self):
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own()
+            await self.submit(owner)
+            await self.until(lambda: vm.running)
+            item = self.store.state.item(keys.members(jobs.POOL))
+            self.assertIn(b"vm-1", item.value)
+            await owner.stop()
+
+        self.run_with(main)
+
+    def test_a_new_vm_does_not_wait_until_former_members_are_dropped(self):
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own()
+            await self.submit(owner)
+            await self.until(lambda: vm.running)
+            other = self.add_vm("vm-2")
+            both = {v.report.vm: v.report for v in self.vms.values()}
+            owner.set_reports(both)
+            await self.until(lambda: "vm-2" in owner._stored_members)
+            owner.pool.vms["vm-2"].closed_until_ms = 1 << 60
+            await asyncio.sleep(0.2)
+            owner.pool.vms["vm-2"].closed_until_ms = 0
+            self.add_vm("vm-3")
+            owner.set_reports(
+                {v.report.vm: v.report for v in self.vms.values()}
+            )
+            await asyncio.sleep(0.3)
+            self.assertIn("vm-3", owner._stored_members)
+            self.assertEqual({}, other.running)
+            await owner.stop()
+
+        self.run_with(main)
