--- /dev/null
+++ b/tests/ownership/test_mirror.py
@@ -0,0 +1,109 @@
+"""Tests of the copy of a part of the store."""
+
+import asyncio
+
+from expression import Error
+from expression import Ok
+import testtools
+
+from support import fakes
+from wagtailtiller import clock
+from wagtailtiller import errors
+from wagtailtiller.ownership import mirror
+from wagtailtiller.ports import store
+
+
+class _ShortBackoff:
+    def reset(self):
+        pass
+
+    async def wait(self):
+        await asyncio.sleep(0.002)
+
+
+class MirrorTest(testtools.TestCase):
+    def run_with(self, main):
+        async def wrapped():
+            self.store = fakes.FakeStore()
+            self.news = []
+            self.mirror = mirror.Mirror(
+                self.store,
+                "a/",
+                10,
+                clock.SystemClock(),
+                _ShortBackoff(),
+                self.news.extend,
+                pause_ms=2,
+            )
+            running = asyncio.create_task(self.mirror.run())
+            try:
+                await asyncio.wait_for(main(), 5)
+            finally:
+                running.cancel()
+
+        asyncio.run(wrapped())
+
+    async def until(self, condition):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+    def write(self, key, value):
+        revision = self.store.state.item(key).revision
+        self.store.state.write(key, value, revision, "")
+
+    def values(self):
+        return {key: item.value for key, item in self.mirror.items.items()}
+
+    def test_it_follows_writes_and_deletes(self):
+        async def main():
+            self.write("a/1", b"one")
+            self.write("b/1", b"elsewhere")
+            await self.until(lambda: self.values() == {"a/1": b"one"})
+            self.write("a/2", b"two")
+            await self.until(lambda: "a/2" in self.values())
+            revision = self.store.state.item("a/1").revision
+            self.store.state.delete("a/1", revision)
+            await self.until(lambda: self.values() == {"a/2": b"two"})
+
+        self.run_with(main)
+
+    def test_lost_history_is_made_up_by_reading_all(self):
+        async def main():
+            self.write("a/1", b"one")
+            self.write("a/2", b"two")
+            await self.until(lambda: len(self.values()) == 2)
+            watch = self.store.watch
+
+            async def lost(prefix, after, wait_ms):
+                return Error(errors.StoreUnavailable(store.HISTORY_LOST, False))
+
+            self.store.watch = lost
+            revision = self.store.state.item("a/1").revision
+            self.store.state.delete("a/1", revision)
+            self.write("a/2", b"newer")
+            await self.until(lambda: self.values() == {"a/2": b"newer"})
+            self.store.watch = watch
+            gone = [item for item in self.news if item.value is None]
+            self.assertEqual(["a/1"], [item.key for item in gone])
+
+        self.run_with(main)
+
+    def test_an_older_page_does_not_undo_a_newer_event(self):
+        async def main():
+            self.write("a/1", b"one")
+            await self.until(lambda: self.values())
+            old = self.mirror.items["a/1"]
+            self.write("a/1", b"two")
+            await self.until(lambda: self.values() == {"a/1": b"two"})
+            watch = self.store.watch
+
+            async def stale(prefix, after, wait_ms):
+                self.store.watch = watch
+                return Ok(store.Snapshot([old], after))
+
+            self.store.watch = stale
+            await self.until(lambda: self.store.watch is watch)
+            await asyncio.sleep(0.02)
+            self.assertEqual({"a/1": b"two"}, self.values())
+
+        self.run_with(main)
