--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 demo: $(READY)
 	$(BIN)/python -m support.demo.run --site $(SITE)
+	$(BIN)/python -m support.demo.jobs --seed $(SEED)
 
 test: check
 	$(BIN)/python -m pytest
