--- a/src/wagtailtiller/owner/journal.py
+++ b/src/wagtailtiller/owner/journal.py
@@ -172,7 +172,7 @@
         if stored.is_error():
             return
         if stored.ok.state is model.JobState.CANCELLED:
-            self._pool.cancel(job)
+            self._pool.jobs.cancel(job)
 
     def _postpone(
         self,
@@ -185,7 +185,7 @@
                 self._uncertain.add(job)
             is_new = entry is not None and entry.stored_state is None
             if is_new and job not in self._uncertain:
-                self._pool.drop(job)
+                self._pool.jobs.drop(job)
                 future.set_result(Outcome.NOT_STORED)
                 continue
             newer = self._waiting.get(job)
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -161,7 +161,7 @@
 
     def set_queues(self, queues: tuple[catalogue.Queue, ...]) -> None:
         """Take the operators' queues."""
-        self.pool.set_queues(queues)
+        self.pool.jobs.set_queues(queues)
         self._wake.set()
 
     def set_reports(self, reports: dict[ids.VmId, vms.VmReport]) -> None:
@@ -171,7 +171,7 @@
             reports: All VMs of the pool that are listed now.
         """
         for vm_id in self._reports.keys() - reports.keys():
-            self.pool.vm_unlisted(vm_id)
+            self.pool.presence.unlisted(vm_id)
         self._reports = dict(reports)
         self._wake.set()
 
@@ -189,7 +189,9 @@
             case messages.Cancel():
                 return await self._cancel(request.job)
             case messages.AskPending():
-                return messages.Pending(self.pool.pending_count(request.queue))
+                return messages.Pending(
+                    self.pool.jobs.pending_count(request.queue)
+                )
             case messages.AskLoad():
                 self.pool.spare_millicores = request.spare_millicores
                 return self._load()
@@ -213,7 +215,7 @@
                 self._clock.wall_ms(),
                 self.held.epoch,
             )
-            self.pool.add(job, inherited=False)
+            self.pool.jobs.add(job, inherited=False)
             self._arrived_core_ms += request.spec.work_core_ms()
         elif entry.stored_state is not None:
             return messages.Accepted()
@@ -230,10 +232,10 @@
                 return messages.Unsure()
 
     def _refuse(self, request: messages.Submit) -> admission.Refusal | None:
-        queue = self.pool.queue(request.queue)
+        queue = self.pool.jobs.queue(request.queue)
         if queue is None:
             return None
-        refusal = self.pool.admit(request.spec, queue)
+        refusal = self.pool.jobs.admit(request.spec, queue)
         if refusal is not None:
             events.emit(
                 events.Event.JOB_REFUSED,
@@ -241,7 +243,7 @@
                 queue=request.queue,
                 reason=refusal.reason.value,
                 retry_after_ms=refusal.retry_after_ms,
-                waiting_core_ms=int(self.pool.waiting_core_ms()),
+                waiting_core_ms=int(self.pool.jobs.waiting_core_ms()),
                 vms=len(self.pool.vms),
                 spare_millicores=self.pool.spare_millicores,
                 epoch=self.held.epoch,
@@ -262,7 +264,7 @@
         entry = self.pool.entries.get(job)
         if entry is None:
             return messages.State(None)
-        self.pool.cancel(job)
+        self.pool.jobs.cancel(job)
         self._wake.set()
         if entry.stored_state not in model.FINAL_STATES:
             outcome = await asyncio.shield(self._journal.write(job))
@@ -284,13 +286,13 @@
         return messages.Vacated(len(vm.runs))
 
     def _load(self) -> messages.Answer:
-        idle_core_ms, lasting = self.pool.demand()
+        idle_core_ms, lasting = self.pool.jobs.demand()
         return messages.Load(
-            self.pool.waiting_core_ms(),
+            self.pool.jobs.waiting_core_ms(),
             idle_core_ms,
             self._arrived_core_ms,
             lasting,
-            self.pool.lasting_waiting(),
+            self.pool.jobs.lasting_waiting(),
             tuple(_vm_load(vm) for vm in self.pool.vms.values()),
         )
 
@@ -347,7 +349,7 @@
         if job.id in self.pool.entries:
             return
         self._journal.revisions[job.id] = item.revision
-        self.pool.add(job, inherited=True, stored_state=job.state)
+        self.pool.jobs.add(job, inherited=True, stored_state=job.state)
 
     def _take_reports(self) -> None:
         # A process that has slept may have a successor, which has fenced only
@@ -359,7 +361,7 @@
 
     def _take_report(self, report: vms.VmReport) -> None:
         was_unsettled = report.vm in self.pool.unsettled
-        new = self.pool.vm_reported(report)
+        new = self.pool.presence.reported(report)
         if new is None:
             return
         if was_unsettled:
@@ -398,10 +400,10 @@
             await asyncio.sleep(1)
             return
         self._take_reports()
-        for vm in self.pool.expire():
+        for vm in self.pool.presence.expire():
             await self._forget(vm)
         self._wake_at_next_due()
-        if self.pool.members() != self._stored_members:
+        if self.pool.presence.members() != self._stored_members:
             self._members_due.set()
         for command in self.pool.plan(self._stored_members):
             self._dispatch(command)
@@ -413,7 +415,7 @@
         await asyncio.sleep(_PLAN_GAP_MS / 1_000)
 
     def _wake_at_next_due(self) -> None:
-        due_ms = self.pool.next_due_in_ms()
+        due_ms = self.pool.jobs.next_due_in_ms()
         if due_ms is not None and due_ms < _PLAN_AT_LEAST_MS:
             loop = asyncio.get_running_loop()
             loop.call_later(max(due_ms, 1) / 1_000, self._wake.set)
@@ -456,7 +458,7 @@
         kept_ms = int(self._settings.job_kept_ms * _KEPT_FACTOR)
         while True:
             await asyncio.sleep(_FORGET_EVERY_MS / 1_000)
-            old = self.pool.expired_jobs(kept_ms)[: store.MOST_ENTRIES - 2]
+            old = self.pool.jobs.expired_jobs(kept_ms)[: store.MOST_ENTRIES - 2]
             if not old:
                 continue
             deletes = tuple(keys.job(self.pool_id, job) for job in old)
@@ -465,7 +467,7 @@
             )
             if answer.is_ok():
                 for job in old:
-                    self.pool.drop(job)
+                    self.pool.jobs.drop(job)
                     self._journal.revisions.pop(job, None)
 
     def _jobs_changed(self, items: list[store.Item]) -> None:
@@ -498,7 +500,7 @@
         while True:
             await self._members_due.wait()
             self._members_due.clear()
-            wanted = self.pool.members()
+            wanted = self.pool.presence.members()
             if wanted <= self._stored_members:
                 wanted = await self._later_members()
             if wanted == self._stored_members:
@@ -514,9 +516,9 @@
         end_ms = self._clock.monotonic_ms() + _TRIM_AFTER_MS
         while self._clock.monotonic_ms() < end_ms:
             await asyncio.sleep(_MEMBERS_RETRY_MS / 1_000)
-            if not self.pool.members() <= self._stored_members:
+            if not self.pool.presence.members() <= self._stored_members:
                 break
-        return self.pool.members()
+        return self.pool.presence.members()
 
     async def _leave_members(self) -> None:
         # Nothing starts any more, so only VMs with runs concern a successor.
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -112,8 +112,10 @@
         if listing.born_ms and listing.born_ms != self.vm.report.born_ms:
             self._note_failure(token, vms.OrderOutcome.OTHER_VM)
             return False
-        self._pool.vm_answered(self.vm, listing.clock_ms, received_ms)
-        for command in self._pool.listed(self.vm, token, asked_ms, listing):
+        self._pool.presence.answered(self.vm, listing.clock_ms, received_ms)
+        for command in self._pool.listings.listed(
+            self.vm, token, asked_ms, listing
+        ):
             self.order(command)
         self._news()
         return True
@@ -130,7 +132,7 @@
                 outcome=outcome.value,
                 runs=len(self.vm.runs),
             )
-        self._pool.vm_silent(self.vm)
+        self._pool.presence.silent(self.vm)
         self._news()
 
     async def _start(self, command: commands.Start) -> None:
@@ -161,14 +163,14 @@
         if fenced and token == self.vm.token:
             self._fenced()
             return
-        if self._pool.start_answered(self.vm, run, answer.outcome):
+        if self._pool.listings.start_answered(self.vm, run, answer.outcome):
             await self._settle(token)
         self._news()
 
     async def _settle(self, token: int) -> None:
         # Under a higher token the unanswered order can't be carried out.
         if token == self.vm.token:
-            self._pool.raise_token(self.vm)
+            self._pool.presence.raise_token(self.vm)
         while not await self._hold(0):
             await asyncio.sleep(_RETRY_MS / 1_000)
 
--- /dev/null
+++ b/src/wagtailtiller/scheduling/listings.py
@@ -0,0 +1,245 @@
+"""What the answers of VMs mean for their runs."""
+
+from wagtailtiller import events
+from wagtailtiller.dispatch import messages
+from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import model
+from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import commands
+from wagtailtiller.scheduling import judging
+from wagtailtiller.scheduling import state
+from wagtailtiller.scheduling import vm as vm_module
+
+# A VM that refused a start for want of room or health is passed over briefly.
+_AVOID_MS = 200
+_STRAY_PAUSE_MS = 1_200
+
+
+class Listings:
+    """Takes the answers of a pool's VMs in.
+
+    Args:
+        shared: What the pool's owner knows.
+        judge: Learns how runs end.
+    """
+
+    def __init__(self, shared: state.PoolState, judge: judging.Judge) -> None:
+        self._state = shared
+        self._judge = judge
+
+    def start_answered(
+        self, vm: vm_module.Vm, run: job_module.Run, outcome: vms.OrderOutcome
+    ) -> bool:
+        """Take in what became of a start.
+
+        Returns:
+            Whether a hold under a new token is needed to find out more.
+        """
+        if vm.runs.get(run.task.id) is not run:
+            return False
+        match outcome:
+            case vms.OrderOutcome.DONE:
+                if run.phase is job_module.RunPhase.STARTING:
+                    run.phase = job_module.RunPhase.RUNNING
+                run.confirmed_ms = self._state.clock.monotonic_ms()
+                return False
+            case vms.OrderOutcome.UNANSWERED:
+                if run.phase is job_module.RunPhase.STARTING:
+                    run.phase = job_module.RunPhase.UNCERTAIN
+                return True
+            case vms.OrderOutcome.BAD_TICKET:
+                self._state.tickets.reject(run.task.id, vm.report.vm)
+                self._state.clear(vm, run)
+            case vms.OrderOutcome.OLD_RUN:
+                # It may be listed as ended; a later run has a higher number.
+                self._state.clear(vm, run)
+            case vms.OrderOutcome.NO_ROOM | vms.OrderOutcome.UNHEALTHY:
+                vm.avoid_until_ms = self._state.clock.monotonic_ms() + _AVOID_MS
+                self._state.clear(vm, run)
+            case _:
+                self._state.clear(vm, run)
+        return False
+
+    def listed(
+        self,
+        vm: vm_module.Vm,
+        token: int,
+        asked_ms: int,
+        listing: vms.Listing,
+    ) -> list[commands.Command]:
+        """Take in a VM's answer about its runs.
+
+        Args:
+            vm: Whose answer.
+            token: The token that the question carried.
+            asked_ms: Our clock before the question was sent.
+            listing: The answer.
+
+        Returns:
+            Stops of runs that should not be.
+        """
+        if listing.clock_ms < vm.listed_clock_ms:
+            # A newer answer has overtaken this one.
+            return []
+        vm.listed_clock_ms = listing.clock_ms
+        orders: list[commands.Command] = []
+        for end in listing.ended:
+            if end.position > vm.seen_end:
+                vm.seen_end = end.position
+                self._ended(vm, end)
+        running = {(row.task, row.number) for row in listing.running}
+        for row in listing.running:
+            orders.extend(self._listed_run(vm, row))
+        if orders:
+            # What is being stopped takes room that no run here accounts for.
+            vm.avoid_until_ms = (
+                self._state.clock.monotonic_ms() + _STRAY_PAUSE_MS
+            )
+        if len(listing.ended) < vms.MOST_ENDS:
+            self._drop_unlisted(vm, token, asked_ms, running)
+        orders.extend(self._pace(vm))
+        if vm.standing is vm_module.Standing.JOINING:
+            vm.standing = vm_module.Standing.USABLE
+            self._state.unsettled.pop(vm.report.vm, None)
+            events.emit(
+                events.Event.VM_JOINED,
+                vm=vm.report.vm,
+                pool=self._state.pool,
+                token=token,
+                running=len(listing.running),
+            )
+        return orders
+
+    def _pace(self, vm: vm_module.Vm) -> list[commands.Command]:
+        fillers = [
+            run
+            for run in vm.runs.values()
+            if run.task.step.filler and run.phase is job_module.RunPhase.RUNNING
+        ]
+        if not fillers:
+            return []
+        worst = max(
+            (
+                run.usage / run.task.step.tail_target_ms
+                for run in vm.runs.values()
+                if run.task.step.tail_target_ms
+            ),
+            default=0.0,
+        )
+        percent = vm.pace.adapt(worst, self._state.clock.monotonic_ms())
+        orders: list[commands.Command] = []
+        for run in fillers:
+            if run.pace_percent != percent:
+                run.pace_percent = percent
+                orders.append(commands.SetPace(vm.report.vm, run, percent))
+        return orders
+
+    def _ended(self, vm: vm_module.Vm, end: vms.ListedEnd) -> None:
+        entry = self._state.entries.get(end.task.job)
+        task = entry.job.task(end.task) if entry is not None else None
+        if entry is None or task is None:
+            return
+        known = vm.runs.get(end.task)
+        events.emit(
+            events.Event.RUN_ENDED,
+            job=end.task.job,
+            task=end.task[1:],
+            run=end.number,
+            vm=vm.report.vm,
+            how=end.kind.value,
+            position=end.position,
+        )
+        task.last_run = max(task.last_run, end.number)
+        if known is not None and known.number == end.number:
+            self._state.clear(vm, known)
+        if task.done:
+            return
+        if end.checkpoint and end.number >= task.last_run:
+            task.checkpoint = end.checkpoint
+        match end.kind:
+            case job_module.EndKind.DONE:
+                self._judge.observe(vm, task, messages.RunOutcome.ANSWERED)
+                entry.job.note_done(task)
+                self._state.note_change(entry)
+            case job_module.EndKind.FAILED:
+                task.failed_on.add(vm.report.vm)
+                self._judge.observe(vm, task, messages.RunOutcome.SERVER_ERROR)
+                queue = self._state.queues.get(entry.job.queue)
+                attempts = queue.max_attempts if queue else 1
+                entry.job.note_failure(task, attempts)
+                self._state.note_change(entry)
+            case _:
+                pass
+
+    def _listed_run(
+        self, vm: vm_module.Vm, row: vms.ListedRun
+    ) -> list[commands.Command]:
+        known = vm.runs.get(row.task)
+        if known is not None and known.number == row.number:
+            if known.phase is not job_module.RunPhase.STOPPING:
+                known.phase = job_module.RunPhase.RUNNING
+            known.confirmed_ms = self._state.clock.monotonic_ms()
+            if row.checkpoint:
+                known.task.checkpoint = row.checkpoint
+            known.listed_ms = vm.listed_clock_ms
+            if row.percent != known.percent or not known.progress_ms:
+                known.progress_ms = vm.listed_clock_ms
+            known.percent = row.percent
+            known.usage = row.usage
+            return []
+        entry = self._state.entries.get(row.task.job)
+        task = entry.job.task(row.task) if entry is not None else None
+        if entry is not None and task is not None:
+            task.last_run = max(task.last_run, row.number)
+            wanted = not task.done and not entry.job.is_final()
+            if wanted and task.run is None:
+                self._adopt(entry, vm, task, row)
+                return []
+        stray = job_module.Task(row.task, model.Step(1))
+        now_ms = self._state.clock.monotonic_ms()
+        run = job_module.Run(
+            stray,
+            row.number,
+            vm.report.vm,
+            job_module.RunPhase.STOPPING,
+            now_ms,
+        )
+        return [commands.StopUnknown(vm.report.vm, run)]
+
+    def _adopt(
+        self,
+        entry: state.Entry,
+        vm: vm_module.Vm,
+        task: job_module.Task,
+        row: vms.ListedRun,
+    ) -> None:
+        now_ms = self._state.clock.monotonic_ms()
+        run = job_module.Run(
+            task,
+            row.number,
+            vm.report.vm,
+            job_module.RunPhase.RUNNING,
+            now_ms,
+            confirmed_ms=now_ms,
+        )
+        task.run = run
+        task.checkpoint = row.checkpoint or task.checkpoint
+        vm.add(run)
+        entry.job.note_started()
+
+    def _drop_unlisted(
+        self,
+        vm: vm_module.Vm,
+        token: int,
+        asked_ms: int,
+        running: set[tuple[model.TaskId, int]],
+    ) -> None:
+        for run in list(vm.runs.values()):
+            if (run.task.id, run.number) in running:
+                continue
+            settled = run.phase is job_module.RunPhase.UNCERTAIN and (
+                token >= vm.token
+            )
+            ended = 0 < run.confirmed_ms < asked_ms
+            if settled or ended:
+                self._state.clear(vm, run)
--- /dev/null
+++ b/src/wagtailtiller/scheduling/presence.py
@@ -0,0 +1,114 @@
+"""Which VMs are there, answer, and may still run something."""
+
+from wagtailtiller import events
+from wagtailtiller import ids
+from wagtailtiller.jobs import job as job_module
+from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import state
+from wagtailtiller.scheduling import vm as vm_module
+
+# Tokens of one owner's epoch; it raises them to settle unanswered orders.
+TOKENS_PER_EPOCH = 1 << 20
+
+
+class Presence:
+    """The VMs of one pool.
+
+    Args:
+        shared: What the pool's owner knows.
+    """
+
+    def __init__(self, shared: state.PoolState) -> None:
+        self._state = shared
+
+    def reported(self, report: vms.VmReport) -> vm_module.Vm | None:
+        """Take in what a VM registered; return it if it is a new life."""
+        known = self._state.vms.get(report.vm)
+        if known is not None and known.report.born_ms == report.born_ms:
+            known.report = report
+            known.registered = True
+            return None
+        self._state.unsettled.pop(report.vm, None)
+        new = vm_module.Vm(report, self._state.epoch * TOKENS_PER_EPOCH)
+        self._state.vms[report.vm] = new
+        if known is not None:
+            self._carry_over(known, new)
+        return new
+
+    def _carry_over(self, old: vm_module.Vm, new: vm_module.Vm) -> None:
+        # The new life may have taken orders that were meant for the old one;
+        # its first listing under a higher token tells.
+        new.token = old.token + 1
+        new.lease.floor_ms = old.lease.over_ms()
+        for run in list(old.runs.values()):
+            old.remove(run)
+            run.phase = job_module.RunPhase.UNCERTAIN
+            run.confirmed_ms = 0
+            new.add(run)
+
+    def unlisted(self, vm: ids.VmId) -> None:
+        """Take in that a VM is no longer in the platform's list."""
+        known = self._state.vms.get(vm)
+        if known is not None:
+            known.registered = False
+
+    def answered(
+        self, vm: vm_module.Vm, clock_ms: int, received_ms: int
+    ) -> None:
+        """Take in that a VM has answered."""
+        vm.lease.note_clock(clock_ms, received_ms)
+        if vm.silent_since_ms is not None:
+            events.emit(
+                events.Event.VM_ANSWERS,
+                vm=vm.report.vm,
+                silent_ms=received_ms - vm.silent_since_ms,
+            )
+        vm.silent_since_ms = None
+        if vm.standing is vm_module.Standing.SILENT:
+            vm.standing = vm_module.Standing.USABLE
+
+    def silent(self, vm: vm_module.Vm) -> None:
+        """Take in that a VM did not answer in time."""
+        now_ms = self._state.clock.monotonic_ms()
+        if vm.silent_since_ms is None:
+            vm.silent_since_ms = now_ms
+        if vm.standing is vm_module.Standing.USABLE:
+            vm.standing = vm_module.Standing.SILENT
+
+    def expire(self) -> list[vm_module.Vm]:
+        """Give up what ran on VMs whose leases have ended in silence.
+
+        Returns:
+            The VMs that are gone for good.
+        """
+        now_ms = self._state.clock.monotonic_ms()
+        for vm_id, until_ms in list(self._state.unsettled.items()):
+            if now_ms >= until_ms:
+                del self._state.unsettled[vm_id]
+        gone = []
+        for vm in list(self._state.vms.values()):
+            idle = not vm.registered and not vm.runs
+            if vm.silent_since_ms is None:
+                continue
+            if now_ms < vm.lease.over_ms() and not idle:
+                continue
+            self._state.lose_runs(vm, "lease_over")
+            if not vm.registered:
+                del self._state.vms[vm.report.vm]
+                gone.append(vm)
+        return gone
+
+    def members(self) -> set[ids.VmId]:
+        """Return the VMs that may run something, now or after a start."""
+        now_ms = self._state.clock.monotonic_ms()
+        present = {
+            vm.report.vm
+            for vm in self._state.vms.values()
+            if vm.runs or vm.open_for_starts(now_ms)
+        }
+        return present | self._state.unsettled.keys()
+
+    def raise_token(self, vm: vm_module.Vm) -> int:
+        """Return a new token, under which older orders are refused."""
+        vm.token += 1
+        return vm.token
--- /dev/null
+++ b/src/wagtailtiller/scheduling/starting.py
@@ -0,0 +1,141 @@
+"""Which tasks start now, and where."""
+
+from wagtailtiller.jobs import job as job_module
+from wagtailtiller.ports import catalogue
+from wagtailtiller.scheduling import commands
+from wagtailtiller.scheduling import order
+from wagtailtiller.scheduling import placement
+from wagtailtiller.scheduling import state
+from wagtailtiller.scheduling import vm as vm_module
+
+# A question about a step names no more VMs; each costs the service time.
+_MOST_ASKED_VMS = 30
+_POLICY_MARGIN_MS = 2_000
+
+
+class Starting:
+    """Decides on starts in one pool.
+
+    Args:
+        shared: What the pool's owner knows.
+    """
+
+    def __init__(self, shared: state.PoolState) -> None:
+        self._state = shared
+
+    def plan(
+        self, open_vms: list[vm_module.Vm], now_ms: int
+    ) -> list[commands.Decision]:
+        """Decide what to start now.
+
+        Args:
+            open_vms: VMs that take new work.
+            now_ms: The owner's clock.
+        """
+        orders: list[commands.Decision] = []
+        wall_ms = self._state.clock.wall_ms()
+        for entry in self._by_rank(now_ms):
+            if entry.stored_state is None:
+                continue
+            if entry.inherited and self._state.unsettled:
+                continue
+            for step_run in entry.job.ready_steps(wall_ms):
+                orders.extend(self._start_step(entry, step_run, open_vms))
+        return orders
+
+    def _by_rank(self, now_ms: int) -> list[state.Entry]:
+        ranked = []
+        for entry in self._state.active.values():
+            queue = self._state.queues.get(entry.job.queue)
+            if queue is not None:
+                rank = order.rank(entry.job, entry.accepted_ms, queue, now_ms)
+                ranked.append((rank, entry.job.id, entry))
+        ranked.sort(key=lambda row: row[:2])
+        return [entry for _, _, entry in ranked]
+
+    def _start_step(
+        self,
+        entry: state.Entry,
+        step_run: job_module.StepRun,
+        open_vms: list[vm_module.Vm],
+    ) -> list[commands.Decision]:
+        idle = step_run.idle_tasks()
+        if not idle:
+            return []
+        queue = self._state.queues.get(entry.job.queue)
+        policy = queue.policy if queue is not None else None
+        if policy is not None:
+            asked = self._ask(idle[0], policy, open_vms)
+            if asked is not None:
+                return [asked]
+            open_vms = [
+                vm for vm in open_vms if self._ticket(idle[0], vm) is not None
+            ]
+        if step_run.step.gang:
+            if len(idle) < len(step_run.tasks):
+                return []
+            placed = placement.choose_gang(idle, open_vms) or []
+        else:
+            placed = []
+        orders: list[commands.Decision] = []
+        if step_run.step.gang:
+            number = max(
+                entry.job.next_run_number(task, self._state.epoch)
+                for task in idle
+            )
+            for task, vm in placed:
+                orders.append(self._start(entry, task, vm, number))
+            return orders
+        for task in idle:
+            chosen = placement.choose(task, open_vms)
+            if chosen is None:
+                break
+            number = entry.job.next_run_number(task, self._state.epoch)
+            orders.append(self._start(entry, task, chosen, number))
+        return orders
+
+    def _start(
+        self,
+        entry: state.Entry,
+        task: job_module.Task,
+        vm: vm_module.Vm,
+        number: int,
+    ) -> commands.Command:
+        run = job_module.Run(
+            task,
+            number,
+            vm.report.vm,
+            job_module.RunPhase.STARTING,
+            self._state.clock.monotonic_ms(),
+        )
+        task.run = run
+        task.last_run = number
+        vm.add(run)
+        entry.job.note_started()
+        ticket = self._ticket(task, vm) or ""
+        return commands.Start(vm.report.vm, run, entry.job.spec.payload, ticket)
+
+    def _ticket(self, task: job_module.Task, vm: vm_module.Vm) -> str | None:
+        now_ms = self._state.clock.monotonic_ms()
+        return self._state.tickets.ticket(task.id, vm.report.vm, now_ms)
+
+    def _ask(
+        self,
+        task: job_module.Task,
+        policy: catalogue.PlacementPolicy,
+        open_vms: list[vm_module.Vm],
+    ) -> commands.AskPolicy | None:
+        fitting = [vm for vm in open_vms if vm.fits(task.step)]
+        if not fitting:
+            return None
+        if any(self._ticket(task, vm) is not None for vm in fitting):
+            return None
+        fitting.sort(key=lambda vm: -vm.free_cpu)
+        names = [vm.report.vm for vm in fitting]
+        asked = self._state.tickets.question(task.id, names, _MOST_ASKED_VMS)
+        if not asked:
+            return None
+        within_ms = policy.decide_ms + policy.each_ms * len(asked)
+        return commands.AskPolicy(
+            task.id, asked, 2 * within_ms + _POLICY_MARGIN_MS
+        )
--- a/tests/owner/test_journal.py
+++ b/tests/owner/test_journal.py
@@ -36,7 +36,7 @@
             self.store.faults = list(faults)
             held = claims.Claim(shard, 1, owned.ok)
             self.pool = pool_module.Pool(jobs.POOL, 1, clock.FakeClock())
-            self.pool.set_queues([jobs.queue()])
+            self.pool.jobs.set_queues([jobs.queue()])
             self.journal = journal.Journal(
                 self.store, self.pool, held, _ShortBackoff()
             )
@@ -49,7 +49,7 @@
         asyncio.run(wrapped())
 
     def add_job(self, *steps):
-        return self.pool.add(jobs.job(_JOB, jobs.spec(*steps)), False)
+        return self.pool.jobs.add(jobs.job(_JOB, jobs.spec(*steps)), False)
 
     def stored(self):
         return record.decode(self.store.state.item(_KEY).value).ok
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -33,9 +33,9 @@
         async def wrapped():
             time_source = clock.SystemClock()
             pool = pool_module.Pool(jobs.POOL, 1, time_source)
-            pool.set_queues([jobs.queue()])
+            pool.jobs.set_queues([jobs.queue()])
             fake = fake_vms.FakeVm(fake_vms.report("vm-1"), time_source)
-            vm = pool.vm_reported(fake.report)
+            vm = pool.presence.reported(fake.report)
             backing = fakes.FakeStore()
             held = claims.Claim(ids.ShardId("renders"), 1, store.ABSENT)
             writer = journal.Journal(backing, pool, held, _Nothing())
@@ -57,7 +57,7 @@
         asyncio.run(wrapped())
 
     async def start_one(self, pool, link):
-        entry = pool.add(jobs.job("a" * 16), False, model.JobState.QUEUED)
+        entry = pool.jobs.add(jobs.job("a" * 16), False, model.JobState.QUEUED)
         await self.until(lambda: pool.vms["vm-1"].open_for_starts(1 << 60))
         for command in pool.plan():
             link.order(command)
@@ -78,7 +78,7 @@
             await self.until(lambda: vm.silent_since_ms is not None)
 
             def given_up():
-                pool.expire()
+                pool.presence.expire()
                 return task.run is None
 
             await self.until(given_up, within_s=4 * _LEASE_MS / 1_000)
@@ -87,7 +87,9 @@
 
     def test_an_unanswered_start_is_settled_and_cannot_happen_later(self):
         async def main(pool, fake, vm, link):
-            entry = pool.add(jobs.job("a" * 16), False, model.JobState.QUEUED)
+            entry = pool.jobs.add(
+                jobs.job("a" * 16), False, model.JobState.QUEUED
+            )
             await self.until(lambda: vm.open_for_starts(1 << 60))
             fake.hold_back = True
             for command in pool.plan():
