--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -13,12 +13,14 @@
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller import runtime
-from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import journal as journal_module
 from wagtailtiller.owner import keys
+from wagtailtiller.owner import members as members_module
 from wagtailtiller.owner import messages
+from wagtailtiller.owner import policy_desk
+from wagtailtiller.owner import requests
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
@@ -27,7 +29,6 @@
 from wagtailtiller.ports import policy
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
-from wagtailtiller.scheduling import admission
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import vm as vm_module
@@ -42,13 +43,7 @@
 _FRESH_SESSION_MS = 1_300
 _PLAN_GAP_MS = 8
 _PLAN_AT_LEAST_MS = 100
-_RETRY_AFTER_MS = 1_000
 _TAKEOVER_RETRY_MS = 200
-# How long an emptied VM stays closed without being asked about again.
-_VACATE_HOLD_MS = 3_000
-# Former members are dropped in one write a while later.
-_TRIM_AFTER_MS = 700
-_MEMBERS_RETRY_MS = 50
 _FOREIGN_WAIT_MS = 5_000
 _FOREIGN_PAUSE_MS = 1_000
 _FORGET_EVERY_MS = 5_000
@@ -115,8 +110,6 @@
         self._lease_ms = min(settings.lease_ms, _LONGEST_LEASE_MS)
         self._lost = lost
         self._contact = contact
-        self._policy = placement_policy
-        self._questions: asyncio.Queue[commands.AskPolicy] = asyncio.Queue()
         self._random = random.Random()
         self._journal = journal_module.Journal(
             source, self.pool, held, follower.Backoff(self._random)
@@ -132,20 +125,32 @@
         )
         self._links: dict[ids.VmId, vm_link.VmLink] = {}
         self._reports: dict[ids.VmId, vms.VmReport] = {}
-        self._stored_members: set[ids.VmId] = set()
-        self._members_revision = store.ABSENT
-        self._arrived_core_ms = 0.0
-        self._members_due = asyncio.Event()
         self._wake = asyncio.Event()
         self._stopped = False
+        self._members = members_module.Members(
+            source, self.pool, held, clock, self._wake.set, self._deposed
+        )
+        self._requests = requests.Requests(
+            self.pool,
+            self._journal,
+            clock,
+            contact.store_answers,
+            self._wake.set,
+        )
+        self._desk: policy_desk.PolicyDesk | None = None
+        if placement_policy is not None:
+            self._desk = policy_desk.PolicyDesk(
+                placement_policy, self.pool, clock, self._wake.set
+            )
         self._tasks = [
             runtime.spawn(self._main()),
             runtime.spawn(self._journal.run()),
-            runtime.spawn(self._keep_members()),
-            runtime.spawn(self._ask_policy()),
+            runtime.spawn(self._members.run()),
             runtime.spawn(self._forget_old_jobs()),
             runtime.spawn(self._foreign_jobs.run()),
         ]
+        if self._desk is not None:
+            self._tasks.append(runtime.spawn(self._desk.run()))
 
     async def stop(self) -> None:
         """Stop ordering; what runs goes on under its leases."""
@@ -157,7 +162,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(*(link.close() for link in self._links.values()))
         if self.ready and self._contact.store_answers():
-            await self._leave_members()
+            await self._members.leave()
 
     def set_queues(self, queues: tuple[catalogue.Queue, ...]) -> None:
         """Take the operators' queues."""
@@ -181,122 +186,7 @@
         """Answer another process's request."""
         if not self.ready or self._stopped:
             return messages.NotOwner()
-        match request:
-            case messages.Submit():
-                return await self._submit(request)
-            case messages.AskState():
-                return self._state(request.job)
-            case messages.Cancel():
-                return await self._cancel(request.job)
-            case messages.AskPending():
-                return messages.Pending(
-                    self.pool.jobs.pending_count(request.queue)
-                )
-            case messages.AskLoad():
-                self.pool.spare_millicores = request.spare_millicores
-                return self._load()
-            case messages.Vacate():
-                return self._vacate(request)
-
-    async def _submit(self, request: messages.Submit) -> messages.Answer:
-        entry = self.pool.entries.get(request.job)
-        if entry is None:
-            if not self._contact.store_answers():
-                return messages.Rejected(
-                    admission.RefusalReason.STORE_UNAVAILABLE, _RETRY_AFTER_MS
-                )
-            refusal = self._refuse(request)
-            if refusal is not None:
-                return messages.Rejected(refusal.reason, refusal.retry_after_ms)
-            job = job_module.Job(
-                request.job,
-                request.queue,
-                request.spec,
-                self._clock.wall_ms(),
-                self.held.epoch,
-            )
-            self.pool.jobs.add(job, inherited=False)
-            self._arrived_core_ms += request.spec.work_core_ms()
-        elif entry.stored_state is not None:
-            return messages.Accepted()
-        outcome = await asyncio.shield(self._journal.write(request.job))
-        self._wake.set()
-        match outcome:
-            case journal_module.Outcome.STORED:
-                return messages.Accepted()
-            case journal_module.Outcome.NOT_STORED:
-                return messages.Rejected(
-                    admission.RefusalReason.STORE_UNAVAILABLE, _RETRY_AFTER_MS
-                )
-            case journal_module.Outcome.DEPOSED:
-                return messages.Unsure()
-
-    def _refuse(self, request: messages.Submit) -> admission.Refusal | None:
-        queue = self.pool.jobs.queue(request.queue)
-        if queue is None:
-            return None
-        refusal = self.pool.jobs.admit(request.spec, queue)
-        if refusal is not None:
-            events.emit(
-                events.Event.JOB_REFUSED,
-                job=request.job,
-                queue=request.queue,
-                reason=refusal.reason.value,
-                retry_after_ms=refusal.retry_after_ms,
-                waiting_core_ms=int(self.pool.jobs.waiting_core_ms()),
-                vms=len(self.pool.vms),
-                spare_millicores=self.pool.spare_millicores,
-                epoch=self.held.epoch,
-            )
-        return refusal
-
-    def _state(self, job: model.JobId) -> messages.Answer:
-        entry = self.pool.entries.get(job)
-        if entry is None or entry.stored_state is None:
-            return messages.State(None)
-        if entry.stored_state in model.FINAL_STATES:
-            return messages.State(entry.stored_state)
-        if entry.job.started:
-            return messages.State(model.JobState.RUNNING)
-        return messages.State(model.JobState.QUEUED)
-
-    async def _cancel(self, job: model.JobId) -> messages.Answer:
-        entry = self.pool.entries.get(job)
-        if entry is None:
-            return messages.State(None)
-        self.pool.jobs.cancel(job)
-        self._wake.set()
-        if entry.stored_state not in model.FINAL_STATES:
-            outcome = await asyncio.shield(self._journal.write(job))
-            if outcome is not journal_module.Outcome.STORED:
-                return messages.Unsure()
-        events.emit(events.Event.JOB_CANCELLED, job=job, epoch=self.held.epoch)
-        return messages.Accepted()
-
-    def _vacate(self, request: messages.Vacate) -> messages.Answer:
-        vm = self.pool.vms.get(request.vm)
-        if vm is None:
-            return messages.Vacated(0)
-        vm.closed_until_ms = self._clock.monotonic_ms() + _VACATE_HOLD_MS
-        vm.moves_lasting_until_ms = vm.closed_until_ms
-        if request.mode is messages.VacateMode.MOVE_ALL:
-            vm.moves_all_until_ms = vm.closed_until_ms
-        if vm.runs:
-            self._wake.set()
-        return messages.Vacated(len(vm.runs))
-
-    def _load(self) -> messages.Answer:
-        idle_core_ms, lasting = self.pool.jobs.demand()
-        return messages.Load(
-            self.pool.jobs.waiting_core_ms(),
-            idle_core_ms,
-            self._arrived_core_ms,
-            lasting,
-            self.pool.jobs.lasting_waiting(),
-            tuple(_vm_load(vm) for vm in self.pool.vms.values()),
-        )
-
-    # Taking over.
+        return await self._requests.answer(request)
 
     async def _main(self) -> None:
         while not await self._take_over():
@@ -313,19 +203,13 @@
             await self._plan_once()
 
     async def _take_over(self) -> bool:
-        members = await self._store.read_key(keys.members(self.pool_id))
-        if members.is_error():
+        if (await self._members.read()).is_error():
             return False
         jobs = await self._store.read(keys.jobs(self.pool_id))
         if jobs.is_error():
             return False
-        if members.ok is not None and members.ok.value:
-            self._members_revision = members.ok.revision
-            self._stored_members = set(
-                msgspec.json.decode(members.ok.value, type=list[ids.VmId])
-            )
-            until_ms = self._foreign_lease_over_ms()
-            self.pool.unsettled = dict.fromkeys(self._stored_members, until_ms)
+        until_ms = self._foreign_lease_over_ms()
+        self.pool.unsettled = dict.fromkeys(self._members.stored, until_ms)
         for item in jobs.ok.items:
             self._restore(item)
         return True
@@ -387,6 +271,10 @@
         if not self._stopped:
             self._lost(self, "fenced")
 
+    def _deposed(self) -> None:
+        if not self._stopped:
+            self._lost(self, "store")
+
     # Planning.
 
     async def _plan_once(self) -> None:
@@ -403,9 +291,8 @@
         for vm in self.pool.presence.expire():
             await self._forget(vm)
         self._wake_at_next_due()
-        if self.pool.presence.members() != self._stored_members:
-            self._members_due.set()
-        for command in self.pool.plan(self._stored_members):
+        self._members.compare()
+        for command in self.pool.plan(self._members.stored):
             self._dispatch(command)
         for job in list(self.pool.changed):
             entry = self.pool.entries.get(job)
@@ -420,40 +307,6 @@
             loop = asyncio.get_running_loop()
             loop.call_later(max(due_ms, 1) / 1_000, self._wake.set)
 
-    async def _ask_policy(self) -> None:
-        # The service takes one question of a process at a time.
-        while True:
-            question = await self._questions.get()
-            if self._policy is None:
-                continue
-            asked_ms = self._clock.monotonic_ms()
-            answer = await self._policy.ask(
-                question.task, question.vms, question.within_ms
-            )
-            now_ms = self._clock.monotonic_ms()
-            allowed = 0
-            if answer.is_ok():
-                found = answer.ok
-                allowed = len(found.tickets)
-                self.pool.tickets.answered(
-                    question.task,
-                    question.vms,
-                    found.tickets,
-                    now_ms + found.valid_ms,
-                )
-            else:
-                self.pool.tickets.failed(question.task)
-            events.emit(
-                events.Event.POLICY_ASKED,
-                job=question.task.job,
-                task=question.task[1:],
-                vms=len(question.vms),
-                allowed=allowed,
-                outcome="answered" if answer.is_ok() else str(answer.error),
-                took_ms=now_ms - asked_ms,
-            )
-            self._wake.set()
-
     async def _forget_old_jobs(self) -> None:
         kept_ms = int(self._settings.job_kept_ms * _KEPT_FACTOR)
         while True:
@@ -482,7 +335,8 @@
 
     def _dispatch(self, command: commands.Decision) -> None:
         if isinstance(command, commands.AskPolicy):
-            self._questions.put_nowait(command)
+            if self._desk is not None:
+                self._desk.put(command)
             return
         link = self._links.get(command.vm)
         if link is not None:
@@ -492,80 +346,3 @@
         link = self._links.pop(vm.report.vm, None)
         if link is not None:
             await link.close()
-
-    async def _keep_members(self) -> None:
-        # A successor must know of a VM before anything can run there, and
-        # should not wait for one where nothing does any more. Planning goes
-        # on meanwhile with the members that are stored.
-        while True:
-            await self._members_due.wait()
-            self._members_due.clear()
-            wanted = self.pool.presence.members()
-            if wanted <= self._stored_members:
-                wanted = await self._later_members()
-            if wanted == self._stored_members:
-                continue
-            if await self._write_members(wanted):
-                self._wake.set()
-            else:
-                self._members_due.set()
-                await asyncio.sleep(_MEMBERS_RETRY_MS / 1_000)
-
-    async def _later_members(self) -> set[ids.VmId]:
-        # Dropping members can wait, adding one cannot.
-        end_ms = self._clock.monotonic_ms() + _TRIM_AFTER_MS
-        while self._clock.monotonic_ms() < end_ms:
-            await asyncio.sleep(_MEMBERS_RETRY_MS / 1_000)
-            if not self.pool.presence.members() <= self._stored_members:
-                break
-        return self.pool.presence.members()
-
-    async def _leave_members(self) -> None:
-        # Nothing starts any more, so only VMs with runs concern a successor.
-        busy = {vm.report.vm for vm in self.pool.vms.values() if vm.runs}
-        wanted = busy | self.pool.unsettled.keys()
-        if not await self._write_members(wanted):
-            # The write that was under way has changed the revision.
-            await self._write_members(wanted)
-
-    async def _write_members(self, wanted: set[ids.VmId]) -> bool:
-        key = keys.members(self.pool_id)
-        expected = self.held.expectation()
-        expected[key] = self._members_revision
-        value = msgspec.json.encode(sorted(wanted))
-        # An unanswered write may come late and name too few.
-        self._stored_members &= wanted
-        answer = await self._store.commit(
-            store.Transaction(expected, (store.Write(key, value),))
-        )
-        if answer.is_ok():
-            self._members_revision = answer.ok
-            self._stored_members = wanted
-            return True
-        if isinstance(answer.error, store.PreconditionFailed):
-            self._correct_members(answer.error.items)
-        return False
-
-    def _correct_members(self, items: tuple[store.Item, ...]) -> None:
-        for item in items:
-            if item.key == keys.members(self.pool_id):
-                self._members_revision = item.revision
-            elif item.revision != self.held.revision and not self._stopped:
-                self._lost(self, "store")
-
-
-def _vm_load(vm: vm_module.Vm) -> messages.VmLoad:
-    lasting = [r for r in vm.runs.values() if r.task.step.long_running]
-    short_millicores = sum(
-        run.task.step.cpu_millicores
-        for run in vm.runs.values()
-        if not run.task.step.long_running
-    )
-    return messages.VmLoad(
-        vm.report.vm,
-        len(vm.runs),
-        len(lasting),
-        vm.free_cpu,
-        short_millicores,
-        vm.standing is vm_module.Standing.USABLE and not vm.draining,
-    )
--- /dev/null
+++ b/src/wagtailtiller/owner/requests.py
@@ -0,0 +1,179 @@
+"""What other processes ask of a pool's owner."""
+
+import asyncio
+from collections.abc import Callable
+
+from wagtailtiller import clock as clock_module
+from wagtailtiller import events
+from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import model
+from wagtailtiller.owner import journal as journal_module
+from wagtailtiller.owner import messages
+from wagtailtiller.scheduling import admission
+from wagtailtiller.scheduling import pool as pool_module
+from wagtailtiller.scheduling import vm as vm_module
+
+_RETRY_AFTER_MS = 1_000
+# How long an emptied VM stays closed without being asked about again.
+_VACATE_HOLD_MS = 3_000
+
+
+class Requests:
+    """Answers requests about one pool.
+
+    Args:
+        pool: The pool.
+        writer: Stores jobs.
+        clock: The time.
+        store_answers: Whether the store has answered of late.
+        news: Called when the pool has something to decide.
+    """
+
+    def __init__(
+        self,
+        pool: pool_module.Pool,
+        writer: journal_module.Journal,
+        clock: clock_module.Clock,
+        store_answers: Callable[[], bool],
+        news: Callable[[], None],
+    ) -> None:
+        self._pool = pool
+        self._journal = writer
+        self._clock = clock
+        self._store_answers = store_answers
+        self._news = news
+        self._arrived_core_ms = 0.0
+
+    async def answer(self, request: messages.Request) -> messages.Answer:
+        """Answer one request."""
+        match request:
+            case messages.Submit():
+                return await self._submit(request)
+            case messages.AskState():
+                return self._state(request.job)
+            case messages.Cancel():
+                return await self._cancel(request.job)
+            case messages.AskPending():
+                return messages.Pending(
+                    self._pool.jobs.pending_count(request.queue)
+                )
+            case messages.AskLoad():
+                self._pool.spare_millicores = request.spare_millicores
+                return self._load()
+            case messages.Vacate():
+                return self._vacate(request)
+
+    async def _submit(self, request: messages.Submit) -> messages.Answer:
+        entry = self._pool.entries.get(request.job)
+        if entry is None:
+            if not self._store_answers():
+                return messages.Rejected(
+                    admission.RefusalReason.STORE_UNAVAILABLE, _RETRY_AFTER_MS
+                )
+            refusal = self._refuse(request)
+            if refusal is not None:
+                return messages.Rejected(refusal.reason, refusal.retry_after_ms)
+            job = job_module.Job(
+                request.job,
+                request.queue,
+                request.spec,
+                self._clock.wall_ms(),
+                self._pool.epoch,
+            )
+            self._pool.jobs.add(job, inherited=False)
+            self._arrived_core_ms += request.spec.work_core_ms()
+        elif entry.stored_state is not None:
+            return messages.Accepted()
+        outcome = await asyncio.shield(self._journal.write(request.job))
+        self._news()
+        match outcome:
+            case journal_module.Outcome.STORED:
+                return messages.Accepted()
+            case journal_module.Outcome.NOT_STORED:
+                return messages.Rejected(
+                    admission.RefusalReason.STORE_UNAVAILABLE, _RETRY_AFTER_MS
+                )
+            case journal_module.Outcome.DEPOSED:
+                return messages.Unsure()
+
+    def _refuse(self, request: messages.Submit) -> admission.Refusal | None:
+        queue = self._pool.jobs.queue(request.queue)
+        if queue is None:
+            return None
+        refusal = self._pool.jobs.admit(request.spec, queue)
+        if refusal is not None:
+            events.emit(
+                events.Event.JOB_REFUSED,
+                job=request.job,
+                queue=request.queue,
+                reason=refusal.reason.value,
+                retry_after_ms=refusal.retry_after_ms,
+                waiting_core_ms=int(self._pool.jobs.waiting_core_ms()),
+                vms=len(self._pool.vms),
+                spare_millicores=self._pool.spare_millicores,
+                epoch=self._pool.epoch,
+            )
+        return refusal
+
+    def _state(self, job: model.JobId) -> messages.Answer:
+        entry = self._pool.entries.get(job)
+        if entry is None or entry.stored_state is None:
+            return messages.State(None)
+        if entry.stored_state in model.FINAL_STATES:
+            return messages.State(entry.stored_state)
+        if entry.job.started:
+            return messages.State(model.JobState.RUNNING)
+        return messages.State(model.JobState.QUEUED)
+
+    async def _cancel(self, job: model.JobId) -> messages.Answer:
+        entry = self._pool.entries.get(job)
+        if entry is None:
+            return messages.State(None)
+        self._pool.jobs.cancel(job)
+        self._news()
+        if entry.stored_state not in model.FINAL_STATES:
+            outcome = await asyncio.shield(self._journal.write(job))
+            if outcome is not journal_module.Outcome.STORED:
+                return messages.Unsure()
+        events.emit(events.Event.JOB_CANCELLED, job=job, epoch=self._pool.epoch)
+        return messages.Accepted()
+
+    def _vacate(self, request: messages.Vacate) -> messages.Answer:
+        vm = self._pool.vms.get(request.vm)
+        if vm is None:
+            return messages.Vacated(0)
+        vm.closed_until_ms = self._clock.monotonic_ms() + _VACATE_HOLD_MS
+        vm.moves_lasting_until_ms = vm.closed_until_ms
+        if request.mode is messages.VacateMode.MOVE_ALL:
+            vm.moves_all_until_ms = vm.closed_until_ms
+        if vm.runs:
+            self._news()
+        return messages.Vacated(len(vm.runs))
+
+    def _load(self) -> messages.Answer:
+        idle_core_ms, lasting = self._pool.jobs.demand()
+        return messages.Load(
+            self._pool.jobs.waiting_core_ms(),
+            idle_core_ms,
+            self._arrived_core_ms,
+            lasting,
+            self._pool.jobs.lasting_waiting(),
+            tuple(_vm_load(vm) for vm in self._pool.vms.values()),
+        )
+
+
+def _vm_load(vm: vm_module.Vm) -> messages.VmLoad:
+    lasting = [r for r in vm.runs.values() if r.task.step.long_running]
+    short_millicores = sum(
+        run.task.step.cpu_millicores
+        for run in vm.runs.values()
+        if not run.task.step.long_running
+    )
+    return messages.VmLoad(
+        vm.report.vm,
+        len(vm.runs),
+        len(lasting),
+        vm.free_cpu,
+        short_millicores,
+        vm.standing is vm_module.Standing.USABLE and not vm.draining,
+    )
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -247,7 +247,7 @@
             other = self.add_vm("vm-2")
             both = {v.report.vm: v.report for v in self.vms.values()}
             owner.set_reports(both)
-            await self.until(lambda: "vm-2" in owner._stored_members)
+            await self.until(lambda: "vm-2" in owner._members.stored)
             owner.pool.vms["vm-2"].closed_until_ms = 1 << 60
             await asyncio.sleep(0.2)
             owner.pool.vms["vm-2"].closed_until_ms = 0
@@ -256,7 +256,7 @@
                 {v.report.vm: v.report for v in self.vms.values()}
             )
             await asyncio.sleep(0.3)
-            self.assertIn("vm-3", owner._stored_members)
+            self.assertIn("vm-3", owner._members.stored)
             self.assertEqual({}, other.running)
             await owner.stop()
 
