--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from wagtailtiller import clock as clock_module
+from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller import follower
 from wagtailtiller import ids
@@ -203,17 +204,27 @@
             await self._plan_once()
 
     async def _take_over(self) -> bool:
-        if (await self._members.read()).is_error():
-            return False
+        members = await self._members.read()
+        if members.is_error():
+            return self._delayed(members.error)
         jobs = await self._store.read(keys.jobs(self.pool_id))
         if jobs.is_error():
-            return False
+            return self._delayed(jobs.error)
         until_ms = self._foreign_lease_over_ms()
         self.pool.unsettled = dict.fromkeys(self._members.stored, until_ms)
         for item in jobs.ok.items:
             self._restore(item)
         return True
 
+    def _delayed(self, reason: errors.StoreUnavailable) -> bool:
+        events.emit(
+            events.Event.TAKEOVER_DELAYED,
+            pool=self.pool_id,
+            epoch=self.held.epoch,
+            reason=reason.reason,
+        )
+        return False
+
     def _foreign_lease_over_ms(self) -> int:
         # The former owner's last renewal is older than the store's lease.
         orders_ms = ORDERS_WITHOUT_STORE_MS - session.LEASE_TTL_MS
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -140,8 +140,13 @@
 
     def _vacate(self, request: messages.Vacate) -> messages.Answer:
         vm = self._pool.vms.get(request.vm)
+        if request.vm in self._pool.unsettled:
+            return messages.NotOwner()
         if vm is None:
             return messages.Vacated(0)
+        if vm.standing is vm_module.Standing.JOINING:
+            # What runs there is not known yet.
+            return messages.NotOwner()
         vm.closed_until_ms = self._clock.monotonic_ms() + _VACATE_HOLD_MS
         vm.moves_lasting_until_ms = vm.closed_until_ms
         if request.mode is messages.VacateMode.MOVE_ALL:
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller.owner import keys
 from wagtailtiller.ports import store
@@ -109,7 +110,14 @@
     committed = await source.commit(transaction)
     if committed.is_ok():
         return Claim(shard, epoch, committed.ok)
-    return await _settle(source, shard, record)
+    settled = await _settle(source, shard, record)
+    if settled is None:
+        events.emit(
+            events.Event.CLAIM_FAILED,
+            shard=shard,
+            reason=type(committed.error).__name__,
+        )
+    return settled
 
 
 async def release(source: store.Store, held: Claim) -> None:
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -261,3 +261,31 @@
             await owner.stop()
 
         self.run_with(main)
+
+    def test_a_successor_calls_no_vm_empty_before_it_has_answered(self):
+        async def main():
+            vm = self.add_vm("vm-1")
+            first = self.own(1)
+            await self.submit(first)
+            await self.until(lambda: vm.running)
+            vm.silent = True
+            second = self.own(2)
+            second.set_reports({})
+            await self.until(lambda: second.ready)
+            request = messages.Vacate(
+                jobs.POOL, "vm-1", messages.VacateMode.MOVE_LASTING
+            )
+            answer = await second.answer(request)
+            self.assertEqual(messages.NotOwner(), answer)
+            second.set_reports({vm.report.vm: vm.report})
+            await self.until(lambda: "vm-1" in second.pool.vms)
+            answer = await second.answer(request)
+            self.assertEqual(messages.NotOwner(), answer)
+            vm.silent = False
+            await self.until(lambda: not second.pool.unsettled)
+            answer = await second.answer(request)
+            self.assertEqual(messages.Vacated(1), answer)
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
