End tasks also when a cancellation is swallowed

By reading: the planner waited for the end of a dead VM's link, and a client's timeout that meets the cancellation swallows it, so the link's loop went on. Change: tasks are cancelled until they have ended, the planner does not wait for links, each run of the VM follower has a mirror of its own. Test sites use addresses of their own: two at once shared a port.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -10,6 +10,7 @@
 from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller import runtime
+from wagtailtiller import tasks
 from wagtailtiller.entry import front
 from wagtailtiller.entry import peers
 from wagtailtiller.entry import settings as settings_module
@@ -118,9 +119,7 @@
         """Stop everything."""
         if self._vms_task is not None:
             self._tasks.append(self._vms_task)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await tasks.end(self._tasks)
         await self._peers.close()
         if self._server is not None:
             await self._server.stop()
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -14,6 +14,7 @@
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller import runtime
+from wagtailtiller import tasks
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import journal as journal_module
@@ -126,6 +127,7 @@
         )
         self._links: dict[ids.VmId, vm_link.VmLink] = {}
         self._reports: dict[ids.VmId, vms.VmReport] = {}
+        self._closing = tasks.TaskGroup()
         self._wake = asyncio.Event()
         self._stopped = False
         self._members = members_module.Members(
@@ -158,9 +160,7 @@
         self._stopped = True
         await self._journal.flush(_TAKEOVER_RETRY_MS)
         self._journal.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await tasks.end(self._tasks)
         await asyncio.gather(*(link.close() for link in self._links.values()))
         if self.ready and self._contact.store_answers():
             await self._members.leave()
@@ -266,7 +266,7 @@
             new.lease.floor_ms = until_ms
         old = self._links.pop(report.vm, None)
         if old is not None:
-            self._tasks.append(runtime.spawn(old.close()))
+            self._closing.spawn(old.close())
         self._links[report.vm] = vm_link.VmLink(
             self.pool,
             new,
@@ -300,7 +300,7 @@
             return
         self._take_reports()
         for vm in self.pool.presence.expire():
-            await self._forget(vm)
+            self._forget(vm)
         self._wake_at_next_due()
         self._members.compare()
         for command in self.pool.plan(self._members.stored):
@@ -353,7 +353,7 @@
         if link is not None:
             link.order(command)
 
-    async def _forget(self, vm: vm_module.Vm) -> None:
+    def _forget(self, vm: vm_module.Vm) -> None:
         link = self._links.pop(vm.report.vm, None)
         if link is not None:
-            await link.close()
+            self._closing.spawn(link.close())
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -58,8 +58,7 @@
 
     async def close(self) -> None:
         """Stop talking to the VM."""
-        self._loop.cancel()
-        await asyncio.gather(self._loop, return_exceptions=True)
+        await tasks.end([self._loop])
         await self._background.cancel()
         await self._client.close()
 
--- a/src/wagtailtiller/ownership/mirror.py
+++ b/src/wagtailtiller/ownership/mirror.py
@@ -67,11 +67,6 @@
             self._note_reachable(False, reason)
             await self._backoff.wait()
 
-    def reset(self) -> None:
-        """Forget everything; the next run begins anew."""
-        self.items.clear()
-        self._position = None
-
     async def _step(self) -> str:
         if self._position is None:
             return await self._read_all()
--- a/src/wagtailtiller/platform/declarations.py
+++ b/src/wagtailtiller/platform/declarations.py
@@ -41,15 +41,9 @@
             follower.Backoff(randoms),
             self._operators_changed,
         )
-        self._registry = mirror.Mirror(
-            source,
-            documents.VM_PREFIX,
-            _WATCH_WAIT_MS,
-            clock,
-            follower.Backoff(randoms),
-            self._registry_changed,
-            pause_ms=_VM_PAUSE_MS,
-        )
+        self._source = source
+        self._clock = clock
+        self._registry: mirror.Mirror | None = None
 
     def wave_status_key(self, wave: ids.WaveId) -> str:
         """Return where the operators read about a wave."""
@@ -69,11 +63,22 @@
 
     async def run_vms(self) -> None:
         """Follow the VMs until cancelled; they are forgotten then."""
+        registry = mirror.Mirror(
+            self._source,
+            documents.VM_PREFIX,
+            _WATCH_WAIT_MS,
+            self._clock,
+            follower.Backoff(random.Random()),
+            self._registry_changed,
+            pause_ms=_VM_PAUSE_MS,
+        )
+        self._registry = registry
         try:
-            await self._registry.run()
+            await registry.run()
         finally:
-            self._registry.reset()
-            self.vms.clear()
+            # Another run may have begun before this one ended.
+            if self._registry is registry:
+                self.vms.clear()
 
     def _operators_changed(self, items: list[store.Item]) -> None:
         for item in items:
--- a/src/wagtailtiller/tasks.py
+++ b/src/wagtailtiller/tasks.py
@@ -2,10 +2,29 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Iterable
 from typing import Any
 
 from wagtailtiller import runtime
 
+_AGAIN_S = 0.05
+
+
+async def end(tasks: Iterable["asyncio.Task[None]"]) -> None:
+    """Cancel tasks until they have ended.
+
+    A library's timeout that meets a cancellation swallows it, so one may not
+    be enough.
+
+    Args:
+        tasks: What is to end; how each ends does not matter.
+    """
+    open_tasks = set(tasks)
+    while open_tasks:
+        for task in open_tasks:
+            task.cancel()
+        _, open_tasks = await asyncio.wait(open_tasks, timeout=_AGAIN_S)
+
 
 class TaskGroup:
     """Keeps tasks alive until they end or the group is cancelled.
@@ -24,7 +43,4 @@
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have ended."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end(self._tasks)
--- a/src/wagtailtiller/upkeep/keeper.py
+++ b/src/wagtailtiller/upkeep/keeper.py
@@ -84,8 +84,7 @@
 
     async def stop(self) -> None:
         """Give no more orders."""
-        self._main_task.cancel()
-        await asyncio.gather(self._main_task, return_exceptions=True)
+        await tasks.end([self._main_task])
         await self._background.cancel()
 
     async def _main(self) -> None:
--- a/support/demo/entry_site.py
+++ b/support/demo/entry_site.py
@@ -45,7 +45,9 @@
             for n in range(machines)
         ]
         # An address of its own for each, as on separate VMs.
-        self.addresses = {f"e-{n}": f"127.0.0.{n + 2}" for n in range(entries)}
+        # Two sites at once must not share one, since some ports are fixed.
+        net = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
+        self.addresses = {f"e-{n}": f"{net}.{n + 2}" for n in range(entries)}
         self._caller_port = ports.free_port()
         self._ready_port = ports.free_port()
         self._peer_port = ports.free_port()
