--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,13 @@
 SITE ?= kadalpura
 SEED ?= 1
 SECONDS ?= 30
+DAYS ?= 50
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test check measure fuzz faults format
+.PHONY: demo test check measure fuzz faults format lab days mutants
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,7 +20,7 @@
 	$(BIN)/python -m support.demo.jobs --seed $(SEED)
 
 test: check
-	$(BIN)/python -m pytest
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest
 
 check: $(READY)
 	$(BIN)/ruff format --check src support tests
@@ -38,3 +39,12 @@
 
 faults: $(READY)
 	$(BIN)/python -m support.faults.run --seed $(SEED)
+
+lab: $(READY)
+	PYTHONHASHSEED=0 $(BIN)/python -m support.sim.run --seed $(SEED)
+
+days: $(READY)
+	PYTHONHASHSEED=0 $(BIN)/python -m support.sim.soak --days $(DAYS) --seed $(SEED)
+
+mutants: $(READY)
+	PYTHONHASHSEED=0 $(BIN)/python -m support.sim.mutants --days $(DAYS) --seed $(SEED)
--- a/src/wagtailtiller/entry/front.py
+++ b/src/wagtailtiller/entry/front.py
@@ -132,7 +132,7 @@
     def __init__(
         self,
         directory: Directory,
-        peer_client: peers.PeerClient,
+        peer_client: peers.Peers,
         source: store.Store,
         clock: clock_module.Clock,
     ) -> None:
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import uuid
+import random
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
@@ -29,6 +29,7 @@
 MACHINES_SHARD = ids.ShardId("machines")
 _ORDERS_LOOK_MS = 250
 _ASK_TIMEOUT_MS = 500
+_INCARNATION_BITS = 128
 # The successors cannot begin before the owners' keys are gone.
 _HAND_OVER_S = 1.5
 # No machine is ordered on a lease that may have lapsed.
@@ -44,6 +45,7 @@
         declared: What operators and VMs have written.
         connect: Opens the connection to a VM.
         machines: The machine service; None if there is none.
+        peers: The other processes.
         placement_policy: The placement policy service; None if there is none.
     """
 
@@ -51,6 +53,7 @@
     declared: declarations.Declarations
     connect: Callable[[vms.VmReport], vms.VmClient]
     machines: machines.Machines | None
+    peers: peers.Peers
     placement_policy: policy.Policy | None = None
 
 
@@ -61,6 +64,7 @@
         settings: What it was told at its start.
         outside: The adapters.
         clock: The time.
+        chance: Names this start of the process, and spreads retries.
     """
 
     def __init__(
@@ -68,21 +72,22 @@
         settings: settings_module.EntrySettings,
         outside: Outside,
         clock: clock_module.Clock,
+        chance: random.Random,
     ) -> None:
+        self._chance = chance
         self._settings = settings
         self._outside = outside
         self._clock = clock
         self._owners: dict[ids.PoolId, pool_owner.PoolOwner] = {}
-        self._peers = peers.PeerClient()
-        self._server: peers.PeerServer | None = None
+        self._peers = outside.peers
         own = claims.NodeRecord(
             settings.node,
             settings.peer_address,
-            uuid.uuid4().hex,
+            f"{chance.getrandbits(_INCARNATION_BITS):x}",
             settings.data_centre,
         )
         self._shards = shards.Shards(
-            outside.store, own, clock, self._gained, self._lost
+            outside.store, own, clock, self._gained, self._lost, chance
         )
         self.front = front.Front(self, self._peers, outside.store, clock)
         self._keeper: keeper_module.Keeper | None = None
@@ -91,10 +96,7 @@
 
     async def start(self) -> None:
         """Begin to follow, to claim and to answer."""
-        self._server = peers.PeerServer(
-            self._settings.peer_address, self.ask_local
-        )
-        await self._server.start()
+        await self._peers.serve(self._settings.peer_address, self.ask_local)
         self._outside.declared.subscribe(self._declared_changed)
         self._tasks = [
             runtime.spawn(self._outside.declared.run()),
@@ -121,8 +123,6 @@
             self._tasks.append(self._vms_task)
         await tasks.end(self._tasks)
         await self._peers.close()
-        if self._server is not None:
-            await self._server.stop()
 
     # The front's directory.
 
@@ -191,6 +191,7 @@
             ),
             self._owner_lost,
             self._shards,
+            self._chance,
             self._outside.placement_policy,
         )
         self._owners[owner.pool_id] = owner
@@ -207,6 +208,7 @@
             self._clock,
             self._settings.machine_lease_ms,
             lambda: self._shards.session_age_ms() <= _KEEPER_LEASE_MS,
+            self._chance,
         )
 
     async def _ask_owner(
--- a/src/wagtailtiller/entry/peers.py
+++ b/src/wagtailtiller/entry/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Protocol
 
 import grpc
 import msgspec
@@ -31,7 +32,58 @@
 Handle = Callable[[messages.Request], Awaitable[messages.Answer]]
 
 
-class PeerServer:
+class Peers(Protocol):
+    """Reaches the other processes, and is reached by them."""
+
+    async def serve(self, address: str, handle: Handle) -> None:
+        """Answer the other processes from now on."""
+
+    async def ask(
+        self, address: str, request: messages.Request, timeout_ms: int
+    ) -> messages.Answer | None:
+        """Ask once; None if no answer came."""
+
+    async def close(self) -> None:
+        """Answer and ask nothing more."""
+
+
+class GrpcPeers:
+    """The ``Peers`` port over grpcio."""
+
+    def __init__(self) -> None:
+        self._client = _PeerClient()
+        self._server: _PeerServer | None = None
+
+    async def serve(self, address: str, handle: Handle) -> None:
+        """Answer the other processes from now on.
+
+        Args:
+            address: Where to listen, as ``ip:port``.
+            handle: Answers one request.
+        """
+        self._server = _PeerServer(address, handle)
+        await self._server.start()
+
+    async def ask(
+        self, address: str, request: messages.Request, timeout_ms: int
+    ) -> messages.Answer | None:
+        """Ask once; None if no answer came.
+
+        Args:
+            address: Who is asked, as ``ip:port``.
+            request: What is asked.
+            timeout_ms: How long the answer may take.
+        """
+        return await self._client.ask(address, request, timeout_ms)
+
+    async def close(self) -> None:
+        """Answer and ask nothing more."""
+        await self._client.close()
+        if self._server is not None:
+            await self._server.stop()
+
+
+class _PeerServer:
     """Answers the other processes.
 
     Args:
@@ -69,7 +121,7 @@
         return _encoder.encode(answer)
 
 
-class PeerClient:
+class _PeerClient:
     """Asks the other processes; one channel an address."""
 
     def __init__(self) -> None:
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -38,6 +38,7 @@
         clock: The time.
         gained: Called with each shard that this process now owns.
         lost: Called with each shard that it no longer owns.
+        chance: Spreads retries.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         clock: clock_module.Clock,
         gained: Callable[[claims.Claim], None],
         lost: Callable[[claims.Claim, str], None],
+        chance: random.Random,
     ) -> None:
         self.held: dict[ids.ShardId, claims.Claim] = {}
         self._store = source
@@ -60,11 +62,10 @@
         self._unowned_since_ms: dict[ids.ShardId, int] = {}
         self._registered = False
         self._closing = False
-        self._random = random.Random()
         self._session = session.Session(
             source,
             clock,
-            follower.Backoff(self._random),
+            follower.Backoff(chance),
             self._opened,
             self._lapsed,
         )
@@ -73,7 +74,7 @@
             keys.LIVE_PREFIX,
             _WATCH_WAIT_MS,
             clock,
-            follower.Backoff(self._random),
+            follower.Backoff(chance),
             self._changed,
         )
 
--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -76,7 +76,8 @@
         id: Its name.
         step: What it asks for.
         done: It has ended well.
-        failures: Ends that count as attempts.
+        failed_runs: The runs that have failed; each is an attempt. A VM may
+            list one again to a successor, and in any order.
         last_run: The highest run number known.
         checkpoint: What the last run saved; empty for none.
         run: The run that is under way, if any.
@@ -86,7 +87,7 @@
     id: model.TaskId
     step: model.Step
     done: bool = False
-    failures: int = 0
+    failed_runs: set[int] = dataclasses.field(default_factory=set)
     last_run: int = 0
     checkpoint: str = ""
     run: Run | None = None
@@ -219,14 +220,6 @@
             ends.append(begin + own_ms)
         return max(ends, default=0)
 
-    def running(self) -> Iterator[Run]:
-        """Yield the runs that are under way."""
-        for steps in self._occurrences.values():
-            for step_run in steps:
-                for task in step_run.tasks:
-                    if task.run is not None:
-                        yield task.run
-
     def next_run_number(self, task: Task, epoch: int) -> int:
         """Return a run number above all that were ever used for a task.
 
@@ -248,15 +241,23 @@
                 step_run.open_count -= 1
         self._finish(task.id.occurrence)
 
-    def note_failure(self, task: Task, max_attempts: int) -> None:
-        """Count an end that failed; the job fails after the last attempt."""
+    def note_failure(
+        self, task: Task, run_number: int, max_attempts: int
+    ) -> None:
+        """Count a run that failed; the job fails after the last attempt.
+
+        Args:
+            task: What failed.
+            run_number: The run.
+            max_attempts: How many runs of a task may fail.
+        """
+        if task.step.long_running:
+            return
         step_run = self.steps(task.id.occurrence)[task.id.step]
         members = step_run.tasks if task.step.gang else [task]
         for member in members:
-            member.failures += 1
-        if task.step.long_running:
-            return
-        if task.failures >= max_attempts and not self.is_final():
+            member.failed_runs.add(run_number)
+        if len(task.failed_runs) >= max_attempts and not self.is_final():
             self.state = model.JobState.FAILED
 
     def cancel(self, now_ms: int) -> None:
@@ -281,7 +282,7 @@
         """Yield the tasks with failed ends."""
         for steps in self._occurrences.values():
             for step_run in steps:
-                yield from (t for t in step_run.tasks if t.failures)
+                yield from (t for t in step_run.tasks if t.failed_runs)
 
     def _new_step(
         self, occurrence: int, number: int, step: model.Step
--- a/src/wagtailtiller/jobs/record.py
+++ b/src/wagtailtiller/jobs/record.py
@@ -18,13 +18,13 @@
         occurrence: Which repetition.
         step: Which step.
         done_mask: Bit i is set when task i has ended well.
-        failures: Task index and failed ends, where there are any.
+        failed_runs: Task index and the runs of it that have failed.
     """
 
     occurrence: int
     step: int
     done_mask: bytes
-    failures: dict[int, int]
+    failed_runs: dict[int, list[int]]
 
 
 class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -84,19 +84,19 @@
 
 
 def _progress(job: job_module.Job) -> list[_Progress]:
-    reached: dict[tuple[int, int], tuple[int, dict[int, int]]] = {}
+    reached: dict[tuple[int, int], tuple[int, dict[int, list[int]]]] = {}
     for task in job.done_tasks():
         key = (task.id.occurrence, task.id.step)
-        mask, failures = reached.get(key, (0, {}))
-        reached[key] = (mask | 1 << task.id.position, failures)
+        mask, failed_runs = reached.get(key, (0, {}))
+        reached[key] = (mask | 1 << task.id.position, failed_runs)
     for task in job.failed_tasks():
         key = (task.id.occurrence, task.id.step)
-        mask, failures = reached.get(key, (0, {}))
-        failures[task.id.position] = task.failures
-        reached[key] = (mask, failures)
+        mask, failed_runs = reached.get(key, (0, {}))
+        failed_runs[task.id.position] = sorted(task.failed_runs)
+        reached[key] = (mask, failed_runs)
     return [
-        _Progress(occurrence, step, _mask_bytes(mask), failures)
-        for (occurrence, step), (mask, failures) in reached.items()
+        _Progress(occurrence, step, _mask_bytes(mask), failed_runs)
+        for (occurrence, step), (mask, failed_runs) in reached.items()
     ]
 
 
@@ -107,8 +107,8 @@
 def _restore(job: job_module.Job, progress: _Progress) -> None:
     mask = int.from_bytes(progress.done_mask, "little")
     step_run = job.steps(progress.occurrence)[progress.step]
-    for index, failures in progress.failures.items():
-        step_run.tasks[index].failures = failures
+    for index, failed_runs in progress.failed_runs.items():
+        step_run.tasks[index].failed_runs = set(failed_runs)
     for task in step_run.tasks:
         if mask >> task.id.position & 1:
             job.note_done(task)
--- a/src/wagtailtiller/owner/keys.py
+++ b/src/wagtailtiller/owner/keys.py
@@ -4,6 +4,7 @@
 from wagtailtiller.jobs import model
 
 _ROOT = "wagtail/"
+JOBS_PREFIX = f"{_ROOT}jobs/"
 LIVE_PREFIX = f"{_ROOT}live/"
 NODE_PREFIX = f"{LIVE_PREFIX}nodes/"
 OWNER_PREFIX = f"{LIVE_PREFIX}owners/"
@@ -26,12 +27,12 @@
 
 def jobs(pool: ids.PoolId) -> str:
     """The jobs of a pool."""
-    return f"{_ROOT}jobs/{pool}/"
+    return f"{JOBS_PREFIX}{pool}/"
 
 
 def job(pool: ids.PoolId, job_id: model.JobId) -> str:
     """One job."""
-    return f"{_ROOT}jobs/{pool}/{job_id}"
+    return f"{JOBS_PREFIX}{pool}/{job_id}"
 
 
 def members(pool: ids.PoolId) -> str:
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -86,6 +86,7 @@
         settings: What the platform lays down.
         lost: Called when the ownership turns out to be lost.
         contact: What is known of the process's lease and the store.
+        chance: Spreads retries.
         placement_policy: Asked where a queue has a policy; None if there is
             no such service.
     """
@@ -99,6 +100,7 @@
         settings: OwnerSettings,
         lost: Callable[["PoolOwner", str], None],
         contact: Contact,
+        chance: random.Random,
         placement_policy: policy.Policy | None = None,
     ) -> None:
         self.held = held
@@ -112,16 +114,15 @@
         self._lease_ms = min(settings.lease_ms, _LONGEST_LEASE_MS)
         self._lost = lost
         self._contact = contact
-        self._random = random.Random()
         self._journal = journal_module.Journal(
-            source, self.pool, held, follower.Backoff(self._random)
+            source, self.pool, held, follower.Backoff(chance)
         )
         self._foreign_jobs = mirror.Mirror(
             source,
             keys.jobs(self.pool_id),
             _FOREIGN_WAIT_MS,
             clock,
-            follower.Backoff(self._random),
+            follower.Backoff(chance),
             self._jobs_changed,
             pause_ms=_FOREIGN_PAUSE_MS,
         )
--- a/src/wagtailtiller/platform/main.py
+++ b/src/wagtailtiller/platform/main.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 import sys
 
 from wagtailtiller import runtime  # isort: skip
@@ -14,6 +15,7 @@
 from wagtailtiller import events
 from wagtailtiller import meters
 from wagtailtiller.entry import node as node_module
+from wagtailtiller.entry import peers
 from wagtailtiller.entry import settings as settings_module
 from wagtailtiller.platform import callers as callers_module
 from wagtailtiller.platform import declarations
@@ -50,9 +52,11 @@
                 declarations.PlatformDeclarations(self._store, clock),
                 vms.PlatformVm,
                 self._machines(),
+                peers.GrpcPeers(),
                 self._policy(),
             ),
             clock,
+            random.SystemRandom(),
         )
         self._callers = callers_module.Callers(self._node.front)
         self._runners = [
--- a/src/wagtailtiller/scheduling/listings.py
+++ b/src/wagtailtiller/scheduling/listings.py
@@ -166,7 +166,7 @@
                 self._judge.observe(vm, task, messages.RunOutcome.SERVER_ERROR)
                 queue = self._state.queues.get(entry.job.queue)
                 attempts = queue.max_attempts if queue else 1
-                entry.job.note_failure(task, attempts)
+                entry.job.note_failure(task, end.number, attempts)
                 self._state.note_change(entry)
             case _:
                 pass
--- a/src/wagtailtiller/upkeep/keeper.py
+++ b/src/wagtailtiller/upkeep/keeper.py
@@ -51,6 +51,7 @@
         clock: The time.
         machine_lease_ms: Two keepers must not order one machine within it.
         may_order: Whether the ownership is certain at this moment.
+        chance: Spreads retries.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         clock: clock_module.Clock,
         machine_lease_ms: int,
         may_order: Callable[[], bool],
+        chance: random.Random,
     ) -> None:
         self.held = held
         self._store = source
@@ -78,7 +80,7 @@
         self._saved: dict[ids.WaveId, _WaveProgress] = {}
         self._listed_ms: int | None = None
         self._background = tasks.TaskGroup()
-        self._backoff = follower.Backoff(random.Random())
+        self._backoff = follower.Backoff(chance)
         self._busy: set[ids.MachineId] = set()
         self._main_task = runtime.spawn(self._main())
 
--- a/support/fake_vms.py
+++ b/support/fake_vms.py
@@ -35,7 +35,14 @@
 
 
 @dataclasses.dataclass
-class _Run:
+class HeldRun:
+    """A run under way.
+
+    Attributes:
+        number: The run's number.
+        lease_until_ms: The lease that its start carried.
+    """
+
     number: int
     lease_until_ms: int
 
@@ -56,7 +63,7 @@
         capacity_tasks: int | None = None,
     ) -> None:
         self.report = vm_report
-        self.running: dict[model.TaskId, _Run] = {}
+        self.running: dict[model.TaskId, HeldRun] = {}
         self.ended: list[vms.ListedEnd] = []
         self.token = 0
         self.silent = False
@@ -130,18 +137,20 @@
         wait_ms: int,
     ) -> vms.HoldAnswer:
         """Extend the lease and list the runs, after a short wait."""
-        await asyncio.sleep(_HOLD_S if wait_ms else 0)
         if self.silent:
+            await asyncio.sleep(0)
             return vms.HoldAnswer(vms.OrderOutcome.UNANSWERED)
         if not self._take_token(token):
             return vms.HoldAnswer(vms.OrderOutcome.FENCED)
         self.expire()
         if lease_until_ms is not None:
             self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
-        self.ended = [e for e in self.ended if e.position > acknowledged]
+        self._forget_ends(acknowledged)
+        await self._wait_for_news(wait_ms)
+        if self.silent:
+            return vms.HoldAnswer(vms.OrderOutcome.UNANSWERED)
         running = tuple(
-            vms.ListedRun(task, run.number, "", 100, 0)
-            for task, run in self.running.items()
+            self._listed(task, run) for task, run in self.running.items()
         )
         listing = vms.Listing(
             self._clock.monotonic_ms(),
@@ -154,6 +163,19 @@
     async def close(self) -> None:
         """Do nothing."""
 
+    def _forget_ends(self, acknowledged: int) -> None:
+        self.ended = [e for e in self.ended if e.position > acknowledged]
+
+    async def _wait_for_news(self, wait_ms: int) -> None:
+        await asyncio.sleep(_HOLD_S if wait_ms else 0)
+
+    def _listed(self, task: model.TaskId, run: HeldRun) -> vms.ListedRun:
+        return vms.ListedRun(task, run.number, "", 100, 0)
+
+    def _has_room(self, order: vms.StartOrder) -> bool:
+        full = self._capacity_tasks
+        return full is None or len(self.running) < full
+
     def _take_token(self, token: int) -> bool:
         if token < self.token:
             return False
@@ -170,11 +192,10 @@
             return vms.OrderOutcome.DONE
         if order.number <= self._highest.get(order.task, 0):
             return vms.OrderOutcome.OLD_RUN
-        full = self._capacity_tasks
-        if full is not None and len(self.running) >= full:
+        if not self._has_room(order):
             return vms.OrderOutcome.NO_ROOM
         self._highest[order.task] = order.number
         self.lease_until_ms = max(self.lease_until_ms, order.lease_until_ms)
-        self.running[order.task] = _Run(order.number, order.lease_until_ms)
+        self.running[order.task] = HeldRun(order.number, order.lease_until_ms)
         self.starts.append(order)
         return vms.OrderOutcome.DONE
--- /dev/null
+++ b/support/sim/__init__.py
@@ -0,0 +1,1 @@
+"""Whole days of the real processes in one program, in virtual time."""
--- /dev/null
+++ b/support/sim/credit.py
@@ -0,0 +1,113 @@
+"""What a day was worth to its callers, and what it cost."""
+
+import collections
+import dataclasses
+
+from support.sim import fleet as fleet_module
+from support.sim import oracle as oracle_module
+from support.sim import truth as truth_module
+from wagtailtiller.jobs import model
+
+# A job is worth this much and the rest by its size against the mean.
+_BASE = 0.3
+_MOST_SIZE = 4.0
+# Later than this many times the objective, a job is worth nothing.
+_LATE_FACTOR = 3.0
+_MACHINE_S = 0.096
+_MOVE = 0.11
+_WASTE_CORE_S = 0.0096
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """A day in figures; shares are of the credit that was owed.
+
+    Attributes:
+        served: Credit earned.
+        machines: Price of machine time in pools.
+        moves: Price of moves.
+        waste: Price of work thrown away.
+        refused: Jobs refused for good.
+        late: Jobs that ended late, in part or for nothing.
+        jobs: All jobs that end and could be done.
+        move_count: How many moves.
+        machine_s: Machine time in pools.
+        by_kind: Credit earned by kind.
+    """
+
+    served: float
+    machines: float
+    moves: float
+    waste: float
+    refused: int
+    late: int
+    jobs: int
+    move_count: int
+    machine_s: float
+    by_kind: dict[str, float]
+
+    def worth(self) -> float:
+        """Return the credit less the prices."""
+        return self.served - self.machines - self.moves - self.waste
+
+
+def report(
+    jobs: truth_module.Jobs,
+    late_shares: dict[str, float],
+    fleet: fleet_module.Fleet,
+    oracle: oracle_module.Oracle,
+) -> Report:
+    """Value a day.
+
+    Args:
+        jobs: The jobs and what became of them.
+        late_shares: What a late job is worth, by kind.
+        fleet: The machines.
+        oracle: Knows what was thrown away.
+    """
+    ending = [t for t in jobs.all() if not t.lasting and not t.fails]
+    means = _mean_work(ending)
+    owed: dict[str, float] = collections.defaultdict(float)
+    earned: dict[str, float] = collections.defaultdict(float)
+    refused = 0
+    late = 0
+    for truth in ending:
+        size = truth.work_core_ms() / means[truth.kind]
+        worth = truth.worth * (_BASE + (1 - _BASE) * min(size, _MOST_SIZE))
+        owed[truth.kind] += worth
+        share = _share(truth, late_shares[truth.kind])
+        earned[truth.kind] += worth * share
+        refused += not truth.accepted_ms
+        late += bool(truth.accepted_ms) and share < 1
+    total = sum(owed.values()) or 1.0
+    fleet.count_machine_time()
+    machine_s = fleet.pooled_machine_ms / 1_000
+    return Report(
+        served=sum(earned.values()) / total,
+        machines=machine_s * _MACHINE_S / total,
+        moves=fleet.moves * _MOVE / total,
+        waste=oracle.waste_core_ms / 1_000 * _WASTE_CORE_S / total,
+        refused=refused,
+        late=late,
+        jobs=len(ending),
+        move_count=fleet.moves,
+        machine_s=machine_s,
+        by_kind={kind: earned[kind] / owed[kind] for kind in owed},
+    )
+
+
+def _mean_work(truths: list[truth_module.Truth]) -> dict[str, float]:
+    works: dict[str, list[float]] = collections.defaultdict(list)
+    for truth in truths:
+        works[truth.kind].append(truth.work_core_ms())
+    return {kind: sum(values) / len(values) for kind, values in works.items()}
+
+
+def _share(truth: truth_module.Truth, late_share: float) -> float:
+    if truth.shown is not model.JobState.COMPLETED:
+        return 0.0
+    took_ms = truth.shown_ms - truth.sent_ms
+    objective_ms = truth.objective_ms()
+    if took_ms <= objective_ms:
+        return 1.0
+    return late_share if took_ms <= _LATE_FACTOR * objective_ms else 0.0
--- /dev/null
+++ b/support/sim/faults.py
@@ -0,0 +1,250 @@
+"""Faults of a day, drawn by chance; they come in series and overlap."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import random
+
+from support.sim import vms as vms_module
+from support.sim import world as world_module
+from wagtailtiller import ids
+from wagtailtiller.ports import machines
+
+World = world_module.World
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        kind: Its name.
+        at_ms: When it begins, from the first job on.
+        for_ms: How long it lasts.
+    """
+
+    kind: str
+    at_ms: int
+    for_ms: int
+
+
+def draw(seed: int, count: int, length_ms: int) -> list[Fault]:
+    """Draw the faults of a day.
+
+    Args:
+        seed: Decides.
+        count: How many.
+        length_ms: How long jobs are sent.
+    """
+    chance = random.Random(seed)
+    return [
+        Fault(
+            chance.choice(sorted(_KINDS)),
+            int(chance.uniform(0, length_ms)),
+            int(chance.uniform(500, 5_000)),
+        )
+        for _ in range(count)
+    ]
+
+
+def schedule(drawn: list[Fault]) -> world_module.Faults:
+    """Return what makes a world suffer some faults."""
+
+    async def suffer(world: World) -> None:
+        await asyncio.gather(*(_suffer(world, fault) for fault in drawn))
+
+    return suffer
+
+
+async def _suffer(world: World, fault: Fault) -> None:
+    await asyncio.sleep(fault.at_ms / 1_000)
+    await _KINDS[fault.kind](world, fault.for_ms / 1_000)
+
+
+# Entry processes.
+
+
+async def _kill(world: World, for_s: float) -> None:
+    living = world.living()
+    if len(living) < 2:
+        return
+    process = world.chance.choice(living)
+    process.kill()
+    await asyncio.sleep(for_s)
+    await world.start_process(process.name)
+
+
+async def _kill_all(world: World, for_s: float) -> None:
+    killed = world.living()
+    for process in killed:
+        process.kill()
+    await asyncio.sleep(for_s / 4)
+    for process in killed:
+        await world.start_process(process.name)
+
+
+async def _freeze(world: World, for_s: float) -> None:
+    living = world.living()
+    if len(living) < 2:
+        return
+    process = world.chance.choice(living)
+    process.freeze()
+    await asyncio.sleep(for_s)
+    process.thaw()
+
+
+async def _roll(world: World, for_s: float) -> None:
+    for process in list(world.living()):
+        if not process.alive or len(world.living()) < 2:
+            continue
+        await process.terminate()
+        await asyncio.sleep(for_s / 10)
+        await world.start_process(process.name)
+
+
+async def _cut_peers(world: World, for_s: float) -> None:
+    if not world.living():
+        return
+    process = world.chance.choice(world.living()).process
+    world.network.cut_off.add(process)
+    await asyncio.sleep(for_s)
+    world.network.cut_off.discard(process)
+
+
+# The store.
+
+
+async def _store_down(world: World, for_s: float) -> None:
+    world.hub.faults.down = True
+    await asyncio.sleep(for_s)
+    world.hub.faults.down = False
+
+
+async def _store_cut(world: World, for_s: float) -> None:
+    if not world.living():
+        return
+    process = world.chance.choice(world.living()).process
+    world.hub.faults.cut_off.add(process)
+    await asyncio.sleep(for_s)
+    world.hub.faults.cut_off.discard(process)
+
+
+async def _store_slow(world: World, for_s: float) -> None:
+    world.hub.faults.slow_ms = 150.0
+    await asyncio.sleep(for_s)
+    world.hub.faults.slow_ms = 0.0
+
+
+async def _store_loses(world: World, for_s: float) -> None:
+    world.hub.faults.lost_share = 0.3
+    await asyncio.sleep(for_s)
+    world.hub.faults.lost_share = 0.0
+
+
+async def _store_late(world: World, for_s: float) -> None:
+    world.hub.faults.late_share = 0.3
+    await asyncio.sleep(for_s)
+    world.hub.faults.late_share = 0.0
+
+
+# VMs and machines.
+
+
+async def _vm_crash(world: World, for_s: float) -> None:
+    for vm in _some(world):
+        world.fleet.crash(vm, int(for_s * 1_000))
+
+
+async def _vm_cut(world: World, for_s: float) -> None:
+    for vm in _some(world):
+        cut = {process.process for process in world.living()}
+        vm.cut_off |= cut
+        asyncio.get_running_loop().call_later(
+            for_s, vm.cut_off.difference_update, cut
+        )
+
+
+async def _vm_cut_from_one(world: World, for_s: float) -> None:
+    if not world.living():
+        return
+    process = world.chance.choice(world.living()).process
+    for vm in _some(world):
+        vm.cut_off.add(process)
+        asyncio.get_running_loop().call_later(
+            for_s, vm.cut_off.discard, process
+        )
+
+
+async def _vm_late(world: World, for_s: float) -> None:
+    vms = world.fleet.living()
+    for vm in vms:
+        vm.late_share = 0.1
+    await asyncio.sleep(for_s)
+    for vm in vms:
+        vm.late_share = 0.0
+
+
+async def _vm_slow(world: World, for_s: float) -> None:
+    vms = _some(world)
+    for vm in vms:
+        vm.slowness = 6.0
+    await asyncio.sleep(for_s)
+    for vm in vms:
+        vm.slowness = 1.0
+
+
+async def _vm_fails(world: World, for_s: float) -> None:
+    await _sick(world, vms_module.Health.FAILS, for_s)
+
+
+async def _vm_hangs(world: World, for_s: float) -> None:
+    await _sick(world, vms_module.Health.HANGS, for_s)
+
+
+async def _sick(world: World, health: vms_module.Health, for_s: float) -> None:
+    vm = world.chance.choice(world.fleet.living())
+    vm.health = health
+    await asyncio.sleep(for_s)
+    vm.health = vms_module.Health.SOUND
+
+
+async def _wave(world: World, for_s: float) -> None:
+    names = sorted(world.fleet.machines)
+    due = world.chance.sample(names, len(names) // 2)
+    wave = ids.WaveId(str(len(world.fleet.waves) + 1))
+    world.fleet.waves[wave] = machines.Wave(wave, tuple(due), 20_000, 2)
+
+
+async def _service_down(world: World, for_s: float) -> None:
+    world.fleet.down = True
+    await asyncio.sleep(for_s)
+    world.fleet.down = False
+
+
+def _some(world: World) -> list[vms_module.SimVm]:
+    vms = world.fleet.living()
+    return world.chance.sample(vms, min(2, len(vms)))
+
+
+_KINDS: dict[str, Callable[[World, float], Awaitable[None]]] = {
+    "kill": _kill,
+    "kill-all": _kill_all,
+    "freeze": _freeze,
+    "roll": _roll,
+    "cut-peers": _cut_peers,
+    "store-down": _store_down,
+    "store-cut": _store_cut,
+    "store-slow": _store_slow,
+    "store-loses": _store_loses,
+    "store-late": _store_late,
+    "vm-crash": _vm_crash,
+    "vm-cut": _vm_cut,
+    "vm-cut-from-one": _vm_cut_from_one,
+    "vm-late": _vm_late,
+    "vm-slow": _vm_slow,
+    "vm-fails": _vm_fails,
+    "vm-hangs": _vm_hangs,
+    "wave": _wave,
+    "service-down": _service_down,
+}
--- /dev/null
+++ b/support/sim/mutants.py
@@ -0,0 +1,197 @@
+"""Puts wrong decisions into the product and plays days until one shows.
+
+Run as ``python -m support.sim.mutants [--days N] [--only NAME]``.
+"""
+
+import argparse
+import asyncio
+import collections
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+from unittest import mock
+
+from support.sim import soak
+from wagtailtiller.entry import front
+from wagtailtiller.entry import node
+from wagtailtiller.jobs import job
+from wagtailtiller.owner import journal
+from wagtailtiller.owner import messages
+from wagtailtiller.owner import pool_owner
+from wagtailtiller.owner import requests
+from wagtailtiller.ownership import claims
+from wagtailtiller.scheduling import listings
+from wagtailtiller.scheduling import presence
+from wagtailtiller.scheduling import stopping
+from wagtailtiller.upkeep import fleet
+from wagtailtiller.upkeep import keeper
+
+
+async def _accept_unstored(
+    self: requests.Requests, request: messages.Submit
+) -> messages.Answer:
+    asyncio.get_running_loop().create_task(_submit(self, request))
+    return messages.Accepted()
+
+
+_submit = requests.Requests._submit
+
+
+async def _flush_nothing(self: journal.Journal, timeout_ms: int) -> bool:
+    return True
+
+
+async def _cancel_nothing(
+    self: requests.Requests, job_id: str
+) -> messages.Answer:
+    return messages.Accepted()
+
+
+def _complete(self: job.Job, task: job.Task) -> None:
+    self.state = job.model.JobState.COMPLETED
+
+
+def _listing_ignored_runs(self: Any, entry: Any, vm: Any, *rest: Any) -> None:
+    """Adopt nothing."""
+
+
+def _members_ignored(original: Any) -> Any:
+    def plan(self: Any, members: Any = None) -> Any:
+        return original(self, None)
+
+    return plan
+
+
+def _carry_nothing(self: Any, old: Any, new: Any) -> None:
+    """Forget what a former life of a VM ran."""
+
+
+_MUTANTS: dict[str, list[tuple[object, str, object]]] = {
+    "jobs are accepted before they are stored": [
+        (requests.Requests, "_submit", _accept_unstored)
+    ],
+    "ends are acknowledged before they are stored": [
+        (journal.Journal, "flush", _flush_nothing)
+    ],
+    "a successor does not wait for silent VMs": [
+        (
+            pool_owner.PoolOwner,
+            "_foreign_lease_over_ms",
+            lambda self: self._clock.monotonic_ms(),
+        )
+    ],
+    "tokens are never raised": [
+        (presence.Presence, "raise_token", lambda self, vm: vm.token)
+    ],
+    "all owners share one token": [(presence, "TOKENS_PER_EPOCH", 0)],
+    "run numbers leave no gap for former owners": [(job, "_RUN_GAP", 0)],
+    "steps begin at once": [
+        (job.Job, "_may_begin", lambda self, step_run, steps: True)
+    ],
+    "failed ends are not counted": [
+        (job.Job, "note_failure", lambda self, task, number, most: None)
+    ],
+    "a job is complete after its first task": [
+        (
+            job.Job,
+            "note_done",
+            lambda self, task: setattr(
+                self, "state", job.model.JobState.COMPLETED
+            ),
+        )
+    ],
+    "what runs is not adopted": [
+        (listings.Listings, "_adopt", _listing_ignored_runs)
+    ],
+    "a restarted VM has no past": [
+        (presence.Presence, "_carry_over", _carry_nothing)
+    ],
+    "silent VMs are given up at once": [
+        (presence.vm_module.LeaseBook, "over_ms", lambda self: 0)
+    ],
+    "cancels are only acknowledged": [
+        (requests.Requests, "_cancel", _cancel_nothing)
+    ],
+    "lasting tasks may all be taken away": [
+        (stopping.Stopping, "_may_take_away", lambda self, entry, run: True)
+    ],
+    "waves know no limit": [
+        (fleet.machines.Wave, "max_out", property(lambda self: 99))
+    ],
+    "a new keeper begins at once": [(keeper, "_TAKEOVER_MARGIN_MS", -3_000)],
+    "a keeper that has slept goes on": [(node, "_KEEPER_LEASE_MS", 10**9)],
+    "an owner that has slept takes new VMs": [
+        (pool_owner, "_FRESH_SESSION_MS", 10**9)
+    ],
+    "owners never stop without the store": [
+        (pool_owner, "ORDERS_WITHOUT_STORE_MS", 10**6)
+    ],
+    "writes do not expect the owner's key": [
+        (claims.Claim, "expectation", lambda self: {})
+    ],
+    "VMs are used before they are stored": [
+        (
+            pool_owner.pool_module.Pool,
+            "plan",
+            _members_ignored(pool_owner.pool_module.Pool.plan),
+        )
+    ],
+    "an uncertain hand-over counts as none": [
+        (
+            front._Trial,
+            "uncertain",
+            property(lambda self: False, lambda self, value: None),
+        )
+    ],
+}
+
+
+@contextlib.contextmanager
+def mutated(name: str) -> Iterator[None]:
+    """Put one wrong decision in for a while."""
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, value in _MUTANTS[name]:
+            stack.enter_context(mock.patch.object(owner, attribute, value))
+        yield
+
+
+def caught(name: str, days: int, first_seed: int) -> tuple[int, str]:
+    """Play days under a mutant until one breaks a promise.
+
+    Returns:
+        How many days it took, and which rules broke; 0 if none did.
+    """
+    with mutated(name):
+        for number in range(days):
+            _, world = soak.play(first_seed + number)
+            rules = collections.Counter(
+                line.partition(" ")[0] for line in world.oracle.broken
+            )
+            if rules:
+                return number + 1, ", ".join(sorted(rules))
+    return 0, ""
+
+
+def names() -> list[str]:
+    """Return the names of all mutants."""
+    return list(_MUTANTS)
+
+
+def main() -> int:
+    """Try mutants one after another."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--days", type=int, default=100)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--only", default="")
+    options = parser.parse_args()
+    for name in names():
+        if options.only not in name:
+            continue
+        days, rules = caught(name, options.days, options.seed)
+        verdict = f"day {days}: {rules}" if days else "not caught"
+        print(f"{name}: {verdict}", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/support/sim/run.py
@@ -0,0 +1,46 @@
+"""Plays days in virtual time and prints what they were worth.
+
+Run as ``python -m support.sim.run [--days N] [--seed N]``.
+"""
+
+import argparse
+import time
+
+from support.sim import credit
+from support.sim import scenarios
+from support.sim import world as world_module
+
+
+def value(world: world_module.World) -> credit.Report:
+    """Value a played day."""
+    late_shares = {k.name: k.late_share for k in world.scenario.kinds}
+    return credit.report(world.jobs, late_shares, world.fleet, world.oracle)
+
+
+def main() -> int:
+    """Play the days of a few seeds."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--days", type=int, default=3)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    for seed in range(options.seed, options.seed + options.days):
+        began_s = time.monotonic()
+        world = world_module.play(scenarios.turning(seed))
+        report = value(world)
+        print(
+            f"seed {seed}: worth {report.worth():.3f} served"
+            f" {report.served:.3f} machines {report.machines:.3f} moves"
+            f" {report.moves:.3f} ({report.move_count}) waste"
+            f" {report.waste:.3f} refused {report.refused} late"
+            f" {report.late} of {report.jobs};"
+            f" {time.monotonic() - began_s:.0f} s"
+        )
+        for kind, share in sorted(report.by_kind.items()):
+            print(f"    {kind}: {share:.3f}")
+        for line in world.oracle.broken[:10]:
+            print(f"    {line}")
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/support/sim/store.py
@@ -0,0 +1,217 @@
+"""The key-value service in virtual time, as one process sees it."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Any
+from typing import TypeVar
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from support.sim import loop as loop_module
+from support.standins import store as standin
+from wagtailtiller import errors
+from wagtailtiller import ids
+from wagtailtiller.ports import store
+
+_T = TypeVar("_T")
+_HALF_TRIP_MS = 2.0
+_PATIENCE_MS = 700
+_EXPIRE_EVERY_S = 0.1
+_LATE_MS = (200, 3_000)
+
+
+@dataclasses.dataclass
+class StoreFaults:
+    """How the service misbehaves.
+
+    Attributes:
+        down: It does not answer.
+        cut_off: Processes that do not reach it.
+        slow_ms: How much longer each call takes.
+        lost_share: The share of calls whose answer is lost.
+        late_share: The share of transactions that are carried out late.
+    """
+
+    down: bool = False
+    cut_off: set[str] = dataclasses.field(default_factory=set)
+    slow_ms: float = 0.0
+    lost_share: float = 0.0
+    late_share: float = 0.0
+
+
+class StoreHub:
+    """The service itself.
+
+    Args:
+        chance: Decides which calls fail.
+        stored: Called with each transaction that was applied.
+    """
+
+    def __init__(
+        self,
+        chance: random.Random,
+        stored: Callable[[store.Transaction], None],
+    ) -> None:
+        self.state = standin.StoreState()
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._chance = chance
+        self._stored = stored
+
+    async def run(self) -> None:
+        """Let leases lapse for ever; none does while the service is down."""
+        while True:
+            await asyncio.sleep(_EXPIRE_EVERY_S)
+            if not self.faults.down:
+                self.state.expire(asyncio.get_running_loop().time())
+
+    def commit(self, transaction: store.Transaction) -> store.CommitAnswer:
+        """Apply a transaction."""
+        answer = self.state.commit(transaction)
+        if answer.is_ok():
+            self._stored(transaction)
+        return answer
+
+    async def serve(
+        self, process: str, act: Callable[[], Awaitable[_T]], writes: bool
+    ) -> _T:
+        """Carry out one call; a lost one never returns."""
+        self.calls += 1
+        faults = self.faults
+        await asyncio.sleep((_HALF_TRIP_MS + faults.slow_ms) / 1_000)
+        if writes and self._chance.random() < faults.late_share:
+            await asyncio.sleep(self._chance.uniform(*_LATE_MS) / 1_000)
+        if faults.down or process in faults.cut_off:
+            await loop_module.never()
+        answer = await act()
+        await asyncio.sleep(_HALF_TRIP_MS / 1_000)
+        lost = self._chance.random() < faults.lost_share
+        if lost or faults.down or process in faults.cut_off:
+            await loop_module.never()
+        return answer
+
+
+class SimStore:
+    """One process's client.
+
+    Args:
+        hub: The service.
+        process: Whose client.
+    """
+
+    def __init__(self, hub: StoreHub, process: str) -> None:
+        self._hub = hub
+        self._process = process
+
+    async def read(self, prefix: str) -> store.ReadAnswer:
+        """Read all keys under a prefix."""
+        return _read(await self._call(lambda: self._hub.state.read(prefix)))
+
+    async def read_key(
+        self, key: str
+    ) -> Result[store.Item | None, errors.StoreUnavailable]:
+        """Read one key."""
+        answer = await self._call(lambda: self._hub.state.item(key))
+        if answer is None:
+            return _unavailable()
+        return Ok(answer if answer.value is not None else None)
+
+    async def commit(
+        self, transaction: store.Transaction
+    ) -> store.CommitAnswer:
+        """Apply a transaction."""
+        answer = await self._call(
+            lambda: self._hub.commit(transaction), writes=True
+        )
+        return _unavailable() if answer is None else answer
+
+    async def write(
+        self, key: str, value: bytes, expected: ids.Revision, lease: str = ""
+    ) -> store.WriteAnswer:
+        """Write a key."""
+        transaction = store.Transaction(
+            {key: expected}, (store.Write(key, value, lease),)
+        )
+        return store.single(key, await self.commit(transaction))
+
+    async def delete(
+        self, key: str, expected: ids.Revision
+    ) -> store.WriteAnswer:
+        """Delete a key."""
+        transaction = store.Transaction({key: expected}, deletes=(key,))
+        return store.single(key, await self.commit(transaction))
+
+    async def grant_lease(
+        self, ttl_ms: int
+    ) -> Result[str, errors.StoreUnavailable]:
+        """Create a lease."""
+        answer = await self._call(
+            lambda: self._hub.state.grant(ttl_ms, _now_s())
+        )
+        return _unavailable() if answer is None else Ok(answer)
+
+    async def renew_lease(
+        self, lease: str
+    ) -> Result[bool, errors.StoreUnavailable]:
+        """Renew a lease."""
+        answer = await self._call(
+            lambda: self._hub.state.renew(lease, _now_s())
+        )
+        return _unavailable() if answer is None else Ok(answer)
+
+    async def end_lease(
+        self, lease: str
+    ) -> Result[None, errors.StoreUnavailable]:
+        """End a lease."""
+        await self._call(lambda: self._hub.state.end(lease))
+        return Ok(None)
+
+    async def watch(
+        self, prefix: str, after: ids.Revision, wait_ms: int
+    ) -> store.ReadAnswer:
+        """Wait for changes."""
+        call = self._hub.serve(
+            self._process,
+            lambda: self._changes(prefix, after, wait_ms),
+            writes=False,
+        )
+        return _read(await loop_module.remote(call, wait_ms + _PATIENCE_MS))
+
+    async def _changes(
+        self, prefix: str, after: ids.Revision, wait_ms: int
+    ) -> store.Snapshot:
+        end_s = _now_s() + wait_ms / 1_000
+        while True:
+            found = self._hub.state.changes(prefix, after)
+            left_s = end_s - _now_s()
+            if found.items or left_s <= 0:
+                return found
+            changed = asyncio.ensure_future(self._hub.state.changed.wait())
+            await asyncio.wait({changed}, timeout=left_s)
+            changed.cancel()
+
+    async def _call(
+        self, act: Callable[[], _T], writes: bool = False
+    ) -> _T | None:
+        async def act_there() -> _T:
+            return act()
+
+        call = self._hub.serve(self._process, act_there, writes)
+        return await loop_module.remote(call, _PATIENCE_MS)
+
+
+def _read(answer: store.Snapshot | None) -> store.ReadAnswer:
+    return _unavailable() if answer is None else Ok(answer)
+
+
+def _unavailable() -> Any:
+    return Error(errors.StoreUnavailable("no answer in time"))
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/support/sim/world.py
@@ -0,0 +1,231 @@
+"""Assembles a day: processes, machines, jobs, callers and faults."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+import random
+from typing import Any
+
+from support.sim import fleet as fleet_module
+from support.sim import load
+from support.sim import loop as loop_module
+from support.sim import oracle as oracle_module
+from support.sim import process as process_module
+from support.sim import store as store_module
+from support.sim import truth as truth_module
+from wagtailtiller import ids
+from wagtailtiller.entry import front
+from wagtailtiller.jobs import model
+from wagtailtiller.jobs import record
+from wagtailtiller.owner import keys
+from wagtailtiller.ports import catalogue
+from wagtailtiller.ports import store
+
+STANDBY = ids.PoolId("spare")
+_LEAD_S = 4.0
+_FINISH_S = 14.0
+_LONGEST_FINISH_S = 40
+_CALLER_PATIENCE_MS = 3_000
+_CALLER_TRIES = 5
+_RETRY_MS = 300
+_MOST_BODY_BYTES = 262_144
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """A day to be played.
+
+    Attributes:
+        kinds: Who sends jobs.
+        turns: When whose turn is.
+        length_ms: How long jobs are sent.
+        machines: How many machines stand in each pool at the beginning.
+        processes: How many entry processes there are.
+        seed: Decides all chance.
+    """
+
+    kinds: list[load.Kind]
+    turns: load.Turns
+    length_ms: int
+    machines: dict[ids.PoolId, int]
+    processes: int = 3
+    seed: int = 1
+
+
+Faults = Callable[["World"], Coroutine[Any, Any, None]]
+
+
+class World:
+    """One day.
+
+    Args:
+        scenario: What is played.
+
+    Attributes:
+        began_ms: When the first job may be sent.
+        chance: Decides what fails; faults use it too.
+    """
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario = scenario
+        self.chance = random.Random(scenario.seed)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, loop_module.VirtualLoop)
+        self.clock = loop_module.VirtualClock(loop)
+        self.jobs = truth_module.Jobs()
+        self.oracle = oracle_module.Oracle(self.jobs, self.clock.monotonic_ms)
+        self.hub = store_module.StoreHub(self.chance, self._stored)
+        self.network = process_module.Network()
+        self.fleet = fleet_module.Fleet(
+            self.clock, self.jobs, self.oracle, STANDBY, lambda: None
+        )
+        self.processes: dict[str, process_module.Process] = {}
+        self.began_ms = 0
+        self._lives = 0
+        self._catalogue = _catalogue(scenario)
+        self._callers: list[asyncio.Task[None]] = []
+
+    async def play(self, faults: Faults | None = None) -> None:
+        """Play the day to its end."""
+        loop_module.spawn(self.hub.run())
+        number = 0
+        for pool, count in self.scenario.machines.items():
+            for _ in range(count):
+                number += 1
+                self.fleet.add(f"m{number}", pool, f"r{number // 4}")
+        for place in range(self.scenario.processes):
+            await self.start_process(f"e{place}")
+        await asyncio.sleep(_LEAD_S)
+        self.began_ms = self.clock.monotonic_ms()
+        harm = loop_module.spawn(faults(self)) if faults is not None else None
+        await self._send_all()
+        if harm is not None:
+            await harm
+        await self._finish()
+        self.oracle.finish()
+
+    async def _finish(self) -> None:
+        # What lasts has some time to be at work again; the rest ends.
+        await asyncio.sleep(_FINISH_S)
+        for _ in range(_LONGEST_FINISH_S):
+            await asyncio.sleep(1)
+            if not any(truth.is_open() for truth in self.jobs.all()):
+                return
+
+    async def start_process(self, name: str) -> None:
+        """Start an entry process, or start it again."""
+        self._lives += 1
+        process = process_module.Process(
+            name,
+            self._lives,
+            self.hub,
+            self.fleet,
+            self.network,
+            self._catalogue,
+            self.chance,
+        )
+        self.processes[name] = process
+        await process.start()
+
+    def living(self) -> list[process_module.Process]:
+        """Return the processes that have not ended."""
+        return [p for p in self.processes.values() if p.alive]
+
+    async def _send_all(self) -> None:
+        rows = load.day(
+            self.scenario.kinds,
+            self.scenario.turns,
+            self.scenario.length_ms,
+            random.Random(self.scenario.seed + 1),
+        )
+        for at_ms, truth in rows:
+            wait_ms = self.began_ms + at_ms - self.clock.monotonic_ms()
+            await asyncio.sleep(max(0, wait_ms) / 1_000)
+            self.jobs.add(truth)
+            truth.sent_ms = self.clock.monotonic_ms()
+            self._callers.append(loop_module.spawn(self._call(truth)))
+        end_ms = self.began_ms + self.scenario.length_ms
+        await asyncio.sleep(max(0, end_ms - self.clock.monotonic_ms()) / 1_000)
+
+    async def _call(self, truth: truth_module.Truth) -> None:
+        truth.rejected = True
+        for _ in range(_CALLER_TRIES):
+            outcome = await self._submit(truth)
+            match outcome:
+                case front.Accepted():
+                    truth.accepted_ms = self.clock.monotonic_ms()
+                    truth.rejected = False
+                    break
+                case front.Refused(retry_after_ms=retry_ms):
+                    await asyncio.sleep(retry_ms / 1_000)
+                case _:
+                    truth.rejected = False
+                    await asyncio.sleep(_RETRY_MS / 1_000)
+        if truth.stay_ms and truth.accepted_ms:
+            await asyncio.sleep(truth.stay_ms / 1_000)
+            await self._cancel(truth)
+
+    async def _any_process(self) -> process_module.Process:
+        while not self.living():
+            await asyncio.sleep(_RETRY_MS / 1_000)
+        return self.chance.choice(self.living())
+
+    async def _submit(self, truth: truth_module.Truth) -> front.Outcome | None:
+        process = await self._any_process()
+        call = process.node.front.submit(
+            truth.queue, truth.job, truth.spec, _CALLER_PATIENCE_MS
+        )
+        return await loop_module.remote(
+            call, _CALLER_PATIENCE_MS, process.process
+        )
+
+    async def _cancel(self, truth: truth_module.Truth) -> None:
+        truth.cancel_sent_ms = self.clock.monotonic_ms()
+        for _ in range(_CALLER_TRIES):
+            process = await self._any_process()
+            call = process.node.front.cancel(
+                truth.queue, truth.job, _CALLER_PATIENCE_MS
+            )
+            outcome = await loop_module.remote(
+                call, _CALLER_PATIENCE_MS, process.process
+            )
+            if isinstance(outcome, front.Accepted):
+                truth.cancel_acked_ms = self.clock.monotonic_ms()
+                return
+            await asyncio.sleep(_RETRY_MS / 1_000)
+
+    def _stored(self, transaction: store.Transaction) -> None:
+        for write in transaction.writes:
+            if not write.key.startswith(keys.JOBS_PREFIX):
+                continue
+            job = record.decode(write.value)
+            truth = self.jobs.get(model.JobId(write.key.rpartition("/")[2]))
+            if job.is_error() or truth is None:
+                self.oracle.broken.append(f"MIXED nobody sent {write.key}")
+                continue
+            state = job.ok.state
+            if state in model.FINAL_STATES and truth.shown is None:
+                truth.shown = state
+                truth.shown_ms = self.clock.monotonic_ms()
+                self.oracle.shown(truth, state)
+
+
+def play(scenario: Scenario, faults: Faults | None = None) -> World:
+    """Play a day and return what it has become."""
+
+    async def main() -> World:
+        world = World(scenario)
+        await world.play(faults)
+        return world
+
+    return loop_module.run(main())
+
+
+def _catalogue(scenario: Scenario) -> catalogue.Catalogue:
+    pools = tuple(
+        catalogue.Pool(pool, True, pool == STANDBY)
+        for pool in scenario.machines
+    )
+    queues = tuple(kind.queue() for kind in scenario.kinds)
+    return catalogue.Catalogue(1, queues, pools, _MOST_BODY_BYTES)
--- /dev/null
+++ b/tests/jobs/test_record.py
@@ -0,0 +1,47 @@
+"""Tests of what the store keeps of a job."""
+
+import testtools
+
+from support import jobs
+from wagtailtiller.jobs import model
+from wagtailtiller.jobs import record
+
+
+class RecordTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.job = jobs.job("a" * 16, jobs.spec(jobs.step(2), jobs.step(1)))
+
+    def task(self, job, position=0):
+        return job.steps(0)[0].tasks[position]
+
+    def stored(self):
+        return record.decode(record.encode(self.job)).ok
+
+    def test_progress_survives(self):
+        self.job.note_done(self.task(self.job, 1))
+        stored = self.stored()
+        self.assertFalse(self.task(stored, 0).done)
+        self.assertTrue(self.task(stored, 1).done)
+
+    def test_a_failed_run_that_a_vm_lists_again_counts_once(self):
+        self.job.note_failure(self.task(self.job), 1, max_attempts=3)
+        stored = self.stored()
+        for _ in range(3):
+            stored.note_failure(self.task(stored), 1, max_attempts=3)
+        self.assertIs(model.JobState.QUEUED, stored.state)
+
+    def test_each_failed_run_counts_in_any_order(self):
+        self.job.note_failure(self.task(self.job), 2, max_attempts=3)
+        stored = self.stored()
+        stored.note_failure(self.task(stored), 1, max_attempts=3)
+        self.assertIs(model.JobState.QUEUED, stored.state)
+        stored.note_failure(self.task(stored), 34, max_attempts=3)
+        self.assertIs(model.JobState.FAILED, stored.state)
+
+    def test_what_lasts_does_not_collect_failures(self):
+        lasting = jobs.job("b" * 16, jobs.spec(jobs.step(long_running=True)))
+        for number in range(100):
+            lasting.note_failure(self.task(lasting), number, max_attempts=3)
+        self.assertEqual(set(), self.task(lasting).failed_runs)
+        self.assertFalse(lasting.is_final())
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -1,6 +1,7 @@
 """Tests of the process side of a pool's owner."""
 
 import asyncio
+import random
 
 import testtools
 
@@ -46,6 +47,7 @@
             _SETTINGS,
             lambda owner, reason: self.lost.append(reason),
             self,
+            random.Random(1),
         )
         owner.set_queues((jobs.queue(),))
         owner.set_reports({v.report.vm: v.report for v in self.vms.values()})
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -7,6 +7,7 @@
 from wagtailtiller import clock
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import record
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import pool as pool_module
@@ -55,6 +56,13 @@
             )
         return starts
 
+    def succeed(self, job):
+        """Begin again as the owner that comes after this one."""
+        self.pool = pool_module.Pool(jobs.POOL, 2, self.clock)
+        self.pool.jobs.set_queues([jobs.queue()])
+        stored = record.decode(record.encode(job)).ok
+        return self.pool.jobs.add(stored, True, model.JobState.QUEUED)
+
     def end(self, vm, run, kind):
         position = vm.seen_end + 1
         task = run.task.id
@@ -143,6 +151,26 @@
 
 
 class TakeoverTest(PoolTest):
+    def test_a_successor_counts_an_end_once_that_was_stored_before(self):
+        vm = self.add_vm("vm-1")
+        entry = self.add_job("a", jobs.step())
+        ended = []
+        for _ in range(2):
+            (start,) = self.start_all()
+            end = vms.ListedEnd(
+                len(ended) + 1,
+                start.run.task.id,
+                start.run.number,
+                job_module.EndKind.FAILED,
+                "",
+            )
+            ended.append(end)
+            self.answer(vm, ended=[end])
+            self.clock.advance(1_000)
+        successor = self.succeed(entry.job)
+        self.answer(self.add_vm("vm-1"), ended=ended)
+        self.assertFalse(successor.job.is_final())
+
     def test_inherited_tasks_wait_for_members_that_do_not_answer(self):
         self.pool.unsettled = {"vm-9": self.clock.now_ms + 5_000}
         self.add_vm("vm-1")
--- /dev/null
+++ b/tests/sim/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole days in virtual time."""
