--- a/src/wagtailtiller/owner/journal.py
+++ b/src/wagtailtiller/owner/journal.py
@@ -69,7 +69,13 @@
         return future
 
     async def flush(self, timeout_ms: int) -> bool:
-        """Write all changed jobs; say whether all were stored in time."""
+        """Write all changed jobs; say whether all were stored in time.
+
+        A former owner stores nothing any more, so what it has learned must
+        not be acknowledged to VMs.
+        """
+        if self.deposed.is_set():
+            return False
         jobs, self._pool.changed = self._pool.changed, set()
         for job in jobs:
             self.write(job)
--- a/support/sim/credit.py
+++ b/support/sim/credit.py
@@ -13,9 +13,23 @@
 _MOST_SIZE = 4.0
 # Later than this many times the objective, a job is worth nothing.
 _LATE_FACTOR = 3.0
-_MACHINE_S = 0.096
-_MOVE = 0.11
-_WASTE_CORE_S = 0.0096
+
+
+@dataclasses.dataclass(frozen=True)
+class Prices:
+    """What things cost, and how much the worst kind of job counts.
+
+    Attributes:
+        machine_s: A second of a machine in a pool.
+        move: A move.
+        waste_core_s: A second of a core's work thrown away.
+        worst_kind: The weight of the worst-served kind of job.
+    """
+
+    machine_s: float = 0.096
+    move: float = 0.11
+    waste_core_s: float = 0.0096
+    worst_kind: float = 0.15
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,6 +47,7 @@
         move_count: How many moves.
         machine_s: Machine time in pools.
         by_kind: Credit earned by kind.
+        worst_kind: The weight of the worst-served kind.
     """
 
     served: float
@@ -45,10 +60,14 @@
     move_count: int
     machine_s: float
     by_kind: dict[str, float]
+    worst_kind: float
 
     def worth(self) -> float:
         """Return the credit less the prices."""
-        return self.served - self.machines - self.moves - self.waste
+        prices = self.machines + self.moves + self.waste
+        worst = min(self.by_kind.values())
+        served = self.served + self.worst_kind * (worst - self.served)
+        return served - prices
 
 
 def report(
@@ -56,6 +75,7 @@
     late_shares: dict[str, float],
     fleet: fleet_module.Fleet,
     oracle: oracle_module.Oracle,
+    prices: Prices,
 ) -> Report:
     """Value a day.
 
@@ -64,6 +84,7 @@
         late_shares: What a late job is worth, by kind.
         fleet: The machines.
         oracle: Knows what was thrown away.
+        prices: What things cost.
     """
     ending = [t for t in jobs.all() if not t.lasting and not t.fails]
     means = _mean_work(ending)
@@ -84,15 +105,16 @@
     machine_s = fleet.pooled_machine_ms / 1_000
     return Report(
         served=sum(earned.values()) / total,
-        machines=machine_s * _MACHINE_S / total,
-        moves=fleet.moves * _MOVE / total,
-        waste=oracle.waste_core_ms / 1_000 * _WASTE_CORE_S / total,
+        machines=machine_s * prices.machine_s / total,
+        moves=fleet.moves * prices.move / total,
+        waste=oracle.waste_core_ms / 1_000 * prices.waste_core_s / total,
         refused=refused,
         late=late,
         jobs=len(ending),
         move_count=fleet.moves,
         machine_s=machine_s,
         by_kind={kind: earned[kind] / owed[kind] for kind in owed},
+        worst_kind=prices.worst_kind,
     )
 
 
--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -203,10 +203,12 @@
 
 
 async def _sick(world: World, health: vms_module.Health, for_s: float) -> None:
-    vm = world.chance.choice(world.fleet.living())
-    vm.health = health
+    vms = _some(world)[:1]
+    for vm in vms:
+        vm.health = health
     await asyncio.sleep(for_s)
-    vm.health = vms_module.Health.SOUND
+    for vm in vms:
+        vm.health = vms_module.Health.SOUND
 
 
 async def _wave(world: World, for_s: float) -> None:
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -41,6 +41,27 @@
     return True
 
 
+async def _flush_when_deposed(self: journal.Journal, timeout_ms: int) -> bool:
+    if self.deposed.is_set() and not self._pool.changed:
+        return True
+    return await _flush(self, timeout_ms)
+
+
+_flush = journal.Journal.flush
+
+
+def _count_again(
+    self: job.Job, task: job.Task, run_number: int, max_attempts: int
+) -> None:
+    """Count a failed run whether it was counted before or not."""
+    while run_number in task.failed_runs:
+        run_number += 1_000
+    _note_failure(self, task, run_number, max_attempts)
+
+
+_note_failure = job.Job.note_failure
+
+
 async def _cancel_nothing(
     self: requests.Requests, job_id: str
 ) -> messages.Answer:
@@ -73,6 +94,12 @@
     "ends are acknowledged before they are stored": [
         (journal.Journal, "flush", _flush_nothing)
     ],
+    "a former owner acknowledges ends": [
+        (journal.Journal, "flush", _flush_when_deposed)
+    ],
+    "a failed run that is listed again counts again": [
+        (job.Job, "note_failure", _count_again)
+    ],
     "a successor does not wait for silent VMs": [
         (
             pool_owner.PoolOwner,
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -299,8 +299,15 @@
 
 
 def vm_report(
-    name: str, pool: ids.PoolId, machine: str, born_ms: int, rack: str
+    name: str,
+    pool: ids.PoolId,
+    machine: str,
+    born_ms: int,
+    rack: str,
+    capacity: vms.Resources,
 ) -> vms.VmReport:
     """Return what a VM of the simulation registers."""
-    report = fake_vms.report(name, pool, born_ms, labels=("a", rack))
+    report = fake_vms.report(
+        name, pool, born_ms, labels=("a", rack), capacity=capacity
+    )
     return msgspec.structs.replace(report, machine=machine)
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -7,6 +7,7 @@
 import random
 from typing import Any
 
+from support.sim import credit
 from support.sim import fleet as fleet_module
 from support.sim import load
 from support.sim import loop as loop_module
@@ -21,6 +22,7 @@
 from wagtailtiller.owner import keys
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
+from wagtailtiller.ports import vms
 
 STANDBY = ids.PoolId("spare")
 _LEAD_S = 4.0
@@ -42,6 +44,9 @@
         length_ms: How long jobs are sent.
         machines: How many machines stand in each pool at the beginning.
         processes: How many entry processes there are.
+        millicores: What a VM offers.
+        memory_mb: What a VM offers.
+        prices: What things cost.
         seed: Decides all chance.
     """
 
@@ -50,6 +55,9 @@
     length_ms: int
     machines: dict[ids.PoolId, int]
     processes: int = 3
+    millicores: int = 32_000
+    memory_mb: int = 131_072
+    prices: credit.Prices = credit.Prices()
     seed: int = 1
 
 
@@ -78,7 +86,11 @@
         self.hub = store_module.StoreHub(self.chance, self._stored)
         self.network = process_module.Network()
         self.fleet = fleet_module.Fleet(
-            self.clock, self.jobs, self.oracle, STANDBY, lambda: None
+            self.clock,
+            self.jobs,
+            self.oracle,
+            STANDBY,
+            vms.Resources(scenario.millicores, scenario.memory_mb),
         )
         self.processes: dict[str, process_module.Process] = {}
         self.began_ms = 0
--- a/tests/owner/test_journal.py
+++ b/tests/owner/test_journal.py
@@ -130,6 +130,18 @@
 
         self.run_with(main)
 
+    def test_a_former_owner_s_flush_stores_nothing(self):
+        async def main():
+            entry = self.add_job(jobs.step(2))
+            await self.journal.write(_JOB)
+            self.store.state.delete(keys.owner(ids.ShardId(jobs.POOL)), 1)
+            entry.job.note_done(entry.job.steps(0)[0].tasks[0])
+            self.pool.note_change(entry)
+            self.assertFalse(await self.journal.flush(1_000))
+            self.assertFalse(await self.journal.flush(1_000))
+
+        self.run_with(main)
+
     def test_a_cancel_by_another_process_is_taken_over(self):
         async def main():
             entry = self.add_job(jobs.step(2))
--- a/tests/sim/test_days.py
+++ b/tests/sim/test_days.py
@@ -11,6 +11,7 @@
 # Days that once broke a promise, and why.
 _REGRESSIONS = {
     1113: "a failed run was counted again by the owner after a restart",
+    2020: "an owner that had been replaced acknowledged ends to its VMs",
 }
 
 
