--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -135,6 +135,10 @@
         owner = self._shards.owner(ids.ShardId(pool))
         return owner.address if owner is not None else None
 
+    def owned(self) -> list[ids.ShardId]:
+        """Return what this process owns."""
+        return sorted(self._shards.held)
+
     def store_answers(self) -> bool:
         """Return whether the store has answered this process of late."""
         return self._shards.store_answers()
--- a/src/wagtailtiller/owner/keys.py
+++ b/src/wagtailtiller/owner/keys.py
@@ -8,6 +8,8 @@
 LIVE_PREFIX = f"{_ROOT}live/"
 NODE_PREFIX = f"{LIVE_PREFIX}nodes/"
 OWNER_PREFIX = f"{LIVE_PREFIX}owners/"
+# The machines that the keeper orders or has just ordered.
+MACHINE_ORDERS = f"{_ROOT}machine-orders"
 
 
 def node(node_id: ids.NodeId) -> str:
--- a/src/wagtailtiller/upkeep/fleet.py
+++ b/src/wagtailtiller/upkeep/fleet.py
@@ -83,6 +83,8 @@
         self.waves: dict[ids.WaveId, WaveBook] = {}
         self.pools: dict[ids.PoolId, PoolFacts] = {}
         self.loads: dict[ids.VmId, messages.VmLoad] = {}
+        self._embargo_ms: dict[ids.MachineId, int] = {}
+        self._ordered_ms: dict[ids.MachineId, int] = {}
 
     def list_machines(self, listed: list[machines.Machine]) -> None:
         """Take the platform's list."""
@@ -99,6 +101,26 @@
             for machine in self.machines.values()
         )
 
+    def embargo(self, names: set[ids.MachineId], until_ms: int) -> None:
+        """Order some machines no sooner than at a time."""
+        self._embargo_ms = dict.fromkeys(names, until_ms)
+
+    def ordered_within(self, span_ms: int) -> set[ids.MachineId]:
+        """Return the machines that were ordered so recently."""
+        since_ms = self._clock.monotonic_ms() - span_ms
+        return {
+            machine
+            for machine, ordered_ms in self._ordered_ms.items()
+            if ordered_ms >= since_ms
+        }
+
+    def is_completed(self, book: "WaveBook") -> bool:
+        """Return whether all machines of a wave have been maintained."""
+        under_way = any(
+            errand.wave == book.wave.wave for errand in self.errands.values()
+        )
+        return not under_way and set(book.wave.machines) <= book.done
+
     def plan(self) -> None:
         """Begin what may begin now."""
         for book in self.waves.values():
@@ -126,6 +148,11 @@
         age_ms = self._clock.monotonic_ms() - errand.since_ms
         return age_ms > _WAIT_FOR_SHORT_MS
 
+    def ordering(self, errand: Errand) -> None:
+        """Take note that an order is being sent."""
+        errand.tried_ms = self._clock.monotonic_ms()
+        self._ordered_ms[errand.machine] = errand.tried_ms
+
     def ordered(self, errand: Errand, outcome: machines.MachineOutcome) -> None:
         """Take in what became of an order."""
         match outcome:
@@ -211,9 +238,7 @@
             if out >= book.wave.max_out:
                 return
             machine = self.machines.get(machine_id)
-            if machine is None or machine_id in self.errands:
-                continue
-            if machine.state is not machines.MachineState.UP:
+            if machine is None or not self._is_free(machine):
                 continue
             self._begin(machine, wave=book.wave.wave)
             out += 1
@@ -316,10 +341,17 @@
         return [
             machine
             for machine in self.machines.values()
-            if machine.state is machines.MachineState.UP
-            and machine.machine not in self.errands
+            if self._is_free(machine)
         ]
 
+    def _is_free(self, machine: machines.Machine) -> bool:
+        until_ms = self._embargo_ms.get(machine.machine, 0)
+        return (
+            machine.state is machines.MachineState.UP
+            and machine.machine not in self.errands
+            and self._clock.monotonic_ms() >= until_ms
+        )
+
     def _is_standby(self, pool: ids.PoolId) -> bool:
         facts = self.pools.get(pool)
         return facts is not None and facts.standby
--- a/src/wagtailtiller/upkeep/keeper.py
+++ b/src/wagtailtiller/upkeep/keeper.py
@@ -5,15 +5,12 @@
 from collections.abc import Callable
 import random
 
-import msgspec
-
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller import runtime
 from wagtailtiller import tasks
-from wagtailtiller.owner import keys
 from wagtailtiller.owner import messages
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import declarations
@@ -21,6 +18,7 @@
 from wagtailtiller.ports import store
 from wagtailtiller.upkeep import demand
 from wagtailtiller.upkeep import fleet as fleet_module
+from wagtailtiller.upkeep import ledger
 
 _LOOK_EVERY_MS = 200
 _LIST_IN_MOTION_MS = 400
@@ -34,11 +32,6 @@
 ]
 
 
-class _WaveProgress(msgspec.Struct, frozen=True):
-    done: list[ids.MachineId]
-    completed: bool
-
-
 class Keeper:
     """The process side of the fleet.
 
@@ -67,20 +60,19 @@
         chance: random.Random,
     ) -> None:
         self.held = held
-        self._store = source
         self._platform = platform
         self._declared = declared
         self._ask = ask
         self._clock = clock
-        self._machine_lease_ms = machine_lease_ms
+        self._pause_ms = machine_lease_ms + _TAKEOVER_MARGIN_MS
         self._may_order = may_order
         self._fleet = fleet_module.Fleet(clock)
         self._demands: dict[ids.PoolId, demand.Demand] = {}
-        self._revisions: dict[str, ids.Revision] = {}
-        self._saved: dict[ids.WaveId, _WaveProgress] = {}
+        self._ledger = ledger.Ledger(
+            source, held, declared, clock, follower.Backoff(chance)
+        )
         self._listed_ms: int | None = None
         self._background = tasks.TaskGroup()
-        self._backoff = follower.Backoff(chance)
         self._busy: set[ids.MachineId] = set()
         self._main_task = runtime.spawn(self._main())
 
@@ -90,11 +82,10 @@
         await self._background.cancel()
 
     async def _main(self) -> None:
-        wait_ms = self._machine_lease_ms + _TAKEOVER_MARGIN_MS
-        if self.held.epoch == 1:
-            # Nobody has given orders before the first owner.
-            wait_ms = 0
-        await asyncio.sleep(wait_ms / 1_000)
+        # Orders of a former keeper may have been carried out just now, or
+        # still be on their way.
+        former = await self._ledger.read_orders()
+        self._fleet.embargo(former, self._clock.monotonic_ms() + self._pause_ms)
         while True:
             await asyncio.sleep(_LOOK_EVERY_MS / 1_000)
             await self._look()
@@ -108,6 +99,9 @@
         if self._listed_ms is None:
             return
         self._fleet.plan()
+        await self._ledger.announce(
+            set(self._fleet.errands), self._fleet.ordered_within(self._pause_ms)
+        )
         for errand in list(self._fleet.errands.values()):
             if errand.machine not in self._busy:
                 self._busy.add(errand.machine)
@@ -120,18 +114,12 @@
         for wave in self._declared.waves.values():
             if wave.wave in self._fleet.waves:
                 continue
-            answer = await self._store.read_key(keys.wave(wave.wave))
-            if answer.is_error():
+            progress = await self._ledger.read_wave(wave.wave)
+            if progress is None:
                 continue
-            book = fleet_module.WaveBook(wave, set())
-            if answer.ok is not None and answer.ok.value:
-                saved = msgspec.msgpack.decode(
-                    answer.ok.value, type=_WaveProgress
-                )
-                book.done = set(saved.done)
-                book.completed = saved.completed
-                self._revisions[answer.ok.key] = answer.ok.revision
-                self._saved[wave.wave] = saved
+            book = fleet_module.WaveBook(
+                wave, set(progress.done), progress.completed
+            )
             self._fleet.waves[wave.wave] = book
             events.emit(
                 events.Event.WAVE_CHANGED,
@@ -219,10 +207,12 @@
         now_ms = self._clock.monotonic_ms()
         if now_ms - errand.tried_ms < _ORDER_AGAIN_MS:
             return
+        if errand.machine not in self._ledger.announced:
+            return
         if not self._may_order():
             # A process that has slept may have a successor.
             return
-        errand.tried_ms = now_ms
+        self._fleet.ordering(errand)
         epoch = self.held.epoch
         if errand.wave is not None:
             outcome = await self._platform.maintain(
@@ -249,43 +239,13 @@
 
     async def _save_waves(self) -> None:
         for wave_id, book in self._fleet.waves.items():
-            open_machines = set(book.wave.machines) - book.done
-            under_way = any(
-                errand.wave == wave_id
-                for errand in self._fleet.errands.values()
+            progress = ledger.WaveProgress(
+                sorted(book.done), self._fleet.is_completed(book)
             )
-            completed = not open_machines and not under_way
-            progress = _WaveProgress(sorted(book.done), completed)
-            if self._saved.get(wave_id) == progress:
+            if not await self._ledger.save_wave(wave_id, progress):
                 continue
-            if await self._save(wave_id, progress):
-                self._saved[wave_id] = progress
-                book.completed = completed
-                if completed:
-                    events.emit(
-                        events.Event.WAVE_CHANGED,
-                        wave=wave_id,
-                        state="completed",
-                    )
-
-    async def _save(self, wave_id: ids.WaveId, progress: _WaveProgress) -> bool:
-        key = keys.wave(wave_id)
-        status_key = self._declared.wave_status_key(wave_id)
-        expected = self.held.expectation()
-        expected[key] = self._revisions.get(key, store.ABSENT)
-        status = self._declared.wave_status(wave_id, progress.completed)
-        writes = (
-            store.Write(key, msgspec.msgpack.encode(progress)),
-            store.Write(status_key, status),
-        )
-        answer = await self._store.commit(store.Transaction(expected, writes))
-        if answer.is_ok():
-            self._revisions[key] = answer.ok
-            self._backoff.reset()
-            return True
-        if isinstance(answer.error, store.PreconditionFailed):
-            for item in answer.error.items:
-                if item.key == key:
-                    self._revisions[key] = item.revision
-        await self._backoff.wait()
-        return False
+            book.completed = progress.completed
+            if book.completed:
+                events.emit(
+                    events.Event.WAVE_CHANGED, wave=wave_id, state="completed"
+                )
--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -57,6 +57,26 @@
     return suffer
 
 
+def rolling_restart(processes: int) -> list[Fault]:
+    """All entry processes are restarted in turn, without a pause."""
+    return [Fault("roll-one", 1_000 + 2_000 * n, 300) for n in range(processes)]
+
+
+def power_off() -> list[Fault]:
+    """All entry processes lose power in a turn of demand."""
+    return [Fault("kill-all", 12_000, 4_800)]
+
+
+def rack_dark() -> list[Fault]:
+    """A rack of VMs goes dark in mid-load, while machines are due."""
+    return [Fault("wave", 2_000, 1), Fault("rack-dark", 12_000, 6_000)]
+
+
+def cut_off() -> list[Fault]:
+    """A third of the processes loses everything else for a long time."""
+    return [Fault("isolate", 1_000, 12_000)]
+
+
 async def _suffer(world: World, fault: Fault) -> None:
     await asyncio.sleep(fault.at_ms / 1_000)
     await _KINDS[fault.kind](world, fault.for_ms / 1_000)
@@ -103,6 +123,29 @@
         await world.start_process(process.name)
 
 
+async def _roll_one(world: World, for_s: float) -> None:
+    living = world.living()
+    owners = [p for p in living if p.node.owned()]
+    process = (owners or living)[0]
+    await process.terminate()
+    await asyncio.sleep(for_s)
+    await world.start_process(process.name)
+
+
+async def _isolate(world: World, for_s: float) -> None:
+    living = world.living()
+    cut = {process.process for process in living[: max(1, len(living) // 3)]}
+    world.network.cut_off |= cut
+    world.hub.faults.cut_off |= cut
+    for vm in world.fleet.living():
+        vm.cut_off |= cut
+    await asyncio.sleep(for_s)
+    world.network.cut_off -= cut
+    world.hub.faults.cut_off -= cut
+    for vm in world.fleet.living():
+        vm.cut_off -= cut
+
+
 async def _cut_peers(world: World, for_s: float) -> None:
     if not world.living():
         return
@@ -156,6 +199,13 @@
         world.fleet.crash(vm, int(for_s * 1_000))
 
 
+async def _rack_dark(world: World, for_s: float) -> None:
+    rack = world.chance.choice(world.fleet.living()).rack_label()
+    for vm in world.fleet.living():
+        if vm.rack_label() == rack:
+            world.fleet.crash(vm, int(for_s * 1_000))
+
+
 async def _vm_cut(world: World, for_s: float) -> None:
     for vm in _some(world):
         cut = {process.process for process in world.living()}
@@ -234,6 +284,9 @@
     "kill-all": _kill_all,
     "freeze": _freeze,
     "roll": _roll,
+    "roll-one": _roll_one,
+    "isolate": _isolate,
+    "rack-dark": _rack_dark,
     "cut-peers": _cut_peers,
     "store-down": _store_down,
     "store-cut": _store_cut,
--- a/support/sim/run.py
+++ b/support/sim/run.py
@@ -7,9 +7,17 @@
 import time
 
 from support.sim import credit
+from support.sim import faults
 from support.sim import scenarios
 from support.sim import world as world_module
 
+_TROUBLES = {
+    "none": [],
+    "rolling-restart": faults.rolling_restart(9),
+    "power-off": faults.power_off(),
+    "rack-dark": faults.rack_dark(),
+    "cut-off": faults.cut_off(),
+}
 _SCENARIOS = {"pages": scenarios.pages, "signs": scenarios.signs}
 
 
@@ -31,18 +39,25 @@
     parser.add_argument("--days", type=int, default=3)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--scenario", choices=sorted(_SCENARIOS))
+    parser.add_argument("--trouble", choices=sorted(_TROUBLES), default="none")
     options = parser.parse_args()
     names = [options.scenario] if options.scenario else sorted(_SCENARIOS)
     for name in names:
-        _play(name, range(options.seed, options.seed + options.days))
+        _play(
+            name,
+            options.trouble,
+            range(options.seed, options.seed + options.days),
+        )
     return 0
 
 
-def _play(name: str, seeds: range) -> None:
+def _play(name: str, trouble: str, seeds: range) -> None:
     worths = []
     for seed in seeds:
         began_s = time.monotonic()
-        world = world_module.play(_SCENARIOS[name](seed))
+        world = world_module.play(
+            _SCENARIOS[name](seed), faults.schedule(_TROUBLES[trouble])
+        )
         report = value(world)
         print(
             f"{name} {seed}: worth {report.worth():.3f} served"
--- a/support/sim/scenarios.py
+++ b/support/sim/scenarios.py
@@ -92,6 +92,7 @@
         load.Turns(5_000, len(_POOLS), _TURN),
         34_000,
         {**dict.fromkeys(_POOLS, 6), world.STANDBY: 6},
+        processes=6,
         seed=seed,
     )
 
@@ -110,6 +111,7 @@
         load.Turns(4_000, len(_POOLS), _TURN),
         34_000,
         {**dict.fromkeys(_POOLS, 8), world.STANDBY: 8},
+        processes=6,
         millicores=64_000,
         memory_mb=262_144,
         prices=credit.Prices(0.049, 0.056, 0.0025, worst_kind=0.3),
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -118,6 +118,10 @@
         self._oracle.ended(self, task, number, kind)
         self._news.set()
 
+    def rack_label(self) -> str:
+        """Return where it stands."""
+        return self.report.labels[1]
+
     def free_millicores(self) -> int:
         """Return what is not taken."""
         taken = sum(
