--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -124,16 +124,18 @@
 
     Attributes:
         waiting_core_ms: Processor work of jobs that are not done.
-        idle_core_ms: The part of it that waits for a start.
+        idle_millicores: What the tasks that could start now would take.
         arrived_core_ms: Work that has arrived since the owner took over.
+        arrived_jobs: The jobs that brought it.
         lasting_millicores: What tasks that last need.
         lasting_waiting: How many of them have waited for a while.
         vms: Each VM.
     """
 
     waiting_core_ms: float
-    idle_core_ms: float
+    idle_millicores: int
     arrived_core_ms: float
+    arrived_jobs: int
     lasting_millicores: int
     lasting_waiting: int
     vms: tuple[VmLoad, ...]
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -43,6 +43,7 @@
         self._store_answers = store_answers
         self._news = news
         self._arrived_core_ms = 0.0
+        self._arrived_jobs = 0
 
     async def answer(self, request: messages.Request) -> messages.Answer:
         """Answer one request."""
@@ -81,7 +82,7 @@
                 self._pool.epoch,
             )
             self._pool.jobs.add(job, inherited=False)
-            self._arrived_core_ms += request.spec.work_core_ms()
+            self._note_arrival(request.spec)
         elif entry.stored_state is not None:
             return messages.Accepted()
         outcome = await asyncio.shield(self._journal.write(request.job))
@@ -96,6 +97,12 @@
             case journal_module.Outcome.DEPOSED:
                 return messages.Unsure()
 
+    def _note_arrival(self, spec: model.JobSpec) -> None:
+        work_core_ms = spec.work_core_ms()
+        if work_core_ms:
+            self._arrived_core_ms += work_core_ms
+            self._arrived_jobs += 1
+
     def _refuse(self, request: messages.Submit) -> admission.Refusal | None:
         queue = self._pool.jobs.queue(request.queue)
         if queue is None:
@@ -156,11 +163,12 @@
         return messages.Vacated(len(vm.runs))
 
     def _load(self) -> messages.Answer:
-        idle_core_ms, lasting = self._pool.jobs.demand()
+        idle, lasting = self._pool.jobs.demand()
         return messages.Load(
             self._pool.jobs.waiting_core_ms(),
-            idle_core_ms,
+            idle,
             self._arrived_core_ms,
+            self._arrived_jobs,
             lasting,
             self._pool.jobs.lasting_waiting(),
             tuple(_vm_load(vm) for vm in self._pool.vms.values()),
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -11,6 +11,8 @@
 
 # A task that lasts starts at once where there is room.
 _LASTING_PATIENCE_MS = 500
+# Work that waits is to be done within this time.
+_DRAIN_MS = 1_200
 
 
 class Jobs:
@@ -104,13 +106,16 @@
                 )
         return total
 
-    def demand(self) -> tuple[float, int]:
-        """Return the work that waits for a start, and what lasting tasks need.
+    def demand(self) -> tuple[int, int]:
+        """Return what tasks that could start and what lasting tasks take.
+
+        A task that is shorter than the time in which a backlog is to be gone
+        counts for the part of that time that it runs.
 
         Returns:
-            Core milliseconds, and thousandths of a core.
+            Thousandths of a core each.
         """
-        idle_core_ms = 0.0
+        idle = 0.0
         lasting = 0
         wall_ms = self._state.clock.wall_ms()
         for entry in self._state.active.values():
@@ -120,11 +125,10 @@
                     if not step.filler:
                         lasting += step.cpu_millicores * len(step_run.tasks)
                     continue
-                idle = sum(1 for t in step_run.tasks if not (t.done or t.run))
-                idle_core_ms += (
-                    idle * step.cpu_millicores * step.estimate_ms / 1_000
-                )
-        return idle_core_ms, lasting
+                part = min(1.0, step.estimate_ms / _DRAIN_MS)
+                count = len(step_run.idle_tasks())
+                idle += count * step.cpu_millicores * part
+        return int(idle), lasting
 
     def expired_jobs(self, kept_ms: int) -> list[model.JobId]:
         """Return the jobs that ended longer ago than they must be known."""
--- a/src/wagtailtiller/upkeep/demand.py
+++ b/src/wagtailtiller/upkeep/demand.py
@@ -11,8 +11,9 @@
 _WINDOW_MS = 700
 # Tasks come unevenly and their sizes are guesses.
 _HEADROOM = 1.3
-# Work that waits is to be done within this time.
-_DRAIN_MS = 1_200
+# A rate seen over a short time may be chance: this many standard deviations of
+# the count of jobs are taken off. Few large jobs foretell little.
+_DOUBT = 1.5
 # A pool keeps what it needed at most during this time.
 _KEEP_MS = 1_500
 
@@ -24,7 +25,8 @@
     Attributes:
         at_ms: When.
         arrived_core_ms: Work that has arrived since the owner took over.
-        idle_core_ms: Work that waits for a start.
+        arrived_jobs: The jobs that brought it.
+        idle_millicores: What tasks that wait for a start would take.
         running_millicores: What tasks that end take now.
         lasting_millicores: What tasks that last need.
         lasting_waiting: How many of them wait for a start.
@@ -32,7 +34,8 @@
 
     at_ms: int
     arrived_core_ms: float
-    idle_core_ms: float
+    arrived_jobs: int
+    idle_millicores: int
     running_millicores: int
     lasting_millicores: int
     lasting_waiting: int
@@ -75,13 +78,20 @@
 
     def _cores_now(self) -> float:
         newest = self._loads[-1]
-        oldest = self._loads[0]
-        span_ms = newest.at_ms - oldest.at_ms
-        arriving = 0.0
-        if span_ms:
-            arrived = newest.arrived_core_ms - oldest.arrived_core_ms
-            arriving = arrived / max(span_ms, _WINDOW_MS / 2)
-        waiting = newest.idle_core_ms / _DRAIN_MS
+        waiting = newest.idle_millicores / 1_000
         lasting = newest.lasting_millicores / 1_000
         running = newest.running_millicores / 1_000
-        return lasting + max(_HEADROOM * arriving + waiting, running + waiting)
+        expected = _HEADROOM * self._arriving_cores()
+        return lasting + waiting + max(expected, running)
+
+    def _arriving_cores(self) -> float:
+        """Return what jobs take that keep coming as they surely do."""
+        newest = self._loads[-1]
+        oldest = self._loads[0]
+        span_ms = max(newest.at_ms - oldest.at_ms, _WINDOW_MS / 2)
+        count = newest.arrived_jobs - oldest.arrived_jobs
+        surely = max(0.0, count - _DOUBT * math.sqrt(count))
+        if not surely:
+            return 0.0
+        mean_core_ms = newest.arrived_core_ms / newest.arrived_jobs
+        return surely * mean_core_ms / span_ms
--- a/src/wagtailtiller/upkeep/keeper.py
+++ b/src/wagtailtiller/upkeep/keeper.py
@@ -154,7 +154,8 @@
             demand.PoolLoad(
                 self._clock.monotonic_ms(),
                 load.arrived_core_ms,
-                load.idle_core_ms,
+                load.arrived_jobs,
+                load.idle_millicores,
                 running,
                 load.lasting_millicores,
                 load.lasting_waiting,
--- a/tests/upkeep/test_fleet.py
+++ b/tests/upkeep/test_fleet.py
@@ -50,7 +50,8 @@
             demand.PoolLoad(
                 self.clock.now_ms,
                 0.0,
-                0.0,
+                0,
+                0,
                 int(cores * 1_000),
                 0,
                 lasting_waiting,
--- a/tests/upkeep/test_keeper.py
+++ b/tests/upkeep/test_keeper.py
@@ -74,7 +74,7 @@
 
     async def ask(self, pool, request):
         millicores = self.needed * _CORES
-        return messages.Load(0.0, 0.0, 0.0, millicores, 0, ())
+        return messages.Load(0.0, 0, 0.0, 0, millicores, 0, ())
 
     def keep(self, epoch):
         key = keys.owner(_SHARD)
