--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -78,6 +78,14 @@
         self._settings = settings
         self._outside = outside
         self._clock = clock
+        self._owner_ports = pool_owner.OwnerPorts(
+            outside.store,
+            outside.connect,
+            outside.machines,
+            outside.placement_policy,
+            clock,
+            chance,
+        )
         self._owners: dict[ids.PoolId, pool_owner.PoolOwner] = {}
         self._peers = outside.peers
         own = claims.NodeRecord(
@@ -187,16 +195,12 @@
             self._vms_task = runtime.spawn(self._outside.declared.run_vms())
         owner = pool_owner.PoolOwner(
             held,
-            self._outside.store,
-            self._outside.connect,
-            self._clock,
+            self._owner_ports,
             pool_owner.OwnerSettings(
                 self._settings.vm_lease_ms, self._settings.job_kept_ms
             ),
             self._owner_lost,
             self._shards,
-            self._chance,
-            self._outside.placement_policy,
         )
         self._owners[owner.pool_id] = owner
         self._inform(owner)
--- a/src/wagtailtiller/owner/members.py
+++ b/src/wagtailtiller/owner/members.py
@@ -38,6 +38,7 @@
 
     Attributes:
         stored: The members that a successor would surely find.
+        machines: The machines on which they stand, as far as known.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         deposed: Callable[[], None],
     ) -> None:
         self.stored: set[ids.VmId] = set()
+        self.machines: dict[ids.VmId, ids.MachineId] = {}
         self._store = source
         self._pool = pool
         self._held = held
@@ -67,8 +69,10 @@
         item = answer.ok
         if item is not None and item.value:
             self._revision = item.revision
-            found = msgspec.json.decode(item.value, type=list[ids.VmId])
-            self.stored = set(found)
+            self.machines = msgspec.json.decode(
+                item.value, type=dict[ids.VmId, ids.MachineId]
+            )
+            self.stored = set(self.machines)
         return Ok(None)
 
     def compare(self) -> None:
@@ -114,7 +118,7 @@
         key = keys.members(self._pool.pool)
         expected = self._held.expectation()
         expected[key] = self._revision
-        value = msgspec.json.encode(sorted(wanted))
+        value = msgspec.json.encode(self._on_machines(wanted))
         # An unanswered write may come late and name too few.
         self.stored &= wanted
         answer = await self._store.commit(
@@ -128,6 +132,14 @@
             self._correct(answer.error.items)
         return False
 
+    def _on_machines(
+        self, wanted: set[ids.VmId]
+    ) -> dict[ids.VmId, ids.MachineId]:
+        for vm in self._pool.vms.values():
+            self.machines[vm.report.vm] = vm.report.machine
+        nowhere = ids.MachineId("")
+        return {vm: self.machines.get(vm, nowhere) for vm in sorted(wanted)}
+
     def _correct(self, items: tuple[store.Item, ...]) -> None:
         for item in items:
             if item.key == keys.members(self._pool.pool):
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import random
 from typing import Protocol
 
@@ -23,11 +24,13 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import policy_desk
 from wagtailtiller.owner import requests
+from wagtailtiller.owner import settling
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
 from wagtailtiller.ownership import session
 from wagtailtiller.ports import catalogue
+from wagtailtiller.ports import machines
 from wagtailtiller.ports import policy
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
@@ -75,54 +78,67 @@
         """Return whether the store has answered of late."""
 
 
+@dataclasses.dataclass(frozen=True)
+class OwnerPorts:
+    """What an owner reaches.
+
+    Attributes:
+        store: The key-value store.
+        connect: Opens the connection to a VM.
+        machines: The machine service; None if there is none.
+        placement_policy: The placement policy service; None if there is none.
+        clock: The time.
+        chance: Spreads retries.
+    """
+
+    store: store.Store
+    connect: Callable[[vms.VmReport], vms.VmClient]
+    machines: machines.Machines | None
+    placement_policy: policy.Policy | None
+    clock: clock_module.Clock
+    chance: random.Random
+
+
 class PoolOwner:
     """One pool under this process.
 
     Args:
         held: The ownership.
-        source: The store.
-        connect: Opens the connection to a VM.
-        clock: The time.
+        ports: What it reaches.
         settings: What the platform lays down.
         lost: Called when the ownership turns out to be lost.
         contact: What is known of the process's lease and the store.
-        chance: Spreads retries.
-        placement_policy: Asked where a queue has a policy; None if there is
-            no such service.
     """
 
     def __init__(
         self,
         held: claims.Claim,
-        source: store.Store,
-        connect: Callable[[vms.VmReport], vms.VmClient],
-        clock: clock_module.Clock,
+        ports: OwnerPorts,
         settings: OwnerSettings,
         lost: Callable[["PoolOwner", str], None],
         contact: Contact,
-        chance: random.Random,
-        placement_policy: policy.Policy | None = None,
     ) -> None:
+        clock = ports.clock
         self.held = held
         self.pool_id = ids.PoolId(held.shard)
         self.pool = pool_module.Pool(self.pool_id, held.epoch, clock)
         self.ready = False
-        self._store = source
-        self._connect = connect
+        self._store = ports.store
+        self._connect = ports.connect
         self._clock = clock
         self._settings = settings
         self._lease_ms = min(settings.lease_ms, _LONGEST_LEASE_MS)
         self._lost = lost
         self._contact = contact
         self._journal = journal_module.Journal(
-            source, self.pool, held, follower.Backoff(chance)
+            ports.store, self.pool, held, follower.Backoff(ports.chance)
         )
         self._foreign_jobs = mirror.Mirror(
-            source,
+            ports.store,
             keys.jobs(self.pool_id),
             _FOREIGN_WAIT_MS,
             clock,
-            follower.Backoff(chance),
+            follower.Backoff(ports.chance),
             self._jobs_changed,
             pause_ms=_FOREIGN_PAUSE_MS,
         )
@@ -132,8 +148,13 @@
         self._wake = asyncio.Event()
         self._stopped = False
         self._members = members_module.Members(
-            source, self.pool, held, clock, self._wake.set, self._deposed
+            ports.store, self.pool, held, clock, self._wake.set, self._deposed
         )
+        self._settling: settling.Settling | None = None
+        if ports.machines is not None:
+            self._settling = settling.Settling(
+                self.pool, self._members, ports.machines
+            )
         self._requests = requests.Requests(
             self.pool,
             self._journal,
@@ -142,9 +163,9 @@
             self._wake.set,
         )
         self._desk: policy_desk.PolicyDesk | None = None
-        if placement_policy is not None:
+        if ports.placement_policy is not None:
             self._desk = policy_desk.PolicyDesk(
-                placement_policy, self.pool, clock, self._wake.set
+                ports.placement_policy, self.pool, clock, self._wake.set
             )
         self._tasks = [
             runtime.spawn(self._main()),
@@ -201,6 +222,8 @@
             jobs=len(self.pool.entries),
             unsettled=sorted(self.pool.unsettled),
         )
+        if self._settling is not None:
+            self._tasks.append(runtime.spawn(self._settling.run()))
         while True:
             await self._plan_once()
 
--- a/src/wagtailtiller/platform/documents.py
+++ b/src/wagtailtiller/platform/documents.py
@@ -140,7 +140,7 @@
         born_ms=found.born,
         slow_for_ms=found.cold_left_ms,
         leaves_in_ms=found.remaining_ms or 0,
-        machine=found.machine,
+        machine=ids.MachineId(found.machine),
     )
 
 
--- a/src/wagtailtiller/ports/vms.py
+++ b/src/wagtailtiller/ports/vms.py
@@ -52,7 +52,7 @@
     born_ms: int
     slow_for_ms: int = 0
     leaves_in_ms: int = 0
-    machine: str = ""
+    machine: ids.MachineId = ids.MachineId("")
 
 
 class ListedRun(msgspec.Struct, frozen=True):
--- a/src/wagtailtiller/scheduling/presence.py
+++ b/src/wagtailtiller/scheduling/presence.py
@@ -46,6 +46,11 @@
             run.confirmed_ms = 0
             new.add(run)
 
+    def ended(self, vm: ids.VmId) -> None:
+        """Take in that a former member's life is surely over."""
+        if self._state.unsettled.pop(vm, None) is not None:
+            events.emit(events.Event.VM_ENDED, vm=vm, pool=self._state.pool)
+
     def unlisted(self, vm: ids.VmId) -> None:
         """Take in that a VM is no longer in the platform's list."""
         known = self._state.vms.get(vm)
--- a/src/wagtailtiller/upkeep/keeper.py
+++ b/src/wagtailtiller/upkeep/keeper.py
@@ -111,7 +111,7 @@
     # What is known.
 
     async def _take_waves(self) -> None:
-        for wave in self._declared.waves.values():
+        for wave in list(self._declared.waves.values()):
             if wave.wave in self._fleet.waves:
                 continue
             progress = await self._ledger.read_wave(wave.wave)
@@ -239,7 +239,7 @@
     # What is kept.
 
     async def _save_waves(self) -> None:
-        for wave_id, book in self._fleet.waves.items():
+        for wave_id, book in list(self._fleet.waves.items()):
             progress = ledger.WaveProgress(
                 sorted(book.done), self._fleet.is_completed(book)
             )
--- a/support/fake_vms.py
+++ b/support/fake_vms.py
@@ -31,6 +31,7 @@
         capacity=capacity,
         labels=labels,
         born_ms=born_ms,
+        machine=ids.MachineId(f"m-{vm}"),
     )
 
 
--- a/support/fakes.py
+++ b/support/fakes.py
@@ -11,7 +11,9 @@
 from support.standins import store as standin
 from wagtailtiller import errors
 from wagtailtiller import ids
+from wagtailtiller.ports import machines
 from wagtailtiller.ports import store
+from wagtailtiller.ports import vms
 
 
 class Fault(enum.Enum):
@@ -127,3 +129,43 @@
     async def _fault(self) -> Fault:
         await asyncio.sleep(0)
         return self.faults.pop(0) if self.faults else Fault.NONE
+
+
+class FakeMachines:
+    """A machine service whose machines stand still.
+
+    Args:
+        standing: The VM that each machine carries.
+    """
+
+    def __init__(self, standing: dict[str, str]) -> None:
+        self._standing = standing
+
+    async def list(
+        self,
+    ) -> Result[list[machines.Machine], errors.PlatformUnavailable]:
+        """List all machines."""
+        return Ok([self._machine(name) for name in self._standing])
+
+    async def move(
+        self, machine: ids.MachineId, pool: ids.PoolId, epoch: int
+    ) -> machines.MachineOutcome:
+        """Refuse."""
+        return machines.MachineOutcome.REFUSED
+
+    async def maintain(
+        self, machine: ids.MachineId, wave: ids.WaveId, epoch: int
+    ) -> machines.MachineOutcome:
+        """Refuse."""
+        return machines.MachineOutcome.REFUSED
+
+    def _machine(self, name: str) -> machines.Machine:
+        return machines.Machine(
+            ids.MachineId(name),
+            ids.PoolId("renders"),
+            machines.MachineState.UP,
+            ids.DataCentreId("dc-1"),
+            ("a", "r1"),
+            vms.Resources(32_000, 131_072),
+            ids.VmId(self._standing[name]),
+        )
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -314,4 +314,4 @@
     report = fake_vms.report(
         name, pool, born_ms, labels=("a", rack), capacity=capacity
     )
-    return msgspec.structs.replace(report, machine=machine)
+    return msgspec.structs.replace(report, machine=ids.MachineId(machine))
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -28,6 +28,7 @@
             self.store = fakes.FakeStore()
             self.clock = clock.SystemClock()
             self.vms = {}
+            self.machines = None
             self.lost = []
             self.age_ms = 0
             self.store_away = False
@@ -41,13 +42,17 @@
         written = self.store.state.write(key, b"%d" % epoch, revision, "")
         owner = pool_owner.PoolOwner(
             claims.Claim(_SHARD, epoch, written.ok),
-            self.store,
-            lambda report: self.vms[report.vm],
-            self.clock,
+            pool_owner.OwnerPorts(
+                self.store,
+                lambda report: self.vms[report.vm],
+                self.machines,
+                None,
+                self.clock,
+                random.Random(1),
+            ),
             _SETTINGS,
             lambda owner, reason: self.lost.append(reason),
             self,
-            random.Random(1),
         )
         owner.set_queues((jobs.queue(),))
         owner.set_reports({v.report.vm: v.report for v in self.vms.values()})
@@ -161,6 +166,37 @@
 
         self.run_with(main)
 
+    def take_over_from_a_silent_vm(self, standing):
+        """Return whether what ran on a silent VM starts elsewhere soon."""
+        started = []
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            first = self.own(1)
+            await self.submit(first)
+            await self.until(lambda: vm.running)
+            vm.silent = True
+            other = self.add_vm("vm-2")
+            self.machines = fakes.FakeMachines(standing)
+            second = self.own(2)
+            await self.until(lambda: second.ready)
+            await asyncio.sleep(0.8)
+            started.extend(other.running)
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+        return bool(started)
+
+    def test_a_successor_waits_while_a_silent_vm_s_machine_carries_it(self):
+        self.assertFalse(self.take_over_from_a_silent_vm({"m-vm-1": "vm-1"}))
+
+    def test_a_successor_goes_on_when_the_machine_carries_another_vm(self):
+        self.assertTrue(self.take_over_from_a_silent_vm({"m-vm-1": "vm-7"}))
+
+    def test_a_successor_waits_for_a_vm_whose_machine_is_not_listed(self):
+        self.assertFalse(self.take_over_from_a_silent_vm({}))
+
     def test_an_end_is_acknowledged_only_when_it_is_stored(self):
         async def main():
             vm = self.add_vm("vm-1")
