--- a/src/wagtailtiller/upkeep/demand.py
+++ b/src/wagtailtiller/upkeep/demand.py
@@ -51,8 +51,7 @@
     def note(self, load: PoolLoad) -> None:
         """Take a new load in."""
         loads = self._loads
-        if loads and load.arrived_core_ms < loads[-1].arrived_core_ms:
-            # Another owner counts from its own start.
+        if loads and _counts_anew(load, loads[-1]):
             loads.clear()
         loads.append(load)
         while load.at_ms - loads[0].at_ms > _WINDOW_MS:
@@ -95,3 +94,11 @@
             return 0.0
         mean_core_ms = newest.arrived_core_ms / newest.arrived_jobs
         return surely * mean_core_ms / span_ms
+
+
+def _counts_anew(load: PoolLoad, before: PoolLoad) -> bool:
+    """Return whether another owner, counting from its own start, speaks."""
+    return (
+        load.arrived_jobs < before.arrived_jobs
+        or load.arrived_core_ms < before.arrived_core_ms
+    )
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 import dataclasses
 import random
+import signal
 from typing import Any
 
 from support.sim import credit
@@ -26,6 +27,7 @@
 
 STANDBY = ids.PoolId("spare")
 _LEAD_S = 4.0
+_LASTING_LOOK_S = 2.0
 _FINISH_S = 14.0
 _LONGEST_FINISH_S = 40
 _CALLER_PATIENCE_MS = 3_000
@@ -101,6 +103,7 @@
     async def play(self, faults: Faults | None = None) -> None:
         """Play the day to its end."""
         loop_module.spawn(self.hub.run())
+        loop_module.spawn(self._look_at_lasting())
         number = 0
         for pool, count in self.scenario.machines.items():
             for _ in range(count):
@@ -117,6 +120,14 @@
         await self._finish()
         self.oracle.finish()
 
+    async def _look_at_lasting(self) -> None:
+        while True:
+            await asyncio.sleep(_LASTING_LOOK_S)
+            for truth in self.jobs.all():
+                if truth.lasting and truth.accepted_ms and not truth.shown:
+                    share = self.oracle.share_at_work(truth)
+                    truth.shares_at_work.append(share)
+
     async def _finish(self) -> None:
         # What lasts has some time to be at work again; the rest ends.
         await asyncio.sleep(_FINISH_S)
@@ -140,6 +151,10 @@
         self.processes[name] = process
         await process.start()
 
+    def note_exit(self, number: int, frame: object) -> None:
+        """Take in that a process has given itself up after a failure."""
+        self.oracle.broken.append(f"EXIT at {self.clock.monotonic_ms()}")
+
     def living(self) -> list[process_module.Process]:
         """Return the processes that have not ended."""
         return [p for p in self.processes.values() if p.alive]
@@ -228,10 +243,15 @@
 
     async def main() -> World:
         world = World(scenario)
+        signal.signal(signal.SIGTERM, world.note_exit)
         await world.play(faults)
         return world
 
-    return loop_module.run(main())
+    before = signal.getsignal(signal.SIGTERM)
+    try:
+        return loop_module.run(main())
+    finally:
+        signal.signal(signal.SIGTERM, before)
 
 
 def _catalogue(scenario: Scenario) -> catalogue.Catalogue:
--- a/tests/upkeep/test_demand.py
+++ b/tests/upkeep/test_demand.py
@@ -60,6 +60,13 @@
         self.look()
         self.assertEqual(before, self.machines())
 
+    def test_another_owner_with_fewer_but_larger_jobs_is_no_fault(self):
+        self.look(jobs=4, job_core_ms=10_000)
+        self.jobs = 0
+        self.core_ms = 0.0
+        self.look(jobs=1, job_core_ms=300_000, idle=80)
+        self.assertEqual(3, self.machines())
+
     def test_another_owner_begins_to_count_anew(self):
         for _ in range(4):
             self.look(jobs=4, job_core_ms=12_000)
