--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -144,8 +144,9 @@
     def lasting_waiting(self) -> int:
         """Return how many tasks that last have found no room for a while."""
         now_ms = self._state.clock.monotonic_ms()
+        crowded = now_ms < self._state.crowded_until_ms
         wall_ms = self._state.clock.wall_ms()
-        count = 0
+        count = int(crowded)
         for entry in self._state.active.values():
             if not entry.job.long_running:
                 continue
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -48,6 +48,8 @@
             until when.
         spare_millicores: What the keeper of the machines could bring in;
             None: not said yet.
+        crowded_until_ms: Until then, a lasting task on a VM that is being
+            emptied has no room elsewhere.
         tickets: Where a placement policy lets steps run.
         health: Which VMs fail what does well elsewhere.
     """
@@ -65,6 +67,7 @@
         self.vms: dict[ids.VmId, vm_module.Vm] = {}
         self.unsettled: dict[ids.VmId, int] = {}
         self.spare_millicores: int | None = None
+        self.crowded_until_ms = 0
         self.tickets = tickets.Tickets()
         self.health = health.Health()
 
--- a/src/wagtailtiller/scheduling/stopping.py
+++ b/src/wagtailtiller/scheduling/stopping.py
@@ -4,6 +4,7 @@
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import judging
+from wagtailtiller.scheduling import placement
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -14,6 +15,8 @@
 # A VM that is this many times slower than estimated still makes a percent
 # of progress in an estimated run time's tenth.
 _PERCENT_SLOWNESS = 10
+# How long another VM is asked for after a task found no room to move to.
+_CROWDED_MS = 500
 # A task that lasts is at work when it has started up.
 _AT_WORK_PERCENT = 100
 
@@ -84,9 +87,26 @@
     ) -> bool:
         if run.phase is not job_module.RunPhase.RUNNING:
             return False
-        if run.task.step.long_running:
-            return vm.moves_lasting_until_ms > now_ms
-        return vm.moves_all_until_ms > now_ms
+        if vm.moves_all_until_ms > now_ms:
+            return True
+        if not run.task.step.long_running:
+            return False
+        if vm.moves_lasting_until_ms <= now_ms:
+            return False
+        return self._has_room_elsewhere(vm, run.task, now_ms)
+
+    def _has_room_elsewhere(
+        self, vm: vm_module.Vm, task: job_module.Task, now_ms: int
+    ) -> bool:
+        others = [
+            other
+            for other in self._state.vms.values()
+            if other is not vm and other.open_for_starts(now_ms)
+        ]
+        if placement.choose(task, others) is not None:
+            return True
+        self._state.crowded_until_ms = now_ms + _CROWDED_MS
+        return False
 
     def _may_take_away(self, entry: state.Entry, run: job_module.Run) -> bool:
         limit = run.task.step.max_unavailable
--- a/support/sim/credit.py
+++ b/support/sim/credit.py
@@ -13,6 +13,8 @@
 _MOST_SIZE = 4.0
 # Later than this many times the objective, a job is worth nothing.
 _LATE_FACTOR = 3.0
+# All jobs that last count as one kind.
+_LASTING = "lasting"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,6 +102,10 @@
         earned[truth.kind] += worth * share
         refused += not truth.accepted_ms
         late += bool(truth.accepted_ms) and share < 1
+    for truth in jobs.all():
+        if truth.lasting:
+            owed[_LASTING] += truth.worth * len(truth.shares_at_work)
+            earned[_LASTING] += truth.worth * sum(truth.shares_at_work)
     total = sum(owed.values()) or 1.0
     fleet.count_machine_time()
     machine_s = fleet.pooled_machine_ms / 1_000
--- a/support/sim/oracle.py
+++ b/support/sim/oracle.py
@@ -140,6 +140,12 @@
         if state is model.JobState.FAILED and not self._has_cause(truth):
             self.broken.append(f"LOST {truth.job} failed without cause")
 
+    def share_at_work(self, truth: truth_module.Truth) -> float:
+        """Return the share of a lasting job's tasks that are at work."""
+        tasks = self._tasks(truth)
+        at_work = sum(self._at_work(truth, task) for task in tasks)
+        return at_work / len(tasks)
+
     def finish(self) -> None:
         """Judge what can only be told at the end of a day."""
         for truth in self._jobs.all():
@@ -239,6 +245,14 @@
         if away >= step.max_unavailable:
             self._break("AVAIL", run, f"{away} others are away")
 
+    def _at_work(self, truth: truth_module.Truth, task: model.TaskId) -> bool:
+        starts_up_ms = truth.run_ms[task.step][task.position]
+        return any(
+            run.ended_ms is None
+            and self._now_ms() - run.started_ms >= starts_up_ms
+            for run in self._runs.get(task, [])
+        )
+
     def _judge_lasting(self, truth: truth_module.Truth) -> None:
         for task in self._tasks(truth):
             runs = self._runs.get(task, [])
--- a/support/sim/scenarios.py
+++ b/support/sim/scenarios.py
@@ -72,6 +72,7 @@
 )
 _WIDE_LASTING = dataclasses.replace(
     _LASTING,
+    worth=0.6,
     cpu_millicores=load.Spread(6_000, 0.2, 9_000),
     memory_mb=load.Spread(35_000, 0.6, 110_000),
 )
--- a/support/sim/truth.py
+++ b/support/sim/truth.py
@@ -25,6 +25,8 @@
         rejected: Its caller was told each time that it does not run.
         cancel_sent_ms: When its caller first cancelled it.
         cancel_acked_ms: When its caller was told that it is cancelled.
+        shares_at_work: For a job that lasts: the share of its tasks at work,
+            looked at every now and then.
         shown: The final state in the store; None before.
         shown_ms: Since when.
     """
@@ -42,6 +44,7 @@
     rejected: bool = False
     cancel_sent_ms: int = 0
     cancel_acked_ms: int = 0
+    shares_at_work: list[float] = dataclasses.field(default_factory=list)
     shown: model.JobState | None = None
     shown_ms: int = 0
 
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -97,6 +97,31 @@
         self.assertEqual(1, len(self.stops()))
         self.assertEqual(0, len(self.stops()))
 
+    def vacate(self, vm, everything=False):
+        until_ms = self.clock.now_ms + 3_000
+        vm.closed_until_ms = until_ms
+        vm.moves_lasting_until_ms = until_ms
+        if everything:
+            vm.moves_all_until_ms = until_ms
+
+    def test_a_task_is_moved_when_there_is_room_elsewhere(self):
+        vm = self.add_vm("vm-1")
+        self.add_job("a", jobs.step(1, **_LASTING))
+        self.start_all()
+        self.answer(vm)
+        self.vacate(vm)
+        self.assertEqual([], self.stops())
+        self.add_vm("vm-2")
+        self.assertEqual(1, len(self.stops()))
+
+    def test_a_task_is_moved_without_room_when_time_presses(self):
+        vm = self.add_vm("vm-1")
+        self.add_job("a", jobs.step(1, **_LASTING))
+        self.start_all()
+        self.answer(vm)
+        self.vacate(vm, everything=True)
+        self.assertEqual(1, len(self.stops()))
+
     def test_a_task_that_starts_up_counts_as_away(self):
         vms_up = [self.add_vm(f"vm-{number}") for number in range(4)]
         self.add_job("a", jobs.step(3, **_LASTING))
