--- a/src/wagtailtiller/controller/owners.py
+++ b/src/wagtailtiller/controller/owners.py
@@ -6,8 +6,8 @@
 from wagtailtiller import ids
 from wagtailtiller import roster
 from wagtailtiller.dispatch import messages
+from wagtailtiller.dispatch import wire
 from wagtailtiller.fleet import balancing
-from wagtailtiller.gateway import peers
 
 _ASK_TIMEOUT_MS = 1_000
 
@@ -30,14 +30,14 @@
     ) -> messages.DrainAnswer:
         """Ask whether a VM is free; no answer counts as not the owner."""
         question = msgspec.msgpack.encode(messages.DrainQuestion(vm))
-        answer = await self._ask(owner, peers.DRAIN_STATE, question)
+        answer = await self._ask(owner, wire.DRAIN_STATE, question)
         if answer is None:
             return messages.DrainAnswer(owner=False)
         return msgspec.msgpack.decode(answer, type=messages.DrainAnswer)
 
     async def loads(self, owner: roster.Session) -> list[balancing.PoolLoad]:
         """Ask for the loads of the pools that a gateway owns."""
-        answer = await self._ask(owner, peers.LOADS, b"")
+        answer = await self._ask(owner, wire.LOADS, b"")
         return [] if answer is None else _loads_decoder.decode(answer)
 
     async def _ask(
@@ -46,7 +46,7 @@
         address = owner.peer_address
         if address not in self._channels:
             self._channels[address] = grpc.aio.insecure_channel(
-                address, options=peers.CHANNEL_OPTIONS
+                address, options=wire.CHANNEL_OPTIONS
             )
         call: grpc.aio.UnaryUnaryMultiCallable
         call = self._channels[address].unary_unary(method)
--- a/src/wagtailtiller/entry/front.py
+++ b/src/wagtailtiller/entry/front.py
@@ -1,6 +1,8 @@
 """The callers' side: routes a request to the owner of its pool."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import enum
 from typing import Protocol
@@ -9,6 +11,7 @@
 from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller import ids
+from wagtailtiller.entry import outcomes
 from wagtailtiller.entry import peers
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
@@ -24,63 +27,11 @@
 # Kept back from a caller's time, so that the answer still reaches it.
 _MARGIN_MS = 150
 _NO_OWNER_RETRY_MS = 1_000
+_Judge = Callable[[messages.Answer | None], Awaitable[outcomes.Outcome | None]]
 # Jobs that no owner has accepted carry no owner's epoch.
 _NO_EPOCH = 0
 
 
-@dataclasses.dataclass(frozen=True)
-class Accepted:
-    """The job, or its cancel, is stored."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Refused:
-    """The job does not run by this request; it may be sent again."""
-
-    reason: admission.RefusalReason
-    retry_after_ms: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Unknown:
-    """The caller's time ended before it was certain what happened."""
-
-
-@dataclasses.dataclass(frozen=True)
-class NoSuchQueue:
-    """No queue is declared there."""
-
-
-@dataclasses.dataclass(frozen=True)
-class NoSuchJob:
-    """No such job was accepted."""
-
-
-@dataclasses.dataclass(frozen=True)
-class JobStatus:
-    """What a job has reached."""
-
-    state: model.JobState
-
-
-@dataclasses.dataclass(frozen=True)
-class QueueStatus:
-    """How many jobs of a queue have not started."""
-
-    pending_count: int
-
-
-Outcome = (
-    Accepted
-    | Refused
-    | Unknown
-    | NoSuchQueue
-    | NoSuchJob
-    | JobStatus
-    | QueueStatus
-)
-
-
 @dataclasses.dataclass
 class _Trial:
     """A job that is being handed over.
@@ -141,14 +92,14 @@
         self._store = source
         self._clock = clock
 
-    def route(self, host: str, path: str) -> catalogue.Queue | Outcome:
+    def route(self, host: str, path: str) -> catalogue.Queue | outcomes.Outcome:
         """Find the queue that a path belongs to."""
         declared = self._directory.catalogue()
         if declared is None:
-            return Refused(
+            return outcomes.Refused(
                 admission.RefusalReason.NO_CONFIGURATION, _NO_OWNER_RETRY_MS
             )
-        return declared.route(host, path) or NoSuchQueue()
+        return declared.route(host, path) or outcomes.NoSuchQueue()
 
     async def submit(
         self,
@@ -156,7 +107,7 @@
         job: model.JobId,
         spec: model.JobSpec,
         within_ms: int,
-    ) -> Outcome:
+    ) -> outcomes.Outcome:
         """Hand a job to its pool's owner.
 
         Args:
@@ -171,7 +122,7 @@
         outcome = await self._try(request, trial)
         while outcome is None:
             if self._clock.monotonic_ms() >= trial.end_ms:
-                outcome = Unknown()
+                outcome = outcomes.Unknown()
                 break
             await asyncio.sleep(_AGAIN_MS / 1_000)
             outcome = await self._try(request, trial)
@@ -180,17 +131,17 @@
 
     async def _try(
         self, request: messages.Submit, trial: _Trial
-    ) -> Outcome | None:
+    ) -> outcomes.Outcome | None:
         """Hand a job over once; None: not certain yet."""
         address = self._directory.owner_address(request.pool)
         answer = await self._ask(address, request, trial.end_ms)
         match answer:
             case messages.Accepted():
-                return Accepted()
+                return outcomes.Accepted()
             case messages.Rejected():
                 if trial.uncertain:
                     return None
-                return Refused(answer.reason, answer.retry_after_ms)
+                return outcomes.Refused(answer.reason, answer.retry_after_ms)
             case messages.NotOwner():
                 return None
             case messages.Unsure():
@@ -202,15 +153,15 @@
 
     async def _try_store(
         self, request: messages.Submit, trial: _Trial
-    ) -> Outcome | None:
-        away = Refused(
+    ) -> outcomes.Outcome | None:
+        away = outcomes.Refused(
             admission.RefusalReason.STORE_UNAVAILABLE, _NO_OWNER_RETRY_MS
         )
         if not self._directory.store_answers():
             return None if trial.uncertain else away
         match await self._store_directly(request):
             case _Stored.YES:
-                return Accepted()
+                return outcomes.Accepted()
             case _Stored.NO:
                 return None if trial.uncertain else away
             case _Stored.UNKNOWN:
@@ -219,55 +170,67 @@
 
     async def state(
         self, queue: catalogue.Queue, job: model.JobId, within_ms: int
-    ) -> Outcome:
+    ) -> outcomes.Outcome:
         """Say what a job has reached."""
-        end_ms = self._clock.monotonic_ms() + within_ms - _MARGIN_MS
-        request = messages.AskState(queue.pool, job)
-        while True:
-            address = self._directory.owner_address(queue.pool)
-            answer = await self._ask(address, request, end_ms)
+
+        async def judge(
+            answer: messages.Answer | None,
+        ) -> outcomes.Outcome | None:
             if isinstance(answer, messages.State) and answer.state:
-                return JobStatus(answer.state)
-            found = await self._stored_state(queue.pool, job)
-            if found is not None:
-                return found
-            if self._clock.monotonic_ms() >= end_ms:
-                return Unknown()
-            await asyncio.sleep(_AGAIN_MS / 1_000)
+                return outcomes.JobStatus(answer.state)
+            return await self._stored_state(queue.pool, job)
+
+        request = messages.AskState(queue.pool, job)
+        return await self._ask_until(request, within_ms, judge)
 
     async def cancel(
         self, queue: catalogue.Queue, job: model.JobId, within_ms: int
-    ) -> Outcome:
+    ) -> outcomes.Outcome:
         """Cancel a job."""
-        end_ms = self._clock.monotonic_ms() + within_ms - _MARGIN_MS
-        request = messages.Cancel(queue.pool, job)
-        while True:
-            address = self._directory.owner_address(queue.pool)
-            answer = await self._ask(address, request, end_ms)
+
+        async def judge(
+            answer: messages.Answer | None,
+        ) -> outcomes.Outcome | None:
             match answer:
                 case messages.Accepted():
-                    return Accepted()
+                    return outcomes.Accepted()
                 case messages.State():
                     found = await self._stored_state(queue.pool, job)
-                    if isinstance(found, NoSuchJob):
-                        return found
+                    missing = isinstance(found, outcomes.NoSuchJob)
+                    return found if missing else None
                 case _:
-                    pass
-            if self._clock.monotonic_ms() >= end_ms:
-                return Unknown()
-            await asyncio.sleep(_AGAIN_MS / 1_000)
+                    return None
+
+        request = messages.Cancel(queue.pool, job)
+        return await self._ask_until(request, within_ms, judge)
 
-    async def pending(self, queue: catalogue.Queue, within_ms: int) -> Outcome:
+    async def pending(
+        self, queue: catalogue.Queue, within_ms: int
+    ) -> outcomes.Outcome:
         """Say how many jobs of a queue have not started."""
-        end_ms = self._clock.monotonic_ms() + within_ms - _MARGIN_MS
+
+        async def judge(
+            answer: messages.Answer | None,
+        ) -> outcomes.Outcome | None:
+            if isinstance(answer, messages.Pending):
+                return outcomes.QueueStatus(answer.count)
+            return None
+
         request = messages.AskPending(queue.pool, queue.queue)
+        return await self._ask_until(request, within_ms, judge)
+
+    async def _ask_until(
+        self, request: messages.Request, within_ms: int, judge: _Judge
+    ) -> outcomes.Outcome:
+        """Ask a pool's owner until an answer is good enough."""
+        end_ms = self._clock.monotonic_ms() + within_ms - _MARGIN_MS
         while True:
-            address = self._directory.owner_address(queue.pool)
-            answer = await self._ask(address, request, end_ms)
-            if isinstance(answer, messages.Pending):
-                return QueueStatus(answer.count)
+            address = self._directory.owner_address(request.pool)
+            outcome = await judge(await self._ask(address, request, end_ms))
+            if outcome is not None:
+                return outcome
             if self._clock.monotonic_ms() >= end_ms:
-                return Unknown()
+                return outcomes.Unknown()
             await asyncio.sleep(_AGAIN_MS / 1_000)
 
     async def _store_directly(self, request: messages.Submit) -> _Stored:
@@ -311,22 +274,22 @@
 
     async def _stored_state(
         self, pool: ids.PoolId, job: model.JobId
-    ) -> Outcome | None:
+    ) -> outcomes.Outcome | None:
         answer = await self._store.read_key(keys.job(pool, job))
         if answer.is_error():
             return None
         if answer.ok is None or answer.ok.value is None:
-            return NoSuchJob()
+            return outcomes.NoSuchJob()
         decoded = record.decode(answer.ok.value)
         if decoded.is_error():
             return None
-        return JobStatus(decoded.ok.state)
+        return outcomes.JobStatus(decoded.ok.state)
 
     def _log(
         self,
         job: model.JobId,
         queue: catalogue.Queue,
-        outcome: Outcome,
+        outcome: outcomes.Outcome,
         began_ms: int,
     ) -> None:
         declared = self._directory.catalogue()
@@ -338,9 +301,9 @@
             "took_ms": self._clock.monotonic_ms() - began_ms,
         }
         match outcome:
-            case Accepted():
+            case outcomes.Accepted():
                 events.emit(events.Event.JOB_ACCEPTED, **fields)
-            case Refused():
+            case outcomes.Refused():
                 events.emit(
                     events.Event.JOB_REFUSED,
                     reason=outcome.reason.value,
--- a/src/wagtailtiller/gateway/core.py
+++ b/src/wagtailtiller/gateway/core.py
@@ -14,8 +14,8 @@
 from wagtailtiller import replica
 from wagtailtiller import view_lease
 from wagtailtiller.dispatch import messages
-from wagtailtiller.gateway import front
-from wagtailtiller.gateway import host
+from wagtailtiller.gateway.granting import front
+from wagtailtiller.gateway.granting import host
 
 _BEAT_MS = 1_000
 _QUIET_BEAT_MS = 10_000
--- a/src/wagtailtiller/gateway/endpoints.py
+++ b/src/wagtailtiller/gateway/endpoints.py
@@ -18,7 +18,7 @@
 from wagtailtiller import ids
 from wagtailtiller import settings
 from wagtailtiller.dispatch import messages
-from wagtailtiller.gateway import outcomes
+from wagtailtiller.gateway.serving import outcomes
 
 REQUEST_HEADER = "Wagtail-Request"
 MEMBER_HEADER = "Wagtail-Member"
--- /dev/null
+++ b/src/wagtailtiller/gateway/granting/__init__.py
@@ -0,0 +1,1 @@
+"""Slots: asked for by fronts, granted by the host of a pool."""
--- a/src/wagtailtiller/gateway/desk.py
+++ b/src/wagtailtiller/gateway/granting/desk.py
@@ -4,7 +4,7 @@
 
 from wagtailtiller import clock
 from wagtailtiller.dispatch import messages
-from wagtailtiller.gateway import front
+from wagtailtiller.gateway.granting import front
 
 _LATE_RETRY_MS = 1_000
 
--- a/src/wagtailtiller/gateway/node.py
+++ b/src/wagtailtiller/gateway/node.py
@@ -15,12 +15,12 @@
 from wagtailtiller import roster
 from wagtailtiller import runtime
 from wagtailtiller.dispatch import messages
-from wagtailtiller.gateway import callers
 from wagtailtiller.gateway import core
 from wagtailtiller.gateway import endpoints
 from wagtailtiller.gateway import peers
-from wagtailtiller.gateway import service
 from wagtailtiller.gateway import session
+from wagtailtiller.gateway.serving import callers
+from wagtailtiller.gateway.serving import service
 from wagtailtiller.ports import store
 
 _TICK_MS = 100
--- a/src/wagtailtiller/gateway/peers.py
+++ b/src/wagtailtiller/gateway/peers.py
@@ -16,24 +16,10 @@
 from wagtailtiller import metrics
 from wagtailtiller import roster
 from wagtailtiller.dispatch import messages
+from wagtailtiller.dispatch import wire
 
-SERVICE = "wagtailtiller.Peers"
-EXCHANGE = f"/{SERVICE}/Exchange"
-DRAIN_STATE = f"/{SERVICE}/DrainState"
-LOADS = f"/{SERVICE}/Loads"
 _BATCH_MS = 5
 _RECONNECT_MS = 200
-_MOST_MESSAGE_BYTES = 64 * 1024 * 1024
-CHANNEL_OPTIONS = (
-    ("grpc.max_receive_message_length", _MOST_MESSAGE_BYTES),
-    ("grpc.max_send_message_length", _MOST_MESSAGE_BYTES),
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1_000),
-    ("grpc.use_local_subchannel_pool", 1),
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.so_reuseport", 0),
-)
-
 Receive = Callable[[ids.GatewayId, messages.Message], None]
 AnswerDrain = Callable[[bytes], bytes]
 AnswerLoads = Callable[[], bytes]
@@ -96,7 +82,7 @@
         self._answer_loads = answer_loads
         self._meter = meter
         self._outboxes: dict[ids.GatewayId, Outbox] = {}
-        self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
+        self._server = grpc.aio.server(options=wire.CHANNEL_OPTIONS)
         self._server.add_generic_rpc_handlers((self._handlers(),))
         self._server.add_insecure_port(address)
 
@@ -116,7 +102,7 @@
 
     def _handlers(self) -> grpc.GenericRpcHandler:
         return grpc.method_handlers_generic_handler(
-            SERVICE,
+            wire.SERVICE,
             {
                 "Exchange": grpc.stream_stream_rpc_method_handler(
                     self._exchange
@@ -225,11 +211,11 @@
 
     async def _exchange(self) -> None:
         async with grpc.aio.insecure_channel(
-            self.peer.peer_address, options=CHANNEL_OPTIONS
+            self.peer.peer_address, options=wire.CHANNEL_OPTIONS
         ) as channel:
             await asyncio.wait_for(channel.channel_ready(), 2.0)
             call: grpc.aio.StreamStreamMultiCallable
-            call = channel.stream_stream(EXCHANGE)
+            call = channel.stream_stream(wire.EXCHANGE)
             outbox = Outbox(self._meter)
             outbox.put(self._own)
             self._outbox = outbox
--- /dev/null
+++ b/src/wagtailtiller/gateway/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: admits requests, runs them and answers."""
--- a/src/wagtailtiller/gateway/admission.py
+++ b/src/wagtailtiller/gateway/serving/admission.py
@@ -10,8 +10,8 @@
 
 from wagtailtiller import ids
 from wagtailtiller import settings
-from wagtailtiller.gateway import front
-from wagtailtiller.gateway import outcomes
+from wagtailtiller.gateway.granting import front
+from wagtailtiller.gateway.serving import outcomes
 
 KEY_HEADER = "Idempotency-Key"
 KEY_ISSUED_HEADER = "Wagtail-Key-Issued-Ms"
--- a/src/wagtailtiller/gateway/callers.py
+++ b/src/wagtailtiller/gateway/serving/callers.py
@@ -13,11 +13,11 @@
 from wagtailtiller import metrics
 from wagtailtiller import process
 from wagtailtiller import replica
-from wagtailtiller.gateway import admission
 from wagtailtiller.gateway import endpoints
-from wagtailtiller.gateway import front
-from wagtailtiller.gateway import outcomes
-from wagtailtiller.gateway import service
+from wagtailtiller.gateway.granting import front
+from wagtailtiller.gateway.serving import admission
+from wagtailtiller.gateway.serving import outcomes
+from wagtailtiller.gateway.serving import service
 
 _REPLAY_BYTES = 1024 * 1024
 _STOPPING_RETRY_MS = 200
--- a/src/wagtailtiller/gateway/service.py
+++ b/src/wagtailtiller/gateway/serving/service.py
@@ -8,11 +8,11 @@
 from wagtailtiller import metrics
 from wagtailtiller import replica
 from wagtailtiller.dispatch import messages
-from wagtailtiller.gateway import desk
 from wagtailtiller.gateway import endpoints
-from wagtailtiller.gateway import front
-from wagtailtiller.gateway import outcomes
-from wagtailtiller.gateway import retries
+from wagtailtiller.gateway.granting import desk
+from wagtailtiller.gateway.granting import front
+from wagtailtiller.gateway.serving import outcomes
+from wagtailtiller.gateway.serving import retries
 
 _RETRY_AFTER_MS = 1_000
 
--- a/src/wagtailtiller/ownership/mirror.py
+++ b/src/wagtailtiller/ownership/mirror.py
@@ -36,7 +36,6 @@
         pause_ms: int = 0,
     ) -> None:
         self.items: dict[str, store.Item] = {}
-        self.confirmed_ms: int | None = None
         self.answered_ms = 0
         self._store = source
         self._prefix = prefix
@@ -51,10 +50,8 @@
     async def run(self) -> None:
         """Follow the store for ever."""
         while True:
-            asked_ms = self._clock.monotonic_ms()
             reason = await self._step()
             if not reason:
-                self.confirmed_ms = asked_ms
                 self.answered_ms = self._clock.monotonic_ms()
                 self._backoff.reset()
                 self._note_reachable(True, "")
--- a/src/wagtailtiller/platform/callers.py
+++ b/src/wagtailtiller/platform/callers.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from wagtailtiller.entry import front
+from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import model
 from wagtailtiller.platform import documents
 from wagtailtiller.ports import catalogue
@@ -83,24 +84,24 @@
     return min(max(asked, 1), _LONGEST_TIMEOUT_MS)
 
 
-def _response(outcome: front.Outcome) -> web.Response:
+def _response(outcome: outcomes.Outcome) -> web.Response:
     match outcome:
-        case front.Accepted():
+        case outcomes.Accepted():
             return _json(200, {})
-        case front.JobStatus(state=state):
+        case outcomes.JobStatus(state=state):
             return _json(200, {"state": state.value})
-        case front.QueueStatus(pending_count=count):
+        case outcomes.QueueStatus(pending_count=count):
             return _json(200, {"pending": count})
-        case front.Refused(reason=reason, retry_after_ms=retry_ms):
+        case outcomes.Refused(reason=reason, retry_after_ms=retry_ms):
             response = _error(503, reason.value)
             # The header counts whole seconds; never promise too early.
             response.headers["Retry-After"] = str(-(-retry_ms // 1_000))
             return response
-        case front.NoSuchQueue():
+        case outcomes.NoSuchQueue():
             return _error(404, "no such queue")
-        case front.NoSuchJob():
+        case outcomes.NoSuchJob():
             return _error(410, "no such job")
-        case front.Unknown():
+        case outcomes.Unknown():
             return _error(504, "not known in time")
 
 
--- a/support/fuzz/world.py
+++ b/support/fuzz/world.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
+from support import clocks
 from support.fuzz import channels
 from support.fuzz import oracle
-from wagtailtiller import clock
 from wagtailtiller import fleet
 from wagtailtiller import ids
 from wagtailtiller import metrics
@@ -24,7 +24,7 @@
 from wagtailtiller.dispatch import messages
 from wagtailtiller.fleet import model
 from wagtailtiller.gateway import core
-from wagtailtiller.gateway import front
+from wagtailtiller.gateway.granting import front
 from wagtailtiller.ports import store
 from wagtailtiller.settings import changes
 
@@ -158,7 +158,7 @@
     """
 
     def __init__(self, seed: int, gateways: int = 3) -> None:
-        self.clock = clock.FakeClock()
+        self.clock = clocks.FakeClock()
         self.random = random.Random(seed)
         self._starts = 0
         self._store = FakeStore()
--- a/support/measure/rollout.py
+++ b/support/measure/rollout.py
@@ -12,9 +12,9 @@
 from expression import Ok
 import msgspec
 
+from support import clocks
 from support import fakes
 from support.measure import tables
-from wagtailtiller import clock
 from wagtailtiller import fleet
 from wagtailtiller import ids
 from wagtailtiller import metrics
@@ -38,7 +38,7 @@
 class _Platform:
     """VMs that reboot, and a list that lags."""
 
-    def __init__(self, time: clock.FakeClock, vms: list[ids.VmId]) -> None:
+    def __init__(self, time: clocks.FakeClock, vms: list[ids.VmId]) -> None:
         self._clock = time
         self._boots = dict.fromkeys(vms, 1)
         self._back_at_ms: dict[ids.VmId, int] = {}
@@ -76,7 +76,7 @@
 class _Owners:
     """Owners whose VMs drain in a fixed time."""
 
-    def __init__(self, time: clock.FakeClock, shared: replica.Replica) -> None:
+    def __init__(self, time: clocks.FakeClock, shared: replica.Replica) -> None:
         self._clock = time
         self._replica = shared
 
@@ -113,7 +113,7 @@
         self._pools = pools
         self._random = random.Random(seed)
         self._rate = failures_per_vm_hour
-        self._clock = clock.FakeClock(0)
+        self._clock = clocks.FakeClock(0)
         self._store = fakes.FakeStore()
         self._replica = replica.Replica(_REGION)
         self._breaches = 0
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -17,7 +17,7 @@
 from support.sim import store as store_module
 from support.sim import truth as truth_module
 from wagtailtiller import ids
-from wagtailtiller.entry import front
+from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import keys
@@ -180,11 +180,11 @@
         for _ in range(_CALLER_TRIES):
             outcome = await self._submit(truth)
             match outcome:
-                case front.Accepted():
+                case outcomes.Accepted():
                     truth.accepted_ms = self.clock.monotonic_ms()
                     truth.rejected = False
                     break
-                case front.Refused(retry_after_ms=retry_ms):
+                case outcomes.Refused(retry_after_ms=retry_ms):
                     await asyncio.sleep(retry_ms / 1_000)
                 case _:
                     truth.rejected = False
@@ -198,7 +198,9 @@
             await asyncio.sleep(_RETRY_MS / 1_000)
         return self.chance.choice(self.living())
 
-    async def _submit(self, truth: truth_module.Truth) -> front.Outcome | None:
+    async def _submit(
+        self, truth: truth_module.Truth
+    ) -> outcomes.Outcome | None:
         process = await self._any_process()
         call = process.node.front.submit(
             truth.queue, truth.job, truth.spec, _CALLER_PATIENCE_MS
@@ -217,7 +219,7 @@
             outcome = await loop_module.remote(
                 call, _CALLER_PATIENCE_MS, process.process
             )
-            if isinstance(outcome, front.Accepted):
+            if isinstance(outcome, outcomes.Accepted):
                 truth.cancel_acked_ms = self.clock.monotonic_ms()
                 return
             await asyncio.sleep(_RETRY_MS / 1_000)
--- a/tests/controller/test_membership.py
+++ b/tests/controller/test_membership.py
@@ -6,8 +6,8 @@
 import msgspec
 import testtools
 
+from support import clocks
 from support import fakes
-from wagtailtiller import clock
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller import roster
@@ -20,7 +20,7 @@
 class RosterKeeperTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = clock.FakeClock()
+        self.clock = clocks.FakeClock()
         self.store = fakes.FakeStore()
         self.leads = True
         self.keeper = membership.RosterKeeper(
--- a/tests/entry/test_front.py
+++ b/tests/entry/test_front.py
@@ -8,6 +8,7 @@
 from support import jobs
 from wagtailtiller import clock
 from wagtailtiller.entry import front
+from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import keys
@@ -69,16 +70,16 @@
 
     def test_the_owner_accepts(self):
         self.peers.answers = [messages.Accepted()]
-        self.assertEqual(front.Accepted(), self.submit())
+        self.assertEqual(outcomes.Accepted(), self.submit())
 
     def test_the_owner_s_refusal_is_passed_on_at_once(self):
         reason = admission.RefusalReason.OVERLOADED
         self.peers.answers = [messages.Rejected(reason, 700)]
-        self.assertEqual(front.Refused(reason, 700), self.submit())
+        self.assertEqual(outcomes.Refused(reason, 700), self.submit())
 
     def test_without_an_owner_the_job_is_stored_for_the_next_one(self):
         self.directory.address = None
-        self.assertEqual(front.Accepted(), self.submit())
+        self.assertEqual(outcomes.Accepted(), self.submit())
         item = self.store.state.item(keys.job(jobs.POOL, _JOB))
         self.assertEqual(_JOB, record.decode(item.value).ok.id)
 
@@ -86,37 +87,37 @@
         key = keys.job(jobs.POOL, _JOB)
         stored = record.encode(jobs.job(_JOB))
         self.store.state.write(key, stored, 0, "")
-        self.assertEqual(front.Accepted(), self.submit())
+        self.assertEqual(outcomes.Accepted(), self.submit())
         self.assertEqual(stored, self.store.state.item(key).value)
 
     def test_a_store_that_certainly_did_nothing_means_not_run(self):
         self.directory.address = None
         self.store.refuse_commits = True
         outcome = self.submit()
-        self.assertIsInstance(outcome, front.Refused)
+        self.assertIsInstance(outcome, outcomes.Refused)
 
     def test_an_uncertain_store_never_means_not_run(self):
         self.directory.address = None
         self.store.faults = [fakes.Fault.LATE] * 50
-        self.assertEqual(front.Unknown(), self.submit())
+        self.assertEqual(outcomes.Unknown(), self.submit())
 
     def test_a_refusal_after_an_unanswered_attempt_is_not_passed_on(self):
         reason = admission.RefusalReason.OVERLOADED
         self.store.faults = [fakes.Fault.LATE] * 50
         rejected = messages.Rejected(reason, 700)
         self.peers.answers = [None] + [rejected] * 50
-        self.assertEqual(front.Unknown(), self.submit())
+        self.assertEqual(outcomes.Unknown(), self.submit())
 
     def test_nothing_is_held_while_owner_and_store_are_away(self):
         self.directory.address = None
         self.directory.store_away = True
         outcome = self.submit(within_ms=60_000)
         reason = admission.RefusalReason.STORE_UNAVAILABLE
-        self.assertEqual(front.Refused(reason, 1_000), outcome)
+        self.assertEqual(outcomes.Refused(reason, 1_000), outcome)
 
     def test_a_job_that_nobody_knows_is_not_there(self):
         self.peers.answers = [messages.State(None)]
-        self.assertEqual(front.NoSuchJob(), self.state())
+        self.assertEqual(outcomes.NoSuchJob(), self.state())
 
     def test_without_an_owner_the_stored_state_is_told(self):
         self.directory.address = None
@@ -124,7 +125,7 @@
         job.cancel(1)
         key = keys.job(jobs.POOL, _JOB)
         self.store.state.write(key, record.encode(job), 0, "")
-        expected = front.JobStatus(model.JobState.CANCELLED)
+        expected = outcomes.JobStatus(model.JobState.CANCELLED)
         self.assertEqual(expected, self.state())
 
     def test_the_longest_prefix_wins(self):
@@ -138,4 +139,4 @@
         self.assertEqual(longer, self.front.route("HOST:80", "/proofs/a/b"))
         self.assertEqual(queue, self.front.route("host", "/proofs/b"))
         missing = self.front.route("other", "/proofs/b")
-        self.assertEqual(front.NoSuchQueue(), missing)
+        self.assertEqual(outcomes.NoSuchQueue(), missing)
--- a/tests/fleet/test_writing.py
+++ b/tests/fleet/test_writing.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies
 import msgspec
 
+from support import clocks
 from support import fakes
 from tests import examples
-from wagtailtiller import clock
 from wagtailtiller import fleet
 from wagtailtiller import ids
 from wagtailtiller.fleet import model
@@ -61,7 +61,7 @@
         self.check_history()
 
     async def _submit_both(self, first, second):
-        time = clock.FakeClock()
+        time = clocks.FakeClock()
         await asyncio.gather(
             *(
                 writing.FleetWriter(self.store, _REGION, time).submit(
--- a/tests/fuzz/test_schedules.py
+++ b/tests/fuzz/test_schedules.py
@@ -9,7 +9,7 @@
 from wagtailtiller.dispatch import resends
 from wagtailtiller.dispatch import slots
 from wagtailtiller.fleet import aggregate
-from wagtailtiller.gateway import host
+from wagtailtiller.gateway.granting import host
 
 _SEEDS = 250
 _FOUND_BROKEN = (57, 691, 1_013_346, 4_001_304, 6_066_612)
--- /dev/null
+++ b/tests/gateway/granting/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of slots."""
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/granting/test_front.py
@@ -3,8 +3,8 @@
 import msgspec
 import testtools
 
+from support import clocks
 from tests import examples
-from wagtailtiller import clock
 from wagtailtiller import fleet
 from wagtailtiller import ids
 from wagtailtiller import replica
@@ -13,7 +13,7 @@
 from wagtailtiller.dispatch import grants
 from wagtailtiller.dispatch import messages
 from wagtailtiller.fleet import model
-from wagtailtiller.gateway import front
+from wagtailtiller.gateway.granting import front
 from wagtailtiller.ports import store
 from wagtailtiller.settings import changes
 
@@ -24,7 +24,7 @@
 class FrontTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = clock.FakeClock()
+        self.clock = clocks.FakeClock()
         self.replica = replica.Replica(_REGION)
         self.sent = []
         self.replies = []
--- a/tests/gateway/test_host.py
+++ b/tests/gateway/granting/test_host.py
@@ -3,8 +3,8 @@
 import msgspec
 import testtools
 
+from support import clocks
 from tests import examples
-from wagtailtiller import clock
 from wagtailtiller import ids
 from wagtailtiller import metrics
 from wagtailtiller import replica
@@ -12,7 +12,7 @@
 from wagtailtiller.dispatch import dispatcher
 from wagtailtiller.dispatch import messages
 from wagtailtiller.fleet import model
-from wagtailtiller.gateway import host
+from wagtailtiller.gateway.granting import host
 from wagtailtiller.ports import store
 from wagtailtiller.settings import changes
 
@@ -24,7 +24,7 @@
 class DispatchHostTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = clock.FakeClock()
+        self.clock = clocks.FakeClock()
         self.replica = replica.Replica(_REGION)
         self.sent = []
         self.host = host.DispatchHost(
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/serving/test_service.py
@@ -11,9 +11,9 @@
 from wagtailtiller import settings
 from wagtailtiller.dispatch import messages
 from wagtailtiller.gateway import endpoints
-from wagtailtiller.gateway import front
-from wagtailtiller.gateway import outcomes
-from wagtailtiller.gateway import service
+from wagtailtiller.gateway.granting import front
+from wagtailtiller.gateway.serving import outcomes
+from wagtailtiller.gateway.serving import service
 
 
 class _Front:
--- a/tests/owner/test_journal.py
+++ b/tests/owner/test_journal.py
@@ -4,9 +4,9 @@
 
 import testtools
 
+from support import clocks
 from support import fakes
 from support import jobs
-from wagtailtiller import clock
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
@@ -35,7 +35,7 @@
             owned = self.store.state.write(keys.owner(shard), b"me", 0, "")
             self.store.faults = list(faults)
             held = claims.Claim(shard, 1, owned.ok)
-            self.pool = pool_module.Pool(jobs.POOL, 1, clock.FakeClock())
+            self.pool = pool_module.Pool(jobs.POOL, 1, clocks.FakeClock())
             self.pool.jobs.set_queues([jobs.queue()])
             self.journal = journal.Journal(
                 self.store, self.pool, held, _ShortBackoff()
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -2,9 +2,9 @@
 
 import testtools
 
+from support import clocks
 from support import fake_vms
 from support import jobs
-from wagtailtiller import clock
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
@@ -18,7 +18,7 @@
 class PoolTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = clock.FakeClock()
+        self.clock = clocks.FakeClock()
         self.pool = pool_module.Pool(jobs.POOL, 1, self.clock)
         self.pool.jobs.set_queues([jobs.queue()])
 
--- a/tests/upkeep/test_fleet.py
+++ b/tests/upkeep/test_fleet.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from wagtailtiller import clock
+from support import clocks
 from wagtailtiller import ids
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import machines
@@ -18,7 +18,7 @@
 class FleetTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = clock.FakeClock()
+        self.clock = clocks.FakeClock()
         self.fleet = fleet_module.Fleet(self.clock)
         self.need = demand.Demand()
         self.fleet.pools = {
