--- /dev/null
+++ b/src/wagtailtiller/ctl/holdings.py
@@ -0,0 +1,160 @@
+"""What the entry processes keep in the store, as an operator reads it."""
+
+import collections
+import dataclasses
+
+import msgspec
+
+from wagtailtiller import ids
+from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import model
+from wagtailtiller.jobs import record
+from wagtailtiller.owner import keys
+from wagtailtiller.ownership import claims
+from wagtailtiller.ports import store
+from wagtailtiller.upkeep import ledger
+
+_EPOCH_PREFIX = keys.epoch(ids.ShardId(""))
+_MEMBERS_PREFIX = keys.members(ids.PoolId(""))
+_WAVE_PREFIX = keys.wave(ids.WaveId(""))
+
+
+@dataclasses.dataclass(frozen=True)
+class HeldJob:
+    """A job and the pool that serves it."""
+
+    pool: ids.PoolId
+    job: job_module.Job
+
+
+class Holdings:
+    """One reading of the store.
+
+    Args:
+        items: All keys under the processes' prefix.
+
+    Attributes:
+        jobs: By name.
+        owners: Who owns each shard.
+        epochs: How many owners each shard has had.
+        members: The VMs of each pool that may run something.
+        waves: How far each wave has come.
+        unreadable: Keys whose values could not be decoded.
+    """
+
+    def __init__(self, items: list[store.Item]) -> None:
+        self.jobs: dict[model.JobId, HeldJob] = {}
+        self.owners: dict[ids.ShardId, claims.OwnerRecord] = {}
+        self.epochs: dict[ids.ShardId, int] = {}
+        self.members: dict[ids.PoolId, list[ids.VmId]] = {}
+        self.waves: dict[ids.WaveId, ledger.WaveProgress] = {}
+        self.unreadable: list[str] = []
+        for item in items:
+            try:
+                self._take(item.key, item.value or b"")
+            except (msgspec.MsgspecError, ValueError):
+                self.unreadable.append(item.key)
+
+    def count_states(self) -> dict[ids.PoolId, collections.Counter[str]]:
+        """Return how many jobs of each pool are in each state."""
+        counts: dict[ids.PoolId, collections.Counter[str]] = {}
+        for held in self.jobs.values():
+            counter = counts.setdefault(held.pool, collections.Counter())
+            counter[held.job.state.value] += 1
+        return counts
+
+    def _take(self, key: str, value: bytes) -> None:
+        name = key.rpartition("/")[2]
+        if key.startswith(keys.JOBS_PREFIX):
+            self._take_job(key, value)
+        elif key.startswith(keys.OWNER_PREFIX):
+            owner = msgspec.json.decode(value, type=claims.OwnerRecord)
+            self.owners[ids.ShardId(name)] = owner
+        elif key.startswith(_EPOCH_PREFIX):
+            self.epochs[ids.ShardId(name)] = int(value)
+        elif key.startswith(_MEMBERS_PREFIX):
+            found = msgspec.json.decode(value, type=dict[ids.VmId, str])
+            self.members[ids.PoolId(name)] = sorted(found)
+        elif key.startswith(_WAVE_PREFIX):
+            progress = msgspec.msgpack.decode(value, type=ledger.WaveProgress)
+            self.waves[ids.WaveId(name)] = progress
+
+    def _take_job(self, key: str, value: bytes) -> None:
+        pool = ids.PoolId(key[len(keys.JOBS_PREFIX) :].partition("/")[0])
+        decoded = record.decode(value)
+        if decoded.is_error():
+            self.unreadable.append(key)
+            return
+        self.jobs[decoded.ok.id] = HeldJob(pool, decoded.ok)
+
+
+def explain(
+    holdings: Holdings, job_id: model.JobId, now_wall_ms: int
+) -> list[str]:
+    """Say what a job has reached and what it waits for, a line each.
+
+    Args:
+        holdings: The reading.
+        job_id: The job.
+        now_wall_ms: Unix milliseconds.
+    """
+    held = holdings.jobs.get(job_id)
+    if held is None:
+        return [
+            f"job {job_id} is not in the store: it was never accepted, or its"
+            " time to be known is over",
+            "look for job_refused, job_unanswered and job_accepted lines with"
+            " its id",
+        ]
+    job = held.job
+    age_s = (now_wall_ms - job.accepted_wall_ms) / 1_000
+    lines = [
+        f"job {job_id} of queue {job.queue} in pool {held.pool} is"
+        f" {job.state.value}, accepted {age_s:.1f} s ago under epoch"
+        f" {job.accepted_epoch}"
+    ]
+    if not job.is_final():
+        lines.append(_describe_owner(holdings, held.pool))
+    for occurrence in job.open_occurrences(now_wall_ms):
+        lines.extend(_describe_steps(job, occurrence))
+    due_ms = job.next_due_ms(now_wall_ms)
+    if due_ms is not None and not job.is_final():
+        lines.append(f"next due in {(due_ms - now_wall_ms) / 1_000:.1f} s")
+    return lines
+
+
+def _describe_owner(holdings: Holdings, pool: ids.PoolId) -> str:
+    shard = ids.ShardId(pool)
+    owner = holdings.owners.get(shard)
+    if owner is None:
+        return f"pool {pool} has no owner now: nothing starts until it has one"
+    members = ", ".join(holdings.members.get(pool, [])) or "none"
+    return (
+        f"pool {pool} is owned by {owner.node} at epoch {owner.epoch};"
+        f" VMs that may run its tasks: {members}"
+    )
+
+
+def _describe_steps(job: job_module.Job, occurrence: int) -> list[str]:
+    steps = job.steps(occurrence)
+    where = f"occurrence {occurrence}, " if job.spec.repeat_count else ""
+    return [
+        f"{where}step {step_run.number}: {_describe_step(step_run, steps)}"
+        for step_run in steps
+    ]
+
+
+def _describe_step(
+    step_run: job_module.StepRun, steps: list[job_module.StepRun]
+) -> str:
+    total = len(step_run.tasks)
+    done = total - step_run.open_count
+    failed = sum(len(task.failed_runs) for task in step_run.tasks)
+    text = f"{done} of {total} tasks done, {failed} runs failed"
+    blocking = [n for n in step_run.step.after if steps[n].open_count]
+    if blocking:
+        names = ", ".join(str(number) for number in blocking)
+        return f"{text}; waits for step {names}"
+    if step_run.open_count:
+        return f"{text}; ready: its tasks run, or wait for room"
+    return text
--- a/src/wagtailtiller/ctl/main.py
+++ b/src/wagtailtiller/ctl/main.py
@@ -4,6 +4,7 @@
 
 import wagtailtiller
 from wagtailtiller.ctl import fleet_commands
+from wagtailtiller.ctl import job_commands
 from wagtailtiller.ctl import node_commands
 from wagtailtiller.ctl import settings_commands
 
@@ -19,6 +20,10 @@
     fleet_commands.WaveCommand,
     fleet_commands.GatewayCommand,
     fleet_commands.StatusCommand,
+    job_commands.OwnersCommand,
+    job_commands.JobsCommand,
+    job_commands.JobCommand,
+    job_commands.WavesCommand,
 )
 
 
--- a/src/wagtailtiller/ctl/session.py
+++ b/src/wagtailtiller/ctl/session.py
@@ -73,6 +73,10 @@
         self.replica.load(found.ok.items, newest)
         return None
 
+    def wall_ms(self) -> int:
+        """Return the time, Unix milliseconds."""
+        return self._clock.wall_ms()
+
     async def close(self) -> None:
         """Close the connection."""
         await self.store.close()
--- a/src/wagtailtiller/owner/keys.py
+++ b/src/wagtailtiller/owner/keys.py
@@ -3,13 +3,13 @@
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
 
-_ROOT = "wagtail/"
-JOBS_PREFIX = f"{_ROOT}jobs/"
-LIVE_PREFIX = f"{_ROOT}live/"
+ROOT = "wagtail/"
+JOBS_PREFIX = f"{ROOT}jobs/"
+LIVE_PREFIX = f"{ROOT}live/"
 NODE_PREFIX = f"{LIVE_PREFIX}nodes/"
 OWNER_PREFIX = f"{LIVE_PREFIX}owners/"
 # The machines that the keeper orders or has just ordered.
-MACHINE_ORDERS = f"{_ROOT}machine-orders"
+MACHINE_ORDERS = f"{ROOT}machine-orders"
 
 
 def node(node_id: ids.NodeId) -> str:
@@ -24,7 +24,7 @@
 
 def epoch(shard: ids.ShardId) -> str:
     """How many owners a shard has had."""
-    return f"{_ROOT}epochs/{shard}"
+    return f"{ROOT}epochs/{shard}"
 
 
 def jobs(pool: ids.PoolId) -> str:
@@ -39,9 +39,9 @@
 
 def members(pool: ids.PoolId) -> str:
     """The VMs of a pool that may run something."""
-    return f"{_ROOT}members/{pool}"
+    return f"{ROOT}members/{pool}"
 
 
 def wave(wave_id: ids.WaveId) -> str:
     """What a wave has reached."""
-    return f"{_ROOT}waves/{wave_id}"
+    return f"{ROOT}waves/{wave_id}"
--- a/src/wagtailtiller/platform/main.py
+++ b/src/wagtailtiller/platform/main.py
@@ -45,15 +45,17 @@
         """Listen and begin to follow."""
         clock = clock_module.SystemClock()
         self._store = store.PlatformStore(self.settings.store_address)
+        self._machines = self._connect_machines()
+        self._policy = self._connect_policy()
         self._node = node_module.Node(
             self.settings,
             node_module.Outside(
                 self._store,
                 declarations.PlatformDeclarations(self._store, clock),
                 vms.PlatformVm,
-                self._machines(),
+                self._machines,
                 peers.GrpcPeers(),
-                self._policy(),
+                self._policy,
             ),
             clock,
             random.SystemRandom(),
@@ -88,16 +90,20 @@
             await runner.cleanup()
         await self._node.stop()
         await self._store.close()
+        if self._machines is not None:
+            await self._machines.close()
+        if self._policy is not None:
+            await self._policy.close()
         events.emit(events.Event.ENTRY_STOPPED, node=self.settings.node)
 
-    def _machines(self) -> machines.PlatformMachines | None:
+    def _connect_machines(self) -> machines.PlatformMachines | None:
         if not self.settings.machines_address:
             return None
         return machines.PlatformMachines(
             self.settings.machines_address, self.settings.node
         )
 
-    def _policy(self) -> policy.PlatformPolicy | None:
+    def _connect_policy(self) -> policy.PlatformPolicy | None:
         if not self.settings.policy_address:
             return None
         return policy.PlatformPolicy(self.settings.policy_address)
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -76,6 +76,13 @@
     """Adopt nothing."""
 
 
+def _plan_whole_wave(self: fleet.Fleet, book: fleet.WaveBook) -> None:
+    for name in self._wave_order(book):
+        machine = self.machines.get(name)
+        if machine is not None and self._is_free(machine):
+            self._begin(machine, wave=book.wave.wave)
+
+
 def _members_ignored(original: Any) -> Any:
     def plan(self: Any, members: Any = None) -> Any:
         return original(self, None)
@@ -142,9 +149,7 @@
     "lasting tasks may all be taken away": [
         (stopping.Stopping, "_may_take_away", lambda self, entry, run: True)
     ],
-    "waves know no limit": [
-        (fleet.machines.Wave, "max_out", property(lambda self: 99))
-    ],
+    "waves know no limit": [(fleet.Fleet, "_plan_wave", _plan_whole_wave)],
     "a new keeper begins at once": [(keeper, "_TAKEOVER_MARGIN_MS", -3_000)],
     "a keeper that has slept goes on": [(node, "_KEEPER_LEASE_MS", 10**9)],
     "an owner that has slept takes new VMs": [
--- a/support/sim/oracle.py
+++ b/support/sim/oracle.py
@@ -17,6 +17,8 @@
 # a VM carries out late come on top.
 _CANCEL_MS = 3_000
 _LATEST_ORDER_MS = 4_500
+# By then, at the latest, nothing of it runs any more.
+_GONE_MS = 8_000
 # A lasting task counts as away after this time whatever the cause.
 _AWAY_MS = 4_500
 # It may be on its way to another VM for so long.
@@ -154,6 +156,7 @@
                 self.broken.append(f"REFUSED {truth.job} has run all the same")
             if truth.is_open():
                 self.broken.append(f"LOST {truth.job} never ends")
+            self._judge_cancelled(truth)
             if truth.lasting and truth.accepted_ms and truth.shown is None:
                 self._judge_lasting(truth)
 
@@ -253,6 +256,15 @@
             for run in self._runs.get(task, [])
         )
 
+    def _judge_cancelled(self, truth: truth_module.Truth) -> None:
+        since_ms = self._now_ms() - truth.cancel_acked_ms
+        if not truth.cancel_acked_ms or since_ms < _GONE_MS:
+            return
+        for task in self._tasks(truth):
+            for run in self._runs.get(task, []):
+                if run.ended_ms is None and not run.vm.dead:
+                    self._break("UNASKED", run, "cancelled, and runs on")
+
     def _judge_lasting(self, truth: truth_module.Truth) -> None:
         for task in self._tasks(truth):
             runs = self._runs.get(task, [])
--- a/support/sim/process.py
+++ b/support/sim/process.py
@@ -185,7 +185,8 @@
 
     async def terminate(self) -> None:
         """Stop it in an orderly way."""
-        await loop_module.spawn(self._stop(), self.process)
+        # It may be killed, or not come to an end, meanwhile.
+        await loop_module.remote(self._stop(), _STOP_WITHIN_MS, self.process)
         self.kill()
 
     async def _stop(self) -> None:
--- a/support/sim/scenarios.py
+++ b/support/sim/scenarios.py
@@ -125,11 +125,14 @@
     lasting = dataclasses.replace(
         _LASTING, width=load.Spread(3, 0.2, 3), max_per_vm=1, count=2
     )
+    brief = dataclasses.replace(
+        lasting, stay_ms=load.Spread(5_000, 0.5, 12_000)
+    )
     kinds = [
         _named(dataclasses.replace(_SMALL, poison=0.05), "proof-page", 0, 2.0),
         _named(_LARGE, "spread-render", 1, 0.5),
         _named(lasting, "index", 0, 0),
-        _named(lasting, "print", 1, 0),
+        _named(brief, "print", 1, 0),
     ]
     return world.Scenario(
         kinds,
--- /dev/null
+++ b/tests/ctl/test_holdings.py
@@ -0,0 +1,89 @@
+"""Tests of what an operator reads of jobs and their owners."""
+
+import msgspec
+import testtools
+
+from support import jobs
+from wagtailtiller import ids
+from wagtailtiller.ctl import holdings as holdings_module
+from wagtailtiller.jobs import record
+from wagtailtiller.owner import keys
+from wagtailtiller.ownership import claims
+from wagtailtiller.ports import store
+from wagtailtiller.upkeep import ledger
+
+_JOB = "a" * 16
+_SHARD = ids.ShardId(jobs.POOL)
+_LATER_MS = 1_002_500
+
+
+class HoldingsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.items = []
+
+    def put(self, key, value):
+        self.items.append(store.Item(key, value, ids.Revision(1)))
+
+    def put_job(self, job):
+        self.put(keys.job(jobs.POOL, job.id), record.encode(job))
+
+    def put_owner(self):
+        owner = claims.OwnerRecord(ids.NodeId("e-1"), "e-1:1", "x", 4)
+        self.put(keys.owner(_SHARD), claims.encode(owner))
+        self.put(keys.epoch(_SHARD), b"4")
+        members = msgspec.json.encode({"vm-1": "m-1"})
+        self.put(keys.members(jobs.POOL), members)
+
+    def explain(self, job=_JOB):
+        held = holdings_module.Holdings(self.items)
+        return "\n".join(holdings_module.explain(held, job, _LATER_MS))
+
+    def two_steps(self):
+        spec = jobs.spec(jobs.step(2), jobs.step(3, after=(0,)))
+        return jobs.job(_JOB, spec)
+
+    def test_a_job_without_an_owner_is_explained_by_that(self):
+        self.put_job(self.two_steps())
+        self.assertIn("has no owner", self.explain())
+
+    def test_a_step_that_waits_names_what_it_waits_for(self):
+        job = self.two_steps()
+        job.note_done(job.steps(0)[0].tasks[0])
+        self.put_job(job)
+        self.put_owner()
+        text = self.explain()
+        self.assertIn("accepted 2.5 s ago", text)
+        self.assertIn("owned by e-1 at epoch 4", text)
+        self.assertIn("step 0: 1 of 2 tasks done", text)
+        self.assertIn("step 1: 0 of 3 tasks done, 0 runs failed; waits", text)
+
+    def test_a_job_that_failed_shows_its_failed_runs(self):
+        job = self.two_steps()
+        for number in range(3):
+            job.note_failure(job.steps(0)[0].tasks[0], number, 3)
+        self.put_job(job)
+        text = self.explain()
+        self.assertIn("is failed", text)
+        self.assertIn("3 runs failed", text)
+        self.assertNotIn("owner", text)
+
+    def test_an_unknown_job_points_to_the_logs(self):
+        self.assertIn("job_refused", self.explain("b" * 16))
+
+    def test_jobs_are_counted_by_pool_and_state(self):
+        self.put_job(jobs.job("c" * 16))
+        done = jobs.job("d" * 16)
+        done.note_done(done.steps(0)[0].tasks[0])
+        self.put_job(done)
+        counts = holdings_module.Holdings(self.items).count_states()
+        self.assertEqual({"queued": 1, "completed": 1}, dict(counts[jobs.POOL]))
+
+    def test_waves_and_unreadable_keys_are_told(self):
+        progress = ledger.WaveProgress([ids.MachineId("m-1")], False)
+        self.put(keys.wave(ids.WaveId("7")), msgspec.msgpack.encode(progress))
+        self.put(keys.job(jobs.POOL, "e" * 16), b"?")
+        self.put(keys.epoch(_SHARD), b"many")
+        held = holdings_module.Holdings(self.items)
+        self.assertEqual({"7": progress}, held.waves)
+        self.assertEqual(2, len(held.unreadable))
