--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -21,7 +21,9 @@
 _CLAIM_STEP_MS = 400
 _LOOK_EVERY_MS = 100
 # A process that has just started waits to see the others.
-_SETTLE_MS = 800
+_SETTLE_MS = 400
+# Nothing is claimed on a lease that may be about to lapse.
+_FRESH_SESSION_MS = 1_300
 _WATCH_WAIT_MS = 1_000
 # A watch that finds nothing is answered each second.
 _STORE_AWAY_MS = 1_400
@@ -119,6 +121,8 @@
             await asyncio.sleep(_LOOK_EVERY_MS / 1_000)
             if not self._session.lease:
                 continue
+            if self.session_age_ms() > _FRESH_SESSION_MS:
+                continue
             if not self._registered:
                 await self._register()
                 continue
--- a/src/wagtailtiller/upkeep/demand.py
+++ b/src/wagtailtiller/upkeep/demand.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         self._loads: collections.deque[PoolLoad] = collections.deque()
         self._needs: collections.deque[tuple[int, float]] = collections.deque()
+        self._since_ms: int | None = None
 
     def note(self, load: PoolLoad) -> None:
         """Take a new load in."""
@@ -56,10 +57,18 @@
         loads.append(load)
         while load.at_ms - loads[0].at_ms > _WINDOW_MS:
             loads.popleft()
+        if self._since_ms is None:
+            self._since_ms = load.at_ms
         self._needs.append((load.at_ms, self._cores_now()))
         while load.at_ms - self._needs[0][0] > _KEEP_MS:
             self._needs.popleft()
 
+    def is_settled(self) -> bool:
+        """Return whether the pool was followed for the time that counts."""
+        if self._since_ms is None:
+            return False
+        return self._loads[-1].at_ms - self._since_ms >= _KEEP_MS
+
     def machines(self, machine_cores: float, present: int) -> int:
         """Return how many machines the pool needs, at least one.
 
--- a/src/wagtailtiller/upkeep/fleet.py
+++ b/src/wagtailtiller/upkeep/fleet.py
@@ -330,13 +330,22 @@
         )
         if standby is None:
             return
+        settled = {
+            pool: count
+            for pool, count in wanted.items()
+            if self._is_settled(pool)
+        }
         while True:
-            machine = self._surplus_machine(wanted, have)
+            machine = self._surplus_machine(settled, have)
             if machine is None:
                 return
             have[machine.pool] -= 1
             self._begin(machine, pool=standby)
 
+    def _is_settled(self, pool: ids.PoolId) -> bool:
+        need = self.pools[pool].need
+        return need is not None and need.is_settled()
+
     def _movable(self) -> list[machines.Machine]:
         return [
             machine
