--- a/src/wagtailtiller/events.py
+++ b/src/wagtailtiller/events.py
@@ -99,9 +99,9 @@
     writer: logs.LineWriter | None = None
 
 
-def start_logging() -> None:
-    """Send events to standard output; before this, none are kept."""
-    _Log.writer = logs.LineWriter(_STANDARD_OUTPUT, _dropped, time.monotonic)
+def start_logging(descriptor: int = _STANDARD_OUTPUT) -> None:
+    """Send events to a descriptor; before this, none are kept."""
+    _Log.writer = logs.LineWriter(descriptor, _dropped, time.monotonic)
     eliot.add_destinations(_write)
 
 
--- a/support/measure/run.py
+++ b/support/measure/run.py
@@ -3,10 +3,12 @@
 import argparse
 import sys
 
+from support.measure import days
 from support.measure import fairness
 from support.measure import freshness
 from support.measure import hop
 from support.measure import idle
+from support.measure import logging_cost
 from support.measure import moves
 from support.measure import placement
 from support.measure import rollout
@@ -21,6 +23,8 @@
     "slopes": slopes.measure,
     "hop": hop.measure,
     "idle": idle.measure,
+    "days": days.measure,
+    "logging": logging_cost.measure,
 }
 
 
--- a/support/sim/run.py
+++ b/support/sim/run.py
@@ -11,14 +11,26 @@
 from support.sim import scenarios
 from support.sim import world as world_module
 
-_TROUBLES = {
+TROUBLES = {
     "none": [],
     "rolling-restart": faults.rolling_restart(9),
     "power-off": faults.power_off(),
     "rack-dark": faults.rack_dark(),
     "cut-off": faults.cut_off(),
 }
-_SCENARIOS = {"pages": scenarios.pages, "signs": scenarios.signs}
+SCENARIOS = {"pages": scenarios.pages, "signs": scenarios.signs}
+
+
+def play(scenario: str, trouble: str, seed: int) -> world_module.World:
+    """Play one day.
+
+    Args:
+        scenario: One of ``SCENARIOS``.
+        trouble: One of ``TROUBLES``.
+        seed: Decides all chance.
+    """
+    drawn = faults.schedule(TROUBLES[trouble])
+    return world_module.play(SCENARIOS[scenario](seed), drawn)
 
 
 def value(world: world_module.World) -> credit.Report:
@@ -38,10 +50,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--days", type=int, default=3)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--scenario", choices=sorted(_SCENARIOS))
-    parser.add_argument("--trouble", choices=sorted(_TROUBLES), default="none")
+    parser.add_argument("--scenario", choices=sorted(SCENARIOS))
+    parser.add_argument("--trouble", choices=sorted(TROUBLES), default="none")
     options = parser.parse_args()
-    names = [options.scenario] if options.scenario else sorted(_SCENARIOS)
+    names = [options.scenario] if options.scenario else sorted(SCENARIOS)
     for name in names:
         _play(
             name,
@@ -55,9 +67,7 @@
     worths = []
     for seed in seeds:
         began_s = time.monotonic()
-        world = world_module.play(
-            _SCENARIOS[name](seed), faults.schedule(_TROUBLES[trouble])
-        )
+        world = play(name, trouble, seed)
         report = value(world)
         print(
             f"{name} {seed}: worth {report.worth():.3f} served"
