--- a/src/wagtailtiller/upkeep/fleet.py
+++ b/src/wagtailtiller/upkeep/fleet.py
@@ -106,13 +106,22 @@
         self._embargo_ms = dict.fromkeys(names, until_ms)
 
     def ordered_within(self, span_ms: int) -> set[ids.MachineId]:
-        """Return the machines that were ordered so recently."""
-        since_ms = self._clock.monotonic_ms() - span_ms
-        return {
+        """Return the machines that were ordered so recently.
+
+        Those that a former keeper had ordered count until their embargo ends.
+        """
+        now_ms = self._clock.monotonic_ms()
+        own = {
             machine
             for machine, ordered_ms in self._ordered_ms.items()
-            if ordered_ms >= since_ms
+            if ordered_ms >= now_ms - span_ms
+        }
+        inherited = {
+            machine
+            for machine, until_ms in self._embargo_ms.items()
+            if until_ms > now_ms
         }
+        return own | inherited
 
     def is_completed(self, book: "WaveBook") -> bool:
         """Return whether all machines of a wave have been maintained."""
--- a/tests/upkeep/test_keeper.py
+++ b/tests/upkeep/test_keeper.py
@@ -129,6 +129,31 @@
         for machine, at_ms in again_ms.items():
             self.assertGreaterEqual(at_ms - last_ms[machine], _LEASE_MS)
 
+    def test_a_keeper_of_a_moment_hands_on_what_waits_for_the_lease(self):
+        async def main():
+            self.needed = 3
+            first = self.keep(1)
+            await asyncio.sleep(1)
+            await first.stop()
+            self.needed = 4
+            second = self.keep(2)
+            await asyncio.sleep(0.5)
+            await second.stop()
+            self.needed = 6
+            for name in "abc":
+                self.service.pools[name] = _SPARE
+            third = self.keep(3)
+            await asyncio.sleep(6)
+            await third.stop()
+
+        loop_module.run(main())
+        first_ms = {m: at for m, _, at in self.orders(1)}
+        self.assertEqual(1, len(self.orders(2)))
+        again = [row for row in self.orders(3) if row[0] in first_ms]
+        self.assertEqual(3, len(again))
+        for machine, _, at_ms in again:
+            self.assertGreaterEqual(at_ms - first_ms[machine], _LEASE_MS)
+
     def test_nothing_is_ordered_that_a_successor_would_not_find(self):
         async def main():
             self.needed = 3
