--- /dev/null
+++ b/tests/entry/test_shards.py
@@ -0,0 +1,74 @@
+"""Tests of which shards a process claims, in virtual time."""
+
+import asyncio
+import random
+
+from expression import Error
+import testtools
+
+from support import fakes
+from support.sim import loop as loop_module
+from wagtailtiller import errors
+from wagtailtiller import ids
+from wagtailtiller.entry import shards as shards_module
+from wagtailtiller.ownership import claims
+
+_POOL = ids.ShardId("renders")
+
+
+class _Store(fakes.FakeStore):
+    """Answers everything but renewals while it is told so."""
+
+    renews = True
+
+    async def renew_lease(self, lease):
+        if not self.renews:
+            return Error(errors.StoreUnavailable("no answer"))
+        return await super().renew_lease(lease)
+
+    async def watch(self, prefix, after, wait_ms):
+        await asyncio.sleep(0.05)
+        return await super().watch(prefix, after, wait_ms)
+
+
+class ShardsTest(testtools.TestCase):
+    def play(self, main):
+        async def wrapped():
+            self.store = _Store()
+            self.gained = []
+            own = claims.NodeRecord(ids.NodeId("e-1"), "e-1:1", "x", "dc-1")
+            shards = shards_module.Shards(
+                self.store,
+                own,
+                loop_module.VirtualClock(asyncio.get_running_loop()),
+                self.gained.append,
+                lambda held, reason: None,
+                random.Random(1),
+            )
+            running = asyncio.create_task(shards.run())
+            await main(shards)
+            running.cancel()
+
+        loop_module.run(wrapped())
+
+    def test_what_nobody_owns_is_claimed(self):
+        async def main(shards):
+            shards.want({_POOL})
+            await asyncio.sleep(2)
+            self.assertEqual([_POOL], [held.shard for held in self.gained])
+
+        self.play(main)
+
+    def test_nothing_is_claimed_on_a_lease_that_was_not_renewed(self):
+        async def main(shards):
+            await asyncio.sleep(2)
+            self.store.renews = False
+            await asyncio.sleep(2)
+            shards.want({_POOL})
+            await asyncio.sleep(3)
+            self.assertEqual([], self.gained)
+            self.store.renews = True
+            await asyncio.sleep(3)
+            self.assertEqual(1, len(self.gained))
+
+        self.play(main)
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -276,6 +276,49 @@
 
         self.run_with(main)
 
+    def hold_back_members(self):
+        """Let writes of the members wait until the returned event is set."""
+        released = asyncio.Event()
+        commit = self.store.commit
+        key = keys.members(jobs.POOL)
+
+        async def commit_later(transaction):
+            if any(write.key == key for write in transaction.writes):
+                await released.wait()
+            return await commit(transaction)
+
+        self.store.commit = commit_later
+        return released
+
+    def test_nothing_starts_on_a_vm_while_its_membership_is_not_stored(self):
+        async def main():
+            vm = self.add_vm("vm-1")
+            released = self.hold_back_members()
+            owner = self.own()
+            await self.submit(owner)
+            await asyncio.sleep(0.5)
+            self.assertEqual([], vm.starts)
+            released.set()
+            await self.until(lambda: vm.running)
+            await owner.stop()
+
+        self.run_with(main)
+
+    def test_a_vm_that_has_not_answered_yet_is_not_called_empty(self):
+        async def main():
+            vm = self.add_vm("vm-1")
+            vm.silent = True
+            owner = self.own()
+            await self.until(lambda: "vm-1" in owner.pool.vms)
+            request = messages.Vacate(
+                jobs.POOL, "vm-1", messages.VacateMode.MOVE_LASTING
+            )
+            self.assertEqual(messages.NotOwner(), await owner.answer(request))
+            vm.silent = False
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_a_new_vm_does_not_wait_until_former_members_are_dropped(self):
         async def main():
             vm = self.add_vm("vm-1")
