--- a/src/wagtailtiller/upkeep/fleet.py
+++ b/src/wagtailtiller/upkeep/fleet.py
@@ -110,18 +110,13 @@
 
         Those that a former keeper had ordered count until their embargo ends.
         """
-        now_ms = self._clock.monotonic_ms()
+        since_ms = self._clock.monotonic_ms() - span_ms
         own = {
             machine
             for machine, ordered_ms in self._ordered_ms.items()
-            if ordered_ms >= now_ms - span_ms
+            if ordered_ms >= since_ms
         }
-        inherited = {
-            machine
-            for machine, until_ms in self._embargo_ms.items()
-            if until_ms > now_ms
-        }
-        return own | inherited
+        return own | set(filter(self._is_embargoed, self._embargo_ms))
 
     def is_completed(self, book: "WaveBook") -> bool:
         """Return whether all machines of a wave have been maintained."""
@@ -242,7 +237,7 @@
     def _plan_wave(self, book: WaveBook) -> None:
         if book.completed:
             return
-        out = sum(1 for e in self.errands.values() if e.wave == book.wave.wave)
+        out = sum(self._may_be_out(m, book) for m in book.wave.machines)
         for machine_id in self._wave_order(book):
             if out >= book.wave.max_out:
                 return
@@ -252,6 +247,20 @@
             self._begin(machine, wave=book.wave.wave)
             out += 1
 
+    def _may_be_out(self, name: ids.MachineId, book: WaveBook) -> bool:
+        """Return whether a wave's machine is out for it, or may be.
+
+        A former keeper may have begun upkeep that this one has not ordered.
+        """
+        machine = self.machines.get(name)
+        errand = self.errands.get(name)
+        under_way = errand is not None and errand.wave == book.wave.wave
+        listed = (
+            machine is not None
+            and machine.state is machines.MachineState.UPKEEP
+        )
+        return under_way or listed or self._is_embargoed(name)
+
     def _wave_order(self, book: WaveBook) -> list[ids.MachineId]:
         waiting = [m for m in book.wave.machines if m not in book.done]
         return sorted(waiting, key=self._burden)
@@ -363,13 +372,16 @@
         ]
 
     def _is_free(self, machine: machines.Machine) -> bool:
-        until_ms = self._embargo_ms.get(machine.machine, 0)
         return (
             machine.state is machines.MachineState.UP
             and machine.machine not in self.errands
-            and self._clock.monotonic_ms() >= until_ms
+            and not self._is_embargoed(machine.machine)
         )
 
+    def _is_embargoed(self, name: ids.MachineId) -> bool:
+        until_ms = self._embargo_ms.get(name, 0)
+        return self._clock.monotonic_ms() < until_ms
+
     def _is_standby(self, pool: ids.PoolId) -> bool:
         facts = self.pools.get(pool)
         return facts is not None and facts.standby
--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -200,6 +200,8 @@
 
 
 async def _rack_dark(world: World, for_s: float) -> None:
+    if not world.fleet.living():
+        return
     rack = world.chance.choice(world.fleet.living()).rack_label()
     for vm in world.fleet.living():
         if vm.rack_label() == rack:
--- a/tests/upkeep/test_fleet.py
+++ b/tests/upkeep/test_fleet.py
@@ -148,6 +148,31 @@
         self.fleet.plan()
         self.assertEqual(1, len(self.errands(wave=_WAVE)))
 
+    def test_upkeep_that_a_former_keeper_began_counts(self):
+        for name in "abcd":
+            self.add(name, _RENDERS)
+            self.load(name)
+        self.add("a", _RENDERS, machines.MachineState.UPKEEP)
+        self.demand(cores=100)
+        self.wave("a", "b", "c", "d", max_out=2)
+        self.fleet.waves[_WAVE].done.add("a")
+        self.fleet.plan()
+        self.assertEqual(1, len(self.errands(wave=_WAVE)))
+
+    def test_upkeep_that_a_former_keeper_may_have_ordered_counts(self):
+        for name in "abcd":
+            self.add(name, _RENDERS)
+            self.load(name)
+        self.demand(cores=100)
+        self.wave("a", "b", "c", "d", max_out=2)
+        self.fleet.embargo({"a", "b"}, self.clock.now_ms + 3_000)
+        self.fleet.plan()
+        self.assertEqual([], self.errands(wave=_WAVE))
+        self.clock.advance(3_000)
+        self.demand(cores=100)
+        self.fleet.plan()
+        self.assertEqual(2, len(self.errands(wave=_WAVE)))
+
     def test_a_machine_is_ordered_only_on_fresh_word_that_it_is_empty(self):
         self.add("a", _RENDERS)
         self.load("a")
