--- a/support/fakes.py
+++ b/support/fakes.py
@@ -131,6 +131,24 @@
         return self.faults.pop(0) if self.faults else Fault.NONE
 
 
+def machine(
+    name: str,
+    vm: str,
+    pool: str = "renders",
+    state: machines.MachineState = machines.MachineState.UP,
+) -> machines.Machine:
+    """Return a machine as the platform lists it."""
+    return machines.Machine(
+        ids.MachineId(name),
+        ids.PoolId(pool),
+        state,
+        ids.DataCentreId("dc-1"),
+        ("a", "r1"),
+        vms.Resources(32_000, 131_072),
+        ids.VmId(vm),
+    )
+
+
 class FakeMachines:
     """A machine service whose machines stand still.
 
@@ -145,7 +163,7 @@
         self,
     ) -> Result[list[machines.Machine], errors.PlatformUnavailable]:
         """List all machines."""
-        return Ok([self._machine(name) for name in self._standing])
+        return Ok([machine(*row) for row in self._standing.items()])
 
     async def move(
         self, machine: ids.MachineId, pool: ids.PoolId, epoch: int
@@ -158,14 +176,3 @@
     ) -> machines.MachineOutcome:
         """Refuse."""
         return machines.MachineOutcome.REFUSED
-
-    def _machine(self, name: str) -> machines.Machine:
-        return machines.Machine(
-            ids.MachineId(name),
-            ids.PoolId("renders"),
-            machines.MachineState.UP,
-            ids.DataCentreId("dc-1"),
-            ("a", "r1"),
-            vms.Resources(32_000, 131_072),
-            ids.VmId(self._standing[name]),
-        )
--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import random
 
@@ -147,48 +148,30 @@
 
 
 async def _cut_peers(world: World, for_s: float) -> None:
-    if not world.living():
-        return
-    process = world.chance.choice(world.living()).process
-    world.network.cut_off.add(process)
-    await asyncio.sleep(for_s)
-    world.network.cut_off.discard(process)
+    await _cut_one(world, world.network.cut_off, for_s)
 
 
 # The store.
 
 
 async def _store_down(world: World, for_s: float) -> None:
-    world.hub.faults.down = True
-    await asyncio.sleep(for_s)
-    world.hub.faults.down = False
+    await _change([world.hub.faults], "down", True, False, for_s)
 
 
 async def _store_cut(world: World, for_s: float) -> None:
-    if not world.living():
-        return
-    process = world.chance.choice(world.living()).process
-    world.hub.faults.cut_off.add(process)
-    await asyncio.sleep(for_s)
-    world.hub.faults.cut_off.discard(process)
+    await _cut_one(world, world.hub.faults.cut_off, for_s)
 
 
 async def _store_slow(world: World, for_s: float) -> None:
-    world.hub.faults.slow_ms = 150.0
-    await asyncio.sleep(for_s)
-    world.hub.faults.slow_ms = 0.0
+    await _change([world.hub.faults], "slow_ms", 150.0, 0.0, for_s)
 
 
 async def _store_loses(world: World, for_s: float) -> None:
-    world.hub.faults.lost_share = 0.3
-    await asyncio.sleep(for_s)
-    world.hub.faults.lost_share = 0.0
+    await _change([world.hub.faults], "lost_share", 0.3, 0.0, for_s)
 
 
 async def _store_late(world: World, for_s: float) -> None:
-    world.hub.faults.late_share = 0.3
-    await asyncio.sleep(for_s)
-    world.hub.faults.late_share = 0.0
+    await _change([world.hub.faults], "late_share", 0.3, 0.0, for_s)
 
 
 # VMs and machines.
@@ -229,21 +212,11 @@
 
 
 async def _vm_late(world: World, for_s: float) -> None:
-    vms = world.fleet.living()
-    for vm in vms:
-        vm.late_share = 0.1
-    await asyncio.sleep(for_s)
-    for vm in vms:
-        vm.late_share = 0.0
+    await _change(world.fleet.living(), "late_share", 0.1, 0.0, for_s)
 
 
 async def _vm_slow(world: World, for_s: float) -> None:
-    vms = _some(world)
-    for vm in vms:
-        vm.slowness = 6.0
-    await asyncio.sleep(for_s)
-    for vm in vms:
-        vm.slowness = 1.0
+    await _change(_some(world), "slowness", 6.0, 1.0, for_s)
 
 
 async def _vm_fails(world: World, for_s: float) -> None:
@@ -255,12 +228,8 @@
 
 
 async def _sick(world: World, health: vms_module.Health, for_s: float) -> None:
-    vms = _some(world)[:1]
-    for vm in vms:
-        vm.health = health
-    await asyncio.sleep(for_s)
-    for vm in vms:
-        vm.health = vms_module.Health.SOUND
+    sound = vms_module.Health.SOUND
+    await _change(_some(world)[:1], "health", health, sound, for_s)
 
 
 async def _wave(world: World, for_s: float) -> None:
@@ -271,9 +240,29 @@
 
 
 async def _service_down(world: World, for_s: float) -> None:
-    world.fleet.down = True
+    await _change([world.fleet], "down", True, False, for_s)
+
+
+async def _change(
+    things: Iterable[object], name: str, ill: object, calm: object, for_s: float
+) -> None:
+    """Give some things another value for a while."""
+    changed = list(things)
+    for thing in changed:
+        setattr(thing, name, ill)
+    await asyncio.sleep(for_s)
+    for thing in changed:
+        setattr(thing, name, calm)
+
+
+async def _cut_one(world: World, cut_off: set[str], for_s: float) -> None:
+    """Cut one living process off for a while."""
+    if not world.living():
+        return
+    process = world.chance.choice(world.living()).process
+    cut_off.add(process)
     await asyncio.sleep(for_s)
-    world.fleet.down = False
+    cut_off.discard(process)
 
 
 def _some(world: World) -> list[vms_module.SimVm]:
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -83,6 +83,14 @@
         await self.until(lambda: owner.ready)
         return await owner.answer(request)
 
+    async def own_with_a_run(self):
+        """Return a VM on which a first owner's job runs, and that owner."""
+        vm = self.add_vm("vm-1")
+        owner = self.own()
+        await self.submit(owner)
+        await self.until(lambda: vm.running)
+        return vm, owner
+
     async def state(self, owner, name="a"):
         request = messages.AskState(jobs.POOL, name * 16)
         return (await owner.answer(request)).state
@@ -118,10 +126,7 @@
 
     def test_a_successor_adopts_what_runs(self):
         async def main():
-            vm = self.add_vm("vm-1")
-            first = self.own(1)
-            await self.submit(first)
-            await self.until(lambda: vm.running)
+            vm, first = await self.own_with_a_run()
             second = self.own(2)
             await self.until(lambda: second.ready)
             await self.until(lambda: not second.pool.unsettled)
@@ -135,10 +140,7 @@
 
     def test_a_former_owner_notices_the_newer_token(self):
         async def main():
-            vm = self.add_vm("vm-1")
-            first = self.own(1)
-            await self.submit(first)
-            await self.until(lambda: vm.running)
+            vm, first = await self.own_with_a_run()
             second = self.own(2)
             await self.until(lambda: self.lost)
             self.assertIn(self.lost[0], ("fenced", "store"))
@@ -149,10 +151,7 @@
 
     def test_a_successor_waits_for_a_member_that_does_not_answer(self):
         async def main():
-            vm = self.add_vm("vm-1")
-            first = self.own(1)
-            await self.submit(first)
-            await self.until(lambda: vm.running)
+            vm, first = await self.own_with_a_run()
             vm.silent = True
             other = self.add_vm("vm-2")
             second = self.own(2)
@@ -171,10 +170,7 @@
         started = []
 
         async def main():
-            vm = self.add_vm("vm-1")
-            first = self.own(1)
-            await self.submit(first)
-            await self.until(lambda: vm.running)
+            vm, first = await self.own_with_a_run()
             vm.silent = True
             other = self.add_vm("vm-2")
             self.machines = fakes.FakeMachines(standing)
@@ -238,10 +234,7 @@
 
     def test_planning_goes_on_while_members_cannot_be_stored(self):
         async def main():
-            vm = self.add_vm("vm-1")
-            owner = self.own()
-            await self.submit(owner)
-            await self.until(lambda: vm.running)
+            vm, owner = await self.own_with_a_run()
             await self.submit(owner, "b")
             commit = self.store.commit
 
@@ -266,10 +259,7 @@
 
     def test_a_vm_is_used_only_after_it_is_stored_as_a_member(self):
         async def main():
-            vm = self.add_vm("vm-1")
-            owner = self.own()
-            await self.submit(owner)
-            await self.until(lambda: vm.running)
+            vm, owner = await self.own_with_a_run()
             item = self.store.state.item(keys.members(jobs.POOL))
             self.assertIn(b"vm-1", item.value)
             await owner.stop()
@@ -321,10 +311,7 @@
 
     def test_a_new_vm_does_not_wait_until_former_members_are_dropped(self):
         async def main():
-            vm = self.add_vm("vm-1")
-            owner = self.own()
-            await self.submit(owner)
-            await self.until(lambda: vm.running)
+            vm, owner = await self.own_with_a_run()
             other = self.add_vm("vm-2")
             both = {v.report.vm: v.report for v in self.vms.values()}
             owner.set_reports(both)
@@ -345,10 +332,7 @@
 
     def test_a_successor_calls_no_vm_empty_before_it_has_answered(self):
         async def main():
-            vm = self.add_vm("vm-1")
-            first = self.own(1)
-            await self.submit(first)
-            await self.until(lambda: vm.running)
+            vm, first = await self.own_with_a_run()
             vm.silent = True
             second = self.own(2)
             second.set_reports({})
--- a/tests/upkeep/test_fleet.py
+++ b/tests/upkeep/test_fleet.py
@@ -3,10 +3,10 @@
 import testtools
 
 from support import clocks
+from support import fakes
 from wagtailtiller import ids
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import machines
-from wagtailtiller.ports import vms
 from wagtailtiller.upkeep import demand
 from wagtailtiller.upkeep import fleet as fleet_module
 
@@ -28,15 +28,8 @@
         self.listed = {}
 
     def add(self, name, pool, state=machines.MachineState.UP):
-        self.listed[name] = machines.Machine(
-            ids.MachineId(name),
-            pool,
-            state,
-            ids.DataCentreId("dc-1"),
-            ("a", "r1"),
-            vms.Resources(32_000, 131_072),
-            ids.VmId("" if pool == _SPARE else f"vm-{name}"),
-        )
+        vm = "" if pool == _SPARE else f"vm-{name}"
+        self.listed[name] = fakes.machine(name, vm, pool, state)
         self.fleet.list_machines(list(self.listed.values()))
 
     def load(self, name, lasting_runs=0, runs=0):
--- a/tests/upkeep/test_keeper.py
+++ b/tests/upkeep/test_keeper.py
@@ -14,7 +14,6 @@
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import machines
-from wagtailtiller.ports import vms
 from wagtailtiller.upkeep import keeper as keeper_module
 
 _RENDERS = ids.PoolId("renders")
@@ -32,7 +31,8 @@
         self.orders = []
 
     async def list(self):
-        return Ok([self._machine(name) for name in self.pools])
+        rows = self.pools.items()
+        return Ok([fakes.machine(name, "", pool) for name, pool in rows])
 
     async def move(self, machine, pool, epoch):
         now_ms = asyncio.get_running_loop().time() * 1_000
@@ -40,17 +40,6 @@
         self.pools[machine] = pool
         return machines.MachineOutcome.DONE
 
-    def _machine(self, name):
-        return machines.Machine(
-            ids.MachineId(name),
-            self.pools[name],
-            machines.MachineState.UP,
-            ids.DataCentreId("dc-1"),
-            ("a", "r1"),
-            vms.Resources(_CORES, 131_072),
-            ids.VmId(""),
-        )
-
 
 class _Declared:
     def __init__(self):
