--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -9,6 +9,7 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
 from wagtailtiller import ids
+from wagtailtiller import loop_monitor
 from wagtailtiller import runtime
 from wagtailtiller import tasks
 from wagtailtiller.entry import frontend
@@ -126,6 +127,7 @@
             runtime.spawn(self._adapters.declared.run()),
             runtime.spawn(self._shards.run()),
             runtime.spawn(self._monitor_session()),
+            runtime.spawn(loop_monitor.LoopMonitor(self._clock).run()),
         ]
 
     async def hand_over(self) -> None:
--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -43,6 +43,7 @@
 
     Attributes:
         revisions: Last known store revision of each job.
+        committed_revision: Revision of the latest commit.
         ownership_lost: Set when the ownership is lost or the writer is stopped.
     """
 
@@ -54,6 +55,7 @@
         backoff: follower.Backoff,
     ) -> None:
         self.revisions: dict[model.JobId, ids.Revision] = {}
+        self.committed_revision = store.ABSENT
         self._store = store_client
         self._pool = pool
         self._claim = claim
@@ -148,6 +150,7 @@
             store.Transaction(expected, tuple(writes))
         )
         if result.is_ok():
+            self.committed_revision = result.ok
             for job, entry in entries.items():
                 self.revisions[job] = result.ok
                 entry.stored_state = states[job]
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -298,6 +298,13 @@
         job = decoded.ok
         if job.id in self.pool.entries:
             return
+        events.emit(
+            events.Event.JOB_RESTORED,
+            job=job.id,
+            revision=item.revision,
+            state=job.state.value,
+            done_tasks=sum(1 for _ in job.done_tasks()),
+        )
         self._job_writer.revisions[job.id] = item.revision
         self.pool.jobs.add(job, inherited=True, stored_state=job.state)
 
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -103,6 +103,12 @@
         position = self.vm.last_end_position
         if await self._job_writer.flush(_FLUSH_TIMEOUT_MS):
             self._acknowledged_position = position
+            events.emit(
+                events.Event.RUNS_ACKNOWLEDGED,
+                vm=self.vm.report.vm,
+                position=position,
+                revision=self._job_writer.committed_revision,
+            )
         else:
             await asyncio.sleep(_FLUSH_RETRY_MS / 1_000)
 
@@ -120,11 +126,13 @@
         )
         received_ms = self._clock.monotonic_ms()
         if response.listing is None:
-            self._handle_failure(token, response.outcome)
+            self._handle_failure(token, response.outcome, received_ms - sent_ms)
             return False
         listing = response.listing
         if listing.born_ms and listing.born_ms != self.vm.report.born_ms:
-            self._handle_failure(token, vms.CommandOutcome.OTHER_VM)
+            self._handle_failure(
+                token, vms.CommandOutcome.OTHER_VM, received_ms - sent_ms
+            )
             return False
         self._pool.vm_tracker.mark_responsive(
             self.vm, listing.clock_ms, received_ms
@@ -136,7 +144,9 @@
         self._on_change()
         return True
 
-    def _handle_failure(self, token: int, outcome: vms.CommandOutcome) -> None:
+    def _handle_failure(
+        self, token: int, outcome: vms.CommandOutcome, waited_ms: int
+    ) -> None:
         if outcome is vms.CommandOutcome.FENCED:
             if token == self.vm.token:
                 self._on_fenced()
@@ -147,6 +157,7 @@
                 vm=self.vm.report.vm,
                 outcome=outcome.value,
                 runs=len(self.vm.runs),
+                waited_ms=waited_ms,
             )
         self._pool.vm_tracker.mark_unresponsive(self.vm)
         self._on_change()
