--- /dev/null
+++ b/tests/platform/test_vms.py
@@ -0,0 +1,204 @@
+"""Tests of the client of the platform's workers, with its owner's side."""
+
+import asyncio
+import time
+
+import testtools
+
+from support import fake_vms
+from support import fakes
+from support import jobs
+from support import served_vm
+from wagtailtiller import clock
+from wagtailtiller import ids
+from wagtailtiller import runtime
+from wagtailtiller.jobs import job
+from wagtailtiller.jobs import model
+from wagtailtiller.owner import job_writer
+from wagtailtiller.owner import keys
+from wagtailtiller.owner import vm_link
+from wagtailtiller.ownership import claims
+from wagtailtiller.platform import vms
+from wagtailtiller.scheduling import pool as pool_module
+
+_LEASE_MS = 2_500
+# The loop is blocked for this long between two turns, for longer than the
+# lease in all.
+_BLOCKED_S = 0.9
+_BLOCKED_TURNS = 8
+_LATENCY_S = 0.15
+# Above the timeout of a command.
+_HIGH_LATENCY_S = 1.1
+_RUN_S = 0.05
+# As many starts as a new owner sends to one VM for an inherited backlog.
+_BURST = 40
+_BURST_DONE_S = 6.0
+
+
+class _ShortBackoff:
+    def reset(self):
+        pass
+
+    async def wait(self):
+        await asyncio.sleep(0.01)
+
+
+class OwnerTestCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.SystemClock()
+        self.served = self.serve()
+        self.other = fake_vms.FakeVm(fake_vms.report("vm-2"), self.clock)
+        self.pool = pool_module.Pool(jobs.POOL, 1, self.clock)
+        self.pool.jobs.set_queues([jobs.queue()])
+        self.links = {}
+
+    def serve(self):
+        return served_vm.ServedVm("vm-1", self.clock)
+
+    def run_with(self, main):
+        async def wrapped():
+            fake_store = fakes.FakeStore()
+            shard = ids.ShardId(jobs.POOL)
+            owner_write = fake_store.state.write(
+                keys.owner(shard), b"me", 0, ""
+            )
+            self.writer = job_writer.JobWriter(
+                fake_store,
+                self.pool,
+                claims.Claim(shard, 1, owner_write.ok),
+                _ShortBackoff(),
+            )
+            writer_task = asyncio.create_task(self.writer.run())
+            self.link_vm(self.served.report, vms.PlatformVm(self.served.report))
+            try:
+                await main()
+            finally:
+                for link in self.links.values():
+                    await link.close()
+                writer_task.cancel()
+            return 0
+
+        try:
+            runtime.run(wrapped())
+        finally:
+            self.served.stop()
+
+    def link_vm(self, report, client):
+        self.links[report.vm] = vm_link.VmLink(
+            self.pool,
+            self.pool.vm_tracker.register(report),
+            client,
+            self.writer,
+            self.clock,
+            _LEASE_MS,
+            lambda: None,
+            lambda: None,
+        )
+
+    def add_job(self, task_count):
+        step = jobs.step(task_count, cpu_millicores=100)
+        return self.pool.jobs.add(
+            jobs.job("a" * 16, jobs.spec(step)), False, model.JobState.QUEUED
+        )
+
+    def plan(self):
+        self.pool.vm_tracker.expire_leases()
+        for command in self.pool.plan():
+            self.links[command.vm].send(command)
+
+    async def until(self, condition, timeout_s=3.0):
+        end_s = time.monotonic() + timeout_s
+        while not condition():
+            self.assertLess(time.monotonic(), end_s, "not in time")
+            await asyncio.sleep(0.01)
+
+
+class LateOwnerTest(OwnerTestCase):
+    def test_task_ended_while_owner_was_late_runs_once(self):
+        """TWICE: an owner that was late took a responsive VM for silent.
+
+        The end of the run lay unread in the owner's socket; after the lease
+        the owner discarded the run and started the task on another VM.
+        """
+
+        async def main():
+            vm = self.pool.vms["vm-1"]
+            await self.until(lambda: vm.open_for_starts(1 << 60))
+            entry = self.add_job(1)
+            self.plan()
+            task = next(entry.job.ready_steps(1 << 60)).tasks[0]
+            await self.until(lambda: task.run and task.run.confirmed_ms)
+            self.link_vm(self.other.report, self.other)
+            for turn in range(_BLOCKED_TURNS):
+                time.sleep(_BLOCKED_S)
+                if turn == 1:
+                    self.served.end(task.id, job.EndKind.DONE)
+                await asyncio.sleep(0)
+                self.plan()
+            await self.until(lambda: task.done)
+
+        self.run_with(main)
+        self.assertEqual(1, len(self.served.state.starts))
+        self.assertEqual([], self.other.starts)
+
+
+class SlowLinkTest(OwnerTestCase):
+    def serve(self):
+        return served_vm.ServedVm(
+            "vm-1", self.clock, latency_s=_LATENCY_S, run_s=_RUN_S
+        )
+
+    def test_burst_of_starts_over_slow_link_leaves_vm_responsive(self):
+        """TWICE: starts that waited for a connection made their VM silent.
+
+        Their timeouts included the wait. Each then sent a hold that waited
+        for the connection of the long poll and timed out there, so that a VM
+        that answered everything counted as unresponsive.
+        """
+
+        async def main():
+            vm = self.pool.vms["vm-1"]
+            await self.until(lambda: vm.open_for_starts(1 << 60))
+            entry = self.add_job(_BURST)
+            self.plan()
+            end_s = time.monotonic() + _BURST_DONE_S
+            while not entry.job.is_final():
+                self.assertIsNone(vm.unresponsive_since_ms)
+                self.assertLess(time.monotonic(), end_s)
+                await asyncio.sleep(0.02)
+                self.plan()
+
+        self.run_with(main)
+        self.assertEqual(
+            [1] * _BURST, [start.number for start in self.served.state.starts]
+        )
+
+
+class SlowerLinkTest(OwnerTestCase):
+    def test_task_ended_on_vm_with_late_answers_runs_once(self):
+        """TWICE: each answer of a VM came after its timeout.
+
+        The end of the run was in these answers; after the lease the owner
+        discarded the run and started the task on another VM.
+        """
+
+        async def main():
+            vm = self.pool.vms["vm-1"]
+            await self.until(lambda: vm.open_for_starts(1 << 60))
+            entry = self.add_job(1)
+            self.plan()
+            task = next(entry.job.ready_steps(1 << 60)).tasks[0]
+            await self.until(lambda: task.run and task.run.confirmed_ms)
+            self.link_vm(self.other.report, self.other)
+            self.served.latency_s = _HIGH_LATENCY_S
+            await self.until(lambda: vm.unresponsive_since_ms is not None)
+            self.served.end(task.id, job.EndKind.DONE)
+            end_s = time.monotonic() + 3 * _LEASE_MS / 1_000
+            while not (task.done or self.other.starts):
+                self.assertLess(time.monotonic(), end_s)
+                await asyncio.sleep(0.02)
+                self.plan()
+
+        self.run_with(main)
+        self.assertEqual([], self.other.starts)
