Start the timeout of a command when it is sent, and resolve starts together

Cause: starts to one VM shared three connections and their timeout of 700 ms ran while they waited for one. Each that timed out sent a hold of its own, and all of these shared one connection with the long poll, which keeps it for up to a second: they timed out without having been sent, and their VM, which answered everything, counted as unresponsive. It then got no lease, its runs were discarded, and their tasks started again.

A command now waits for its turn before its timeout begins; a start that is no longer wanted by then, or whose VM no longer takes starts, is dropped and placed anew at once. One hold, on a connection of its own, resolves all unknown starts of a VM. At most 128 starts of a pool are open, so that a backlog cannot fill the link of a small VM.

Ruled out: a longer timeout alone, since the queue grows with the backlog.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -54,6 +54,9 @@
 _JOBS_WATCH_WAIT_MS = 5_000
 _JOBS_WATCH_PAUSE_MS = 1_000
 _JOB_EXPIRY_INTERVAL_MS = 5_000
+# Bounds the queue that start commands form on the link of a small VM, where
+# they would delay the renewals of leases.
+_MAX_OPEN_STARTS = 128
 # Jobs are kept longer than the setting promises, by this factor.
 _JOB_RETENTION_FACTOR = 1.2
 
@@ -152,6 +155,7 @@
             self._on_jobs_change,
             pause_ms=_JOBS_WATCH_PAUSE_MS,
         )
+        self._start_slots = asyncio.Semaphore(_MAX_OPEN_STARTS)
         self._links: dict[ids.VmId, vm_link.VmLink] = {}
         self._reports: dict[ids.VmId, vms.VmReport] = {}
         self._closing_links = tasks.TaskGroup()
@@ -336,6 +340,7 @@
             self._connect(report),
             self._job_writer,
             self._clock,
+            self._start_slots,
             self._lease_ms,
             self._wake.set,
             self._on_fenced,
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -10,6 +10,7 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
 from wagtailtiller import tasks
+from wagtailtiller.jobs import job as job_module
 from wagtailtiller.owner import job_writer
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
@@ -21,6 +22,9 @@
 # Bounds the time for which storing ended runs delays the next lease renewal.
 _FLUSH_TIMEOUT_MS = 500
 _FLUSH_RETRY_MS = 200
+# The VM's client opens as many connections for commands, so that no command
+# waits for one while its timeout runs.
+_MAX_OPEN_COMMANDS = 3
 
 
 class VmLink:
@@ -33,6 +37,7 @@
         writer: Writer that stores ended runs before they are acknowledged;
             the VM discards acknowledged ones.
         clock: Clock that supplies the current time.
+        start_slots: Limits the open start commands of all VMs of the pool.
         lease_ms: Duration of a lease, in ms.
         on_change: Called when a response has changed the pool, so that it
             must be planned again.
@@ -50,6 +55,7 @@
         client: vms.VmClient,
         writer: job_writer.JobWriter,
         clock: clock_module.Clock,
+        start_slots: asyncio.Semaphore,
         lease_ms: int,
         on_change: Callable[[], None],
         on_fenced: Callable[[], None],
@@ -63,6 +69,9 @@
         self._on_change = on_change
         self._on_fenced = on_fenced
         self._acknowledged_position = 0
+        self._start_slots = start_slots
+        self._command_slots = asyncio.Semaphore(_MAX_OPEN_COMMANDS)
+        self._resolution_lock = asyncio.Lock()
         self._command_tasks = tasks.TaskGroup()
         self._hold_task = asyncio.create_task(self._run())
 
@@ -163,9 +172,28 @@
         self._on_change()
 
     async def _start(self, command: commands.Start) -> None:
+        async with self._command_slots, self._start_slots:
+            outcome = await self._send_start(command)
+        if outcome is None:
+            return
+        if self._pool.run_reconciler.apply_start_outcome(
+            self.vm, command.run, outcome
+        ):
+            await self._resolve_unknown_start(command.run)
+        self._on_change()
+
+    async def _send_start(
+        self, command: commands.Start
+    ) -> vms.CommandOutcome | None:
+        """Send a start command; None if its outcome needs no handling."""
         run = command.run
         token = self.vm.token
         now_ms = self._clock.monotonic_ms()
+        if not self._may_start(run, now_ms):
+            self._log_start(run, token, "not_sent", 0)
+            self._pool.run_reconciler.apply_unsent_start(self.vm, run)
+            self._on_change()
+            return None
         start_command = vms.StartCommand(
             run.task.id,
             run.number,
@@ -176,6 +204,34 @@
             command.ticket,
         )
         response = await self._client.start(start_command)
+        took_ms = self._clock.monotonic_ms() - now_ms
+        self._log_start(run, token, response.outcome.value, took_ms)
+        was_fenced = response.outcome is vms.CommandOutcome.FENCED
+        if was_fenced and token == self.vm.token:
+            self._on_fenced()
+            return None
+        if response.outcome is vms.CommandOutcome.UNANSWERED and (
+            token == self.vm.token
+        ):
+            # Once the VM has seen a higher fencing token, it refuses the start
+            # command whose outcome is unknown.
+            self._pool.vm_tracker.raise_token(self.vm)
+        return response.outcome
+
+    def _may_start(self, run: job_module.Run, now_ms: int) -> bool:
+        # The run was planned before the command waited for its turn.
+        entry = self._pool.entries.get(run.task.id.job)
+        return (
+            entry is not None
+            and not entry.job.is_final()
+            and not run.task.done
+            and self.vm.runs.get(run.task.id) is run
+            and self.vm.open_for_starts(now_ms)
+        )
+
+    def _log_start(
+        self, run: job_module.Run, token: int, outcome: str, took_ms: int
+    ) -> None:
         events.emit(
             events.Event.RUN_STARTED,
             job=run.task.id.job,
@@ -183,32 +239,26 @@
             run=run.number,
             vm=self.vm.report.vm,
             token=token,
-            outcome=response.outcome.value,
-            took_ms=self._clock.monotonic_ms() - now_ms,
+            outcome=outcome,
+            took_ms=took_ms,
         )
-        was_fenced = response.outcome is vms.CommandOutcome.FENCED
-        if was_fenced and token == self.vm.token:
-            self._on_fenced()
-            return
-        if self._pool.run_reconciler.apply_start_outcome(
-            self.vm, run, response.outcome
-        ):
-            await self._resolve_unknown_start(token)
-        self._on_change()
 
-    async def _resolve_unknown_start(self, token: int) -> None:
-        # Once the VM has seen a higher fencing token, it refuses the start
-        # command whose outcome is unknown.
-        if token == self.vm.token:
-            self._pool.vm_tracker.raise_token(self.vm)
-        while not await self._hold(0):
-            await asyncio.sleep(_RETRY_MS / 1_000)
+    async def _resolve_unknown_start(self, run: job_module.Run) -> None:
+        # One listing resolves all unknown starts of the VM.
+        async with self._resolution_lock:
+            while (
+                run.phase is job_module.RunPhase.UNCERTAIN
+                and self.vm.runs.get(run.task.id) is run
+            ):
+                if not await self._hold(0):
+                    await asyncio.sleep(_RETRY_MS / 1_000)
 
     async def _stop(self, command: commands.Stop | commands.StopOrphan) -> None:
         run = command.run
-        response = await self._client.stop(
-            run.task.id, run.number, self.vm.token
-        )
+        async with self._command_slots:
+            response = await self._client.stop(
+                run.task.id, run.number, self.vm.token
+            )
         events.emit(
             events.Event.RUN_STOPPED,
             job=run.task.id.job,
@@ -221,9 +271,10 @@
 
     async def _set_speed(self, command: commands.SetSpeed) -> None:
         run = command.run
-        response = await self._client.set_speed(
-            run.task.id, run.number, command.percent, self.vm.token
-        )
+        async with self._command_slots:
+            response = await self._client.set_speed(
+                run.task.id, run.number, command.percent, self.vm.token
+            )
         if response.outcome is vms.CommandOutcome.UNANSWERED:
             # The value differs from every speed, so that the command is sent
             # again after the next listing.
--- a/src/wagtailtiller/platform/vms.py
+++ b/src/wagtailtiller/platform/vms.py
@@ -13,7 +13,10 @@
 
 _COMMAND_TIMEOUT_MS = 700
 _HOLD_MARGIN_MS = 700
+# The owner sends as many commands at once.
 _COMMAND_CONNECTIONS = 3
+# One for the long poll, one for the hold that resolves unknown starts.
+_HOLD_CONNECTIONS = 2
 _OUTCOMES_BY_REASON = {
     "fence": vms.CommandOutcome.FENCED,
     "old": vms.CommandOutcome.OLD_RUN,
@@ -39,8 +42,8 @@
 class PlatformVm:
     """The ``VmClient`` protocol over the platform's worker interface.
 
-    Hold requests may wait on the VM. They use a separate connection, so that
-    no command waits behind one.
+    Hold requests may wait on the VM. They use separate connections, so that no
+    command waits behind one.
 
     Args:
         report: The report of the VM, with its address and id.
@@ -51,7 +54,7 @@
             report.address, _COMMAND_CONNECTIONS, _COMMAND_TIMEOUT_MS
         )
         self._hold_client = http.HttpClient(
-            report.address, 1, _COMMAND_TIMEOUT_MS
+            report.address, _HOLD_CONNECTIONS, _COMMAND_TIMEOUT_MS
         )
         self._headers: dict[str, str] = {"Expected-Instance": report.vm}
 
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -75,6 +75,17 @@
                 self._state.remove_run(vm, run)
         return False
 
+    def apply_unsent_start(self, vm: vm_module.Vm, run: job_module.Run) -> None:
+        """Remove a run whose start command was never sent.
+
+        Args:
+            vm: VM that the command was meant for.
+            run: Run that was to be started.
+        """
+        if run.task.run is run and run.task.last_run == run.number:
+            run.task.last_run -= 1
+        self._state.remove_run(vm, run)
+
     def apply_listing(
         self,
         vm: vm_module.Vm,
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -47,6 +47,7 @@
                 fake_vm,
                 writer,
                 system_clock,
+                asyncio.Semaphore(100),
                 _LEASE_MS,
                 lambda: None,
                 lambda: None,
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -91,6 +91,7 @@
             client,
             self.writer,
             self.clock,
+            asyncio.Semaphore(100),
             _LEASE_MS,
             lambda: None,
             lambda: None,
