Do not let a late event loop abandon responses that have arrived

A timeout is divided into slices of 100 ms, each at least one turn of the loop. A longer timeout was ruled out: it delays every real detection.

--- a/src/wagtailtiller/entry/peers.py
+++ b/src/wagtailtiller/entry/peers.py
@@ -8,6 +8,7 @@
 import grpc
 import msgspec
 
+from wagtailtiller import timeouts
 from wagtailtiller.owner import messages
 
 _SERVICE = "wagtailtiller.Entry"
@@ -168,12 +169,12 @@
             f"/{_SERVICE}/{_METHOD}"
         )
         try:
-            answer = await call(
-                _encoder.encode(request), timeout=timeout_ms / 1_000
-            )
-        except grpc.RpcError as error:
-            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
-                await self._discard_channel(address)
+            async with timeouts.responsive_timeout(timeout_ms):
+                answer = await call(_encoder.encode(request))
+        except TimeoutError:
+            await self._discard_channel(address)
+            return None
+        except grpc.RpcError:
             return None
         return _answer_decoder.decode(answer)
 
--- a/src/wagtailtiller/platform/http.py
+++ b/src/wagtailtiller/platform/http.py
@@ -9,8 +9,12 @@
 from expression import Result
 import msgspec
 
+from wagtailtiller import timeouts
+
 OK = 200
 
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+
 _T = TypeVar("_T")
 
 
@@ -88,20 +92,22 @@
         Returns:
             The response with any status, or ``NoResponse``.
         """
-        total_s = (timeout_ms or self._timeout_ms) / 1_000
         request_headers = dict(headers or {})
         if body is not None:
             request_headers["Content-Type"] = "application/json"
         try:
-            async with self._get_session().request(
-                method,
-                self._base_url + path,
-                params=query,
-                data=body,
-                headers=request_headers,
-                timeout=aiohttp.ClientTimeout(total=total_s),
-                allow_redirects=False,
-            ) as response:
+            async with (
+                timeouts.responsive_timeout(timeout_ms or self._timeout_ms),
+                self._get_session().request(
+                    method,
+                    self._base_url + path,
+                    params=query,
+                    data=body,
+                    headers=request_headers,
+                    timeout=_NO_TIMEOUT,
+                    allow_redirects=False,
+                ) as response,
+            ):
                 return Ok(Response(response.status, await response.read()))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Error(NoResponse(f"{path}: {type(error).__name__}"))
