Give a VM whose answers are late more time before its next attempt

The timeout that writes to the store have adapts to what was measured; it moves to platform/http.py and serves VMs as well, from 700 ms to 2 s. The first detection of a VM that is gone is as quick as before.

--- a/src/wagtailtiller/platform/http.py
+++ b/src/wagtailtiller/platform/http.py
@@ -13,6 +13,8 @@
 
 OK = 200
 
+# A response may take this many times as long as the previous one.
+_TIMEOUT_FACTOR = 4
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
 _T = TypeVar("_T")
@@ -41,6 +43,38 @@
     body: bytes
 
 
+class AdaptiveTimeout:
+    """A timeout that follows the response times of the previous calls.
+
+    A short timeout detects a lost response early while responses are fast. A
+    longer one gives a slow service or a slow link time to respond.
+
+    Args:
+        min_ms: The shortest timeout, which is the first one.
+        max_ms: The longest timeout.
+
+    Attributes:
+        timeout_ms: The timeout of the next call.
+    """
+
+    def __init__(self, min_ms: int, max_ms: int) -> None:
+        self.timeout_ms = min_ms
+        self._min_ms = min_ms
+        self._max_ms = max_ms
+
+    def record(self, answered: bool, took_ms: int) -> None:
+        """Adapt the timeout to the result of a call.
+
+        Args:
+            answered: Whether a response came.
+            took_ms: How long the call took.
+        """
+        next_timeout_ms = 2 * self.timeout_ms
+        if answered:
+            next_timeout_ms = _TIMEOUT_FACTOR * took_ms
+        self.timeout_ms = min(max(next_timeout_ms, self._min_ms), self._max_ms)
+
+
 class HttpClient:
     """Client of one HTTP service.
 
--- a/src/wagtailtiller/platform/store.py
+++ b/src/wagtailtiller/platform/store.py
@@ -22,8 +22,6 @@
 _CALL_TIMEOUT_MS = 1_500
 _WATCH_MARGIN_MS = 1_500
 _MIN_TIMEOUT_MS = 400
-# A response may take this many times as long as the previous one.
-_TIMEOUT_FACTOR = 4
 _NOT_FOUND = 404
 _GONE = 410
 _PRECONDITION_FAILED = 412
@@ -31,34 +29,6 @@
 _NOT_APPLIED_STATUSES = frozenset({400, 403, 404, 429, 503})
 
 
-class AdaptiveTimeout:
-    """A timeout that follows the response times of the previous calls.
-
-    A short timeout detects a lost response early while the store is fast. A
-    longer one gives a slow store time to respond.
-
-    Attributes:
-        timeout_ms: The timeout of the next call.
-    """
-
-    def __init__(self) -> None:
-        self.timeout_ms = _MIN_TIMEOUT_MS
-
-    def record(self, answered: bool, took_ms: int) -> None:
-        """Adapt the timeout to the result of a call.
-
-        Args:
-            answered: Whether a response came.
-            took_ms: How long the call took.
-        """
-        next_timeout_ms = 2 * self.timeout_ms
-        if answered:
-            next_timeout_ms = _TIMEOUT_FACTOR * took_ms
-        self.timeout_ms = min(
-            max(next_timeout_ms, _MIN_TIMEOUT_MS), _CALL_TIMEOUT_MS
-        )
-
-
 class _Item(msgspec.Struct):
     key: str
     revision: int
@@ -125,7 +95,9 @@
         user_agent: str = "",
         timeout_ms: int = _CALL_TIMEOUT_MS,
     ) -> None:
-        self._write_timeout = AdaptiveTimeout()
+        self._write_timeout = http.AdaptiveTimeout(
+            _MIN_TIMEOUT_MS, _CALL_TIMEOUT_MS
+        )
         self._http = http.HttpClient(address, 0, timeout_ms, user_agent)
 
     async def close(self) -> None:
--- a/src/wagtailtiller/platform/vms.py
+++ b/src/wagtailtiller/platform/vms.py
@@ -1,7 +1,9 @@
 """Client of a VM, which the platform calls a worker."""
 
+import time
 from typing import Any
 
+from expression import Result
 import msgspec
 
 from wagtailtiller import events
@@ -11,8 +13,10 @@
 from wagtailtiller.platform import task_names
 from wagtailtiller.ports import vms
 
-_COMMAND_TIMEOUT_MS = 700
-_HOLD_MARGIN_MS = 700
+_MIN_TIMEOUT_MS = 700
+# Leaves time for two attempts within the lease of the runs on a VM, so that a
+# slow link alone does not discard them.
+_MAX_TIMEOUT_MS = 2_000
 # The owner sends as many commands at once.
 _COMMAND_CONNECTIONS = 3
 # One for the long poll, one for the hold that resolves unknown starts.
@@ -51,11 +55,12 @@
 
     def __init__(self, report: vms.VmReport) -> None:
         self._command_client = http.HttpClient(
-            report.address, _COMMAND_CONNECTIONS, _COMMAND_TIMEOUT_MS
+            report.address, _COMMAND_CONNECTIONS, _MIN_TIMEOUT_MS
         )
         self._hold_client = http.HttpClient(
-            report.address, _HOLD_CONNECTIONS, _COMMAND_TIMEOUT_MS
+            report.address, _HOLD_CONNECTIONS, _MIN_TIMEOUT_MS
         )
+        self._timeout = http.AdaptiveTimeout(_MIN_TIMEOUT_MS, _MAX_TIMEOUT_MS)
         self._headers: dict[str, str] = {"Expected-Instance": report.vm}
 
     async def start(self, command: vms.StartCommand) -> vms.CommandResponse:
@@ -138,12 +143,8 @@
             body["deadline_ms"] = lease_until_ms
         if wait_ms:
             body["wait_ms"] = wait_ms
-        response = await self._hold_client.call(
-            "POST",
-            "/v1/hold",
-            msgspec.json.encode(body),
-            headers=self._headers,
-            timeout_ms=wait_ms + _HOLD_MARGIN_MS,
+        response = await self._call(
+            self._hold_client, "/v1/hold", body, wait_ms
         )
         if response.is_error():
             return vms.HoldResponse(vms.CommandOutcome.UNANSWERED)
@@ -164,13 +165,32 @@
     async def _send_command(
         self, path: str, body: dict[str, Any]
     ) -> vms.CommandResponse:
-        response = await self._command_client.call(
-            "POST", path, msgspec.json.encode(body), headers=self._headers
-        )
+        response = await self._call(self._command_client, path, body, 0)
         if response.is_error():
             return vms.CommandResponse(vms.CommandOutcome.UNANSWERED)
         return _to_command_response(response.ok)
 
+    async def _call(
+        self,
+        client: http.HttpClient,
+        path: str,
+        body: dict[str, Any],
+        wait_ms: int,
+    ) -> Result[http.Response, http.NoResponse]:
+        """Send a request that the VM may answer after a wait."""
+        sent_s = time.monotonic()
+        response = await client.call(
+            "POST",
+            path,
+            msgspec.json.encode(body),
+            headers=self._headers,
+            timeout_ms=wait_ms + self._timeout.timeout_ms,
+        )
+        took_ms = int((time.monotonic() - sent_s) * 1_000)
+        # The VM ends its wait early if a run ends.
+        self._timeout.record(response.is_ok(), max(0, took_ms - wait_ms))
+        return response
+
 
 def _to_command_response(response: http.Response) -> vms.CommandResponse:
     decoded = http.decode_body(response, _CommandResponse)
