Acknowledge stored ends although later changes are not stored yet

A flush is now an object that covers the writes of the moment at which it began and is waited for in several steps, between renewals of the lease. Its test fails on the sources before (no acknowledgement in 5 s) and passes now.

--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -32,6 +32,42 @@
     OWNERSHIP_LOST = "deposed"
 
 
+class Flush:
+    """The writes of all jobs that had changed when the flush began.
+
+    A completed flush lets the caller acknowledge the ended runs that it covers,
+    which the VMs then discard. A previous owner cannot store these runs, so its
+    flush never completes, even if nothing is left to write.
+
+    Args:
+        writes: Futures of the writes.
+        ownership_lost: Set when the ownership is lost.
+    """
+
+    def __init__(
+        self,
+        writes: "set[asyncio.Future[WriteOutcome]]",
+        ownership_lost: asyncio.Event,
+    ) -> None:
+        self._writes = writes
+        self._ownership_lost = ownership_lost
+
+    async def wait(self, timeout_ms: int) -> bool:
+        """Wait until all writes are stored; may be called again.
+
+        Args:
+            timeout_ms: Longest time to wait.
+
+        Returns:
+            Whether all changes were stored in time, under this ownership.
+        """
+        if self._writes and not self._ownership_lost.is_set():
+            _, self._writes = await asyncio.wait(
+                self._writes, timeout=timeout_ms / 1_000
+            )
+        return not self._writes and not self._ownership_lost.is_set()
+
+
 class JobWriter:
     """Writes changed jobs of one pool in batches.
 
@@ -83,29 +119,18 @@
         self._wake.set()
         return future
 
-    async def flush(self, timeout_ms: int) -> bool:
-        """Write all changed jobs.
-
-        A successful flush lets the caller acknowledge ended runs, which the VMs
-        then discard. A previous owner cannot store these runs, so its flush
-        fails even if nothing is left to write.
-
-        Args:
-            timeout_ms: Longest time to wait for the writes.
+    def begin_flush(self) -> "Flush":
+        """Schedule the writes of all changed jobs.
 
         Returns:
-            Whether all changes were stored in time, under this ownership.
+            The flush, which includes writes that are already in progress.
         """
-        if self.ownership_lost.is_set():
-            return False
         jobs, self._pool.changed = self._pool.changed, set()
         for job in jobs:
             self.write(job)
-        futures = {*self._pending.values(), *self._committing}
-        if not futures:
-            return True
-        _, unfinished = await asyncio.wait(futures, timeout=timeout_ms / 1_000)
-        return not unfinished and not self.ownership_lost.is_set()
+        return Flush(
+            {*self._pending.values(), *self._committing}, self.ownership_lost
+        )
 
     async def run(self) -> None:
         """Commit batches until the ownership is lost."""
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -204,7 +204,7 @@
         Runs continue on their VMs until their leases expire.
         """
         self._stopped = True
-        await self._job_writer.flush(_TAKEOVER_RETRY_MS)
+        await self._job_writer.begin_flush().wait(_TAKEOVER_RETRY_MS)
         self._job_writer.stop()
         await tasks.cancel_and_wait(self._tasks)
         await asyncio.gather(*(link.close() for link in self._links.values()))
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -69,6 +69,8 @@
         self._on_change = on_change
         self._on_fenced = on_fenced
         self._acknowledged_position = 0
+        self._flush: job_writer.Flush | None = None
+        self._flush_position = 0
         self._start_slots = start_slots
         self._command_slots = asyncio.Semaphore(_MAX_OPEN_COMMANDS)
         self._resolution_lock = asyncio.Lock()
@@ -109,17 +111,22 @@
         )
 
     async def _store_ended_runs(self) -> None:
-        position = self.vm.last_end_position
-        if await self._job_writer.flush(_FLUSH_TIMEOUT_MS):
-            self._acknowledged_position = position
-            events.emit(
-                events.Event.RUNS_ACKNOWLEDGED,
-                vm=self.vm.report.vm,
-                position=position,
-                revision=self._job_writer.committed_revision,
-            )
-        else:
+        # A flush that takes long is continued after the next renewal of the
+        # lease. A new one would have to wait for later changes as well.
+        if self._flush is None:
+            self._flush = self._job_writer.begin_flush()
+            self._flush_position = self.vm.last_end_position
+        if not await self._flush.wait(_FLUSH_TIMEOUT_MS):
             await asyncio.sleep(_FLUSH_RETRY_MS / 1_000)
+            return
+        self._flush = None
+        self._acknowledged_position = self._flush_position
+        events.emit(
+            events.Event.RUNS_ACKNOWLEDGED,
+            vm=self.vm.report.vm,
+            position=self._acknowledged_position,
+            revision=self._job_writer.committed_revision,
+        )
 
     async def _hold(self, wait_ms: int) -> bool:
         sent_ms = self._clock.monotonic_ms()
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -37,19 +37,19 @@
 _original_submit = requests.RequestHandler._submit
 
 
-async def _skip_flush(self: job_writer.JobWriter, timeout_ms: int) -> bool:
+async def _skip_flush(self: job_writer.Flush, timeout_ms: int) -> bool:
     return True
 
 
 async def _skip_flush_after_ownership_loss(
-    self: job_writer.JobWriter, timeout_ms: int
+    self: job_writer.Flush, timeout_ms: int
 ) -> bool:
-    if self.ownership_lost.is_set() and not self._pool.changed:
+    if self._ownership_lost.is_set() and not self._writes:
         return True
-    return await _original_flush(self, timeout_ms)
+    return await _original_wait(self, timeout_ms)
 
 
-_original_flush = job_writer.JobWriter.flush
+_original_wait = job_writer.Flush.wait
 
 
 def _count_each_listing(
@@ -103,10 +103,10 @@
         (requests.RequestHandler, "_submit", _accept_before_commit)
     ],
     "ends are acknowledged before they are stored": [
-        (job_writer.JobWriter, "flush", _skip_flush)
+        (job_writer.Flush, "wait", _skip_flush)
     ],
     "a previous owner acknowledges ends": [
-        (job_writer.JobWriter, "flush", _skip_flush_after_ownership_loss)
+        (job_writer.Flush, "wait", _skip_flush_after_ownership_loss)
     ],
     "a failed run that is listed again counts again": [
         (job.Job, "record_failure", _count_each_listing)
--- a/tests/owner/test_job_writer.py
+++ b/tests/owner/test_job_writer.py
@@ -77,9 +77,11 @@
             self.store.commit = slow_commit
             entry.job.mark_done(first)
             self.pool.changed.add(_JOB)
-            first_flush = asyncio.create_task(self.writer.flush(2_000))
+            first_flush = asyncio.create_task(
+                self.writer.begin_flush().wait(2_000)
+            )
             await asyncio.sleep(0.05)
-            self.assertFalse(await self.writer.flush(50))
+            self.assertFalse(await self.writer.begin_flush().wait(50))
             commit_allowed.set()
             self.assertTrue(await first_flush)
             self.assertEqual(
@@ -154,8 +156,8 @@
             self.store.state.delete(keys.owner(ids.ShardId(jobs.POOL)), 1)
             entry.job.mark_done(entry.job.steps(0)[0].tasks[0])
             self.pool.mark_changed(entry)
-            self.assertFalse(await self.writer.flush(1_000))
-            self.assertFalse(await self.writer.flush(1_000))
+            self.assertFalse(await self.writer.begin_flush().wait(1_000))
+            self.assertFalse(await self.writer.begin_flush().wait(1_000))
 
         self.run_with(main)
 
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -10,6 +10,7 @@
 from support import jobs
 from wagtailtiller import clock
 from wagtailtiller import ids
+from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
 from wagtailtiller.owner import job_writer
 from wagtailtiller.owner import vm_link
@@ -18,6 +19,7 @@
 from wagtailtiller.scheduling import pool as pool_module
 
 _LEASE_MS = 400
+_COMMIT_S = 0.4
 
 
 class _ShortBackoff:
@@ -112,3 +114,36 @@
             self.assertEqual({}, fake_vm.running)
 
         self.run_with(main)
+
+    def test_ends_are_acknowledged_while_other_jobs_change(self):
+        """Under load no end was ever acknowledged.
+
+        Each attempt waited anew for all writes, those of later changes
+        included, so that VMs listed more and more ended runs.
+        """
+
+        async def main(pool, fake_vm, vm, link):
+            writer_task = asyncio.create_task(link._job_writer.run())
+            commit = link._job_writer._store.commit
+
+            async def slow_commit(transaction):
+                await asyncio.sleep(_COMMIT_S)
+                return await commit(transaction)
+
+            link._job_writer._store.commit = slow_commit
+            task = await self.start_task(pool, link)
+            load = asyncio.create_task(self.write_jobs(pool, link))
+            fake_vm.end(task.id, job.EndKind.DONE)
+            await self.until(lambda: task.done)
+            await self.until(lambda: not fake_vm.ended, timeout_s=5)
+            load.cancel()
+            writer_task.cancel()
+
+        self.run_with(main)
+
+    async def write_jobs(self, pool, link):
+        for number in range(1_000):
+            name = f"{number:016x}"
+            pool.jobs.add(jobs.job(name), False)
+            link._job_writer.write(model.JobId(name))
+            await asyncio.sleep(0.02)
