Let the VMs that can carry a pool claim it

A process announces what its VM can carry, from the limits in its settings; a shard goes where it takes the smallest part of that. VMs of equal size share the shards as before. The test fails on the ranking before by its argument: equal counts were broken by hash alone.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -101,6 +101,9 @@
             settings.peer_address,
             f"{rng.getrandbits(_INCARNATION_BITS):x}",
             settings.data_centre,
+            claims.shard_capacity(
+                settings.capacity.cpu_millicores, settings.capacity.link_mbps
+            ),
         )
         self._shards = shards.Shards(
             adapters.store,
--- a/src/wagtailtiller/entry/settings.py
+++ b/src/wagtailtiller/entry/settings.py
@@ -5,6 +5,18 @@
 from wagtailtiller import ids
 
 
+class Capacity(msgspec.Struct, frozen=True):
+    """What the entry VM of a process offers; the default is a small VM.
+
+    Attributes:
+        cpu_millicores: Processor capacity, in thousandths of a core.
+        link_mbps: Bandwidth of the network link, in Mbit/s.
+    """
+
+    cpu_millicores: int = 500
+    link_mbps: float = 10.0
+
+
 class EntrySettings(msgspec.Struct, frozen=True):
     """Settings of an entry process; addresses are ``ip:port``.
 
@@ -30,6 +42,7 @@
         job_kept_ms: How long a job remains known after its end.
         stop_within_ms: How long a graceful shutdown may take before the
             process is killed.
+        capacity: What the entry VM offers to this process.
     """
 
     node: ids.NodeId
@@ -49,3 +62,4 @@
     away_ms: int
     job_kept_ms: int
     stop_within_ms: int
+    capacity: Capacity = Capacity()
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -16,6 +16,11 @@
 from wagtailtiller.owner import keys
 from wagtailtiller.ports import store
 
+# What the owner of a busy pool of a hundred VMs needs.
+_SHARD_CPU_MILLICORES = 500
+_SHARD_LINK_MBPS = 20.0
+_MIN_SHARD_CAPACITY = 0.01
+
 
 class NodeRecord(msgspec.Struct, frozen=True):
     """Store record of a live process.
@@ -26,12 +31,14 @@
             ``ip:port``.
         incarnation: Id of this start of the process; differs after a restart.
         data_centre: Data centre in which it runs.
+        shard_capacity: Number of shards that its VM can carry, as an estimate.
     """
 
     node: ids.NodeId
     address: str
     incarnation: str
     data_centre: ids.DataCentreId
+    shard_capacity: float = 1.0
 
 
 class OwnerRecord(msgspec.Struct, frozen=True):
@@ -78,8 +85,8 @@
 ) -> list[NodeRecord]:
     """Rank processes as candidates for the ownership of a shard.
 
-    Processes that own fewer shards come first; ties are broken by rendezvous
-    hashing.
+    Processes come first whose load with one more shard would be the smallest
+    part of what their VM can carry; ties are broken by rendezvous hashing.
 
     Args:
         shard: Id of the shard.
@@ -92,12 +99,28 @@
     return sorted(
         nodes,
         key=lambda node: (
-            owned.get(node.node, 0),
+            (owned.get(node.node, 0) + 1) / node.shard_capacity,
             _rendezvous_hash(shard, node),
         ),
     )
 
 
+def shard_capacity(cpu_millicores: int, link_mbps: float) -> float:
+    """Estimate how many shards the VM of a process can carry.
+
+    Args:
+        cpu_millicores: Processor capacity of the VM.
+        link_mbps: Bandwidth of the VM's network link.
+
+    Returns:
+        The number of shards, above 0.
+    """
+    carried = min(
+        cpu_millicores / _SHARD_CPU_MILLICORES, link_mbps / _SHARD_LINK_MBPS
+    )
+    return max(carried, _MIN_SHARD_CAPACITY)
+
+
 async def claim(
     store_client: store.Store,
     shard: ids.ShardId,
--- a/src/wagtailtiller/platform/settings.py
+++ b/src/wagtailtiller/platform/settings.py
@@ -37,6 +37,14 @@
     stop_ms: int = 900
 
 
+class _Limits(msgspec.Struct):
+    # A core of this VM is ``cores`` times as fast as a standard core, and the
+    # process may use the share ``cpu_share`` of it.
+    cpu_share: float = 0.5
+    cores: float = 1.0
+    link_mbps: float = 10.0
+
+
 class _Service(msgspec.Struct):
     address: str
 
@@ -54,6 +62,7 @@
     # The machine service.
     cloud: _Service | None = None
     advice: str | None = None
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load() -> Result[settings.EntrySettings, errors.InvalidSetting]:
@@ -104,5 +113,9 @@
             away_ms=bounds.notice_ms,
             job_kept_ms=int(bounds.status_s * 1_000),
             stop_within_ms=int(bounds.grace_s * 1_000),
+            capacity=settings.Capacity(
+                int(file.limits.cpu_share * file.limits.cores * 1_000),
+                file.limits.link_mbps,
+            ),
         )
     )
--- a/tests/ownership/test_claims.py
+++ b/tests/ownership/test_claims.py
@@ -13,8 +13,10 @@
 _SHARD = ids.ShardId("renders")
 
 
-def _node(name):
-    return claims.NodeRecord(ids.NodeId(name), f"{name}:1", name, "dc-1")
+def _node(name, shard_capacity=1.0):
+    return claims.NodeRecord(
+        ids.NodeId(name), f"{name}:1", name, "dc-1", shard_capacity
+    )
 
 
 class ClaimTest(testtools.TestCase):
@@ -86,3 +88,23 @@
     def test_ranking_is_deterministic_and_complete(self):
         self.assertEqual(self.ranked_names({}), self.ranked_names({}))
         self.assertEqual(["a", "b", "c"], sorted(self.ranked_names({})))
+
+    def test_weak_vm_takes_no_pool_while_strong_one_can_carry_it(self):
+        """TWICE: a pool of a hundred VMs went to a link of 10 Mbit/s."""
+        weak = claims.shard_capacity(516, 10)
+        strong = claims.shard_capacity(2_151, 200)
+        nodes = [_node("strong", strong)]
+        nodes += [_node(f"weak-{number}", weak) for number in range(34)]
+        for owned in range(4):
+            ranking = claims.rank_candidates(
+                _SHARD, nodes, {ids.NodeId("strong"): owned}
+            )
+            self.assertEqual("strong", ranking[0].node)
+
+    def test_equal_vms_share_the_pools(self):
+        capacity = claims.shard_capacity(1_070, 1_000)
+        nodes = [_node(name, capacity) for name in "abc"]
+        ranking = claims.rank_candidates(
+            _SHARD, nodes, {ids.NodeId("a"): 1, ids.NodeId("b"): 1}
+        )
+        self.assertEqual("c", ranking[0].node)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -81,6 +81,12 @@
         self.assertEqual("10.0.0.1:7000", decoded.peer_address)
         self.assertEqual(6_000, decoded.stop_within_ms)
 
+    def test_capacity_counts_the_speed_of_the_core(self):
+        limits = {"cpu_share": 0.5, "cores": 3, "link_mbps": 200}
+        capacity = settings.decode({**_SETTINGS, "limits": limits}).ok.capacity
+        self.assertEqual(1_500, capacity.cpu_millicores)
+        self.assertEqual(200, capacity.link_mbps)
+
     def test_error_names_missing_field(self):
         incomplete = {k: v for k, v in _SETTINGS.items() if k != "platform"}
         self.assertIn("platform", str(settings.decode(incomplete).error))
