--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -19,6 +19,8 @@
 
 _HOLD_WAIT_MS = 1_000
 _RETRY_MS = 150
+# VMs that are maintained or moved do not answer for seconds, many at once.
+_MAX_RETRY_MS = 600
 # Bounds the time for which storing ended runs delays the next lease renewal.
 _FLUSH_TIMEOUT_MS = 500
 _FLUSH_RETRY_MS = 200
@@ -94,10 +96,13 @@
                 self._command_tasks.spawn(self._set_speed(command))
 
     async def _run(self) -> None:
+        retry_ms = _RETRY_MS
         while True:
             if not await self._hold(self._wait_ms()):
-                await asyncio.sleep(_RETRY_MS / 1_000)
+                await asyncio.sleep(retry_ms / 1_000)
+                retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
                 continue
+            retry_ms = _RETRY_MS
             if self.vm.last_end_position > self._acknowledged_position:
                 await self._store_ended_runs()
 
--- a/support/fake_vms.py
+++ b/support/fake_vms.py
@@ -70,6 +70,7 @@
         delayed_starts: Stored start commands.
         starts: Start commands that started a run.
         lease_until_ms: Time at which the lease of all runs expires.
+        holds: Number of hold requests.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         self._highest_number: dict[model.TaskId, int] = {}
         self._capacity_tasks = capacity_tasks
         self.lease_until_ms = 0
+        self.holds = 0
 
     def connect(self, vm_report: vms.VmReport) -> "FakeVm":
         """Return the client for this VM, which is the VM itself."""
@@ -157,6 +159,7 @@
         wait_ms: int,
     ) -> vms.HoldResponse:
         """Extend the lease, wait briefly if asked to, and list the runs."""
+        self.holds += 1
         if self.unresponsive:
             await asyncio.sleep(0)
             return vms.HoldResponse(vms.CommandOutcome.UNANSWERED)
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -141,6 +141,21 @@
 
         self.run_with(main)
 
+    def test_vm_that_refuses_connections_is_tried_less_often(self):
+        """Owners tried each of sixty VMs in maintenance six times a second."""
+
+        async def main(pool, fake_vm, vm, link):
+            await self.until(lambda: vm.open_for_starts(1 << 60))
+            fake_vm.unresponsive = True
+            await self.until(lambda: vm.unresponsive_since_ms is not None)
+            before = fake_vm.holds
+            await asyncio.sleep(2.0)
+            self.assertLessEqual(fake_vm.holds - before, 5)
+            fake_vm.unresponsive = False
+            await self.until(lambda: vm.unresponsive_since_ms is None, 0.8)
+
+        self.run_with(main)
+
     async def write_jobs(self, pool, link):
         for number in range(1_000):
             name = f"{number:016x}"
