Report a dropped job as not stored to each of its submissions

If the store refuses the first one, the job is dropped; the second write then found no job, wrote nothing and was reported as stored, so that the caller was told 2xx for a job that is nowhere. Both are now told that it was not stored. The test gets STORED on the sources before.

--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -234,21 +234,21 @@
         batch: "dict[model.JobId, asyncio.Future[WriteOutcome]]",
         may_apply: bool,
     ) -> None:
-        # The jobs keep their turn, so that new conflicts cannot delay them again
-        # and again.
+        # The jobs keep their turn, so that new conflicts cannot delay them
+        # again and again.
         retried: dict[model.JobId, asyncio.Future[WriteOutcome]] = {}
         for job, future in batch.items():
             entry = self._pool.entries.get(job)
             if may_apply:
                 self._unknown_outcome.add(job)
             is_new = entry is not None and entry.stored_state is None
-            if is_new and job not in self._unknown_outcome:
-                self._pool.jobs.remove(job)
-                future.set_result(WriteOutcome.NOT_STORED)
-                continue
             newer = self._pending.pop(job, None)
             if newer is not None:
                 _forward_outcome(newer, future)
+            if is_new and job not in self._unknown_outcome:
+                self._pool.jobs.remove(job)
+                (newer or future).set_result(WriteOutcome.NOT_STORED)
+                continue
             retried[job] = newer or future
         self._pending = {**retried, **self._pending}
         if self._pending:
--- a/tests/owner/test_job_writer.py
+++ b/tests/owner/test_job_writer.py
@@ -130,6 +130,25 @@
 
         self.run_with(main)
 
+    def test_repeated_submission_of_dropped_job_is_not_reported_as_stored(self):
+        """LOST: the caller was told that a job was accepted.
+
+        It had sent the job again during the first write, which then failed.
+        """
+
+        async def main():
+            self.add_job()
+            self.store.refuse_commits = True
+            first = self.writer.write(_JOB)
+            while self.writer._pending:
+                await asyncio.sleep(0)
+            second = self.writer.write(_JOB)
+            self.assertIs(job_writer.WriteOutcome.NOT_STORED, await first)
+            self.store.refuse_commits = False
+            self.assertIs(job_writer.WriteOutcome.NOT_STORED, await second)
+
+        self.run_with(main)
+
     def test_previous_owner_cannot_write(self):
         async def main():
             entry = self.add_job()
