Find jobs that frontends store while a takeover reads

The owner's watch reports a job once; if that was before the takeover's own, slower read had ended, the report was dropped and the read was older than the job. The owner now goes through the copy when its takeover ends. The test fails on the sources before: the job is not among the owner's after 1.5 s.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -249,6 +249,8 @@
         while not await self._take_over():
             await asyncio.sleep(_TAKEOVER_RETRY_MS / 1_000)
         self.ready = True
+        # The copy may be newer than the jobs that the takeover has read.
+        self._on_jobs_change(list(self._job_mirror.items.values()))
         events.emit(
             events.Event.POOL_TAKEN,
             pool=self.pool_id,
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -126,6 +126,39 @@
 
         self.run_with(main)
 
+    def test_job_stored_during_takeover_is_found(self):
+        """LOST: a frontend stored a job after the takeover's read was served.
+
+        The owner's watch reported the job before the slow read had ended, and
+        not again afterwards.
+        """
+
+        async def main():
+            served = self.store.read
+            read_served = asyncio.Event()
+
+            async def slow_read(prefix):
+                result = await served(prefix)
+                if asyncio.current_task() is owner._tasks[0]:
+                    read_served.set()
+                    await asyncio.sleep(1.5)
+                return result
+
+            self.store.read = slow_read
+            owner = self.own_pool()
+            await read_served.wait()
+            job = jobs.job("a" * 16, epoch=0)
+            await asyncio.sleep(0.1)
+            self.store.state.write(
+                keys.job(jobs.POOL, job.id), record.encode(job), 0, ""
+            )
+            await self.until(lambda: owner.ready)
+            await asyncio.sleep(1.5)
+            self.assertIn(job.id, owner.pool.entries)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_new_owner_adopts_runs(self):
         async def main():
             vm, first = await self.own_pool_with_run()
