Let a batch that the store refuses wait behind the others

Found in the review of the incident: since a failed batch keeps its turn, a batch that the store refuses for good would have stopped all writes and acknowledgements of its pool. Only a batch that failed by a conflict keeps its turn now, since it succeeds with the corrected revisions. The test times out on the sources before.

--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -189,7 +189,8 @@
             case store.LeaseLapsed():
                 self._handle_ownership_loss(batch)
             case unavailable:
-                self._requeue(batch, unavailable.may_apply)
+                # The store may refuse this batch for good.
+                self._requeue(batch, unavailable.may_apply, keep_turn=False)
                 await self._backoff.wait()
 
     def _handle_conflict(
@@ -214,7 +215,10 @@
                     revision=item.revision,
                 )
                 self._adopt_stored(job, item)
-        self._requeue(batch, True)
+        # With the corrected revisions the batch succeeds, unless another
+        # process writes one of its jobs again. Behind all pending jobs, new
+        # conflicts could delay it again and again.
+        self._requeue(batch, True, keep_turn=True)
 
     def _adopt_stored(self, job: model.JobId, item: store.Item) -> None:
         # The stored item is either an own write whose response was lost, or
@@ -233,9 +237,8 @@
         self,
         batch: "dict[model.JobId, asyncio.Future[WriteOutcome]]",
         may_apply: bool,
+        keep_turn: bool,
     ) -> None:
-        # The jobs keep their turn, so that new conflicts cannot delay them
-        # again and again.
         retried: dict[model.JobId, asyncio.Future[WriteOutcome]] = {}
         for job, future in batch.items():
             entry = self._pool.entries.get(job)
@@ -250,7 +253,10 @@
                 (newer or future).set_result(WriteOutcome.NOT_STORED)
                 continue
             retried[job] = newer or future
-        self._pending = {**retried, **self._pending}
+        if keep_turn:
+            self._pending = {**retried, **self._pending}
+        else:
+            self._pending.update(retried)
         if self._pending:
             self._wake.set()
 
--- a/tests/owner/test_job_writer.py
+++ b/tests/owner/test_job_writer.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+from expression import Error
 import testtools
 
 from support import clocks
 from support import fakes
 from support import jobs
+from wagtailtiller import errors
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
@@ -200,6 +202,26 @@
 
         self.run_with(main)
 
+    def test_batch_that_store_refuses_does_not_block_others(self):
+        """Otherwise one invalid job would stop all acknowledgements."""
+
+        async def main():
+            names = [model.JobId(f"{number:016x}") for number in range(30)]
+            for name in names:
+                self.pool.jobs.add(jobs.job(name), False, model.JobState.QUEUED)
+            commit = self.store.commit
+
+            async def refuse_first(transaction):
+                if keys.job(jobs.POOL, names[0]) in transaction.expected:
+                    return Error(errors.StoreUnavailable("status 400", False))
+                return await commit(transaction)
+
+            self.store.commit = refuse_first
+            writes = [self.writer.write(name) for name in names]
+            await asyncio.wait_for(writes[-1], 1)
+
+        self.run_with(main)
+
     def test_cancellation_by_other_process_is_adopted(self):
         async def main():
             entry = self.add_job(jobs.step(2))
