--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 import enum
 
 from wagtailtiller import events
@@ -148,11 +149,12 @@
                 self._committing = []
 
     def stop(self) -> None:
-        """Stop writing; pending writes resolve to ``OWNERSHIP_LOST``."""
+        """Stop writing; all open writes resolve to ``OWNERSHIP_LOST``."""
         self.ownership_lost.set()
-        for future in self._pending.values():
-            if not future.done():
-                future.set_result(WriteOutcome.OWNERSHIP_LOST)
+        _resolve(
+            [*self._committing, *self._pending.values()],
+            WriteOutcome.OWNERSHIP_LOST,
+        )
         self._pending.clear()
         self._wake.set()
 
@@ -180,7 +182,7 @@
                 self.revisions[job] = result.ok
                 entry.stored_state = states[job]
                 self._unknown_outcome.discard(job)
-            _resolve(batch, WriteOutcome.STORED)
+            _resolve(batch.values(), WriteOutcome.STORED)
             self._backoff.reset()
             return
         match result.error:
@@ -239,6 +241,8 @@
         may_apply: bool,
         keep_turn: bool,
     ) -> None:
+        if self.ownership_lost.is_set():
+            return
         retried: dict[model.JobId, asyncio.Future[WriteOutcome]] = {}
         for job, future in batch.items():
             entry = self._pool.entries.get(job)
@@ -263,15 +267,14 @@
     def _handle_ownership_loss(
         self, batch: "dict[model.JobId, asyncio.Future[WriteOutcome]]"
     ) -> None:
-        _resolve(batch, WriteOutcome.OWNERSHIP_LOST)
+        _resolve(batch.values(), WriteOutcome.OWNERSHIP_LOST)
         self.stop()
 
 
 def _resolve(
-    batch: "dict[model.JobId, asyncio.Future[WriteOutcome]]",
-    outcome: WriteOutcome,
+    writes: "Iterable[asyncio.Future[WriteOutcome]]", outcome: WriteOutcome
 ) -> None:
-    for future in batch.values():
+    for future in writes:
         if not future.done():
             future.set_result(outcome)
 
--- a/tests/owner/test_job_writer.py
+++ b/tests/owner/test_job_writer.py
@@ -165,6 +165,24 @@
 
         self.run_with(main)
 
+    def test_stop_answers_write_in_progress(self):
+        """A caller of a stopped owner waited without end."""
+
+        async def main():
+            self.add_job()
+
+            async def unanswered(transaction):
+                await asyncio.sleep(60)
+
+            self.store.commit = unanswered
+            write = self.writer.write(_JOB)
+            await asyncio.sleep(0.1)
+            self.writer.stop()
+            outcome = await asyncio.wait_for(write, 1)
+            self.assertIs(job_writer.WriteOutcome.OWNERSHIP_LOST, outcome)
+
+        self.run_with(main)
+
     def test_flush_of_previous_owner_fails(self):
         """Otherwise a previous owner would acknowledge unstored ended runs.
 
