Send no queued start and extend no lease once ownership is uncertain

A gate that starts pass and that holds ask now closes when the lease was renewed over 6 s ago or the owner stops. The test fails without the check at sending.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -24,6 +24,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import policy_queue
 from wagtailtiller.owner import requests
+from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import unresolved_vms
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
@@ -54,9 +55,6 @@
 _JOBS_WATCH_WAIT_MS = 5_000
 _JOBS_WATCH_PAUSE_MS = 1_000
 _JOB_EXPIRY_INTERVAL_MS = 5_000
-# Bounds the queue that start commands form on the link of a small VM, where
-# they would delay the renewals of leases.
-_MAX_OPEN_STARTS = 128
 # Jobs are kept longer than the setting promises, by this factor.
 _JOB_RETENTION_FACTOR = 1.2
 
@@ -155,7 +153,7 @@
             self._on_jobs_change,
             pause_ms=_JOBS_WATCH_PAUSE_MS,
         )
-        self._start_slots = asyncio.Semaphore(_MAX_OPEN_STARTS)
+        self._start_gate = start_gate.StartGate(self._may_command)
         self._links: dict[ids.VmId, vm_link.VmLink] = {}
         self._reports: dict[ids.VmId, vms.VmReport] = {}
         self._closing_links = tasks.TaskGroup()
@@ -342,12 +340,16 @@
             self._connect(report),
             self._job_writer,
             self._clock,
-            self._start_slots,
+            self._start_gate,
             self._lease_ms,
             self._wake.set,
             self._on_fenced,
         )
 
+    def _may_command(self) -> bool:
+        age_ms = self._store_contact.session_age_ms()
+        return not self._stopped and age_ms <= LEASE_RENEWAL_TIMEOUT_MS
+
     def _on_fenced(self) -> None:
         if not self._stopped:
             self._on_lost(self, "fenced")
@@ -367,6 +369,8 @@
             self._on_lost(self, "store")
             await asyncio.sleep(1)
             return
+        if not self._may_command():
+            return
         self._register_vms()
         for vm in self.pool.vm_tracker.expire_leases():
             self._close_link(vm)
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -12,6 +12,7 @@
 from wagtailtiller import tasks
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.owner import job_writer
+from wagtailtiller.owner import start_gate
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import pool as pool_module
@@ -39,7 +40,7 @@
         writer: Writer that stores ended runs before they are acknowledged;
             the VM discards acknowledged ones.
         clock: Clock that supplies the current time.
-        start_slots: Limits the open start commands of all VMs of the pool.
+        gate: Decides when start commands may be sent.
         lease_ms: Duration of a lease, in ms.
         on_change: Called when a response has changed the pool, so that it
             must be planned again.
@@ -57,7 +58,7 @@
         client: vms.VmClient,
         writer: job_writer.JobWriter,
         clock: clock_module.Clock,
-        start_slots: asyncio.Semaphore,
+        gate: start_gate.StartGate,
         lease_ms: int,
         on_change: Callable[[], None],
         on_fenced: Callable[[], None],
@@ -73,7 +74,7 @@
         self._acknowledged_position = 0
         self._flush: job_writer.Flush | None = None
         self._flush_position = 0
-        self._start_slots = start_slots
+        self._gate = gate
         self._command_slots = asyncio.Semaphore(_MAX_OPEN_COMMANDS)
         self._resolution_lock = asyncio.Lock()
         self._command_tasks = tasks.TaskGroup()
@@ -140,7 +141,10 @@
         # A hold request without a response may still extend the lease later.
         # Requests to an unresponsive VM carry no lease, since each would
         # postpone the time at which the VM's runs are discarded.
-        if self.vm.lease.vm_clock_ms and self.vm.unresponsive_since_ms is None:
+        renews = (
+            self._gate.may_command() and self.vm.unresponsive_since_ms is None
+        )
+        if self.vm.lease.vm_clock_ms and renews:
             until_ms = self.vm.lease.extend(sent_ms, self._lease_ms)
         response = await self._client.hold(
             token, self._acknowledged_position, until_ms, wait_ms
@@ -184,7 +188,7 @@
         self._on_change()
 
     async def _start(self, command: commands.Start) -> None:
-        async with self._command_slots, self._start_slots:
+        async with self._command_slots, self._gate.slots:
             outcome = await self._send_start(command)
         if outcome is None:
             return
@@ -234,7 +238,8 @@
         # The run was planned before the command waited for its turn.
         entry = self._pool.entries.get(run.task.id.job)
         return (
-            entry is not None
+            self._gate.may_command()
+            and entry is not None
             and not entry.job.is_final()
             and not run.task.done
             and self.vm.runs.get(run.task.id) is run
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -159,6 +159,30 @@
 
         self.run_with(main)
 
+    def test_owner_with_expired_lease_sends_no_queued_start(self):
+        """TWICE: a paused owner sent the starts that waited for their turn.
+
+        A new owner may own the pool by then.
+        """
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: owner.ready)
+            link_slots = owner._start_gate.slots
+            for _ in range(128):
+                await link_slots.acquire()
+            await self.submit(owner)
+            await self.until(lambda: owner.pool.vms["vm-1"].runs)
+            await asyncio.sleep(0.1)
+            self.lease_age_ms = 7_000
+            link_slots.release()
+            await asyncio.sleep(0.3)
+            self.assertEqual([], vm.starts)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_new_owner_adopts_runs(self):
         async def main():
             vm, first = await self.own_pool_with_run()
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -13,6 +13,7 @@
 from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
 from wagtailtiller.owner import job_writer
+from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
@@ -49,7 +50,7 @@
                 fake_vm,
                 writer,
                 system_clock,
-                asyncio.Semaphore(100),
+                start_gate.StartGate(lambda: True),
                 _LEASE_MS,
                 lambda: None,
                 lambda: None,
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -16,6 +16,7 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.owner import job_writer
 from wagtailtiller.owner import keys
+from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
 from wagtailtiller.platform import vms
@@ -92,7 +93,7 @@
             client,
             self.writer,
             self.clock,
-            asyncio.Semaphore(100),
+            start_gate.StartGate(lambda: True),
             self.lease_ms,
             lambda: None,
             lambda: None,
