Do not let stops wait behind starts

Found in the review: stops and speed commands shared the turns of a VM with its starts, so that three unanswered starts delayed the stop of a cancelled task. They have a turn and a connection of their own. The test fails on the sources before.

--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -26,8 +26,9 @@
 _FLUSH_TIMEOUT_MS = 500
 _FLUSH_RETRY_MS = 200
 # The VM's client opens as many connections for commands, so that no command
-# waits for one while its timeout runs.
-_MAX_OPEN_COMMANDS = 3
+# waits for one while its timeout runs. Stops do not wait behind starts.
+_MAX_OPEN_STARTS = 3
+_MAX_OPEN_STOPS = 1
 
 
 class VmLink:
@@ -75,7 +76,8 @@
         self._flush: job_writer.Flush | None = None
         self._flush_position = 0
         self._gate = gate
-        self._command_slots = asyncio.Semaphore(_MAX_OPEN_COMMANDS)
+        self._start_slots = asyncio.Semaphore(_MAX_OPEN_STARTS)
+        self._stop_slots = asyncio.Semaphore(_MAX_OPEN_STOPS)
         self._resolution_lock = asyncio.Lock()
         self._command_tasks = tasks.TaskGroup()
         self._hold_task = asyncio.create_task(self._run())
@@ -188,7 +190,7 @@
         self._on_change()
 
     async def _start(self, command: commands.Start) -> None:
-        async with self._command_slots, self._gate.slots:
+        async with self._start_slots, self._gate.slots:
             outcome = await self._send_start(command)
         if outcome is None:
             return
@@ -272,7 +274,7 @@
 
     async def _stop(self, command: commands.Stop | commands.StopOrphan) -> None:
         run = command.run
-        async with self._command_slots:
+        async with self._stop_slots:
             response = await self._client.stop(
                 run.task.id, run.number, self.vm.token
             )
@@ -288,7 +290,7 @@
 
     async def _set_speed(self, command: commands.SetSpeed) -> None:
         run = command.run
-        async with self._command_slots:
+        async with self._stop_slots:
             response = await self._client.set_speed(
                 run.task.id, run.number, command.percent, self.vm.token
             )
--- a/src/wagtailtiller/platform/vms.py
+++ b/src/wagtailtiller/platform/vms.py
@@ -17,8 +17,8 @@
 # Leaves time for two attempts within the lease of the runs on a VM, so that a
 # slow link alone does not discard them.
 _MAX_TIMEOUT_MS = 2_000
-# The owner sends as many commands at once.
-_COMMAND_CONNECTIONS = 3
+# The owner sends at most three starts and one other command at once.
+_COMMAND_CONNECTIONS = 4
 # One for the long poll, one for the hold that resolves unknown starts.
 _HOLD_CONNECTIONS = 2
 _OUTCOMES_BY_REASON = {
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -17,6 +17,7 @@
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
+from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import pool as pool_module
 
 _LEASE_MS = 400
@@ -142,6 +143,29 @@
 
         self.run_with(main)
 
+    def test_stop_does_not_wait_behind_starts(self):
+        """A cancelled task ran on while starts of its VM were unanswered."""
+
+        async def main(pool, fake_vm, vm, link):
+            task = await self.start_task(pool, link)
+            start = fake_vm.start
+
+            async def unanswered(command):
+                await asyncio.sleep(60)
+                return await start(command)
+
+            fake_vm.start = unanswered
+            name = "b" * 16
+            spec = jobs.spec(jobs.step(8))
+            pool.jobs.add(jobs.job(name, spec), False, model.JobState.QUEUED)
+            for command in pool.plan():
+                link.send(command)
+            await asyncio.sleep(0.05)
+            link.send(commands.Stop(vm.report.vm, task.run, "job_final"))
+            await self.until(lambda: not fake_vm.running, timeout_s=0.5)
+
+        self.run_with(main)
+
     def test_vm_that_refuses_connections_is_tried_less_often(self):
         """Owners tried each of sixty VMs in maintenance six times a second."""
 
