--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -73,6 +73,7 @@
         self._on_change = on_change
         self._on_fenced = on_fenced
         self._acknowledged_position = 0
+        self._listed_ms = 0
         self._flush: job_writer.Flush | None = None
         self._flush_position = 0
         self._gate = gate
@@ -151,18 +152,16 @@
         response = await self._client.hold(
             token, self._acknowledged_position, until_ms, wait_ms
         )
-        received_ms = self._clock.monotonic_ms()
         if response.listing is None:
-            self._handle_failure(token, response.outcome, received_ms - sent_ms)
+            self._handle_failure(token, sent_ms, response.outcome)
             return False
         listing = response.listing
         if listing.born_ms and listing.born_ms != self.vm.report.born_ms:
-            self._handle_failure(
-                token, vms.CommandOutcome.OTHER_VM, received_ms - sent_ms
-            )
+            self._handle_failure(token, sent_ms, vms.CommandOutcome.OTHER_VM)
             return False
+        self._listed_ms = self._clock.monotonic_ms()
         self._pool.vm_tracker.mark_responsive(
-            self.vm, listing.clock_ms, received_ms
+            self.vm, listing.clock_ms, self._listed_ms
         )
         for command in self._pool.run_reconciler.apply_listing(
             self.vm, token, sent_ms, listing
@@ -172,19 +171,22 @@
         return True
 
     def _handle_failure(
-        self, token: int, outcome: vms.CommandOutcome, waited_ms: int
+        self, token: int, sent_ms: int, outcome: vms.CommandOutcome
     ) -> None:
         if outcome is vms.CommandOutcome.FENCED:
             if token == self.vm.token:
                 self._on_fenced()
             return
+        if self._listed_ms > sent_ms:
+            # The VM has answered a later request in the meantime.
+            return
         if self.vm.unresponsive_since_ms is None:
             events.emit(
                 events.Event.VM_SILENT,
                 vm=self.vm.report.vm,
                 outcome=outcome.value,
                 runs=len(self.vm.runs),
-                waited_ms=waited_ms,
+                waited_ms=self._clock.monotonic_ms() - sent_ms,
             )
         self._pool.vm_tracker.mark_unresponsive(self.vm)
         self._on_change()
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -17,6 +17,7 @@
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
+from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import pool as pool_module
 
@@ -143,6 +144,29 @@
 
         self.run_with(main)
 
+    def test_late_failure_does_not_override_later_response(self):
+        """A lost long poll made a VM silent that had answered since."""
+
+        async def main(pool, fake_vm, vm, link):
+            await self.until(lambda: vm.open_for_starts(1 << 60))
+            hold = fake_vm.hold
+            lost = asyncio.Event()
+
+            async def lose_long_poll(token, acknowledged, until_ms, wait_ms):
+                if not wait_ms:
+                    return await hold(token, acknowledged, until_ms, wait_ms)
+                await lost.wait()
+                return vms.HoldResponse(vms.CommandOutcome.UNANSWERED)
+
+            fake_vm.hold = lose_long_poll
+            await asyncio.sleep(0.1)
+            self.assertTrue(await link._hold(0))
+            lost.set()
+            await asyncio.sleep(0.05)
+            self.assertIsNone(vm.unresponsive_since_ms)
+
+        self.run_with(main)
+
     def test_stop_does_not_wait_behind_starts(self):
         """A cancelled task ran on while starts of its VM were unanswered."""
 
