Pause between holds that leave a start unknown

Found in the review: while a VM lists 500 ended runs, a listing resolves no unknown start, and the loop that waits for that sent the next hold at once.

--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -267,12 +267,19 @@
     async def _resolve_unknown_start(self, run: job_module.Run) -> None:
         # One listing resolves all unknown starts of the VM.
         async with self._resolution_lock:
-            while (
-                run.phase is job_module.RunPhase.UNCERTAIN
-                and self.vm.runs.get(run.task.id) is run
-            ):
-                if not await self._hold(0):
-                    await asyncio.sleep(_RETRY_MS / 1_000)
+            retry_ms = _RETRY_MS
+            while self._is_unknown(run):
+                await self._hold(0)
+                if self._is_unknown(run):
+                    # No response, or a list of ended runs that is not complete.
+                    await asyncio.sleep(retry_ms / 1_000)
+                    retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
+
+    def _is_unknown(self, run: job_module.Run) -> bool:
+        return (
+            run.phase is job_module.RunPhase.UNCERTAIN
+            and self.vm.runs.get(run.task.id) is run
+        )
 
     async def _stop(self, command: commands.Stop | commands.StopOrphan) -> None:
         run = command.run
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -167,6 +167,28 @@
 
         self.run_with(main)
 
+    def test_unresolved_start_is_not_asked_for_in_a_loop(self):
+        """A VM with 500 unacknowledged ends got a hundred holds a second."""
+
+        async def main(pool, fake_vm, vm, link):
+            task = await self.start_task(pool, link)
+            fake_vm.end(task.id, job.EndKind.DONE)
+            full = fake_vm.ended * 500
+            fake_vm.delay_starts = True
+            name = "b" * 16
+            pool.jobs.add(jobs.job(name), False, model.JobState.QUEUED)
+            for command in pool.plan():
+                link.send(command)
+            await asyncio.sleep(0)
+            fake_vm.ended = full
+            before = fake_vm.holds
+            resolution = asyncio.create_task(asyncio.sleep(1.0))
+            link._hold_task.cancel()
+            await resolution
+            self.assertLessEqual(fake_vm.holds - before, 6)
+
+        self.run_with(main)
+
     def test_stop_does_not_wait_behind_starts(self):
         """A cancelled task ran on while starts of its VM were unanswered."""
 
