Keep the fencing token of a VM that is unlisted for a while

Found in the review: a VM that was removed while it was not listed got the first token of the epoch when it returned, lower than the one it had seen. It refused it, and the owner took that for another owner and gave up the pool.

--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -21,6 +21,7 @@
 
     def __init__(self, pool_state: state.PoolState) -> None:
         self._state = pool_state
+        self._removed_tokens: dict[tuple[ids.VmId, int], int] = {}
 
     def register(self, report: vms.VmReport) -> vm_module.Vm | None:
         """Record the registration of a VM.
@@ -37,7 +38,11 @@
             known.registered = True
             return None
         self._state.unresolved.pop(report.vm, None)
-        new = vm_module.Vm(report, self._state.epoch * TOKENS_PER_EPOCH)
+        # A VM that was removed while it was not listed may return.
+        token = self._removed_tokens.pop(
+            (report.vm, report.born_ms), self._state.epoch * TOKENS_PER_EPOCH
+        )
+        new = vm_module.Vm(report, token)
         self._state.vms[report.vm] = new
         if known is not None:
             self._carry_over(known, new)
@@ -117,6 +122,8 @@
             self._state.discard_runs(vm, "lease_over")
             if not vm.registered:
                 del self._state.vms[vm.report.vm]
+                instance = (vm.report.vm, vm.report.born_ms)
+                self._removed_tokens[instance] = vm.token
                 removed.append(vm)
         return removed
 
