--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -82,7 +82,11 @@
             vm: VM that the command was meant for.
             run: Run that was to be started.
         """
-        if run.task.run is run and run.task.last_run == run.number:
+        if vm.runs.get(run.task.id) is not run:
+            # Another instance of the VM has taken the run over.
+            return
+        # A stop may have told the VM this number.
+        if run.task.last_run == run.number and not run.stop_sent_ms:
             run.task.last_run -= 1
         self._state.remove_run(vm, run)
 
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -380,3 +380,49 @@
         self.answer(vm, percent=10)
         self.clock.advance(20_000)
         self.assertEqual([], self.stops())
+
+
+class UnsentStartTest(PoolTest):
+    def planned_run(self):
+        vm = self.add_vm("vm-1")
+        self.add_job("a")
+        (start,) = self.pool.plan()
+        return vm, start.run
+
+    def test_number_of_unsent_start_is_used_again(self):
+        vm, run = self.planned_run()
+        self.pool.run_reconciler.apply_unsent_start(vm, run)
+        (start,) = self.pool.plan()
+        self.assertEqual(run.number, start.run.number)
+
+    def test_number_that_a_stop_has_told_is_not_used_again(self):
+        """The VM would refuse the next run as old."""
+        vm, run = self.planned_run()
+        run.stop_sent_ms = 1
+        self.pool.run_reconciler.apply_unsent_start(vm, run)
+        (start,) = self.pool.plan()
+        self.assertGreater(start.run.number, run.number)
+
+    def test_run_that_a_new_instance_has_taken_over_stays(self):
+        """Its task would start again while the instance may run it."""
+        vm, run = self.planned_run()
+        new = self.pool.vm_tracker.register(fake_vms.report("vm-1", born_ms=2))
+        self.pool.run_reconciler.apply_unsent_start(vm, run)
+        self.assertIs(run, new.runs[run.task.id])
+        self.assertIs(run, run.task.run)
+
+
+class ReturningVmTest(PoolTest):
+    def test_returning_vm_keeps_its_token(self):
+        """A lower token made the owner believe that another one owned the pool.
+
+        It then gave up the whole pool.
+        """
+        vm = self.add_vm("vm-1")
+        token = self.pool.vm_tracker.raise_token(vm)
+        self.pool.vm_tracker.mark_unlisted(vm.report.vm)
+        self.pool.vm_tracker.mark_unresponsive(vm)
+        self.clock.advance(60_000)
+        self.assertEqual([vm], self.pool.vm_tracker.expire_leases())
+        returned = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
+        self.assertEqual(token, returned.token)
