Measure the response time of a VM without the time that it waits

While responses are slow the VM waits less in a hold, so that one lost hold does not let the lease of its runs expire.

The test, responses after 0.9 s, fails on the sources before: the VM counts as unresponsive after the second call. Not tested: the lost hold.

--- a/src/wagtailtiller/platform/http.py
+++ b/src/wagtailtiller/platform/http.py
@@ -71,7 +71,10 @@
         """
         next_timeout_ms = 2 * self.timeout_ms
         if answered:
-            next_timeout_ms = _TIMEOUT_FACTOR * took_ms
+            # A single fast response among slow ones halves it at most.
+            next_timeout_ms = max(
+                _TIMEOUT_FACTOR * took_ms, self.timeout_ms // 2
+            )
         self.timeout_ms = min(max(next_timeout_ms, self._min_ms), self._max_ms)
 
 
--- a/src/wagtailtiller/platform/vms.py
+++ b/src/wagtailtiller/platform/vms.py
@@ -14,9 +14,10 @@
 from wagtailtiller.ports import vms
 
 _MIN_TIMEOUT_MS = 700
-# Leaves time for two attempts within the lease of the runs on a VM, so that a
-# slow link alone does not discard them.
+# A VM without responses is tried again within the lease of its runs.
 _MAX_TIMEOUT_MS = 2_000
+# Longest time from one renewal of the lease to the next attempt.
+_MAX_HOLD_MS = 1_700
 # The owner sends at most three starts and one other command at once.
 _COMMAND_CONNECTIONS = 4
 # One for the long poll, one for the hold that resolves unknown starts.
@@ -138,6 +139,9 @@
         Returns:
             The outcome, with the listing if it is ``DONE``.
         """
+        # While responses are slow, the VM waits less, so that the lease is
+        # renewed as often.
+        wait_ms = min(wait_ms, max(0, _MAX_HOLD_MS - self._timeout.timeout_ms))
         body = {"fence_token": token, "ack_cursor": acknowledged}
         if lease_until_ms is not None:
             body["deadline_ms"] = lease_until_ms
@@ -187,8 +191,10 @@
             timeout_ms=wait_ms + self._timeout.timeout_ms,
         )
         took_ms = int((time.monotonic() - sent_s) * 1_000)
-        # The VM ends its wait early if a run ends.
-        self._timeout.record(response.is_ok(), max(0, took_ms - wait_ms))
+        # The VM ends its wait early if a run ends, so that the part of a fast
+        # response that it waited is unknown.
+        if took_ms >= wait_ms or response.is_error():
+            self._timeout.record(response.is_ok(), took_ms - wait_ms)
         return response
 
 
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -29,6 +29,11 @@
 _LATENCY_S = 0.15
 # Above the timeout of a command.
 _HIGH_LATENCY_S = 1.1
+# Above the shortest timeout of a command.
+_STEADY_LATENCY_S = 0.9
+_SETTLED_S = 5.0
+_SHORT_RUNS = 2
+_RUN_INTERVAL_S = 3.0
 _RUN_S = 0.05
 # As many starts as a new owner sends to one VM for an inherited backlog.
 _BURST = 40
@@ -99,10 +104,10 @@
             lambda: None,
         )
 
-    def add_job(self, task_count):
+    def add_job(self, task_count, name="a" * 16):
         step = jobs.step(task_count, cpu_millicores=100)
         return self.pool.jobs.add(
-            jobs.job("a" * 16, jobs.spec(step)), False, model.JobState.QUEUED
+            jobs.job(name, jobs.spec(step)), False, model.JobState.QUEUED
         )
 
     def plan(self):
@@ -207,3 +212,38 @@
 
         self.run_with(main)
         self.assertEqual([], self.other.starts)
+
+
+class SteadySlowLinkTest(OwnerTestCase):
+    lease_ms = 5_000
+
+    def serve(self):
+        return served_vm.ServedVm("vm-1", self.clock, run_s=_RUN_S)
+
+    def test_slow_responses_and_short_runs_leave_no_call_unanswered(self):
+        """A long poll that ended early cut the timeout back to its minimum.
+
+        The next calls then timed out again, at each end of a run. Each start
+        without a response raises the fencing token.
+        """
+
+        async def main():
+            vm = self.pool.vms["vm-1"]
+            await self.until(lambda: vm.open_for_starts(1 << 60))
+            self.served.latency_s = _STEADY_LATENCY_S
+            await asyncio.sleep(_SETTLED_S)
+            token = vm.token
+            link = self.links["vm-1"]
+            for number in range(_SHORT_RUNS):
+                listed_ms = link._listed_ms
+                await self.until(lambda last=listed_ms: link._listed_ms > last)
+                # The run ends when the long poll has just begun.
+                self.add_job(1, f"{number:016x}")
+                self.plan()
+                end_s = time.monotonic() + _RUN_INTERVAL_S
+                while time.monotonic() < end_s:
+                    await asyncio.sleep(0.05)
+                    self.assertIsNone(vm.unresponsive_since_ms)
+            self.assertEqual(token, vm.token)
+
+        self.run_with(main)
