Let an ask that times out leave the other asks to its address alone

What callers saw: when one ask to an owner timed out, the other asks that this process had in flight to the same address were cut after 0.5 s with a CancelledError that nobody had requested. It ended the handler of the caller's request or the task of the machine manager instead of counting as no answer. The ask that timed out returned up to 0.5 s late, and a second timeout could close the channel that had replaced the first one.

Cause: the timeout closed the shared channel with a grace of 0.5 s and waited for it, and looked the channel up by address only.

A timeout now only takes the channel out of use, if the address still has the same one. Its last call closes it, so calls in flight keep their own timeouts. As nothing is then left to wait for, the close needs no background task. A CancelledError without a request to cancel the asking task is no answer; this still occurs when the client is closed.

--- a/src/wagtailtiller/entry/peers.py
+++ b/src/wagtailtiller/entry/peers.py
@@ -140,11 +140,57 @@
         return _encoder.encode(answer)
 
 
+class _PeerChannel:
+    """A channel to one address, with the number of its open calls.
+
+    Args:
+        address: The address of the process, as ``ip:port``.
+
+    Attributes:
+        open_calls: Number of calls that have not ended.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.open_calls = 0
+        self._channel = grpc.aio.insecure_channel(
+            address, options=_CHANNEL_OPTIONS
+        )
+        self._ask: grpc.aio.UnaryUnaryMultiCallable = self._channel.unary_unary(
+            f"/{_SERVICE}/{_METHOD}"
+        )
+
+    async def call(self, request: bytes) -> bytes:
+        """Send one encoded request.
+
+        Args:
+            request: The encoded request.
+
+        Returns:
+            The encoded answer.
+
+        Raises:
+            grpc.RpcError: No answer came.
+            asyncio.CancelledError: The calling task was cancelled, or the
+                channel was closed.
+        """
+        self.open_calls += 1
+        try:
+            return await self._ask(request)
+        finally:
+            self.open_calls -= 1
+
+    async def close(self) -> None:
+        """Close the channel and cancel its open calls."""
+        await self._channel.close()
+
+
 class _PeerClient:
     """Sends requests to the other processes, over one channel per address."""
 
     def __init__(self) -> None:
-        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._channels: dict[str, _PeerChannel] = {}
+        # Each is closed when its last call has ended.
+        self._discarded: set[_PeerChannel] = set()
 
     async def ask(
         self, address: str, request: messages.Request, timeout_ms: int
@@ -161,33 +207,45 @@
         """
         channel = self._channels.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(
-                address, options=_CHANNEL_OPTIONS
-            )
+            channel = _PeerChannel(address)
             self._channels[address] = channel
-        call: grpc.aio.UnaryUnaryMultiCallable = channel.unary_unary(
-            f"/{_SERVICE}/{_METHOD}"
-        )
         try:
             async with timeouts.responsive_timeout(timeout_ms):
-                answer = await call(_encoder.encode(request))
+                answer = await channel.call(_encoder.encode(request))
         except TimeoutError:
-            await self._discard_channel(address)
+            self._discard_channel(address, channel)
             return None
         except grpc.RpcError:
             return None
+        except asyncio.CancelledError:
+            # A call of a channel that is being closed ends like this as well.
+            if _cancellation_requested():
+                raise
+            return None
+        finally:
+            await self._close_if_unused(channel)
         return _answer_decoder.decode(answer)
 
     async def close(self) -> None:
-        """Close all channels."""
-        channels, self._channels = self._channels, {}
-        await asyncio.gather(
-            *(channel.close() for channel in channels.values())
-        )
+        """Close all channels; open calls end without an answer."""
+        channels = {*self._channels.values(), *self._discarded}
+        self._channels.clear()
+        self._discarded.clear()
+        await asyncio.gather(*(channel.close() for channel in channels))
 
-    async def _discard_channel(self, address: str) -> None:
+    def _discard_channel(self, address: str, channel: _PeerChannel) -> None:
         # The connection may be broken without an error, so the next call must
-        # open a new one.
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            await channel.close(grace=0.5)
+        # open a new one. Calls in flight may still be answered on this one.
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+            self._discarded.add(channel)
+
+    async def _close_if_unused(self, channel: _PeerChannel) -> None:
+        if channel in self._discarded and not channel.open_calls:
+            self._discarded.remove(channel)
+            await channel.close()
+
+
+def _cancellation_requested() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
