Count a background task that nobody cancelled but ended so as failed

What callers would see: a process that has lost one of its loops, such as the machine manager's, and stays up without it: no event, no failed exit code, and no other process takes over.

Cause: runtime.spawn ignored every task that ended as cancelled. A task also ends so if something that it awaits was cancelled by another party, such as a call whose channel or session is closed.

Evidence: the new test of an unrequested cancellation fails on the sources before (the process is not stopped). The tests of a requested one, of the end of the loop and of an ordinary error pass before and after.

Each request to cancel a task, by cancel_and_wait, by cancel() or by the runner at exit, is counted in Task.cancelling(), also after the task has ended, and a timeout's own request is taken back by the timeout. A count of 0 therefore means that nobody asked for it.

--- a/src/wagtailtiller/runtime.py
+++ b/src/wagtailtiller/runtime.py
@@ -104,7 +104,8 @@
     """Start a background task.
 
     If the task fails, the process shuts down gracefully with exit code 1: its
-    state can no longer be trusted, and another process takes over.
+    state can no longer be trusted, and another process takes over. A task that
+    ends as cancelled although nobody has cancelled it has failed.
 
     Args:
         main: Coroutine to run.
@@ -118,8 +119,15 @@
 
 
 def _on_task_done(task: "asyncio.Task[None]") -> None:
-    if task.cancelled() or task.exception() is None:
+    error: BaseException | None
+    if task.cancelled():
+        # Without a request to cancel the task, something that it awaited was
+        # cancelled.
+        error = None if task.cancelling() else asyncio.CancelledError()
+    else:
+        error = task.exception()
+    if error is None:
         return
-    events.emit(events.Event.TASK_FAILED, reason=repr(task.exception()))
+    events.emit(events.Event.TASK_FAILED, reason=repr(error))
     _TaskFailures.occurred = True
     signal.raise_signal(signal.SIGTERM)
