Begin the timeout of a call when it has a connection

A question to the placement policy service that waited behind those of other pools for the only connection counted as unanswered, although it had never been sent. Commands to a VM do not wait there today: the owner sends no more at once than there are connections.

Cause: the limit on connections was left to the connection pool of the HTTP library, whose wait was part of the time limit of the call.

Evidence: two calls at once over one connection, answered after 200 ms each, with a timeout of 300 ms: the second one got no response on the sources before; both are answered now. The tests that a timeout frees the connection and that 0 means no limit pass before and after.

A call now takes one of max_connections slots before its timeout begins. The wait is bounded by the timeouts of the calls ahead of it, which are served in order.

--- a/src/wagtailtiller/platform/http.py
+++ b/src/wagtailtiller/platform/http.py
@@ -1,5 +1,7 @@
 """HTTP client that sends each request once and returns errors as values."""
 
+import asyncio
+import contextlib
 import dataclasses
 from typing import TypeVar
 
@@ -82,7 +84,8 @@
         address: Address of the service, as ``ip:port`` or a URL.
         max_connections: How many connections may be open at once; 0 for no
             limit.
-        timeout_ms: Default limit for the duration of a call.
+        timeout_ms: Default limit for the duration of a call, without the
+            time for which the call waits for one of ``max_connections``.
         user_agent: Value of the User-Agent header; empty for the default of
             the library.
     """
@@ -100,6 +103,7 @@
             {"User-Agent": user_agent} if user_agent else None
         )
         self._max_connections = max_connections
+        self._connection_slots = _connection_slots(max_connections)
         self._timeout_ms = timeout_ms
         self._session: aiohttp.ClientSession | None = None
 
@@ -120,8 +124,8 @@
             body: A JSON document; None for no body.
             query: Query parameters.
             headers: Additional headers.
-            timeout_ms: Limit for the duration of the call; 0 for the
-                client's default.
+            timeout_ms: Limit for the duration of the call once it has a
+                connection; 0 for the client's default.
 
         Returns:
             The response with any status, or ``NoResponse``.
@@ -130,7 +134,10 @@
         if body is not None:
             request_headers["Content-Type"] = "application/json"
         try:
+            # A call that waits for a connection has not been sent, so that
+            # this time says nothing about the service.
             async with (
+                self._connection_slots,
                 timeouts.responsive_timeout(timeout_ms or self._timeout_ms),
                 self._get_session().request(
                     method,
@@ -167,6 +174,14 @@
         return self._session
 
 
+def _connection_slots(
+    max_connections: int,
+) -> contextlib.AbstractAsyncContextManager[None]:
+    if not max_connections:
+        return contextlib.nullcontext()
+    return asyncio.Semaphore(max_connections)
+
+
 def decode(
     response: Result[Response, NoResponse], body_type: type[_T]
 ) -> Result[_T, NoResponse]:
