Limit the time for an answer of the owner in the same process

What callers would see: while the store does not confirm writes, a submission or cancellation that arrives at the process that owns the pool gets no answer by its deadline. Through another process it gets 504 in time (by reading, not measured).

Cause: a request to the process itself had no time limit, unlike one to a peer.

Evidence: with an owner in the process that does not answer, the five new tests of the frontend fail on the sources before; the outcome of a call with a timeout of 400 ms is not there after 400 ms. The new test of the pool owner passes before and after: a submission that is given up during its write is stored and started. The writer keeps the job by itself; the test passes without the shield around the write as well.

The limit is now that for peers. Without an answer the outcome is unknown, as with a peer, but the frontend doesn't store the job then. The owner in the process is known to be alive and writes the job itself; the next attempt asks again, or asks the next owner. Peers that do not answer are treated as before, so this case remains for them.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -11,6 +11,7 @@
 from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller import ids
+from wagtailtiller import timeouts
 from wagtailtiller.entry import outcomes
 from wagtailtiller.entry import peers
 from wagtailtiller.jobs import job as job_module
@@ -135,6 +136,7 @@
     ) -> outcomes.Outcome:
         """Submit a job to its pool's owner, or store it if none answers.
 
+        An owner in this process that does not answer stores the job itself.
         Retries until the outcome is known or the caller's timeout ends.
 
         Args:
@@ -178,6 +180,12 @@
             case messages.Unsure():
                 submission.outcome_unknown = True
                 return None
+            case None if address == self._directory.own_address():
+                # The owner still tries to store the job. If its write fails
+                # without an effect, it drops the job, so no other writer may
+                # store it meanwhile.
+                submission.outcome_unknown = True
+                return None
             case _:
                 submission.outcome_unknown = (
                     submission.outcome_unknown or address is not None
@@ -330,12 +338,21 @@
     ) -> messages.Answer | None:
         if address is None:
             return None
-        if address == self._directory.own_address():
-            return await self._directory.ask_local(request)
         time_left_ms = max(50, deadline_ms - self._clock.monotonic_ms())
-        return await self._peers.ask(
-            address, request, min(_ASK_TIMEOUT_MS, time_left_ms)
-        )
+        timeout_ms = min(_ASK_TIMEOUT_MS, time_left_ms)
+        if address == self._directory.own_address():
+            return await self._ask_local(request, timeout_ms)
+        return await self._peers.ask(address, request, timeout_ms)
+
+    async def _ask_local(
+        self, request: messages.Request, timeout_ms: int
+    ) -> messages.Answer | None:
+        # A write that the request has begun continues after the timeout.
+        try:
+            async with timeouts.responsive_timeout(timeout_ms):
+                return await self._directory.ask_local(request)
+        except TimeoutError:
+            return None
 
     async def _stored_state(
         self, pool: ids.PoolId, job: model.JobId
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -18,12 +18,19 @@
 
 _JOB = model.JobId("a" * 16)
 _OWNER = "10.0.0.1:1"
+_OWN_ADDRESS = "10.0.0.9:1"
+# Time after which a caller must have its answer.
+_CALLER_TIMEOUT_MS = 400
+# Long enough for a second attempt.
+_RETRIED_TIMEOUT_MS = 3_000
 
 
 class _Directory:
     def __init__(self):
         self.address = _OWNER
         self.store_unavailable = False
+        self.local_answers = []
+        self.local_requests = []
         self.declared = catalogue.Catalogue(1, (jobs.queue(),), (), 1_000)
 
     def catalogue(self):
@@ -33,7 +40,13 @@
         return self.address
 
     def own_address(self):
-        return "10.0.0.9:1"
+        return _OWN_ADDRESS
+
+    async def ask_local(self, request):
+        self.local_requests.append(request)
+        if not self.local_answers:
+            await asyncio.Event().wait()
+        return self.local_answers.pop(0)
 
     def store_answers(self):
         return not self.store_unavailable
@@ -115,6 +128,76 @@
         reason = admission.RefusalReason.STORE_UNAVAILABLE
         self.assertEqual(outcomes.Refused(reason, 1_000), outcome)
 
+    def run_as_owner(self, request):
+        """Run a caller's request whose answer must come in time."""
+        self.directory.address = _OWN_ADDRESS
+
+        async def main():
+            async with asyncio.timeout(_CALLER_TIMEOUT_MS / 1_000):
+                return await request
+
+        return asyncio.run(main())
+
+    def test_submission_to_silent_owner_in_process_ends_in_time(self):
+        """Guards against callers without an answer at their deadline."""
+        outcome = self.run_as_owner(
+            self.frontend.submit(
+                jobs.queue(), _JOB, jobs.spec(), _CALLER_TIMEOUT_MS
+            )
+        )
+        self.assertEqual(outcomes.Unknown(), outcome)
+
+    def test_cancellation_by_silent_owner_in_process_ends_in_time(self):
+        """Guards against callers without an answer at their deadline."""
+        outcome = self.run_as_owner(
+            self.frontend.cancel(jobs.queue(), _JOB, _CALLER_TIMEOUT_MS)
+        )
+        self.assertEqual(outcomes.Unknown(), outcome)
+
+    def test_job_is_left_to_silent_owner_in_process(self):
+        """Guards against a second writer of a job that the owner may drop."""
+        self.run_as_owner(
+            self.frontend.submit(
+                jobs.queue(), _JOB, jobs.spec(), _CALLER_TIMEOUT_MS
+            )
+        )
+        item = self.store.state.item(keys.job(jobs.POOL, _JOB))
+        self.assertIsNone(item.value)
+
+    def test_owner_in_process_is_asked_again(self):
+        """Guards against an attempt that takes all of the caller's time."""
+        self.directory.address = _OWN_ADDRESS
+
+        async def main():
+            submission = asyncio.create_task(
+                self.frontend.submit(
+                    jobs.queue(), _JOB, jobs.spec(), _RETRIED_TIMEOUT_MS
+                )
+            )
+            await asyncio.sleep(0.1)
+            self.directory.local_answers = [messages.Accepted()]
+            async with asyncio.timeout(_RETRIED_TIMEOUT_MS / 1_000):
+                return await submission
+
+        self.assertEqual(outcomes.Accepted(), asyncio.run(main()))
+        self.assertEqual(2, len(self.directory.local_requests))
+
+    def test_refusal_after_silence_of_owner_in_process_is_not_returned(self):
+        """Guards against a refused job that is stored after all."""
+        self.directory.address = _OWN_ADDRESS
+        rejected = messages.Rejected(admission.RefusalReason.OVERLOADED, 700)
+
+        async def main():
+            submission = asyncio.create_task(
+                self.frontend.submit(jobs.queue(), _JOB, jobs.spec(), 1_200)
+            )
+            await asyncio.sleep(0.1)
+            self.directory.local_answers = [rejected] * 50
+            async with asyncio.timeout(_RETRIED_TIMEOUT_MS / 1_000):
+                return await submission
+
+        self.assertEqual(outcomes.Unknown(), asyncio.run(main()))
+
     def test_unknown_job_is_not_found(self):
         self.peers.answers = [messages.State(None)]
         self.assertEqual(outcomes.NoSuchJob(), self.state())
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -238,6 +238,24 @@
 
         self.run_with(main)
 
+    def test_job_of_abandoned_request_is_stored_and_started(self):
+        """Guards against a submission that is lost when its asker gives up."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: owner.ready)
+            # A commit takes place after the batch delay of the writer.
+            with testtools.ExpectedException(TimeoutError):
+                async with asyncio.timeout(0.001):
+                    await self.submit(owner)
+            key = keys.job(jobs.POOL, "a" * 16)
+            self.assertIsNone(self.store.state.item(key).value)
+            await self.until(lambda: vm.running)
+            self.assertIs(model.JobState.RUNNING, await self.job_state(owner))
+
+        self.run_with(main)
+
     def test_planning_continues_during_member_write(self):
         """Jobs start on the stored member while a new VM is being stored."""
 
