Keep a job that a frontend stores during the owner's first write

The owner now learns from its watch that the job is stored. The test fails on the sources before: the submission is rejected and the job is gone from the pool.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -414,10 +414,19 @@
         if not self.ready:
             return
         for item in items:
+            if item.value is None:
+                continue
             job = model.JobId(item.key.rpartition("/")[2])
-            if item.value is not None and job not in self.pool.entries:
+            entry = self.pool.entries.get(job)
+            if entry is None:
                 self._restore(item)
                 self._wake.set()
+            elif entry.stored_state is None:
+                # Otherwise the owner would drop the job if its own first
+                # write failed.
+                self._job_writer.revisions[job] = item.revision
+                entry.stored_state = model.JobState.QUEUED
+                self._wake.set()
 
     def _dispatch(self, decision: commands.Decision) -> None:
         if isinstance(decision, commands.PolicyQuery):
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 
+from expression import Error
 import testtools
 
 from support import fake_vms
 from support import fakes
 from support import jobs
 from wagtailtiller import clock
+from wagtailtiller import errors
 from wagtailtiller import ids
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
@@ -159,6 +161,39 @@
 
         self.run_with(main)
 
+    def test_job_stored_by_frontend_during_first_write_is_not_dropped(self):
+        """LOST: the owner dropped a job that a frontend had stored.
+
+        The store refused the owner's own write, which had taken too long for
+        the frontend.
+        """
+
+        async def main():
+            owner = self.own_pool()
+            await self.until(lambda: owner.ready)
+            commit_refused = asyncio.Event()
+            commit = self.store.commit
+
+            async def refuse_late(transaction):
+                await commit_refused.wait()
+                self.store.commit = commit
+                return Error(errors.StoreUnavailable("status 503", False))
+
+            self.store.commit = refuse_late
+            submission = asyncio.create_task(self.submit(owner))
+            await asyncio.sleep(0.1)
+            job = jobs.job("a" * 16, epoch=0)
+            self.store.state.write(
+                keys.job(jobs.POOL, job.id), record.encode(job), 0, ""
+            )
+            await asyncio.sleep(1.5)
+            commit_refused.set()
+            self.assertEqual(messages.Accepted(), await submission)
+            self.assertIn(job.id, owner.pool.entries)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_owner_with_expired_lease_sends_no_queued_start(self):
         """TWICE: a paused owner sent the starts that waited for their turn.
 
