--- a/src/wagtailtiller/entry/settings.py
+++ b/src/wagtailtiller/entry/settings.py
@@ -34,11 +34,6 @@
         vm_lease_ms: The longest lease that VMs accept.
         machine_lease_ms: Time within which two processes must not order the
             same machine.
-        move_ms: How long it takes to move a machine.
-        upkeep_ms: How long the maintenance of a machine takes.
-        stop_run_ms: How long a run may take to stop.
-        away_ms: How long a task may be interrupted before it counts as
-            unavailable.
         job_kept_ms: How long a job remains known after its end.
         stop_within_ms: How long a graceful shutdown may take before the
             process is killed.
@@ -56,10 +51,6 @@
     policy_address: str
     vm_lease_ms: int
     machine_lease_ms: int
-    move_ms: int
-    upkeep_ms: int
-    stop_run_ms: int
-    away_ms: int
     job_kept_ms: int
     stop_within_ms: int
     capacity: Capacity = Capacity()
--- a/src/wagtailtiller/gateway/endpoints.py
+++ b/src/wagtailtiller/gateway/endpoints.py
@@ -83,15 +83,10 @@
     Attributes:
         outcome: Outcome of the run.
         run_ms: Duration of the run.
-        answer: Answer for the caller, if there is one.
     """
 
     outcome: messages.RunOutcome
     run_ms: int
-    answer: outcomes.Answer | None = None
-
-
-AnswerReady = "asyncio.Future[outcomes.Answer]"
 
 
 class EndpointClient:
--- a/src/wagtailtiller/platform/settings.py
+++ b/src/wagtailtiller/platform/settings.py
@@ -31,10 +31,6 @@
     grace_s: float = 6.0
     status_s: float = 120.0
     lease_ms: int = 3_000
-    move_s: float = 1.5
-    upkeep_s: float = 2.0
-    notice_ms: int = 4_500
-    stop_ms: int = 900
 
 
 class _Limits(msgspec.Struct):
@@ -107,10 +103,6 @@
             policy_address=file.advice or "",
             vm_lease_ms=bounds.hold_max_ms,
             machine_lease_ms=bounds.lease_ms,
-            move_ms=int(bounds.move_s * 1_000),
-            upkeep_ms=int(bounds.upkeep_s * 1_000),
-            stop_run_ms=bounds.stop_ms,
-            away_ms=bounds.notice_ms,
             job_kept_ms=int(bounds.status_s * 1_000),
             stop_within_ms=int(bounds.grace_s * 1_000),
             capacity=settings.Capacity(
--- a/support/demo/caller.py
+++ b/support/demo/caller.py
@@ -58,7 +58,6 @@
         idempotent: Whether the queue's requests may be repeated.
         gateway: URL of the gateway of the last attempt.
         sent_ms: Time of sending, in Unix milliseconds.
-        deadline_ms: Unused; always 0.
         ended_ms: Time of the outcome, in Unix milliseconds.
         outcome: Outcome of the request.
         reason: Status of the endpoint's response, or reason for another
@@ -72,7 +71,6 @@
     idempotent: bool
     gateway: str
     sent_ms: int
-    deadline_ms: int
     ended_ms: int = 0
     outcome: Outcome = Outcome.LOST
     reason: str = ""
@@ -181,7 +179,6 @@
             idempotent=queue["idempotent"],
             gateway="",
             sent_ms=_now_ms(),
-            deadline_ms=0,
         )
         self._records.append(record)
         headers = {
--- a/support/measure/rollout.py
+++ b/support/measure/rollout.py
@@ -119,7 +119,6 @@
         self._clock = clocks.FakeClock(0)
         self._store = fakes.FakeStore()
         self._replica = replica.Replica(_REGION)
-        self._breaches = 0
         document = _document(pools)
         change = changes.Change(
             ids.Revision(1), ids.ChangeId("first"), "", "", 0, document
--- a/support/measure/shared_queue.py
+++ b/support/measure/shared_queue.py
@@ -39,7 +39,6 @@
         self._free_slots = slots
         self._slots = slots
         self._waiting: list[trace.Request] = []
-        self._backlog_ms = 0.0
         self._clock = virtual_clock.VirtualClock()
         self._results = results.Results()
         self._histograms: dict[str, estimates.RunTimeHistogram] = {}
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -70,10 +70,6 @@
     return messages.Accepted()
 
 
-def _complete_after_one_task(self: job.Job, task: job.Task) -> None:
-    self.state = job.model.JobState.COMPLETED
-
-
 def _ignore_listed_runs(self: Any, entry: Any, vm: Any, *rest: Any) -> None:
     """Adopt none of the listed runs."""
 
--- a/support/sim/process.py
+++ b/support/sim/process.py
@@ -245,10 +245,6 @@
         policy_address="",
         vm_lease_ms=_VM_LEASE_MS,
         machine_lease_ms=fleet_module.LEASE_MS,
-        move_ms=fleet_module.MOVE_MS,
-        upkeep_ms=fleet_module.MAINTENANCE_MS,
-        stop_run_ms=1_000,
-        away_ms=4_500,
         job_kept_ms=_JOB_KEPT_MS,
         stop_within_ms=_STOP_WITHIN_MS,
     )
--- a/support/sim/truth.py
+++ b/support/sim/truth.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from wagtailtiller import ids
 from wagtailtiller.jobs import model
 from wagtailtiller.ports import catalogue
 
@@ -108,8 +107,3 @@
         """Return the step of a task; None if its job was never sent."""
         sim_job = self._sim_jobs.get(task.job)
         return sim_job.spec.steps[task.step] if sim_job is not None else None
-
-
-def pool_of(sim_job: SimJob) -> ids.PoolId:
-    """Return the pool that serves a job's queue."""
-    return sim_job.queue.pool
--- a/support/standins/workers.py
+++ b/support/standins/workers.py
@@ -323,7 +323,6 @@
         self._downtime_ms = downtime_ms
         self._records: list[Record] = []
         self._tasks: set[asyncio.Task] = set()
-        self._commands: list[dict[str, object]] = []
 
     def application(self) -> web.Application:
         """Return the application that serves the machine service."""
