Abandon connection attempts instead of cancelling them

Cause: a timeout cancelled a connection attempt at the moment of its success. uvloop then closes the descriptor, and so does the socket object when it is collected; a connection that received the number in between is closed under its owner. A process whose loop finds that out ends; a caller's connection may be cut off instead. An overloaded owner, whose connections time out while they open, meets it often.

All HTTP clients use it, those of the request path too.

--- a/src/wagtailtiller/adapters/http_platform.py
+++ b/src/wagtailtiller/adapters/http_platform.py
@@ -8,6 +8,7 @@
 from expression import Result
 import msgspec
 
+from wagtailtiller import connector
 from wagtailtiller import errors
 from wagtailtiller import ids
 from wagtailtiller.ports import platform
@@ -69,9 +70,13 @@
         reply_type: type[_T],
     ) -> Result[_T, errors.PlatformUnavailable]:
         if self._session is None:
+            timeout_s = _CALL_TIMEOUT_MS / 1_000
             self._session = aiohttp.ClientSession(
+                connector=connector.Connector(),
                 cookie_jar=aiohttp.DummyCookieJar(),
-                timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_MS / 1_000),
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s, sock_connect=timeout_s
+                ),
             )
         try:
             async with self._session.request(
--- a/src/wagtailtiller/gateway/endpoints.py
+++ b/src/wagtailtiller/gateway/endpoints.py
@@ -15,6 +15,7 @@
 import yarl
 
 from wagtailtiller import clock as clock_module
+from wagtailtiller import connector
 from wagtailtiller import ids
 from wagtailtiller import settings
 from wagtailtiller.dispatch import messages
@@ -199,7 +200,7 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True, limit=0),
+                connector=connector.Connector(force_close=True, limit=0),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
--- a/src/wagtailtiller/platform/http.py
+++ b/src/wagtailtiller/platform/http.py
@@ -11,13 +11,16 @@
 from expression import Result
 import msgspec
 
+from wagtailtiller import connector
 from wagtailtiller import timeouts
 
 OK = 200
 
 # A response may take this many times as long as the previous one.
 _TIMEOUT_FACTOR = 4
-_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+# Longest time for which an abandoned connection attempt continues.
+_CONNECT_TIMEOUT_S = 3.0
+_TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S)
 
 _T = TypeVar("_T")
 
@@ -148,7 +151,7 @@
                     params=query,
                     data=body,
                     headers=request_headers,
-                    timeout=_NO_TIMEOUT,
+                    timeout=_TIMEOUTS,
                     allow_redirects=False,
                 ) as response,
             ):
@@ -165,7 +168,7 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+                connector=connector.Connector(
                     limit=self._max_connections, keepalive_timeout=60.0
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
