--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -115,6 +115,17 @@
         for command in self.pool.plan():
             self.links[command.vm].send(command)
 
+    async def start_task(self):
+        """Start a task on the first VM, then link the other one."""
+        vm = self.pool.vms["vm-1"]
+        await self.until(lambda: vm.open_for_starts(1 << 60))
+        entry = self.add_job(1)
+        self.plan()
+        task = next(entry.job.ready_steps(1 << 60)).tasks[0]
+        await self.until(lambda: task.run and task.run.confirmed_ms)
+        self.link_vm(self.other.report, self.other)
+        return task
+
     async def until(self, condition, timeout_s=3.0):
         end_s = time.monotonic() + timeout_s
         while not condition():
@@ -131,13 +142,7 @@
         """
 
         async def main():
-            vm = self.pool.vms["vm-1"]
-            await self.until(lambda: vm.open_for_starts(1 << 60))
-            entry = self.add_job(1)
-            self.plan()
-            task = next(entry.job.ready_steps(1 << 60)).tasks[0]
-            await self.until(lambda: task.run and task.run.confirmed_ms)
-            self.link_vm(self.other.report, self.other)
+            task = await self.start_task()
             for turn in range(_BLOCKED_TURNS):
                 time.sleep(_BLOCKED_S)
                 if turn == 1:
@@ -195,12 +200,7 @@
 
         async def main():
             vm = self.pool.vms["vm-1"]
-            await self.until(lambda: vm.open_for_starts(1 << 60))
-            entry = self.add_job(1)
-            self.plan()
-            task = next(entry.job.ready_steps(1 << 60)).tasks[0]
-            await self.until(lambda: task.run and task.run.confirmed_ms)
-            self.link_vm(self.other.report, self.other)
+            task = await self.start_task()
             self.served.latency_s = _HIGH_LATENCY_S
             await self.until(lambda: vm.unresponsive_since_ms is not None)
             self.served.end(task.id, job.EndKind.DONE)
