Let the cost of a plan follow what can start

Cause: each plan, up to every 8 ms, ranked every active job, computed its critical path again and looked at every VM for the first waiting task of every ready step. With 110 VMs and 500 waiting jobs of 8 tasks a plan in which nothing starts took longer than the pause between two plans, so an owner on a small VM was late with everything else: leases, responses, submissions.

Ruled out: a longer pause between plans, which only delays the starts.

Change: the VMs of a plan are ordered by free processor capacity, and requirements that fit nowhere are remembered for the rest of the plan. Jobs keep what is derived from their tasks (startable steps, remaining path and work) until a task changes. Decisions are the same: support/measure/plain_planner.py keeps the plain form, and a property test compares both.

--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 import dataclasses
 import enum
+import functools
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
@@ -161,12 +162,21 @@
         self.cancelled_ms = 0
         self._occurrences: dict[int, list[StepRun]] = {}
         self._finished_occurrences: set[int] = set()
+        # Derived values, which are computed again after a task has changed.
+        self._startable_steps: list[StepRun] | None = None
+        self._remaining_path_ms: int | None = None
+        self._remaining_core_ms: float | None = None
 
-    @property
+    @functools.cached_property
     def long_running(self) -> bool:
         """Whether any step has tasks that run until the job is cancelled."""
         return any(step.long_running for step in self.spec.steps)
 
+    @functools.cached_property
+    def critical_path_ms(self) -> int:
+        """Estimated duration of the critical path of the whole job."""
+        return self.spec.critical_path_ms()
+
     def is_final(self) -> bool:
         """Return whether the job has ended, so that no more tasks start."""
         return self.state in model.FINAL_STATES
@@ -215,6 +225,41 @@
                 if step_run.open_count and self._may_begin(step_run, steps):
                     yield step_run
 
+    def startable_steps(self, wall_ms: int) -> list[StepRun]:
+        """Return the ready steps that have tasks to start.
+
+        Args:
+            wall_ms: Current time, in Unix milliseconds.
+        """
+        if self.spec.repeat_count:
+            # What is ready also depends on the time.
+            return self._find_startable_steps(wall_ms)
+        if self._startable_steps is None:
+            self._startable_steps = self._find_startable_steps(wall_ms)
+        return self._startable_steps
+
+    def _find_startable_steps(self, wall_ms: int) -> list[StepRun]:
+        return [
+            step_run
+            for step_run in self.ready_steps(wall_ms)
+            if any(not t.done and t.run is None for t in step_run.tasks)
+        ]
+
+    def assign_run(self, task: Task, run: Run) -> None:
+        """Make a run the current run of one of the job's tasks."""
+        task.run = run
+        self._discard_derived()
+
+    def clear_run(self, task: Task) -> None:
+        """Record that a task of the job has no current run."""
+        task.run = None
+        self._discard_derived()
+
+    def _discard_derived(self) -> None:
+        self._startable_steps = None
+        self._remaining_path_ms = None
+        self._remaining_core_ms = None
+
     def task(self, task_id: model.TaskId) -> Task | None:
         """Return a task by its id; None if the job does not have it."""
         if not 0 <= task_id.occurrence < self.spec.occurrences():
@@ -232,6 +277,32 @@
 
         Steps whose tasks are all running or done do not count.
         """
+        if self._remaining_path_ms is None:
+            self._remaining_path_ms = self._compute_remaining_path_ms()
+        return self._remaining_path_ms
+
+    def remaining_core_ms(self) -> float:
+        """Return the estimated processor work of the tasks that are not done.
+
+        The unit is one core for one millisecond. Long-running and repeated
+        jobs have no estimate and count as 0.
+        """
+        if self._remaining_core_ms is None:
+            self._remaining_core_ms = self._compute_remaining_core_ms()
+        return self._remaining_core_ms
+
+    def _compute_remaining_core_ms(self) -> float:
+        if self.long_running or self.spec.repeat_count:
+            return 0.0
+        return sum(
+            step_run.open_count
+            * step_run.step.cpu_millicores
+            * step_run.step.estimate_ms
+            / 1_000
+            for step_run in self.steps(0)
+        )
+
+    def _compute_remaining_path_ms(self) -> int:
         finish_ms: list[int] = []
         for step_run in self.steps(0):
             start_ms = max(
@@ -267,6 +338,7 @@
                 member.done = True
                 member.checkpoint = ""
                 step_run.open_count -= 1
+        self._discard_derived()
         self._update_completion(task.id.occurrence)
 
     def record_failure(
@@ -290,6 +362,7 @@
             member.failed_runs.add(run_number)
         if len(task.failed_runs) >= max_attempts and not self.is_final():
             self.state = model.JobState.FAILED
+            self._discard_derived()
 
     def cancel(self, now_ms: int) -> None:
         """Cancel the job, unless it is final, so that no more tasks start.
@@ -300,6 +373,7 @@
         if not self.is_final():
             self.state = model.JobState.CANCELLED
             self.cancelled_ms = now_ms
+            self._discard_derived()
 
     def mark_started(self) -> None:
         """Record that a task has been started."""
--- /dev/null
+++ b/src/wagtailtiller/scheduling/candidates.py
@@ -0,0 +1,128 @@
+"""Index of the VMs on which a plan may start runs.
+
+A plan looks up a VM for each waiting task. The index keeps the VMs ordered by
+free processor capacity, and remembers the requirements that fitted nowhere, so
+that the cost of a plan does not grow with VMs times waiting tasks.
+"""
+
+import bisect
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from wagtailtiller.jobs import job
+from wagtailtiller.jobs import model
+from wagtailtiller.scheduling import placement
+from wagtailtiller.scheduling import vm as vm_module
+
+# Limits the time that each lookup spends on remembered requirements.
+_MAX_MISFITS_PER_LABEL = 16
+
+
+class Candidates:
+    """VMs that accept new tasks, valid while no run is removed from them.
+
+    Args:
+        vms: VMs that accept new tasks, in the order of preference among equals.
+
+    Attributes:
+        vms: The same VMs.
+    """
+
+    def __init__(self, vms: Iterable[vm_module.Vm]) -> None:
+        self.vms = list(vms)
+        self._positions = {
+            vm.report.vm: position for position, vm in enumerate(self.vms)
+        }
+        self._by_free_cpu = self._ordered()
+        self._misfits: dict[str, list[_Requirement]] = {}
+
+    def choose(
+        self, task: job.Task, excluded: vm_module.Vm | None = None
+    ) -> vm_module.Vm | None:
+        """Return the VM on which to start a task; None if it fits nowhere.
+
+        Args:
+            task: Task to start.
+            excluded: VM that is not chosen.
+        """
+        step = task.step
+        if self.is_misfit(step):
+            return None
+        vms = self._with_room(step)
+        is_excluding = (
+            excluded is not None and excluded.report.vm in self._positions
+        )
+        if is_excluding:
+            vms = (vm for vm in vms if vm is not excluded)
+        chosen = placement.choose(task, vms)
+        if chosen is None and not step.max_per_vm and not is_excluding:
+            self._remember_misfit(step)
+        return chosen
+
+    def add_run(self, vm: vm_module.Vm, run: job.Run) -> None:
+        """Add a run to a VM and keep the index up to date."""
+        position = self._positions[vm.report.vm]
+        row = (vm.free_cpu, position)
+        del self._by_free_cpu[bisect.bisect_left(self._by_free_cpu, row)]
+        vm.add(run)
+        bisect.insort(self._by_free_cpu, (vm.free_cpu, position))
+
+    def refresh(self) -> None:
+        """Order the VMs again after runs were added to them elsewhere."""
+        self._by_free_cpu = self._ordered()
+
+    def _ordered(self) -> list[tuple[int, int]]:
+        return sorted(
+            (vm.free_cpu, position) for position, vm in enumerate(self.vms)
+        )
+
+    def _with_room(self, step: model.Step) -> Iterator[vm_module.Vm]:
+        """Yield the VMs with enough free processor capacity, least first.
+
+        A filler needs none; for it, VMs with the most come first.
+        """
+        if step.filler:
+            # Equal VMs keep their order of preference.
+            rows = sorted(self._by_free_cpu, key=lambda row: -row[0])
+            for _, position in rows:
+                yield self.vms[position]
+            return
+        first = 0
+        if step.cpu_millicores:
+            row = (step.cpu_millicores, 0)
+            first = bisect.bisect_left(self._by_free_cpu, row)
+        for number in range(first, len(self._by_free_cpu)):
+            yield self.vms[self._by_free_cpu[number][1]]
+
+    def is_misfit(self, step: model.Step) -> bool:
+        """Return whether tasks of a step are known to fit on no VM."""
+        if not self._misfits:
+            return False
+        return self._exceeds_misfit(step, "") or (
+            bool(step.required_label)
+            and self._exceeds_misfit(step, step.required_label)
+        )
+
+    def _exceeds_misfit(self, step: model.Step, label: str) -> bool:
+        cpu_millicores, memory_mb, gpu_count = _requirement(step)
+        for misfit in self._misfits.get(label, ()):
+            if (
+                cpu_millicores >= misfit[0]
+                and memory_mb >= misfit[1]
+                and gpu_count >= misfit[2]
+            ):
+                return True
+        return False
+
+    def _remember_misfit(self, step: model.Step) -> None:
+        misfits = self._misfits.setdefault(step.required_label, [])
+        if len(misfits) < _MAX_MISFITS_PER_LABEL:
+            misfits.append(_requirement(step))
+
+
+_Requirement = tuple[int, int, int]
+
+
+def _requirement(step: model.Step) -> _Requirement:
+    cpu_millicores = 0 if step.filler else step.cpu_millicores
+    return cpu_millicores, step.memory_mb, step.gpu_count
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -114,19 +114,10 @@
 
         Long-running and repeated jobs are left out.
         """
-        total = 0.0
-        for entry in self._state.active.values():
-            if entry.job.long_running or entry.job.spec.repeat_count:
-                continue
-            for step_run in entry.job.steps(0):
-                step = step_run.step
-                total += (
-                    step_run.open_count
-                    * step.cpu_millicores
-                    * step.estimate_ms
-                    / 1_000
-                )
-        return total
+        return sum(
+            entry.job.remaining_core_ms()
+            for entry in self._state.active.values()
+        )
 
     def demand(self) -> tuple[int, int]:
         """Return the processor demand of waiting and of long-running tasks.
@@ -200,6 +191,8 @@
         wall_ms = self._state.clock.wall_ms()
         waits = []
         for entry in self._state.active.values():
+            if not entry.job.spec.repeat_count:
+                continue
             due_ms = entry.job.next_due_ms(wall_ms)
             if due_ms is not None:
                 waits.append(due_ms - wall_ms)
--- a/src/wagtailtiller/scheduling/placement.py
+++ b/src/wagtailtiller/scheduling/placement.py
@@ -5,6 +5,10 @@
 from wagtailtiller.jobs import job
 from wagtailtiller.scheduling import vm as vm_module
 
+_BEST_RANK = (False, False)
+# Compares higher than the rank of any VM.
+_WORST_RANK = (True, True, True)
+
 
 def choose(
     task: job.Task, candidates: Iterable[vm_module.Vm]
@@ -13,30 +17,26 @@
 
     Placement is best fit: the VM with the least free processor capacity wins,
     so that whole VMs stay free for large tasks and the machines of idle VMs can
-    be moved to other pools. VMs off the task's preferred rack rank behind those
-    on it, and VMs on which the task has failed rank behind all others.
+    be moved to other pools. A filler uses the idle processor time of a VM, so
+    it goes to the VM that has the most. VMs off the task's preferred rack rank
+    behind those on it, and VMs on which the task has failed rank behind all
+    others.
 
     Args:
         task: Task to start.
-        candidates: VMs that accept new tasks.
+        candidates: VMs that accept new tasks, those with the best fit first.
     """
     best: vm_module.Vm | None = None
-    best_rank: tuple[bool, bool, int] | None = None
+    best_rank: tuple[bool, ...] = _WORST_RANK
     for candidate in candidates:
-        if not candidate.fits(task.step) or not _below_vm_limit(
-            task, candidate
-        ):
+        rank = _rank(task, candidate)
+        if rank >= best_rank or not candidate.fits(task.step):
+            continue
+        if not _below_vm_limit(task, candidate):
             continue
-        free_cpu = candidate.free_cpu
-        # A filler uses the idle processor time of a VM, so it goes to the VM
-        # that has the most.
-        rank = (
-            candidate.report.vm in task.failed_vms,
-            _off_preferred_rack(task, candidate),
-            -free_cpu if task.step.filler else free_cpu,
-        )
-        if best_rank is None or rank < best_rank:
-            best, best_rank = candidate, rank
+        best, best_rank = candidate, rank
+        if rank == _BEST_RANK:
+            break
     return best
 
 
@@ -84,6 +84,11 @@
     return None if waiting else placements
 
 
+def _rank(task: job.Task, candidate: vm_module.Vm) -> tuple[bool, bool]:
+    has_failed = candidate.report.vm in task.failed_vms
+    return has_failed, _off_preferred_rack(task, candidate)
+
+
 def _off_preferred_rack(task: job.Task, candidate: vm_module.Vm) -> bool:
     preferred_rack = task.step.near_rack
     return bool(preferred_rack) and candidate.rack != preferred_rack
--- a/src/wagtailtiller/scheduling/ranking.py
+++ b/src/wagtailtiller/scheduling/ranking.py
@@ -60,8 +60,7 @@
     """
     if waiting_job.long_running:
         return Rank(Lateness.ON_TIME, queue.priority, accepted_ms)
-    path_ms = waiting_job.spec.critical_path_ms()
-    limit_ms = target_duration_ms(path_ms, queue)
+    limit_ms = target_duration_ms(waiting_job.critical_path_ms, queue)
     # Age of the job at its earliest possible end.
     earliest_age_ms = (
         now_ms - accepted_ms + waiting_job.remaining_critical_path_ms()
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -262,7 +262,7 @@
             now_ms,
             confirmed_ms=now_ms,
         )
-        task.run = run
+        entry.job.assign_run(task, run)
         task.checkpoint = listed_run.checkpoint or task.checkpoint
         vm.add(run)
         entry.job.mark_started()
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -2,6 +2,7 @@
 
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.ports import catalogue
+from wagtailtiller.scheduling import candidates
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import placement
 from wagtailtiller.scheduling import ranking
@@ -35,69 +36,108 @@
         Returns:
             Start commands and policy queries, in the order of the job ranks.
         """
+        ranked = self._startable_by_rank(now_ms)
+        if not ranked:
+            return []
         decisions: list[commands.Decision] = []
-        wall_ms = self._state.clock.wall_ms()
-        for entry in self._by_rank(now_ms):
-            if entry.stored_state is None:
-                continue
-            if entry.inherited and self._state.unresolved:
-                continue
-            for step_run in entry.job.ready_steps(wall_ms):
-                decisions.extend(self._start_step(entry, step_run, open_vms))
+        open_candidates = candidates.Candidates(open_vms)
+        for entry, step_runs in ranked:
+            for step_run in step_runs:
+                if open_candidates.is_misfit(step_run.step):
+                    continue
+                decisions.extend(
+                    self._start_step(entry, step_run, open_candidates)
+                )
         return decisions
 
-    def _by_rank(self, now_ms: int) -> list[state.JobEntry]:
+    def _startable_by_rank(
+        self, now_ms: int
+    ) -> list[tuple[state.JobEntry, list[job_module.StepRun]]]:
+        """Return the jobs that have tasks to start, with these steps."""
+        wall_ms = self._state.clock.wall_ms()
         ranked = []
         for entry in self._state.active.values():
+            step_runs = entry.job.startable_steps(wall_ms)
+            if not step_runs or not self._may_start(entry):
+                continue
             queue = self._state.queues.get(entry.job.queue)
             if queue is not None:
                 rank = ranking.rank(entry.job, entry.accepted_ms, queue, now_ms)
-                ranked.append((rank, entry.job.id, entry))
+                ranked.append((rank, entry.job.id, entry, step_runs))
         ranked.sort(key=lambda row: row[:2])
-        return [entry for _, _, entry in ranked]
+        return [(entry, step_runs) for _, _, entry, step_runs in ranked]
+
+    def _may_start(self, entry: state.JobEntry) -> bool:
+        if entry.stored_state is None:
+            return False
+        return not (entry.inherited and self._state.unresolved)
 
     def _start_step(
         self,
         entry: state.JobEntry,
         step_run: job_module.StepRun,
-        open_vms: list[vm_module.Vm],
+        open_candidates: candidates.Candidates,
     ) -> list[commands.Decision]:
         waiting = step_run.waiting_tasks()
-        if not waiting:
-            return []
         queue = self._state.queues.get(entry.job.queue)
         policy = queue.policy if queue is not None else None
-        if policy is not None:
-            query = self._policy_query(waiting[0], policy, open_vms)
-            if query is not None:
-                return [query]
-            open_vms = [
-                vm
-                for vm in open_vms
-                if self._ticket(waiting[0], vm) is not None
-            ]
-        if step_run.step.gang:
-            if len(waiting) < len(step_run.tasks):
-                return []
-            placements = placement.choose_gang(waiting, open_vms) or []
-        else:
-            placements = []
-        decisions: list[commands.Decision] = []
-        if step_run.step.gang:
-            number = max(
-                entry.job.next_run_number(task, self._state.epoch)
-                for task in waiting
+        if policy is None:
+            return list(
+                self._place_step(entry, step_run, waiting, open_candidates)
             )
-            for task, vm in placements:
-                decisions.append(self._start(entry, task, vm, number))
-            return decisions
+        query = self._policy_query(waiting[0], policy, open_candidates.vms)
+        if query is not None:
+            return [query]
+        allowed_vms = [
+            vm
+            for vm in open_candidates.vms
+            if self._ticket(waiting[0], vm) is not None
+        ]
+        started = self._place_step(
+            entry, step_run, waiting, candidates.Candidates(allowed_vms)
+        )
+        if started:
+            open_candidates.refresh()
+        return list(started)
+
+    def _place_step(
+        self,
+        entry: state.JobEntry,
+        step_run: job_module.StepRun,
+        waiting: list[job_module.Task],
+        open_candidates: candidates.Candidates,
+    ) -> list[commands.Start]:
+        if step_run.step.gang:
+            return self._place_gang(entry, step_run, waiting, open_candidates)
+        started: list[commands.Start] = []
         for task in waiting:
-            chosen = placement.choose(task, open_vms)
+            chosen = open_candidates.choose(task)
             if chosen is None:
                 break
             number = entry.job.next_run_number(task, self._state.epoch)
-            decisions.append(self._start(entry, task, chosen, number))
-        return decisions
+            started.append(
+                self._start(entry, task, chosen, number, open_candidates)
+            )
+        return started
+
+    def _place_gang(
+        self,
+        entry: state.JobEntry,
+        step_run: job_module.StepRun,
+        waiting: list[job_module.Task],
+        open_candidates: candidates.Candidates,
+    ) -> list[commands.Start]:
+        if len(waiting) < len(step_run.tasks):
+            return []
+        placements = placement.choose_gang(waiting, open_candidates.vms) or []
+        number = max(
+            entry.job.next_run_number(task, self._state.epoch)
+            for task in waiting
+        )
+        return [
+            self._start(entry, task, vm, number, open_candidates)
+            for task, vm in placements
+        ]
 
     def _start(
         self,
@@ -105,7 +145,8 @@
         task: job_module.Task,
         vm: vm_module.Vm,
         number: int,
-    ) -> commands.Command:
+        open_candidates: candidates.Candidates,
+    ) -> commands.Start:
         run = job_module.Run(
             task,
             number,
@@ -113,9 +154,9 @@
             job_module.RunPhase.STARTING,
             self._state.clock.monotonic_ms(),
         )
-        task.run = run
+        entry.job.assign_run(task, run)
         task.last_run = number
-        vm.add(run)
+        open_candidates.add_run(vm, run)
         entry.job.mark_started()
         ticket = self._ticket(task, vm) or ""
         return commands.Start(vm.report.vm, run, entry.job.spec.payload, ticket)
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -115,5 +115,10 @@
     def remove_run(self, vm: vm_module.Vm, run: job_module.Run) -> None:
         """Remove a run from its VM and from its task."""
         vm.remove(run)
-        if run.task.run is run:
+        if run.task.run is not run:
+            return
+        entry = self.entries.get(run.task.id.job)
+        if entry is None:
             run.task.run = None
+        else:
+            entry.job.clear_run(run.task)
--- a/src/wagtailtiller/scheduling/stop_planner.py
+++ b/src/wagtailtiller/scheduling/stop_planner.py
@@ -2,9 +2,9 @@
 
 from wagtailtiller.dispatch import messages
 from wagtailtiller.jobs import job as job_module
+from wagtailtiller.scheduling import candidates
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import outliers
-from wagtailtiller.scheduling import placement
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -38,6 +38,7 @@
     ) -> None:
         self._state = pool_state
         self._outlier_detector = outlier_detector
+        self._open_candidates: candidates.Candidates | None = None
 
     def plan(self, now_ms: int) -> list[commands.Command]:
         """Decide which runs to stop now.
@@ -46,10 +47,13 @@
             now_ms: Current time, on the owner's clock.
         """
         issued: list[commands.Command] = []
+        self._open_candidates = None
         for vm in self._state.vms.values():
-            for run in list(vm.runs.values()):
+            for run in vm.runs.values():
+                if now_ms - run.stop_sent_ms < _STOP_RETRY_MS:
+                    continue
                 reason = self._stop_reason(vm, run, now_ms)
-                if not reason or now_ms - run.stop_sent_ms < _STOP_RETRY_MS:
+                if not reason:
                     continue
                 run.stop_sent_ms = now_ms
                 if reason == "stalled":
@@ -83,6 +87,11 @@
         return ""
 
     def _is_stalled(self, run: job_module.Run) -> bool:
+        # The times are on the VM's clock, so that neither an unresponsive VM
+        # nor a pause of this process counts as a stall.
+        unchanged_ms = run.listed_ms - run.progress_ms
+        if unchanged_ms <= _STALLED_MS:
+            return False
         step = run.task.step
         if step.long_running or step.filler or step.gang:
             return False
@@ -91,9 +100,7 @@
         # VMs report progress in whole percents, so that the progress of a long
         # task changes rarely.
         timeout_ms = _STALLED_MS + step.estimate_ms // _STALL_ESTIMATE_DIVISOR
-        # Both times are on the VM's clock, so that neither an unresponsive VM
-        # nor a pause of this process counts as a stall.
-        return run.listed_ms - run.progress_ms > timeout_ms
+        return unchanged_ms > timeout_ms
 
     def _must_move(
         self, vm: vm_module.Vm, run: job_module.Run, now_ms: int
@@ -111,12 +118,13 @@
     def _has_room_elsewhere(
         self, vm: vm_module.Vm, task: job_module.Task, now_ms: int
     ) -> bool:
-        others = [
-            other
-            for other in self._state.vms.values()
-            if other is not vm and other.open_for_starts(now_ms)
-        ]
-        if placement.choose(task, others) is not None:
+        if self._open_candidates is None:
+            self._open_candidates = candidates.Candidates(
+                other
+                for other in self._state.vms.values()
+                if other.open_for_starts(now_ms)
+            )
+        if self._open_candidates.choose(task, excluded=vm) is not None:
             return True
         self._state.no_room_until_ms = now_ms + _NO_ROOM_MS
         return False
--- a/support/measure/run.py
+++ b/support/measure/run.py
@@ -11,6 +11,7 @@
 from support.measure import logging_cost
 from support.measure import moves
 from support.measure import placement
+from support.measure import planning
 from support.measure import rollout
 from support.measure import slopes
 
@@ -24,6 +25,7 @@
     "hop": hop.measure,
     "idle": idle.measure,
     "days": days.measure,
+    "planning": planning.measure,
     "logging": logging_cost.measure,
 }
 
--- /dev/null
+++ b/tests/scheduling/test_candidates.py
@@ -0,0 +1,153 @@
+"""Tests of the index of VMs for starts.
+
+Load pattern: a queue asks for five times its mean, so that hundreds of jobs
+wait while no VM has room, and the owner plans again at each end of a run.
+"""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from support import clocks
+from support import fake_vms
+from support import jobs
+from support.measure import plain_planner
+from wagtailtiller.jobs import model
+from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import candidates
+from wagtailtiller.scheduling import commands
+from wagtailtiller.scheduling import pool as pool_module
+
+_RACKS = ("r1", "r2", "r3")
+_sizes = strategies.integers(0, 9).map(lambda n: n * 1_000)
+_vm_fields = strategies.tuples(
+    strategies.integers(1, 20),
+    strategies.integers(1, 20),
+    strategies.sampled_from(_RACKS),
+)
+_step_fields = strategies.fixed_dictionaries(
+    {
+        "task_count": strategies.integers(1, 6),
+        "cpu_millicores": _sizes,
+        "memory_mb": _sizes,
+        "estimate_ms": strategies.integers(1, 3_000),
+        "max_per_vm": strategies.integers(0, 2),
+        "near_rack": strategies.sampled_from(("", *_RACKS)),
+        "required_label": strategies.sampled_from(("", "", "", "r1")),
+        "filler": strategies.booleans(),
+    }
+)
+
+
+def _pool(vm_fields, clock):
+    pool = pool_module.Pool(jobs.POOL, 1, clock)
+    pool.jobs.set_queues([jobs.queue()])
+    for number, (cores, gigabytes, rack) in enumerate(vm_fields):
+        capacity = vms.Resources(cores * 1_000, gigabytes * 1_000, 0)
+        report = fake_vms.report(
+            f"vm-{number}", capacity=capacity, labels=("a", rack)
+        )
+        vm = pool.vm_tracker.register(report)
+        clock.advance(1)
+        pool.vm_tracker.mark_responsive(vm, clock.now_ms, clock.now_ms)
+        listing = vms.Listing(clock.now_ms, vm.report.born_ms, (), ())
+        pool.run_reconciler.apply_listing(vm, vm.token, clock.now_ms, listing)
+    return pool
+
+
+def _add_job(pool, name, *steps):
+    job = jobs.job(name, jobs.spec(*steps))
+    return pool.jobs.add(job, False, model.JobState.QUEUED)
+
+
+class SameDecisionsTest(testtools.TestCase):
+    @hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+    @hypothesis.given(
+        vm_fields=strategies.lists(_vm_fields, min_size=1, max_size=6),
+        step_fields=strategies.lists(_step_fields, max_size=12),
+        ends=strategies.lists(strategies.integers(0, 50), max_size=8),
+        failed_on=strategies.sets(strategies.integers(0, 5), max_size=2),
+    )
+    def test_a_plan_starts_what_the_plain_planner_would(
+        self, vm_fields, step_fields, ends, failed_on
+    ):
+        clock = clocks.FakeClock()
+        pool = _pool(vm_fields, clock)
+        half = len(step_fields) // 2
+        for number, fields in enumerate(step_fields[:half]):
+            _add_job(pool, f"early-{number:02}", jobs.step(**fields))
+        self._check_plan(pool, clock)
+        running = [run for vm in pool.vms.values() for run in vm.runs.values()]
+        for position in ends:
+            if position < len(running):
+                run = running[position]
+                pool.remove_run(pool.vms[run.vm], run)
+                run.task.failed_vms |= {f"vm-{vm}" for vm in failed_on}
+        for number, fields in enumerate(step_fields[half:]):
+            _add_job(pool, f"later-{number:02}", jobs.step(**fields))
+        clock.advance(300)
+        self._check_plan(pool, clock)
+
+    def _check_plan(self, pool, clock):
+        expected = plain_planner.plan(pool, clock.now_ms)
+        planned = [
+            (decision.run.task.id, decision.vm)
+            for decision in pool.plan()
+            if isinstance(decision, commands.Start)
+        ]
+        self.assertEqual(expected, planned)
+
+
+class BacklogTest(testtools.TestCase):
+    def test_a_backlog_of_equal_tasks_looks_at_the_vms_once(self):
+        clock = clocks.FakeClock()
+        pool = _pool([(8, 32, "r1")] * 50, clock)
+        step = jobs.step(8, cpu_millicores=5_000)
+        for number in range(100):
+            _add_job(pool, f"job-{number:03}", step)
+        self.assertEqual(50, len(pool.plan()))
+        looked_at = _count_lookups(self, pool)
+        self.assertEqual([], pool.plan())
+        self.assertLessEqual(len(looked_at), 50)
+
+    def test_a_smaller_task_starts_behind_one_that_does_not_fit(self):
+        clock = clocks.FakeClock()
+        pool = _pool([(4, 32, "r1")], clock)
+        _add_job(pool, "a-large", jobs.step(cpu_millicores=9_000))
+        _add_job(pool, "b-small", jobs.step(cpu_millicores=4_000))
+        self.assertEqual(["b-small"], [c.run.task.id.job for c in pool.plan()])
+
+    def test_room_that_appears_is_used_by_the_next_plan(self):
+        clock = clocks.FakeClock()
+        pool = _pool([(4, 32, "r1")], clock)
+        _add_job(pool, "a", jobs.step(cpu_millicores=4_000))
+        _add_job(pool, "b", jobs.step(cpu_millicores=4_000))
+        (first,) = pool.plan()
+        self.assertEqual([], pool.plan())
+        pool.remove_run(pool.vms[first.vm], first.run)
+        self.assertEqual(1, len(pool.plan()))
+
+
+class ExcludedVmTest(testtools.TestCase):
+    def test_a_task_that_fits_only_on_an_excluded_vm_fits_without_it(self):
+        pool = _pool([(4, 32, "r1")], clocks.FakeClock())
+        entry = _add_job(pool, "a", jobs.step(cpu_millicores=4_000))
+        (task,) = entry.job.steps(0)[0].tasks
+        (vm,) = pool.vms.values()
+        index = candidates.Candidates([vm])
+        self.assertIsNone(index.choose(task, excluded=vm))
+        self.assertIs(vm, index.choose(task))
+
+
+def _count_lookups(test, pool):
+    """Return a list that receives each VM that is asked for room."""
+    looked_at = []
+    vm_class = type(next(iter(pool.vms.values())))
+    original = vm_class.fits
+
+    def fits(vm, step, count=1):
+        looked_at.append(vm)
+        return original(vm, step, count)
+
+    test.patch(vm_class, "fits", fits)
+    return looked_at
