Keep the pools' machines until work has been arriving for a while

Load pattern: a site starts, and its first peak follows seconds later.

Ruled out: a longer observation, which costs machines in each valley.

Change: machines return to standby only after work has been arriving somewhere for 1.5 s. Until then the size that a pool was given is the best estimate.

The new test fails on the code before.

--- a/src/wagtailtiller/maintenance/demand.py
+++ b/src/wagtailtiller/maintenance/demand.py
@@ -53,6 +53,7 @@
         self._loads: collections.deque[LoadSample] = collections.deque()
         self._needs: collections.deque[tuple[int, float]] = collections.deque()
         self._first_load_ms: int | None = None
+        self._first_arrival_ms: int | None = None
 
     def add(self, load: LoadSample) -> None:
         """Add a sample.
@@ -68,10 +69,18 @@
             loads.popleft()
         if self._first_load_ms is None:
             self._first_load_ms = load.at_ms
+        if self._first_arrival_ms is None and load.arrived_jobs:
+            self._first_arrival_ms = load.at_ms
         self._needs.append((load.at_ms, self._cores_needed()))
         while load.at_ms - self._needs[0][0] > _PEAK_WINDOW_MS:
             self._needs.popleft()
 
+    def has_arrival_history(self) -> bool:
+        """Return whether work began to arrive at least a peak window ago."""
+        if self._first_arrival_ms is None:
+            return False
+        return self._loads[-1].at_ms - self._first_arrival_ms >= _PEAK_WINDOW_MS
+
     def has_full_history(self) -> bool:
         """Return whether the samples span the whole peak window."""
         if self._first_load_ms is None:
--- a/src/wagtailtiller/maintenance/machine_fleet.py
+++ b/src/wagtailtiller/maintenance/machine_fleet.py
@@ -455,7 +455,7 @@
             ),
             None,
         )
-        if standby is None:
+        if standby is None or not self._has_arrival_history():
             return
         # A new machine manager observes a pool for the whole peak window before
         # it returns machines of the pool to standby.
@@ -471,6 +471,17 @@
             available[machine.pool] -= 1
             self._start_operation(machine, pool=standby)
 
+    def _has_arrival_history(self) -> bool:
+        """Return whether work has been arriving at any pool for some time.
+
+        Until then, the size that a pool was given is the best estimate.
+        """
+        return any(
+            status.estimator is not None
+            and status.estimator.has_arrival_history()
+            for status in self.pools.values()
+        )
+
     def _has_full_history(self, pool: ids.PoolId) -> bool:
         estimator = self.pools[pool].estimator
         return estimator is not None and estimator.has_full_history()
--- a/tests/maintenance/test_machine_fleet.py
+++ b/tests/maintenance/test_machine_fleet.py
@@ -38,12 +38,12 @@
             vm, runs + long_running, long_running, 32_000, 0, True
         )
 
-    def add_sample(self, cores=0.0, long_running_waiting=0):
+    def add_sample(self, cores=0.0, long_running_waiting=0, arrived_jobs=1):
         self.estimator.add(
             demand.LoadSample(
                 self.clock.now_ms,
                 0.0,
-                0,
+                arrived_jobs,
                 0,
                 int(cores * 1_000),
                 0,
@@ -91,6 +91,21 @@
         self.fleet.plan()
         self.assertEqual(2, len(self.find_operations(pool=_SPARE)))
 
+    def test_pools_keep_their_machines_until_the_first_work_arrives(self):
+        # Load pattern: a site starts, and its first peak follows seconds later.
+        for name in "abc":
+            self.add_machine(name, _RENDERS)
+            self.set_load(name)
+        self.add_samples(arrived_jobs=0)
+        self.fleet.plan()
+        self.assertEqual([], self.find_operations())
+        self.add_sample(arrived_jobs=1)
+        self.fleet.plan()
+        self.assertEqual([], self.find_operations())
+        self.add_samples(arrived_jobs=1)
+        self.fleet.plan()
+        self.assertEqual(2, len(self.find_operations(pool=_SPARE)))
+
     def test_a_new_manager_moves_surplus_machines_to_a_short_pool(self):
         for name in "abc":
             self.add_machine(name, _RENDERS)
