Decode every foreign document without exceptions

Cause: a registration under the platform's key of VMs, a wave or the operators' configuration that was nested deeply raised RecursionError in the task that follows the store, and a failed task stops the process. All processes follow these keys, so one malformed value stopped them all, again after each restart. The same for a wave of endless duration and for placement policies with malformed times; an unknown limit made the whole configuration unreadable. One unreadable row made a VM's listing useless, so that a VM that runs tasks counted as unresponsive and its runs expired.

Ruled out: catching everything where tasks are run, which would hide faults.

Change: one decoder for foreign JSON, whose result is a value. A listing with unreadable rows is applied, and says that it is not complete; runs that such a listing omits are not taken for ended.

--- a/src/wagtailtiller/platform/documents.py
+++ b/src/wagtailtiller/platform/documents.py
@@ -11,6 +11,7 @@
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
+from wagtailtiller.platform import decoding
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import machines
 from wagtailtiller.ports import vms
@@ -21,6 +22,9 @@
 VM_PREFIX = "servers/"
 STATUS_WAVE_PREFIX = "status/wave/"
 
+_MAX_BODY_BYTES = 262_144
+_MAX_WAVE_S = 366 * 86_400.0
+
 _T = TypeVar("_T")
 
 
@@ -65,6 +69,7 @@
     stretch_factor: float = 1.0
     target_latency_ms: int = 0
     timeout_ms: int = 0
+    advice: Any = None
 
 
 class _Service(msgspec.Struct):
@@ -85,7 +90,7 @@
     version: int
     routes: list[_Route]
     services: list[_Service]
-    limits: dict[str, int] = {}
+    limits: dict[str, Any] = {}
 
 
 class _Wave(msgspec.Struct):
@@ -189,17 +194,9 @@
     document = _decode(value, _Config)
     if document is None:
         return None
-    raw = msgspec.json.decode(value)
-    advice = {
-        route.get("name"): route.get("advice")
-        for route in raw.get("routes", ())
-    }
     return catalogue.Catalogue(
         version=document.version,
-        queues=tuple(
-            _to_queue(route, advice.get(route.name))
-            for route in document.routes
-        ),
+        queues=tuple(_to_queue(route) for route in document.routes),
         pools=tuple(
             catalogue.Pool(
                 ids.PoolId(service.name),
@@ -208,7 +205,7 @@
             )
             for service in document.services
         ),
-        max_body_bytes=document.limits.get("max_body_bytes", 262_144),
+        max_body_bytes=_max_body_bytes(document.limits),
     )
 
 
@@ -222,7 +219,7 @@
         The wave, or None if the request cannot be decoded.
     """
     document = _decode(value, _Wave)
-    if document is None:
+    if document is None or document.duration_s > _MAX_WAVE_S:
         return None
     return machines.Wave(
         wave=ids.WaveId(str(document.wave)),
@@ -255,10 +252,10 @@
     Returns:
         The specification of the job, or an error message.
     """
-    try:
-        document = msgspec.json.decode(body, type=_Job)
-    except msgspec.MsgspecError as error:
-        return str(error)
+    decoded = decoding.decode(body, _Job)
+    if decoded.is_error():
+        return decoded.error
+    document = decoded.ok
     spec = model.JobSpec(
         payload=document.spec,
         steps=tuple(_to_step(step) for step in document.steps),
@@ -269,13 +266,25 @@
     return spec.validation_error() or spec
 
 
-def _to_queue(route: _Route, advice: Any) -> catalogue.Queue:
-    policy = None
-    if isinstance(advice, dict):
+def _max_body_bytes(limits: dict[str, Any]) -> int:
+    limit_bytes = limits.get("max_body_bytes")
+    return limit_bytes if isinstance(limit_bytes, int) else _MAX_BODY_BYTES
+
+
+def _to_policy(advice: Any) -> catalogue.PlacementPolicy | None:
+    if not isinstance(advice, dict):
+        return None
+    try:
         document = msgspec.convert(advice, _Advice, strict=False)
-        policy = catalogue.PlacementPolicy(
-            document.decide_ms, document.each_ms, document.valid_ms
-        )
+    except msgspec.ValidationError:
+        # The policy applies even if its times cannot be read.
+        document = _Advice()
+    return catalogue.PlacementPolicy(
+        document.decide_ms, document.each_ms, document.valid_ms
+    )
+
+
+def _to_queue(route: _Route) -> catalogue.Queue:
     return catalogue.Queue(
         queue=ids.QueueId(route.name),
         host=route.host.lower(),
@@ -286,7 +295,7 @@
         stretch=route.stretch_factor,
         # Added to the stretched duration of the critical path.
         slack_ms=route.target_latency_ms,
-        policy=policy,
+        policy=_to_policy(route.advice),
     )
 
 
@@ -318,7 +327,4 @@
 
 
 def _decode(value: bytes, document_type: type[_T]) -> _T | None:
-    try:
-        return msgspec.json.decode(value, type=document_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+    return decoding.decode(value, document_type).default_value(None)
--- a/src/wagtailtiller/platform/http.py
+++ b/src/wagtailtiller/platform/http.py
@@ -13,6 +13,7 @@
 
 from wagtailtiller import connector
 from wagtailtiller import timeouts
+from wagtailtiller.platform import decoding
 
 OK = 200
 
@@ -220,7 +221,6 @@
     Returns:
         The decoded body, or ``NoResponse`` if it cannot be decoded.
     """
-    try:
-        return Ok(msgspec.json.decode(response.body, type=body_type))
-    except msgspec.MsgspecError as error:
-        return Error(NoResponse(f"bad answer: {error}"))
+    return decoding.decode(response.body, body_type).map_error(
+        lambda reason: NoResponse(f"bad answer: {reason}")
+    )
--- a/src/wagtailtiller/platform/vms.py
+++ b/src/wagtailtiller/platform/vms.py
@@ -39,8 +39,8 @@
 
 class _HoldResponse(msgspec.Struct):
     clock_ms: int
-    running: list[list[Any]] = []
-    ended: list[list[Any]] = []
+    running: list[Any] = []
+    ended: list[Any] = []
     born: int = 0
 
 
@@ -227,10 +227,11 @@
         document.born,
         tuple(run for run in running if run is not None),
         tuple(end for end in ended if end is not None),
+        is_complete=None not in running,
     )
 
 
-def _to_listed_run(row: list[Any]) -> vms.ListedRun | None:
+def _to_listed_run(row: Any) -> vms.ListedRun | None:
     try:
         name, number, checkpoint, percent, *rest = row
         task = task_names.parse_task(name)
@@ -239,13 +240,13 @@
             return vms.ListedRun(
                 task, int(number), str(checkpoint), int(percent), usage
             )
-    except (TypeError, ValueError, AttributeError):
+    except (TypeError, ValueError, AttributeError, OverflowError):
         pass
     events.emit(events.Event.ENTRY_SKIPPED, source="running", entry=str(row))
     return None
 
 
-def _to_listed_end(row: list[Any]) -> vms.ListedEnd | None:
+def _to_listed_end(row: Any) -> vms.ListedEnd | None:
     try:
         position, name, number, end_kind, checkpoint = row[:5]
         task = task_names.parse_task(name)
@@ -257,7 +258,7 @@
                 _END_KINDS[end_kind],
                 str(checkpoint),
             )
-    except (TypeError, ValueError, AttributeError):
+    except (TypeError, ValueError, AttributeError, OverflowError):
         pass
     events.emit(events.Event.ENTRY_SKIPPED, source="ended", entry=str(row))
     return None
--- a/src/wagtailtiller/ports/vms.py
+++ b/src/wagtailtiller/ports/vms.py
@@ -109,12 +109,15 @@
         running: All runs that are running.
         ended: Ended runs after the acknowledged position, at most
             ``MAX_LISTED_ENDS``.
+        is_complete: Whether all running runs could be decoded. Otherwise,
+            runs that are missing in ``running`` may still be running.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[ListedRun, ...]
     ended: tuple[ListedEnd, ...]
+    is_complete: bool = True
 
 
 MAX_LISTED_ENDS = 500
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -129,7 +129,7 @@
             vm.avoid_until_ms = (
                 self._state.clock.monotonic_ms() + _ORPHAN_PAUSE_MS
             )
-        if len(listing.ended) < vms.MAX_LISTED_ENDS:
+        if listing.is_complete and len(listing.ended) < vms.MAX_LISTED_ENDS:
             self._remove_unlisted(vm, token, sent_ms, running)
         issued.extend(self._set_speeds(vm))
         if vm.status is vm_module.VmStatus.JOINING:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -51,6 +51,39 @@
         self.assertIsNone(documents.decode_worker("i-1", b"\xff\x00"))
         self.assertIsNone(documents.decode_worker("i-1", b"{}"))
 
+    def test_deeply_nested_documents_yield_none(self):
+        nested = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        self.assertIsNone(documents.decode_worker("i-1", nested))
+        self.assertIsNone(documents.decode_config(nested))
+        self.assertIsNone(documents.decode_wave(nested))
+        self.assertIn("nested", documents.decode_job(nested))
+
+    def test_wave_of_endless_duration_yields_none(self):
+        value = json.dumps(
+            {"wave": 1, "machines": [], "duration_s": 1e308, "max_count": 1}
+        )
+        self.assertIsNone(documents.decode_wave(value.encode()))
+
+    def config(self, **route_changes):
+        route = {"name": "q", "host": "h", "prefix": "/q/", "service": "proofs"}
+        value = {
+            "version": 3,
+            "routes": [{**route, **route_changes}],
+            "services": [],
+            "limits": {"max_body_bytes": 1_000, "unheard_of": 0.5},
+        }
+        return documents.decode_config(json.dumps(value).encode())
+
+    def test_unknown_limits_do_not_invalidate_the_configuration(self):
+        self.assertEqual(1_000, self.config().max_body_bytes)
+
+    def test_a_policy_with_malformed_times_still_applies(self):
+        decoded = self.config(advice={"decide_ms": "soon"})
+        self.assertEqual(0, decoded.queues[0].policy.decide_ms)
+        decoded = self.config(advice={"decide_ms": 20, "valid_ms": 900})
+        self.assertEqual(900, decoded.queues[0].policy.valid_ms)
+        self.assertIsNone(self.config().queues[0].policy)
+
     def test_job_error_names_field(self):
         error = documents.decode_job(b'{"spec":"x","steps":[{"count":0}]}')
         self.assertIn("steps.0.count", error)
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+from aiohttp import web
+import msgspec
 import testtools
 
 from support import fake_vms
@@ -247,3 +249,45 @@
             self.assertEqual(token, vm.token)
 
         self.run_with(main)
+
+
+class MalformedListingTest(testtools.TestCase):
+    def hold(self, body):
+        async def respond(request):
+            del request
+            return web.Response(body=body, content_type="application/json")
+
+        async def main():
+            server = web.Server(respond)
+            runner = web.ServerRunner(server)
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            port = runner.addresses[0][1]
+            report = fake_vms.report("vm-1")
+            report = msgspec.structs.replace(
+                report, address=f"127.0.0.1:{port}"
+            )
+            client = vms.PlatformVm(report)
+            self.response = await client.hold(1, 0, None, 0)
+            await client.close()
+            await runner.cleanup()
+            return 0
+
+        runtime.run(main())
+        return self.response.listing
+
+    def test_a_listing_with_an_unreadable_run_is_not_complete(self):
+        good = ["0123456789abcdef.0.0.1", 1, "", 5, 0]
+        for bad in ("text", 7, [], ["x", 1, "", 5], [*good[:3], "much"]):
+            body = {"clock_ms": 9, "running": [bad, good], "ended": [bad]}
+            listing = self.hold(msgspec.json.encode(body))
+            self.assertEqual(1, len(listing.running))
+            self.assertFalse(listing.is_complete)
+        body = {"clock_ms": 9, "running": [good], "ended": []}
+        self.assertTrue(self.hold(msgspec.json.encode(body)).is_complete)
+
+    def test_a_deeply_nested_listing_counts_as_no_response(self):
+        nested = b"[" * 100_000 + b"]" * 100_000
+        body = b'{"clock_ms":9,"running":[],"ended":[],"x":' + nested + b"}"
+        self.assertIsNone(self.hold(body))
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -426,3 +426,20 @@
         self.assertEqual([vm], self.pool.vm_tracker.expire_leases())
         returned = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
         self.assertEqual(token, returned.token)
+
+
+class IncompleteListingTest(PoolTest):
+    def test_a_run_that_an_incomplete_listing_omits_still_runs(self):
+        vm = self.add_vm("vm-1")
+        self.add_job("a", jobs.step())
+        (start,) = self.start_all()
+        self.answer(vm)
+        self.clock.advance(100)
+        listing = vms.Listing(
+            self.clock.now_ms, vm.report.born_ms, (), (), is_complete=False
+        )
+        self.pool.run_reconciler.apply_listing(
+            vm, vm.token, self.clock.now_ms, listing
+        )
+        self.assertIs(start.run, start.run.task.run)
+        self.assertEqual([], self.pool.plan())
