Refuse jobs that their owner could not hold

Cause: a job of a billion tasks, or with a billion occurrences that are all due, was accepted and stored. The owner of its pool creates its tasks, is killed for its memory, and so is each of its successors. Negative and very large amounts went into the sums of used capacity and out of the range of the encoding between processes.

Change: such fields are invalid, and the error names them. A job has at most 10,000 tasks, and as many occurrences at once.

--- a/src/wagtailtiller/jobs/model.py
+++ b/src/wagtailtiller/jobs/model.py
@@ -8,6 +8,9 @@
 
 JobId = NewType("JobId", str)
 
+# Larger jobs would take the memory and the time of their pool's owner.
+MAX_TASKS = 10_000
+
 
 class TaskId(NamedTuple):
     """Id of a task.
@@ -123,6 +126,11 @@
         """Return what is invalid about the job; empty if it is valid."""
         if not self.steps:
             return "steps: at least one is needed"
+        task_count = sum(step.task_count for step in self.steps)
+        if task_count > MAX_TASKS:
+            return f"steps: must have at most {MAX_TASKS} tasks in all"
+        if self.repeat_count * task_count > MAX_TASKS and not self.interval_ms:
+            return "interval_ms: must be above 0 for so many tasks"
         for number, step in enumerate(self.steps):
             if step.task_count < 1:
                 return f"steps.{number}.count: must be at least 1"
--- a/src/wagtailtiller/platform/documents.py
+++ b/src/wagtailtiller/platform/documents.py
@@ -4,6 +4,7 @@
 decoded yields None, and the caller logs and skips it.
 """
 
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
@@ -27,6 +28,12 @@
 
 _T = TypeVar("_T")
 
+# Far above what a task can use, and small enough for sums over all tasks.
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
+_Occurrences = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+# Up to the year 9999, for Unix times in milliseconds.
+_TimeMs = Annotated[int, msgspec.Meta(ge=0, le=253_402_300_800_000)]
+
 
 class _Capacity(msgspec.Struct):
     cpu: int = 0
@@ -102,31 +109,31 @@
 
 class _Step(msgspec.Struct):
     count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    estimate_ms: _Amount = 0
     after: tuple[int, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     affinity: str = ""
-    anti_affinity: int = 0
+    anti_affinity: _Amount = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: _Amount = 0
     fills: bool = False
-    may_miss: int | None = None
+    may_miss: _Amount | None = None
 
 
 class _Job(msgspec.Struct):
     spec: str
     steps: tuple[_Step, ...]
-    repeats: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repeats: _Occurrences = 0
+    start_at_ms: _TimeMs = 0
+    interval_ms: _TimeMs = 0
 
 
 def decode_worker(vm: str, value: bytes) -> vms.VmReport | None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -84,6 +84,22 @@
         self.assertEqual(900, decoded.queues[0].policy.valid_ms)
         self.assertIsNone(self.config().queues[0].policy)
 
+    def job_error(self, step=(), **fields):
+        steps = [{"count": 1, **dict(step)}]
+        body = json.dumps({"spec": "x", "steps": steps, **fields})
+        return documents.decode_job(body.encode())
+
+    def test_a_job_that_its_owner_could_not_hold_is_invalid(self):
+        self.assertIn("steps", self.job_error({"count": 1_000_000_000}))
+        self.assertIn("interval_ms", self.job_error(repeats=20_000))
+        self.assertIn("repeats", self.job_error(repeats=1_000_000_000))
+
+    def test_amounts_out_of_range_are_invalid(self):
+        for name in ("cpu", "mem_mb", "gpu", "estimate_ms", "may_miss"):
+            self.assertIn(name, self.job_error({name: -1}))
+            self.assertIn(name, self.job_error({name: 1 << 70}))
+        self.assertIn("start_at_ms", self.job_error(start_at_ms=1 << 60))
+
     def test_job_error_names_field(self):
         error = documents.decode_job(b'{"spec":"x","steps":[{"count":0}]}')
         self.assertIn("steps.0.count", error)
