Store jobs for the successor of an owner that is cut off

Load pattern: a third of the entry VMs is cut off from the store, owners among them.

Cause: until its lease has expired, such an owner answers each submission that the store is unavailable, and the frontend passed this on, although it reached the store itself. Callers were refused with VMs free, and a job that another frontend had stored could be refused when it was sent again.

Ruled out: a shorter lease, which loses pools at each pause of a process.

Change: a frontend that reaches the store stores the job itself, as for an owner that does not answer. Who cannot reach the store either refuses at once.

The new test fails on the code before.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -171,6 +171,12 @@
         match answer:
             case messages.Accepted():
                 return outcomes.Accepted()
+            case messages.Rejected(
+                reason=admission.RefusalReason.STORE_UNAVAILABLE
+            ):
+                # The owner may be cut off from the store while this process
+                # is not.
+                return await self._submit_to_store(request, submission)
             case messages.Rejected():
                 if submission.outcome_unknown:
                     return None
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -90,6 +90,21 @@
         self.peers.answers = [messages.Rejected(reason, 700)]
         self.assertEqual(outcomes.Refused(reason, 700), self.submit())
 
+    def test_job_for_owner_cut_off_from_store_is_stored_for_successor(self):
+        """Load pattern: a third of the VMs is cut off from the store."""
+        reason = admission.RefusalReason.STORE_UNAVAILABLE
+        self.peers.answers = [messages.Rejected(reason, 700)]
+        self.assertEqual(outcomes.Accepted(), self.submit())
+        item = self.store.state.item(keys.job(jobs.POOL, _JOB))
+        self.assertEqual(_JOB, record.decode(item.value).ok.id)
+
+    def test_job_is_refused_at_once_if_nobody_reaches_store(self):
+        reason = admission.RefusalReason.STORE_UNAVAILABLE
+        self.peers.answers = [messages.Rejected(reason, 700)]
+        self.directory.store_unavailable = True
+        self.assertIsInstance(self.submit(), outcomes.Refused)
+        self.assertEqual(1, len(self.peers.requests))
+
     def test_job_without_owner_is_stored_for_next_owner(self):
         self.directory.address = None
         self.assertEqual(outcomes.Accepted(), self.submit())
