Look a job up in the store before it is refused

Cause: frontends store jobs themselves while the owner does not answer, and the owner learns of them by a watch, up to a second later. If the answer to such a submission was lost and the job was sent again, the owner could refuse it as overloaded ("not run"), although it was stored and ran.

Ruled out: waiting for the watch, which bounds nothing while it is cut.

Change: one read of the job's key before a refusal. If the store does not answer it, the outcome is not known, and the frontend tries again.

Both new tests fail on the code before. A write of a frontend that is carried out after this read is not covered.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -7,6 +7,9 @@
 import random
 from typing import Protocol
 
+from expression import Error
+from expression import Ok
+from expression import Result
 import msgspec
 
 from wagtailtiller import clock as clock_module
@@ -180,6 +183,7 @@
             clock,
             store_contact.store_answers,
             self._wake.set,
+            self._find_stored,
         )
         self._policy_queue: policy_queue.PolicyQueue | None = None
         if ports.placement_policy is not None:
@@ -409,6 +413,16 @@
                     self.pool.jobs.remove(job)
                     self._job_writer.revisions.pop(job, None)
 
+    async def _find_stored(
+        self, job: model.JobId
+    ) -> Result[bool, errors.StoreUnavailable]:
+        result = await self._store.read_key(keys.job(self.pool_id, job))
+        if result.is_error():
+            return Error(result.error)
+        if result.ok is not None:
+            self._on_jobs_change([result.ok])
+        return Ok(result.ok is not None)
+
     def _on_jobs_change(self, items: list[store.Item]) -> None:
         # Frontends store jobs themselves while they cannot reach the owner.
         if not self.ready:
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -1,9 +1,13 @@
 """Handles the requests of other processes to a pool's owner."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 
+from expression import Result
+
 from wagtailtiller import clock as clock_module
+from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
@@ -17,6 +21,10 @@
 # A VM stays closed to new runs this long after the latest request to vacate it.
 _VACATE_HOLD_MS = 3_000
 
+FindStored = Callable[
+    [model.JobId], Awaitable[Result[bool, errors.StoreUnavailable]]
+]
+
 
 class RequestHandler:
     """Handles requests about one pool.
@@ -28,6 +36,8 @@
         store_answers: Returns whether the store has responded recently.
         on_change: Called when a request has changed the pool, so that it
             must be planned again.
+        find_stored: Looks a job up in the store, and adds it to the pool if
+            it is stored; returns whether it is.
     """
 
     def __init__(
@@ -37,12 +47,14 @@
         clock: clock_module.Clock,
         store_answers: Callable[[], bool],
         on_change: Callable[[], None],
+        find_stored: FindStored,
     ) -> None:
         self._pool = pool
         self._job_writer = writer
         self._clock = clock
         self._store_answers = store_answers
         self._on_change = on_change
+        self._find_stored = find_stored
         self._arrived_core_ms = 0.0
         self._arrived_jobs = 0
 
@@ -82,7 +94,7 @@
                 )
             refusal = self._check_admission(request)
             if refusal is not None:
-                return messages.Rejected(refusal.reason, refusal.retry_after_ms)
+                return await self._refuse(request, refusal)
             job = job_module.Job(
                 request.job,
                 request.queue,
@@ -119,20 +131,30 @@
         queue = self._pool.jobs.queue(request.queue)
         if queue is None:
             return None
-        refusal = self._pool.jobs.admit(request.spec, queue)
-        if refusal is not None:
-            events.emit(
-                events.Event.JOB_REFUSED,
-                job=request.job,
-                queue=request.queue,
-                reason=refusal.reason.value,
-                retry_after_ms=refusal.retry_after_ms,
-                waiting_core_ms=int(self._pool.jobs.waiting_core_ms()),
-                vms=len(self._pool.vms),
-                spare_millicores=self._pool.spare_millicores,
-                epoch=self._pool.epoch,
-            )
-        return refusal
+        return self._pool.jobs.admit(request.spec, queue)
+
+    async def _refuse(
+        self, request: messages.Submit, refusal: admission.Refusal
+    ) -> messages.Answer:
+        # A frontend may have stored the job after an answer was lost, so that
+        # it runs although this process does not know it yet.
+        stored = await self._find_stored(request.job)
+        if stored.is_error():
+            return messages.Unsure()
+        if stored.ok:
+            return messages.Accepted()
+        events.emit(
+            events.Event.JOB_REFUSED,
+            job=request.job,
+            queue=request.queue,
+            reason=refusal.reason.value,
+            retry_after_ms=refusal.retry_after_ms,
+            waiting_core_ms=int(self._pool.jobs.waiting_core_ms()),
+            vms=len(self._pool.vms),
+            spare_millicores=self._pool.spare_millicores,
+            epoch=self._pool.epoch,
+        )
+        return messages.Rejected(refusal.reason, refusal.retry_after_ms)
 
     def _state(self, job: model.JobId) -> messages.Answer:
         entry = self._pool.entries.get(job)
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -330,6 +330,46 @@
 
         self.run_with(main)
 
+    def store_as_frontend(self, job):
+        key = keys.job(jobs.POOL, job.id)
+        self.store.state.write(key, record.encode(job), 0, "")
+
+    def test_a_stored_job_is_not_refused_when_it_is_sent_again(self):
+        """The answer of a frontend that had stored the job was lost."""
+
+        async def main():
+            self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: owner.ready and owner.pool.vms)
+            spec = jobs.spec(jobs.step(cpu_millicores=900_000))
+            refused = await self.submit(owner, spec=spec)
+            self.assertIsInstance(refused, messages.Rejected)
+            self.store_as_frontend(jobs.job("b" * 16, spec))
+            answer = await self.submit(owner, "b", spec)
+            self.assertEqual(messages.Accepted(), answer)
+            self.assertIn("b" * 16, owner.pool.entries)
+            await owner.stop()
+
+        self.run_with(main)
+
+    def test_a_job_is_not_refused_while_the_store_cannot_be_asked(self):
+        async def main():
+            self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: owner.ready and owner.pool.vms)
+
+            async def fail(key):
+                return Error(errors.StoreUnavailable("fault"))
+
+            self.store.read_key = fail
+            spec = jobs.spec(jobs.step(cpu_millicores=900_000))
+            self.assertEqual(
+                messages.Unsure(), await self.submit(owner, spec=spec)
+            )
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_job_of_abandoned_request_is_stored_and_started(self):
         """Guards against a submission that is lost when its asker gives up."""
 
