Contain an unexpected error to its VM, and send no command too late

An unexpected error while the listing of one VM is applied ended the task that holds the VM, and a failed task stops the process with all its pools. Stops and speed commands that waited for their turn were sent even if this process had been paused for so long that another one owns the pool. A VM that the new owner has not reached yet carried them out. Starts were checked before; now all commands are.

Both new tests fail on the code before.

--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from wagtailtiller import clock as clock_module
+from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller import tasks
 from wagtailtiller.owner import job_writer
@@ -165,15 +166,40 @@
         if listing.born_ms and listing.born_ms != self.vm.report.born_ms:
             self._handle_failure(token, sent_ms, vms.CommandOutcome.OTHER_VM)
             return False
-        self._listed_ms = self._clock.monotonic_ms()
+        if not self._apply_listing(token, sent_ms, listing):
+            self._handle_failure(token, sent_ms, vms.CommandOutcome.INVALID)
+            return False
+        self.on_change()
+        return True
+
+    def _apply_listing(
+        self, token: int, sent_ms: int, listing: vms.Listing
+    ) -> bool:
+        """Apply a listing; return False if that fails unexpectedly.
+
+        The VM then counts as unresponsive. The owner and its other VMs are not
+        affected.
+        """
+        listed_ms = self._clock.monotonic_ms()
+        try:
+            issued = self._pool.run_reconciler.apply_listing(
+                self.vm, token, sent_ms, listing
+            )
+        except errors.InvariantError:
+            raise
+        except Exception as error:
+            events.emit(
+                events.Event.VM_LISTING_FAILED,
+                vm=self.vm.report.vm,
+                reason=repr(error),
+            )
+            return False
+        self._listed_ms = listed_ms
         self._pool.vm_tracker.mark_responsive(
-            self.vm, listing.clock_ms, self._listed_ms
+            self.vm, listing.clock_ms, listed_ms
         )
-        for command in self._pool.run_reconciler.apply_listing(
-            self.vm, token, sent_ms, listing
-        ):
+        for command in issued:
             self.send(command)
-        self.on_change()
         return True
 
     def _handle_failure(
@@ -199,10 +225,14 @@
 
     async def _stop(self, command: commands.Stop | commands.StopOrphan) -> None:
         run = command.run
+        outcome = "not_sent"
         async with self._stop_slots:
-            response = await self._client.stop(
-                run.task.id, run.number, self.vm.token
-            )
+            # This process may have been paused while the command waited.
+            if self._gate.may_command():
+                response = await self._client.stop(
+                    run.task.id, run.number, self.vm.token
+                )
+                outcome = response.outcome.value
         events.emit(
             events.Event.RUN_STOPPED,
             job=run.task.id.job,
@@ -210,16 +240,19 @@
             run=run.number,
             vm=self.vm.report.vm,
             reason=getattr(command, "reason", "unknown_run"),
-            outcome=response.outcome.value,
+            outcome=outcome,
         )
 
     async def _set_speed(self, command: commands.SetSpeed) -> None:
         run = command.run
+        outcome = "not_sent"
         async with self._stop_slots:
-            response = await self._client.set_speed(
-                run.task.id, run.number, command.percent, self.vm.token
-            )
-        if response.outcome is vms.CommandOutcome.UNANSWERED:
+            if self._gate.may_command():
+                response = await self._client.set_speed(
+                    run.task.id, run.number, command.percent, self.vm.token
+                )
+                outcome = response.outcome.value
+        if outcome in ("not_sent", vms.CommandOutcome.UNANSWERED.value):
             # The value differs from every speed, so that the command is sent
             # again after the next listing.
             run.speed_percent = -1
@@ -230,5 +263,5 @@
             run=run.number,
             vm=self.vm.report.vm,
             percent=command.percent,
-            outcome=response.outcome.value,
+            outcome=outcome,
         )
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -212,6 +212,38 @@
 
         self.run_with(main)
 
+    def test_paused_owner_sends_no_command_that_waited(self):
+        """A process acted on a permission that had run out meanwhile."""
+
+        async def main(pool, fake_vm, vm, link):
+            task = await self.start_task(pool, link)
+            link._gate.may_command = lambda: False
+            link.send(commands.Stop(vm.report.vm, task.run, "vm_vacated"))
+            link.send(commands.SetSpeed(vm.report.vm, task.run, 50))
+            await asyncio.sleep(0.05)
+            self.assertIn(task.id, fake_vm.running)
+            self.assertEqual(-1, task.run.speed_percent)
+
+        self.run_with(main)
+
+    def test_unexpected_error_with_one_vm_leaves_the_owner_running(self):
+        """One unexpected error took a whole process down."""
+
+        async def main(pool, fake_vm, vm, link):
+            await self.until(lambda: vm.open_for_starts(1 << 60))
+            apply_listing = pool.run_reconciler.apply_listing
+
+            def fail(*arguments):
+                raise KeyError("unexpected")
+
+            pool.run_reconciler.apply_listing = fail
+            await self.until(lambda: vm.unresponsive_since_ms is not None)
+            self.assertFalse(link._hold_task.done())
+            pool.run_reconciler.apply_listing = apply_listing
+            await self.until(lambda: vm.unresponsive_since_ms is None)
+
+        self.run_with(main)
+
     def test_vm_that_refuses_connections_is_tried_less_often(self):
         """Owners tried each of sixty VMs in maintenance six times a second."""
 
