Survive unreadable values of our own in the store and from peers

Cause: an unreadable member list, list of ordered machines, wave progress, epoch or answer of another process raised in a task of the process, which stopped. Its successor read the same value.

Change: each is logged as unreadable. A new owner then waits for the leases of the previous one, a new machine manager waits out the cooldown before its first order, maintenance is ordered again (the platform answers a repetition like the first), and an answer counts as none.

Ruled out: treating unreadable lists as empty, which starts tasks twice.

--- a/src/wagtailtiller/entry/peers.py
+++ b/src/wagtailtiller/entry/peers.py
@@ -8,6 +8,7 @@
 import grpc
 import msgspec
 
+from wagtailtiller import events
 from wagtailtiller import timeouts
 from wagtailtiller.owner import messages
 
@@ -224,7 +225,7 @@
             return None
         finally:
             await self._close_if_unused(channel)
-        return _answer_decoder.decode(answer)
+        return _decode_answer(address, answer)
 
     async def close(self) -> None:
         """Close all channels; open calls end without an answer."""
@@ -246,6 +247,17 @@
             await channel.close()
 
 
+def _decode_answer(address: str, answer: bytes) -> messages.Answer | None:
+    # Processes of two versions may run beside each other.
+    try:
+        return _answer_decoder.decode(answer)
+    except msgspec.MsgspecError as error:
+        events.emit(
+            events.Event.ENTRY_SKIPPED, source=address, entry=str(error)
+        )
+        return None
+
+
 def _cancellation_requested() -> bool:
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
--- a/src/wagtailtiller/jobs/record.py
+++ b/src/wagtailtiller/jobs/record.py
@@ -86,6 +86,11 @@
         record.accepted_epoch,
     )
     for progress in record.progress:
+        if not _is_valid(job, progress):
+            invalid = errors.InvalidSetting(
+                "job", "progress of an unknown task", "a job record"
+            )
+            return Error(invalid)
         _restore(job, progress)
     job.state = record.state
     return Ok(job)
@@ -114,6 +119,19 @@
     return mask.to_bytes((mask.bit_length() + 7) // 8, "little")
 
 
+def _is_valid(job: job_module.Job, progress: _Progress) -> bool:
+    """Return whether the progress is about tasks that the job has."""
+    positions = progress.failed_runs or {0: []}
+    bounds = (min(positions), max(positions))
+    return all(
+        job.task(
+            model.TaskId(job.id, progress.occurrence, progress.step, position)
+        )
+        is not None
+        for position in bounds
+    )
+
+
 def _restore(job: job_module.Job, progress: _Progress) -> None:
     mask = int.from_bytes(progress.done_mask, "little")
     step_run = job.steps(progress.occurrence)[progress.step]
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -96,8 +96,11 @@
         # Orders from the previous machine manager may have been carried out
         # just now, or may still be in transit.
         previously_ordered = await self._state.read_orders()
+        if previously_ordered is None:
+            await asyncio.sleep(self._cooldown_ms / 1_000)
         self._fleet.start_cooldown(
-            previously_ordered, self._clock.monotonic_ms() + self._cooldown_ms
+            previously_ordered or set(),
+            self._clock.monotonic_ms() + self._cooldown_ms,
         )
         while True:
             await asyncio.sleep(_CYCLE_INTERVAL_MS / 1_000)
--- a/src/wagtailtiller/maintenance/manager_state.py
+++ b/src/wagtailtiller/maintenance/manager_state.py
@@ -1,8 +1,11 @@
 """Persistent state that a machine manager leaves to its successor."""
 
+from typing import TypeVar
+
 import msgspec
 
 from wagtailtiller import clock as clock_module
+from wagtailtiller import events
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller.owner import keys
@@ -16,6 +19,9 @@
 _TRIM_DELAY_MS = 700
 
 
+_T = TypeVar("_T")
+
+
 class WaveProgress(msgspec.Struct, frozen=True):
     """Progress of a wave.
 
@@ -34,6 +40,16 @@
     machines: list[ids.MachineId]
 
 
+def _decode(item: store.Item, value_type: type[_T]) -> _T | None:
+    try:
+        return msgspec.msgpack.decode(item.value or b"", type=value_type)
+    except msgspec.MsgspecError as error:
+        events.emit(
+            events.Event.STATE_UNREADABLE, key=item.key, reason=str(error)
+        )
+        return None
+
+
 class ManagerState:
     """Reads what the previous machine manager stored, and stores new state.
 
@@ -70,10 +86,14 @@
         self._waves: dict[ids.WaveId, WaveProgress] = {}
         self._orders_saved_ms = 0
 
-    async def read_orders(self) -> set[ids.MachineId]:
+    async def read_orders(self) -> set[ids.MachineId] | None:
         """Return the machines that a previous manager may have ordered.
 
         Retries until the store responds.
+
+        Returns:
+            The machines; None if the stored list is unreadable, so that it may
+            have been any.
         """
         while True:
             result = await self._store.read_key(keys.MACHINE_ORDERS)
@@ -85,7 +105,8 @@
         if item is None or not item.value:
             return set()
         self._revisions[item.key] = item.revision
-        return set(msgspec.msgpack.decode(item.value, type=_Orders).machines)
+        orders = _decode(item, _Orders)
+        return set(orders.machines) if orders is not None else None
 
     async def save_orders(
         self, planned: set[ids.MachineId], recent: set[ids.MachineId]
@@ -116,8 +137,12 @@
         item = result.ok
         if item is None or not item.value:
             return WaveProgress([], False)
-        progress = msgspec.msgpack.decode(item.value, type=WaveProgress)
         self._revisions[item.key] = item.revision
+        progress = _decode(item, WaveProgress)
+        if progress is None:
+            # The platform answers the repeated maintenance of a machine like
+            # the first.
+            return WaveProgress([], False)
         self._waves[wave] = progress
         return progress
 
--- a/src/wagtailtiller/owner/members.py
+++ b/src/wagtailtiller/owner/members.py
@@ -15,6 +15,7 @@
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import errors
+from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller.owner import keys
 from wagtailtiller.ownership import claims
@@ -26,6 +27,19 @@
 _RETRY_MS = 50
 
 
+# Stands for the VMs of an unreadable list. It never answers, so a new owner
+# waits until the leases from its predecessor have certainly expired.
+_UNKNOWN_VM = ids.VmId("unknown")
+
+
+def _decode(key: str, value: bytes) -> dict[ids.VmId, ids.MachineId]:
+    try:
+        return msgspec.json.decode(value, type=dict[ids.VmId, ids.MachineId])
+    except msgspec.MsgspecError as error:
+        events.emit(events.Event.STATE_UNREADABLE, key=key, reason=str(error))
+        return {_UNKNOWN_VM: ids.MachineId("")}
+
+
 class MemberList:
     """Keeps the stored member list of one pool up to date.
 
@@ -75,9 +89,7 @@
         item = result.ok
         if item is not None and item.value:
             self._revision = item.revision
-            self.machine_by_vm = msgspec.json.decode(
-                item.value, type=dict[ids.VmId, ids.MachineId]
-            )
+            self.machine_by_vm = _decode(item.key, item.value)
             self.stored = set(self.machine_by_vm)
         return Ok(None)
 
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -146,6 +146,11 @@
     epoch = 1
     revision = store.ABSENT
     if epoch_item is not None and epoch_item.value is not None:
+        if not epoch_item.value.isdigit():
+            events.emit(
+                events.Event.STATE_UNREADABLE, key=epoch_key, reason="epoch"
+            )
+            return None
         epoch = int(epoch_item.value) + 1
         revision = epoch_item.revision
     record = OwnerRecord(
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import grpc
+import msgspec
 import testtools
 
 from support import jobs
@@ -38,6 +39,27 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+class MalformedAnswerTest(testtools.TestCase):
+    def test_an_answer_that_cannot_be_decoded_counts_as_none(self):
+        async def main():
+            address = _free_address()
+            server = peers.GrpcPeers()
+            await server.serve(address, _handle)
+            client = peers.GrpcPeers()
+            real = peers._answer_decoder
+            peers._answer_decoder = mock.Mock()
+            peers._answer_decoder.decode.side_effect = msgspec.DecodeError("x")
+            try:
+                answer = await client.ask(address, _request(0), _TIMEOUT_MS)
+            finally:
+                peers._answer_decoder = real
+            self.assertIsNone(answer)
+            await client.close()
+            await server.close()
+
+        asyncio.run(main())
+
+
 class GrpcPeersTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/tests/jobs/test_record.py
+++ b/tests/jobs/test_record.py
@@ -1,5 +1,6 @@
 """Tests of the stored form of a job."""
 
+import msgspec
 import testtools
 
 from support import jobs
@@ -24,6 +25,17 @@
         self.assertFalse(self.task(stored, 0).done)
         self.assertTrue(self.task(stored, 1).done)
 
+    def test_progress_of_an_unknown_task_is_an_error(self):
+        self.job.mark_done(self.task(self.job, 1))
+        other = jobs.job("a" * 16, jobs.spec(jobs.step(2)))
+        other.mark_done(other.steps(0)[0].tasks[1])
+        stored = record.encode(self.job)
+        self.assertTrue(record.decode(stored).is_ok())
+        document = msgspec.msgpack.decode(stored)
+        document["progress"][0][1] = 7
+        broken = msgspec.msgpack.encode(document)
+        self.assertTrue(record.decode(broken).is_error())
+
     def test_a_failed_run_that_a_vm_lists_again_counts_once(self):
         self.job.record_failure(self.task(self.job), 1, max_attempts=3)
         stored = self.stored()
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -101,6 +101,20 @@
         self.assertEqual(1, len(self.orders_of(1)))
         self.assertEqual(3, len(self.orders_of(2)))
 
+    def test_an_unreadable_list_of_orders_delays_all_orders(self):
+        self.store.state.write(keys.MACHINE_ORDERS, b"\xc1", 0, "")
+
+        async def main():
+            self.needed_machines = 1
+            manager = self.start_manager(1)
+            await asyncio.sleep(_LEASE_MS / 1_000)
+            self.assertEqual([], self.service.orders)
+            await asyncio.sleep(2)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual(1, len(self.service.orders))
+
     def test_a_recently_ordered_machine_is_not_ordered_within_the_lease(self):
         # The platform may still be carrying out the previous manager's order.
         async def main():
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -278,6 +278,26 @@
         self.run_with(main)
         return bool(started)
 
+    def test_new_owner_with_unreadable_members_waits_for_their_leases(self):
+        """One malformed value stopped each new owner's process."""
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            await first.stop()
+            key = keys.members(jobs.POOL)
+            revision = self.store.state.item(key).revision
+            self.store.state.write(key, b"\xff", revision, "")
+            second = self.own_pool(2)
+            await self.until(lambda: second.ready)
+            self.assertEqual(1, len(second.pool.unresolved))
+            self.assertGreater(
+                min(second.pool.unresolved.values()),
+                self.clock.monotonic_ms() + _SETTINGS.lease_ms,
+            )
+            await second.stop()
+
+        self.run_with(main)
+
     def test_new_owner_waits_while_machine_carries_unresponsive_vm(self):
         self.assertFalse(
             self.starts_elsewhere_after_takeover({"m-vm-1": "vm-1"})
--- a/tests/ownership/test_claims.py
+++ b/tests/ownership/test_claims.py
@@ -59,6 +59,10 @@
         found = self.store.state.item(keys.owner(_SHARD))
         self.assertEqual(claim.revision, found.revision)
 
+    def test_unreadable_epoch_prevents_the_claim_without_an_error(self):
+        self.store.state.write(keys.epoch(_SHARD), b"many", 0, "")
+        self.assertIsNone(self.claim())
+
     def test_claim_under_expired_lease_fails(self):
         lease = self.store.state.grant(2_000, 0.0)
         self.store.state.end(lease)
