Detect slow VMs, avoid them, and start their stragglers elsewhere

Load pattern: VMs turn several times slower for seconds, while others of the pool have room.

Cause: placement knew free capacity only. A slow VM frees its capacity late, but got as many tasks, and a run was stopped only when it made no progress at all.

Ruled out: the estimates of callers as the measure, since they are off by a factor; and the run times of a VM alone, since pools run tasks of all sizes.

Change: the progress of a run is compared with that of the same step on at least two other VMs, while it runs. A VM whose run takes 2.5 times as long gets no tasks for 4 s, unless more than half of the open VMs are slow. Its stragglers are stopped and started elsewhere if they end earlier there and there is room; checkpoints count.

Left: the VM gets its tasks back all at once after 4 s.

--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -65,6 +65,11 @@
         usage: Tail latency in ms of a serving task, otherwise processor use.
         stop_sent_ms: Time of the last stop command, on the owner's clock; 0 if
             there was none.
+        first_listed_ms: Time at which the VM first listed the run, on the VM's
+            clock; 0 if it has not.
+        first_percent: Progress at that time.
+        peer_run_ms: Median run time of the same step's tasks on other VMs; 0
+            if it is not known.
     """
 
     task: "Task"
@@ -79,6 +84,26 @@
     listed_ms: int = 0
     usage: int = 0
     stop_sent_ms: int = 0
+    first_listed_ms: int = 0
+    first_percent: int = 0
+    peer_run_ms: int = 0
+
+    def observed_ms(self) -> int:
+        """Return the time between the first and the last listing of the run."""
+        return self.listed_ms - self.first_listed_ms
+
+    def observed_percent(self) -> int:
+        """Return the progress that the run has made in that time."""
+        return self.percent - self.first_percent
+
+    def projected_ms(self) -> int:
+        """Return how long the whole task takes at the observed speed."""
+        # Progress is listed in whole percents, rounded down.
+        return self.observed_ms() * 100 // max(1, self.observed_percent())
+
+    def remaining_ms(self) -> int:
+        """Return how long the run still takes at the observed speed."""
+        return self.projected_ms() * (100 - self.percent) // 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,12 +142,16 @@
         step: Definition of the step.
         tasks: All tasks of the step.
         open_count: Number of tasks that are not done.
+        run_times: VMs and durations, in ms, of the runs that have succeeded.
     """
 
     number: int
     step: model.Step
     tasks: list[Task]
     open_count: int
+    run_times: list[tuple[ids.VmId, int]] = dataclasses.field(
+        default_factory=list
+    )
 
     def waiting_tasks(self) -> list[Task]:
         """Return the tasks that are neither done nor running."""
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -13,6 +13,8 @@
 from wagtailtiller.scheduling import start_planner
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import stop_planner
+from wagtailtiller.scheduling import stragglers
+from wagtailtiller.scheduling import vm as vm_module
 from wagtailtiller.scheduling import vm_tracker
 
 
@@ -38,6 +40,7 @@
         self.jobs = jobs.Jobs(self)
         self.vm_tracker = vm_tracker.VmTracker(self)
         self.run_reconciler = reconciler.RunReconciler(self, outlier_detector)
+        self._straggler_detector = stragglers.StragglerDetector(self)
         self._start_planner = start_planner.StartPlanner(self)
         self._stop_planner = stop_planner.StopPlanner(self, outlier_detector)
 
@@ -54,9 +57,18 @@
             Commands and policy queries to execute, stops first.
         """
         now_ms = self.clock.monotonic_ms()
+        self._straggler_detector.update(now_ms)
         decisions: list[commands.Decision] = list(
             self._stop_planner.plan(now_ms)
         )
+        open_vms = self._open_vms(members, now_ms)
+        if open_vms:
+            decisions.extend(self._start_planner.plan(open_vms, now_ms))
+        return decisions
+
+    def _open_vms(
+        self, members: set[ids.VmId] | None, now_ms: int
+    ) -> list[vm_module.Vm]:
         open_vms = [
             vm
             for vm in self.vms.values()
@@ -64,6 +76,8 @@
             and (members is None or vm.report.vm in members)
             and not self.health.ejected(vm.report.vm, now_ms)
         ]
-        if open_vms:
-            decisions.extend(self._start_planner.plan(open_vms, now_ms))
-        return decisions
+        normal_vms = [vm for vm in open_vms if not vm.is_slow(now_ms)]
+        if 2 * len(normal_vms) < len(open_vms):
+            # Too many to do without them.
+            return open_vms
+        return normal_vms
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -188,6 +188,8 @@
         task.last_run = max(task.last_run, end.number)
         if known is not None and known.number == end.number:
             self._state.remove_run(vm, known)
+            if end.kind is job_module.EndKind.DONE:
+                self._record_run_time(entry, known)
         if task.done:
             return
         if end.checkpoint and end.number >= task.last_run:
@@ -211,6 +213,16 @@
             case _:
                 pass
 
+    def _record_run_time(
+        self, entry: state.JobEntry, run: job_module.Run
+    ) -> None:
+        if run.task.checkpoint:
+            # The run has done only a part of the task.
+            return
+        step_run = entry.job.steps(run.task.id.occurrence)[run.task.id.step]
+        run_ms = self._state.clock.monotonic_ms() - run.started_ms
+        step_run.run_times.append((run.vm, run_ms))
+
     def _reconcile_run(
         self, vm: vm_module.Vm, listed_run: vms.ListedRun
     ) -> list[commands.Command]:
@@ -222,6 +234,9 @@
             if listed_run.checkpoint:
                 known.task.checkpoint = listed_run.checkpoint
             known.listed_ms = vm.listed_clock_ms
+            if not known.first_listed_ms:
+                known.first_listed_ms = vm.listed_clock_ms
+                known.first_percent = listed_run.percent
             if listed_run.percent != known.percent or not known.progress_ms:
                 known.progress_ms = vm.listed_clock_ms
             known.percent = listed_run.percent
--- a/src/wagtailtiller/scheduling/stop_planner.py
+++ b/src/wagtailtiller/scheduling/stop_planner.py
@@ -19,6 +19,8 @@
 # Time for which demand for another VM is reported after a task found no room to
 # move to.
 _NO_ROOM_MS = 500
+# Time to stop a run, to learn of its end and to start it elsewhere.
+_RESTART_MARGIN_MS = 600
 # A long-running task is available once its start-up is complete.
 _AVAILABLE_PERCENT = 100
 
@@ -78,6 +80,8 @@
             return "vm_draining"
         if self._is_stalled(run):
             return "stalled"
+        if vm.is_slow(now_ms) and self._is_faster_elsewhere(run, now_ms):
+            return "straggler"
         if self._must_move(vm, run, now_ms) and self._within_disruption_budget(
             entry, run
         ):
@@ -118,16 +122,34 @@
     def _has_room_elsewhere(
         self, vm: vm_module.Vm, task: job_module.Task, now_ms: int
     ) -> bool:
+        if self._find_other_vm(vm, task, now_ms) is not None:
+            return True
+        self._state.no_room_until_ms = now_ms + _NO_ROOM_MS
+        return False
+
+    def _find_other_vm(
+        self, vm: vm_module.Vm, task: job_module.Task, now_ms: int
+    ) -> vm_module.Vm | None:
         if self._open_candidates is None:
             self._open_candidates = candidates.Candidates(
                 other
                 for other in self._state.vms.values()
                 if other.open_for_starts(now_ms)
             )
-        if self._open_candidates.choose(task, excluded=vm) is not None:
-            return True
-        self._state.no_room_until_ms = now_ms + _NO_ROOM_MS
-        return False
+        return self._open_candidates.choose(task, excluded=vm)
+
+    def _is_faster_elsewhere(self, run: job_module.Run, now_ms: int) -> bool:
+        """Return whether a straggler ends earlier on another VM."""
+        if run.phase is not job_module.RunPhase.RUNNING or not run.peer_run_ms:
+            return False
+        restarted_ms = run.peer_run_ms
+        if run.task.step.checkpointing:
+            restarted_ms = run.peer_run_ms * (100 - run.percent) // 100
+        if run.remaining_ms() < restarted_ms + _RESTART_MARGIN_MS:
+            return False
+        vm = self._state.vms[run.vm]
+        other = self._find_other_vm(vm, run.task, now_ms)
+        return other is not None and not other.is_slow(now_ms)
 
     def _within_disruption_budget(
         self, entry: state.JobEntry, run: job_module.Run
--- /dev/null
+++ b/src/wagtailtiller/scheduling/stragglers.py
@@ -0,0 +1,103 @@
+"""Detection of slow VMs by the progress of their runs.
+
+Estimates of run times come from callers and may be far off, but the tasks of
+one step take similar times. A run whose progress lies far behind that of the
+same step's runs on other VMs is a straggler, and its VM is slow.
+"""
+
+import statistics
+
+from wagtailtiller import events
+from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import model
+from wagtailtiller.scheduling import state
+from wagtailtiller.scheduling import vm as vm_module
+
+_INTERVAL_MS = 200
+# Shorter observations of a run are dominated by rounding of its progress.
+_MIN_OBSERVED_MS = 300
+_MIN_PROGRESS_PERCENT = 5
+# Tasks of one step differ by less than this factor.
+_SLOW_FACTOR = 2.5
+_MIN_PEER_VMS = 2
+# Time for which a VM counts as slow after its last straggler.
+_SLOW_MS = 4_000
+
+_StepKey = tuple[model.JobId, int, int]
+
+
+class StragglerDetector:
+    """Marks stragglers and slow VMs of one pool.
+
+    Args:
+        pool_state: State that the components of the pool share.
+    """
+
+    def __init__(self, pool_state: state.PoolState) -> None:
+        self._state = pool_state
+        self._updated_ms = 0
+
+    def update(self, now_ms: int) -> None:
+        """Compare the runs of each step, at most once an interval.
+
+        Args:
+            now_ms: Current time, on the owner's clock.
+        """
+        if now_ms - self._updated_ms < _INTERVAL_MS:
+            return
+        self._updated_ms = now_ms
+        for key, runs in self._observed_runs().items():
+            self._compare(key, runs, now_ms)
+
+    def _observed_runs(self) -> dict[_StepKey, list[job_module.Run]]:
+        runs_by_step: dict[_StepKey, list[job_module.Run]] = {}
+        for vm in self._state.vms.values():
+            for run in vm.runs.values():
+                if run.observed_ms() >= _MIN_OBSERVED_MS and _is_short(run):
+                    key = run.task.id[:3]
+                    runs_by_step.setdefault(key, []).append(run)
+        return runs_by_step
+
+    def _compare(
+        self, key: _StepKey, runs: list[job_module.Run], now_ms: int
+    ) -> None:
+        entry = self._state.entries.get(key[0])
+        if entry is None:
+            return
+        step_run = entry.job.steps(key[1])[key[2]]
+        times = list(step_run.run_times)
+        for run in runs:
+            if run.observed_percent() >= _MIN_PROGRESS_PERCENT:
+                times.append((run.vm, run.projected_ms()))
+        for run in runs:
+            peers = {vm: run_ms for vm, run_ms in times if vm != run.vm}
+            if len(peers) < _MIN_PEER_VMS:
+                continue
+            expected_ms = statistics.median(peers.values())
+            run.peer_run_ms = int(expected_ms)
+            vm = self._state.vms[run.vm]
+            if run.projected_ms() > _SLOW_FACTOR * expected_ms:
+                self._mark_slow(vm, run, now_ms)
+
+    def _mark_slow(
+        self, vm: vm_module.Vm, run: job_module.Run, now_ms: int
+    ) -> None:
+        if not vm.is_slow(now_ms):
+            events.emit(
+                events.Event.VM_SLOW,
+                vm=vm.report.vm,
+                pool=self._state.pool,
+                task=run.task.id[1:],
+                job=run.task.id.job,
+                percent=run.percent,
+                observed_ms=run.observed_ms(),
+                peer_run_ms=run.peer_run_ms,
+            )
+        vm.slow_until_ms = now_ms + _SLOW_MS
+
+
+def _is_short(run: job_module.Run) -> bool:
+    step = run.task.step
+    return run.phase is job_module.RunPhase.RUNNING and not (
+        step.long_running or step.filler or step.gang
+    )
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -98,6 +98,7 @@
         moves_all_until_ms: Time until which all tasks are moved to other VMs.
         avoid_until_ms: Time until which nothing starts on the VM because it has
             refused a start or runs an orphan run.
+        slow_until_ms: Time until which the VM counts as slow.
         listed_clock_ms: Reading of the VM's clock in the latest listing that
             was applied.
         throttle: Throttle of the fillers on the VM.
@@ -116,6 +117,7 @@
         self.moves_long_running_until_ms = 0
         self.moves_all_until_ms = 0
         self.avoid_until_ms = 0
+        self.slow_until_ms = 0
         self.listed_clock_ms = 0
         self.throttle = throttling.FillerThrottle()
         self.registered = True
@@ -149,6 +151,10 @@
             and now_ms >= self.avoid_until_ms
         )
 
+    def is_slow(self, now_ms: int) -> bool:
+        """Return whether runs on the VM take much longer than on others."""
+        return now_ms < self.slow_until_ms
+
     def fits_when_empty(self, step: model.Step) -> bool:
         """Return whether a task of a step fits on the VM when it is empty."""
         capacity = self.report.capacity
--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -80,6 +80,11 @@
     return [Fault("wave", 2_000, 1), Fault("rack-dark", 12_000, 6_000)]
 
 
+def slow_vms() -> list[Fault]:
+    """Return a plan in which VMs turn six times slower again and again."""
+    return [Fault("vm-slow", 1_000 + 3_000 * n, 6_000) for n in range(9)]
+
+
 def partition() -> list[Fault]:
     """Return a plan with a long network partition.
 
--- a/support/sim/run.py
+++ b/support/sim/run.py
@@ -17,6 +17,7 @@
     "power-off": faults.process_outage(),
     "rack-dark": faults.rack_outage(),
     "cut-off": faults.partition(),
+    "slow-vms": faults.slow_vms(),
 }
 SCENARIOS = {"pages": scenarios.pages, "signs": scenarios.signs}
 
