Take over sooner, and leave pools to strong VMs after an outage

Load pattern: a third of the entry VMs is cut off, then a sixth loses power, owners among them; and the store is away until all leases have expired.

Ruled out: shorter leases, which lose pools at each pause of a process.

Change: 200 ms for each position in the order of preference, which is still several times the delay of a watch; two claims at once cost the loser one read and one failed write. While no listed VM comes near the strongest known one, a VM waits 1.5 s longer.

The test of the outage fails on the code before.

--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -17,8 +17,15 @@
 from wagtailtiller.ownership import session
 from wagtailtiller.ports import store
 
-# Additional claim delay for each position in the order of preference.
-_CLAIM_DELAY_STEP_MS = 400
+# Additional claim delay for each position in the order of preference. The
+# records of better candidates that died with the owner expire as late as its
+# own, so that each of them delays the takeover by one step.
+_CLAIM_DELAY_STEP_MS = 200
+# Additional claim delay while no process is listed that comes near the
+# strongest known ones. After an outage of the store, in which all records
+# expire, these need this time to register again.
+_STRONGER_WAIT_MS = 1_500
+_COMPARABLE_SHARE = 0.5
 _CLAIM_INTERVAL_MS = 100
 # A process that has just started waits first, so that it can read the records
 # of the other processes.
@@ -70,6 +77,7 @@
         self._nodes: dict[ids.NodeId, claims.NodeRecord] = {}
         self._owners: dict[ids.ShardId, claims.OwnerRecord] = {}
         self._unowned_since_ms: dict[ids.ShardId, int] = {}
+        self._highest_capacity = own_record.shard_capacity
         self._registered = False
         self._closing = False
         self._session = session.StoreSession(
@@ -219,7 +227,12 @@
         node_names = [node.node for node in preferred_nodes]
         if self._own_record.node not in node_names:
             return _CLAIM_DELAY_STEP_MS * (len(node_names) + 1)
-        return _CLAIM_DELAY_STEP_MS * node_names.index(self._own_record.node)
+        position = node_names.index(self._own_record.node)
+        delay_ms = _CLAIM_DELAY_STEP_MS * position
+        capacity = max(node.shard_capacity for node in preferred_nodes)
+        if capacity < _COMPARABLE_SHARE * self._highest_capacity:
+            delay_ms += _STRONGER_WAIT_MS
+        return delay_ms
 
     def _on_session_opened(self, lease: str) -> None:
         self._registered = False
@@ -256,6 +269,9 @@
                 self._registered = False
         else:
             self._nodes[node] = record
+            self._highest_capacity = max(
+                self._highest_capacity, record.shard_capacity
+            )
 
     def _update_owner(self, item: store.Item) -> None:
         shard = ids.ShardId(item.key[len(keys.OWNER_PREFIX) :])
--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -11,6 +11,7 @@
 from wagtailtiller import errors
 from wagtailtiller import ids
 from wagtailtiller.entry import shards as shards_module
+from wagtailtiller.owner import keys
 from wagtailtiller.ownership import claims
 
 _SHARD = ids.ShardId("renders")
@@ -61,6 +62,43 @@
 
         self.run_with_shards(main)
 
+    async def register(self, name, shard_capacity):
+        record = claims.NodeRecord(
+            ids.NodeId(name), f"{name}:1", "y", "dc-1", shard_capacity
+        )
+        key = keys.node(record.node)
+        revision = self.store.state.item(key).revision
+        return self.store.state.write(
+            key, claims.encode(record), revision, ""
+        ).ok
+
+    def test_a_weak_vm_leaves_time_to_strong_ones_after_an_outage(self):
+        """Load pattern: all leases expire while the store is away."""
+
+        async def main(shards):
+            revision = await self.register("strong", 4.0)
+            await asyncio.sleep(2)
+            await self.store.delete(keys.node(ids.NodeId("strong")), revision)
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(1)
+            self.assertEqual([], self.gained)
+            await self.register("strong", 4.0)
+            await asyncio.sleep(0.1)
+            self.assertEqual([], self.gained)
+
+        self.run_with_shards(main)
+
+    def test_a_weak_vm_takes_over_if_no_strong_one_returns(self):
+        async def main(shards):
+            revision = await self.register("strong", 4.0)
+            await asyncio.sleep(2)
+            await self.store.delete(keys.node(ids.NodeId("strong")), revision)
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(3)
+            self.assertEqual(1, len(self.gained))
+
+        self.run_with_shards(main)
+
     def test_no_shard_is_claimed_while_lease_is_not_renewed(self):
         async def main(shards):
             await asyncio.sleep(2)
