Move the keys of stored state out of the owner's package

ownership/claims.py imported them from owner/keys.py, the only import that ran back up. They name the state of all parts. No change of behaviour.

--- a/src/wagtailtiller/ctl/entry_state.py
+++ b/src/wagtailtiller/ctl/entry_state.py
@@ -6,11 +6,11 @@
 import msgspec
 
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.maintenance import manager_state
-from wagtailtiller.owner import keys
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
 
--- a/src/wagtailtiller/ctl/job_commands.py
+++ b/src/wagtailtiller/ctl/job_commands.py
@@ -8,12 +8,12 @@
 
 from wagtailtiller import errors
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller.ctl import base
 from wagtailtiller.ctl import entry_state as entry_state_module
 from wagtailtiller.ctl import output
 from wagtailtiller.ctl import session as session_module
 from wagtailtiller.jobs import model
-from wagtailtiller.owner import keys
 
 
 class EntryStateCommand(base.StoreCommand):
--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -11,13 +11,13 @@
 from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller import timeouts
 from wagtailtiller.entry import outcomes
 from wagtailtiller.entry import peers
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
-from wagtailtiller.owner import keys
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -11,7 +11,7 @@
 from wagtailtiller import events
 from wagtailtiller import follower
 from wagtailtiller import ids
-from wagtailtiller.owner import keys
+from wagtailtiller import keys
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
 from wagtailtiller.ownership import session
--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -12,9 +12,9 @@
 from wagtailtiller import events
 from wagtailtiller import follower
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
-from wagtailtiller.owner import keys
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import pool as pool_module
--- a/src/wagtailtiller/owner/members.py
+++ b/src/wagtailtiller/owner/members.py
@@ -17,7 +17,7 @@
 from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller import ids
-from wagtailtiller.owner import keys
+from wagtailtiller import keys
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import pool as pool_module
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -17,12 +17,12 @@
 from wagtailtiller import events
 from wagtailtiller import follower
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller import runtime
 from wagtailtiller import tasks
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import job_writer as job_writer_module
-from wagtailtiller.owner import keys
 from wagtailtiller.owner import members as members_module
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import policy_queue
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -13,7 +13,7 @@
 
 from wagtailtiller import events
 from wagtailtiller import ids
-from wagtailtiller.owner import keys
+from wagtailtiller import keys
 from wagtailtiller.ports import store
 
 # What the owner of a busy pool of a hundred VMs needs.
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -17,10 +17,10 @@
 from support.sim import store as store_module
 from support.sim import truth as truth_module
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
-from wagtailtiller.owner import keys
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
--- a/tests/ctl/test_entry_state.py
+++ b/tests/ctl/test_entry_state.py
@@ -5,10 +5,10 @@
 
 from support import jobs
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller.ctl import entry_state as entry_state_module
 from wagtailtiller.jobs import record
 from wagtailtiller.maintenance import manager_state
-from wagtailtiller.owner import keys
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
 
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -7,11 +7,11 @@
 from support import fakes
 from support import jobs
 from wagtailtiller import clock
+from wagtailtiller import keys
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
-from wagtailtiller.owner import keys
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import admission
--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -10,8 +10,8 @@
 from support.sim import loop as loop_module
 from wagtailtiller import errors
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller.entry import shards as shards_module
-from wagtailtiller.owner import keys
 from wagtailtiller.ownership import claims
 
 _SHARD = ids.ShardId("renders")
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -9,8 +9,8 @@
 from support import fakes
 from support.sim import loop as loop_module
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller.maintenance import machine_manager as machine_manager_module
-from wagtailtiller.owner import keys
 from wagtailtiller.owner import messages
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import catalogue
--- a/tests/owner/test_job_writer.py
+++ b/tests/owner/test_job_writer.py
@@ -10,10 +10,10 @@
 from support import jobs
 from wagtailtiller import errors
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import job_writer
-from wagtailtiller.owner import keys
 from wagtailtiller.ownership import claims
 from wagtailtiller.scheduling import pool as pool_module
 
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -12,10 +12,10 @@
 from wagtailtiller import clock
 from wagtailtiller import errors
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
-from wagtailtiller.owner import keys
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.ownership import claims
--- a/tests/ownership/test_claims.py
+++ b/tests/ownership/test_claims.py
@@ -6,7 +6,7 @@
 
 from support import fakes
 from wagtailtiller import ids
-from wagtailtiller.owner import keys
+from wagtailtiller import keys
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
 
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -13,11 +13,11 @@
 from support import served_vm
 from wagtailtiller import clock
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller import runtime
 from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
 from wagtailtiller.owner import job_writer
-from wagtailtiller.owner import keys
 from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
