--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -101,7 +101,7 @@
         # Progress is listed in whole percents, rounded down.
         return self.observed_ms() * 100 // max(1, self.observed_percent())
 
-    def remaining_ms(self) -> int:
+    def time_left_ms(self) -> int:
         """Return how long the run still takes at the observed speed."""
         return self.projected_ms() * (100 - self.percent) // 100
 
--- a/src/wagtailtiller/scheduling/stop_planner.py
+++ b/src/wagtailtiller/scheduling/stop_planner.py
@@ -145,7 +145,7 @@
         restarted_ms = run.peer_run_ms
         if run.task.step.checkpointing:
             restarted_ms = run.peer_run_ms * (100 - run.percent) // 100
-        if run.remaining_ms() < restarted_ms + _RESTART_MARGIN_MS:
+        if run.time_left_ms() < restarted_ms + _RESTART_MARGIN_MS:
             return False
         vm = self._state.vms[run.vm]
         other = self._find_other_vm(vm, run.task, now_ms)
