--- a/src/wagtailtiller/maintenance/machine_fleet.py
+++ b/src/wagtailtiller/maintenance/machine_fleet.py
@@ -8,12 +8,10 @@
 out the planned operations.
 """
 
-import dataclasses
-import enum
-
 from wagtailtiller import clock as clock_module
 from wagtailtiller import ids
-from wagtailtiller.maintenance import demand
+from wagtailtiller.maintenance import move_planner
+from wagtailtiller.maintenance import operations
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import machines
 
@@ -25,77 +23,6 @@
 _EMPTY_REPORT_MAX_AGE_MS = 400
 
 
-class Stage(enum.Enum):
-    """Stage of an operation on a machine.
-
-    Attributes:
-        EMPTYING: The tasks on the VM finish or are stopped.
-        ORDERED: The platform has accepted the order.
-    """
-
-    EMPTYING = "emptying"
-    ORDERED = "ordered"
-
-
-@dataclasses.dataclass(slots=True)
-class MachineOperation:
-    """The maintenance of a machine for a wave, or its move to a pool.
-
-    Attributes:
-        machine: Id of the machine.
-        wave: The wave that maintains the machine; None for a move.
-        pool: The pool to which the machine moves; None for a wave.
-        vm: The VM on the machine before the order; empty if there is none.
-        started_ms: Clock reading at the start of the operation.
-        stage: Current stage.
-        empty_at_ms: Clock reading at the last report on the VM if the VM had
-            no runs; otherwise None.
-        last_order_ms: Clock reading when an order was last sent; 0 if none
-            was sent.
-    """
-
-    machine: ids.MachineId
-    wave: ids.WaveId | None
-    pool: ids.PoolId | None
-    vm: ids.VmId
-    started_ms: int
-    stage: Stage = Stage.EMPTYING
-    empty_at_ms: int | None = None
-    last_order_ms: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class TrackedWave:
-    """A wave and its progress.
-
-    Attributes:
-        wave: The wave that the operators requested.
-        maintained: The machines that need no more maintenance: they have been
-            maintained, were permanently refused by the platform or no longer
-            exist.
-        completed: Whether the stored progress says that the wave is complete.
-    """
-
-    wave: machines.Wave
-    maintained: set[ids.MachineId]
-    completed: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class PoolStatus:
-    """Declared properties of a pool, and its demand.
-
-    Attributes:
-        standby: Whether the pool holds machines that are switched off until
-            they are moved to another pool.
-        estimator: Estimator of the pool's demand; None until the pool's owner
-            has reported a load.
-    """
-
-    standby: bool
-    estimator: demand.DemandEstimator | None
-
-
 class MachineFleet:
     """All machines that one machine manager controls.
 
@@ -113,12 +40,13 @@
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
         self.machines: dict[ids.MachineId, machines.Machine] = {}
-        self.operations: dict[ids.MachineId, MachineOperation] = {}
-        self.waves: dict[ids.WaveId, TrackedWave] = {}
-        self.pools: dict[ids.PoolId, PoolStatus] = {}
+        self.operations: dict[ids.MachineId, operations.MachineOperation] = {}
+        self.waves: dict[ids.WaveId, operations.TrackedWave] = {}
+        self.pools: dict[ids.PoolId, operations.PoolStatus] = {}
         self.loads: dict[ids.VmId, messages.VmLoad] = {}
         self._cooldown_until_ms: dict[ids.MachineId, int] = {}
         self._ordered_ms: dict[ids.MachineId, int] = {}
+        self._move_planner = move_planner.MovePlanner(self)
 
     def update_machines(self, listed: list[machines.Machine]) -> None:
         """Replace the machines, and end the operations that are complete.
@@ -172,7 +100,7 @@
             filter(self._is_cooling_down, self._cooldown_until_ms)
         )
 
-    def is_completed(self, tracked_wave: "TrackedWave") -> bool:
+    def is_completed(self, tracked_wave: operations.TrackedWave) -> bool:
         """Return whether no machine of a wave needs more maintenance."""
         in_progress = any(
             operation.wave == tracked_wave.wave.wave
@@ -187,10 +115,10 @@
         """Start all operations that may start now."""
         for tracked_wave in self.waves.values():
             self._plan_wave(tracked_wave)
-        self._plan_moves()
+        self._move_planner.plan()
 
     def record_runs_left(
-        self, operation: MachineOperation, runs_left: int
+        self, operation: operations.MachineOperation, runs_left: int
     ) -> None:
         """Record how many runs are left on the VM of an operation."""
         if runs_left:
@@ -198,9 +126,9 @@
         else:
             operation.empty_at_ms = self._clock.monotonic_ms()
 
-    def may_order(self, operation: MachineOperation) -> bool:
+    def may_order(self, operation: operations.MachineOperation) -> bool:
         """Return whether the machine has no runs and may be ordered now."""
-        if operation.stage is Stage.ORDERED:
+        if operation.stage is operations.Stage.ORDERED:
             return False
         if not operation.vm:
             return True
@@ -210,18 +138,20 @@
             and age_ms <= _EMPTY_REPORT_MAX_AGE_MS
         )
 
-    def must_move_all(self, operation: MachineOperation) -> bool:
+    def must_move_all(self, operation: operations.MachineOperation) -> bool:
         """Return whether short tasks must be moved too."""
         age_ms = self._clock.monotonic_ms() - operation.started_ms
         return age_ms > _SHORT_TASK_WAIT_MS
 
-    def record_order(self, operation: MachineOperation) -> None:
+    def record_order(self, operation: operations.MachineOperation) -> None:
         """Record that an order is about to be sent."""
         operation.last_order_ms = self._clock.monotonic_ms()
         self._ordered_ms[operation.machine] = operation.last_order_ms
 
     def record_outcome(
-        self, operation: MachineOperation, outcome: machines.MachineOutcome
+        self,
+        operation: operations.MachineOperation,
+        outcome: machines.MachineOutcome,
     ) -> None:
         """Record the outcome of an order.
 
@@ -234,7 +164,7 @@
         """
         match outcome:
             case machines.MachineOutcome.DONE:
-                operation.stage = Stage.ORDERED
+                operation.stage = operations.Stage.ORDERED
                 self._mark_maintained(operation)
             case (
                 machines.MachineOutcome.NOT_IN_WAVE
@@ -272,28 +202,19 @@
             runs, in thousandths of a core.
         """
         total = 0
-        for machine in self._movable_machines():
+        for machine in self.movable_machines():
             load = self.loads.get(machine.vm)
             idle = load is not None and not load.runs
-            if idle or self._is_standby(machine.pool):
+            if idle or self.is_standby(machine.pool):
                 total += machine.capacity.cpu_millicores
         return total
 
-    def _count_present_machines(self, pool: ids.PoolId) -> int:
-        return sum(
-            1
-            for machine in self.machines.values()
-            if machine.pool == pool
-            and machine.state is machines.MachineState.UP
-            and machine.machine not in self.operations
-        )
-
-    def _update_operation(self, operation: MachineOperation) -> None:
+    def _update_operation(self, operation: operations.MachineOperation) -> None:
         machine = self.machines.get(operation.machine)
         if machine is None:
             del self.operations[operation.machine]
             return
-        if operation.stage is not Stage.ORDERED:
+        if operation.stage is not operations.Stage.ORDERED:
             if machine.vm != operation.vm:
                 operation.vm = machine.vm
                 operation.empty_at_ms = None
@@ -307,18 +228,18 @@
             del self.operations[operation.machine]
 
     def _is_back_in_service(
-        self, machine: machines.Machine, operation: MachineOperation
+        self, machine: machines.Machine, operation: operations.MachineOperation
     ) -> bool:
         pool_status = self.pools.get(machine.pool)
         if pool_status is not None and pool_status.standby:
             return True
         return bool(machine.vm) and machine.vm != operation.vm
 
-    def _mark_maintained(self, operation: MachineOperation) -> None:
+    def _mark_maintained(self, operation: operations.MachineOperation) -> None:
         if operation.wave is not None and operation.wave in self.waves:
             self.waves[operation.wave].maintained.add(operation.machine)
 
-    def _plan_wave(self, tracked_wave: TrackedWave) -> None:
+    def _plan_wave(self, tracked_wave: operations.TrackedWave) -> None:
         if tracked_wave.completed:
             return
         out_count = sum(
@@ -331,11 +252,11 @@
             machine = self.machines.get(machine_id)
             if machine is None or not self._is_free(machine):
                 continue
-            self._start_operation(machine, wave=tracked_wave.wave.wave)
+            self.start_operation(machine, wave=tracked_wave.wave.wave)
             out_count += 1
 
     def _may_be_out_of_service(
-        self, machine_id: ids.MachineId, tracked_wave: TrackedWave
+        self, machine_id: ids.MachineId, tracked_wave: operations.TrackedWave
     ) -> bool:
         """Return whether a machine may be out of service for a wave.
 
@@ -356,7 +277,7 @@
         )
 
     def _remaining_by_load(
-        self, tracked_wave: TrackedWave
+        self, tracked_wave: operations.TrackedWave
     ) -> list[ids.MachineId]:
         remaining = [
             machine_id
@@ -373,13 +294,20 @@
             return (0, 0)
         return (load.lasting_runs, load.runs)
 
-    def _start_operation(
+    def start_operation(
         self,
         machine: machines.Machine,
         wave: ids.WaveId | None = None,
         pool: ids.PoolId | None = None,
     ) -> None:
-        self.operations[machine.machine] = MachineOperation(
+        """Start the maintenance or the move of a machine.
+
+        Args:
+            machine: The machine, which must be free.
+            wave: The wave that maintains it; None for a move.
+            pool: The pool to which it moves; None for a wave.
+        """
+        self.operations[machine.machine] = operations.MachineOperation(
             machine.machine,
             wave,
             pool,
@@ -387,106 +315,8 @@
             self._clock.monotonic_ms(),
         )
 
-    # Moves between pools.
-
-    def _plan_moves(self) -> None:
-        estimators = {
-            pool: pool_status.estimator
-            for pool, pool_status in self.pools.items()
-            if pool_status.estimator is not None
-        }
-        available = {
-            pool: self.count_available_machines(pool) for pool in estimators
-        }
-        cores = self._mean_machine_cores()
-        needed = {
-            pool: estimator.machines_needed(
-                cores, self._count_present_machines(pool)
-            )
-            for pool, estimator in estimators.items()
-        }
-        short_pools = sorted(
-            (pool for pool in needed if needed[pool] > available[pool]),
-            key=lambda pool: available[pool] / needed[pool],
-        )
-        for pool in short_pools:
-            while available[pool] < needed[pool]:
-                machine = self._find_spare_machine(needed, available)
-                if machine is None:
-                    break
-                available[pool] += 1
-                if machine.pool in available:
-                    available[machine.pool] -= 1
-                self._start_operation(machine, pool=pool)
-        self._plan_returns_to_standby(needed, available)
-
-    def _find_spare_machine(
-        self, needed: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
-    ) -> machines.Machine | None:
-        for machine in self._movable_machines():
-            if self._is_standby(machine.pool):
-                return machine
-        return self._find_surplus_machine(needed, available)
-
-    def _find_surplus_machine(
-        self, needed: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
-    ) -> machines.Machine | None:
-        best: machines.Machine | None = None
-        best_runs = 0
-        for machine in self._movable_machines():
-            pool = machine.pool
-            load = self.loads.get(machine.vm)
-            if pool not in needed or available[pool] <= needed[pool]:
-                continue
-            if load is None or load.lasting_runs or not load.usable:
-                continue
-            if best is None or load.runs < best_runs:
-                best, best_runs = machine, load.runs
-        return best
-
-    def _plan_returns_to_standby(
-        self, needed: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
-    ) -> None:
-        standby = next(
-            (
-                pool
-                for pool, pool_status in self.pools.items()
-                if pool_status.standby
-            ),
-            None,
-        )
-        if standby is None or not self._has_arrival_history():
-            return
-        # A new machine manager observes a pool for the whole peak window before
-        # it returns machines of the pool to standby.
-        needed_with_history = {
-            pool: count
-            for pool, count in needed.items()
-            if self._has_full_history(pool)
-        }
-        while True:
-            machine = self._find_surplus_machine(needed_with_history, available)
-            if machine is None:
-                return
-            available[machine.pool] -= 1
-            self._start_operation(machine, pool=standby)
-
-    def _has_arrival_history(self) -> bool:
-        """Return whether work has been arriving at any pool for some time.
-
-        Until then, the size that a pool was given is the best estimate.
-        """
-        return any(
-            status.estimator is not None
-            and status.estimator.has_arrival_history()
-            for status in self.pools.values()
-        )
-
-    def _has_full_history(self, pool: ids.PoolId) -> bool:
-        estimator = self.pools[pool].estimator
-        return estimator is not None and estimator.has_full_history()
-
-    def _movable_machines(self) -> list[machines.Machine]:
+    def movable_machines(self) -> list[machines.Machine]:
+        """Return the machines for which an operation may start."""
         return [
             machine
             for machine in self.machines.values()
@@ -504,13 +334,7 @@
         until_ms = self._cooldown_until_ms.get(machine_id, 0)
         return self._clock.monotonic_ms() < until_ms
 
-    def _is_standby(self, pool: ids.PoolId) -> bool:
+    def is_standby(self, pool: ids.PoolId) -> bool:
+        """Return whether the machines of a pool are switched off."""
         pool_status = self.pools.get(pool)
         return pool_status is not None and pool_status.standby
-
-    def _mean_machine_cores(self) -> float:
-        cores = [
-            machine.capacity.cpu_millicores / 1_000
-            for machine in self.machines.values()
-        ]
-        return sum(cores) / len(cores) if cores else 1.0
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -17,6 +17,7 @@
 from wagtailtiller.maintenance import demand
 from wagtailtiller.maintenance import machine_fleet
 from wagtailtiller.maintenance import manager_state
+from wagtailtiller.maintenance import operations
 from wagtailtiller.owner import messages
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import declarations
@@ -134,7 +135,7 @@
             progress = await self._state.read_wave(wave.wave)
             if progress is None:
                 continue
-            tracked_wave = machine_fleet.TrackedWave(
+            tracked_wave = operations.TrackedWave(
                 wave, set(progress.done), progress.completed
             )
             self._fleet.waves[wave.wave] = tracked_wave
@@ -161,7 +162,7 @@
         pool_statuses = {}
         for pool in catalogue.pools:
             estimator = self._estimators.get(pool.pool)
-            pool_statuses[pool.pool] = machine_fleet.PoolStatus(
+            pool_statuses[pool.pool] = operations.PoolStatus(
                 pool.standby, estimator
             )
         self._fleet.pools = pool_statuses
@@ -207,16 +208,16 @@
 
     # Operations.
 
-    async def _advance(self, operation: machine_fleet.MachineOperation) -> None:
+    async def _advance(self, operation: operations.MachineOperation) -> None:
         try:
-            if operation.stage is machine_fleet.Stage.EMPTYING and operation.vm:
+            if operation.stage is operations.Stage.EMPTYING and operation.vm:
                 await self._vacate(operation)
             if self._fleet.may_order(operation):
                 await self._order(operation)
         finally:
             self._in_progress.discard(operation.machine)
 
-    async def _vacate(self, operation: machine_fleet.MachineOperation) -> None:
+    async def _vacate(self, operation: operations.MachineOperation) -> None:
         machine = self._fleet.machines.get(operation.machine)
         if machine is None:
             return
@@ -229,7 +230,7 @@
         if isinstance(answer, messages.Vacated):
             self._fleet.record_runs_left(operation, answer.runs_left)
 
-    async def _order(self, operation: machine_fleet.MachineOperation) -> None:
+    async def _order(self, operation: operations.MachineOperation) -> None:
         now_ms = self._clock.monotonic_ms()
         if now_ms - operation.last_order_ms < _ORDER_RETRY_INTERVAL_MS:
             return
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -17,6 +17,7 @@
 from wagtailtiller.jobs import job
 from wagtailtiller.maintenance import machine_fleet
 from wagtailtiller.maintenance import machine_manager
+from wagtailtiller.maintenance import operations
 from wagtailtiller.owner import job_writer
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
@@ -75,12 +76,12 @@
 
 
 def _plan_whole_wave(
-    self: machine_fleet.MachineFleet, tracked_wave: machine_fleet.TrackedWave
+    self: machine_fleet.MachineFleet, tracked_wave: operations.TrackedWave
 ) -> None:
     for name in self._remaining_by_load(tracked_wave):
         machine = self.machines.get(name)
         if machine is not None and self._is_free(machine):
-            self._start_operation(machine, wave=tracked_wave.wave.wave)
+            self.start_operation(machine, wave=tracked_wave.wave.wave)
 
 
 def _ignore_members(original: Any) -> Any:
--- a/tests/maintenance/test_machine_fleet.py
+++ b/tests/maintenance/test_machine_fleet.py
@@ -7,6 +7,7 @@
 from wagtailtiller import ids
 from wagtailtiller.maintenance import demand
 from wagtailtiller.maintenance import machine_fleet
+from wagtailtiller.maintenance import operations
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import machines
 
@@ -22,8 +23,8 @@
         self.fleet = machine_fleet.MachineFleet(self.clock)
         self.estimator = demand.DemandEstimator()
         self.fleet.pools = {
-            _RENDERS: machine_fleet.PoolStatus(False, self.estimator),
-            _SPARE: machine_fleet.PoolStatus(True, None),
+            _RENDERS: operations.PoolStatus(False, self.estimator),
+            _SPARE: operations.PoolStatus(True, None),
         }
         self.listed = {}
 
@@ -59,7 +60,7 @@
 
     def add_wave(self, *names, max_out=1):
         wave = machines.Wave(_WAVE, names, 20_000, max_out)
-        self.fleet.waves[_WAVE] = machine_fleet.TrackedWave(wave, set())
+        self.fleet.waves[_WAVE] = operations.TrackedWave(wave, set())
 
     def find_operations(self, **fields):
         """Return the operations whose attributes have the given values."""
@@ -113,7 +114,7 @@
         other = ids.PoolId("plates")
         estimator = demand.DemandEstimator()
         estimator.add(demand.LoadSample(0, 0.0, 0, 0, 40_000, 0, 0))
-        self.fleet.pools[other] = machine_fleet.PoolStatus(False, estimator)
+        self.fleet.pools[other] = operations.PoolStatus(False, estimator)
         self.add_sample(cores=2)
         self.fleet.plan()
         self.assertEqual(2, len(self.find_operations(pool=other)))
