--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -443,3 +443,23 @@
         )
         self.assertIs(start.run, start.run.task.run)
         self.assertEqual([], self.pool.plan())
+
+
+class MissingHeartbeatsTest(PoolTest):
+    def test_a_vm_without_heartbeats_keeps_its_runs_and_gets_no_new_ones(self):
+        """A VM that was only slow to report had its work started elsewhere."""
+        silent = self.add_vm("vm-1")
+        self.add_job("a", jobs.step())
+        (start,) = self.start_all()
+        self.answer(silent)
+        self.add_vm("vm-2")
+        self.pool.vm_tracker.mark_unlisted("vm-1")
+        self.add_job("b", jobs.step(2))
+        for _ in range(20):
+            self.clock.advance(500)
+            self.answer(silent)
+            self.pool.vm_tracker.expire_leases()
+            self.assertNotIn("vm-1", [c.vm for c in self.pool.plan()])
+        self.assertIs(start.run, start.run.task.run)
+        self.pool.vm_tracker.register(silent.report)
+        self.assertTrue(silent.open_for_starts(self.clock.now_ms))
