--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -455,9 +455,9 @@
         self.add_vm("vm-2")
         self.pool.vm_tracker.mark_unlisted("vm-1")
         self.add_job("b", jobs.step(2))
-        for _ in range(20):
+        for number in range(20):
             self.clock.advance(500)
-            self.answer(silent)
+            self.answer(silent, percent=number)
             self.pool.vm_tracker.expire_leases()
             self.assertNotIn("vm-1", [c.vm for c in self.pool.plan()])
         self.assertIs(start.run, start.run.task.run)
