--- a/src/wagtailtiller/ctl/entry_state.py
+++ b/src/wagtailtiller/ctl/entry_state.py
@@ -10,6 +10,7 @@
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.maintenance import manager_state
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
@@ -155,7 +156,7 @@
 
 
 def _describe_step(
-    step_run: job_module.StepRun, steps: list[job_module.StepRun]
+    step_run: task_module.StepRun, steps: list[task_module.StepRun]
 ) -> str:
     total = len(step_run.tasks)
     done = total - step_run.open_count
--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -4,160 +4,17 @@
 """
 
 from collections.abc import Iterator
-import dataclasses
-import enum
 import functools
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 
 # The store does not record starts. Each previous owner is assumed to have used
 # at most this many run numbers of a task.
 _UNRECORDED_RUNS_PER_EPOCH = 32
 
 
-class EndKind(enum.Enum):
-    """How a run ended.
-
-    ``FAILED`` may be caused by the task or by its VM. ``BROKEN`` means that
-    another task of the gang has ended, and ``ALONE`` that the other tasks of
-    the gang did not start in time. ``LOST`` is a run that ended with its VM.
-    """
-
-    DONE = "done"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    LEASE_EXPIRED = "lapsed"
-    BROKEN = "broken"
-    ALONE = "alone"
-    LOST = "lost"
-
-
-class RunPhase(enum.Enum):
-    """What the owner knows about a run.
-
-    ``UNCERTAIN`` means that the outcome of the start command is unknown.
-    """
-
-    STARTING = "starting"
-    UNCERTAIN = "uncertain"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-@dataclasses.dataclass(slots=True)
-class Run:
-    """One start of a task on one VM.
-
-    Attributes:
-        task: Task that the run executes.
-        number: Run number, which rises with each start of the task.
-        vm: VM that executes the run.
-        phase: What the owner knows about the run.
-        started_ms: Time of the start command, on the owner's clock.
-        confirmed_ms: Latest time at which the VM confirmed the run, on the
-            owner's clock; 0 if it has not.
-        percent: Progress that the VM last listed. A long-running task reports
-            its start-up here and is available at 100.
-        speed_percent: Share of its full speed that the run was last allowed.
-        progress_ms: Time at which ``percent`` last changed, on the VM's clock.
-        listed_ms: Time at which the VM last listed the run, on the VM's clock.
-        usage: Tail latency in ms of a serving task, otherwise processor use.
-        stop_sent_ms: Time of the last stop command, on the owner's clock; 0 if
-            there was none.
-        first_listed_ms: Time at which the VM first listed the run, on the VM's
-            clock; 0 if it has not.
-        first_percent: Progress at that time.
-        peer_run_ms: Median run time of the same step's tasks on other VMs; 0
-            if it is not known.
-    """
-
-    task: "Task"
-    number: int
-    vm: ids.VmId
-    phase: RunPhase
-    started_ms: int
-    confirmed_ms: int = 0
-    percent: int = 0
-    speed_percent: int = 100
-    progress_ms: int = 0
-    listed_ms: int = 0
-    usage: int = 0
-    stop_sent_ms: int = 0
-    first_listed_ms: int = 0
-    first_percent: int = 0
-    peer_run_ms: int = 0
-
-    def observed_ms(self) -> int:
-        """Return the time between the first and the last listing of the run."""
-        return self.listed_ms - self.first_listed_ms
-
-    def observed_percent(self) -> int:
-        """Return the progress that the run has made in that time."""
-        return self.percent - self.first_percent
-
-    def projected_ms(self) -> int:
-        """Return how long the whole task takes at the observed speed."""
-        # Progress is listed in whole percents, rounded down.
-        return self.observed_ms() * 100 // max(1, self.observed_percent())
-
-    def time_left_ms(self) -> int:
-        """Return how long the run still takes at the observed speed."""
-        return self.projected_ms() * (100 - self.percent) // 100
-
-
-@dataclasses.dataclass(slots=True)
-class Task:
-    """One task of one occurrence.
-
-    Attributes:
-        id: Id of the task.
-        step: Step that defines the requirements of the task.
-        done: Whether the task has succeeded.
-        failed_runs: Numbers of the failed runs; each counts as an attempt. They
-            are kept as a set because a VM may list a failed run again to the
-            next owner, in any order.
-        last_run: Highest known run number.
-        checkpoint: Checkpoint that the last run saved; empty if there is none.
-        run: Current run, if any.
-        failed_vms: VMs on which a run of the task has failed or stalled.
-    """
-
-    id: model.TaskId
-    step: model.Step
-    done: bool = False
-    failed_runs: set[int] = dataclasses.field(default_factory=set)
-    last_run: int = 0
-    checkpoint: str = ""
-    run: Run | None = None
-    failed_vms: set[ids.VmId] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(slots=True)
-class StepRun:
-    """A step of one occurrence.
-
-    Attributes:
-        number: Index of the step in the job.
-        step: Definition of the step.
-        tasks: All tasks of the step.
-        open_count: Number of tasks that are not done.
-        run_times: VMs and durations, in ms, of the runs that have succeeded.
-    """
-
-    number: int
-    step: model.Step
-    tasks: list[Task]
-    open_count: int
-    run_times: list[tuple[ids.VmId, int]] = dataclasses.field(
-        default_factory=list
-    )
-
-    def waiting_tasks(self) -> list[Task]:
-        """Return the tasks that are neither done nor running."""
-        return [t for t in self.tasks if not t.done and t.run is None]
-
-
 class Job:
     """An accepted job.
 
@@ -189,10 +46,10 @@
         self.state = model.JobState.QUEUED
         self.started = False
         self.cancelled_ms = 0
-        self._occurrences: dict[int, list[StepRun]] = {}
+        self._occurrences: dict[int, list[task_module.StepRun]] = {}
         self._finished_occurrences: set[int] = set()
         # Derived values, which are computed again after a task has changed.
-        self._startable_steps: list[StepRun] | None = None
+        self._startable_steps: list[task_module.StepRun] | None = None
         self._remaining_path_ms: int | None = None
         self._remaining_core_ms: float | None = None
 
@@ -210,7 +67,7 @@
         """Return whether the job has ended, so that no more tasks start."""
         return self.state in model.FINAL_STATES
 
-    def steps(self, occurrence: int) -> list[StepRun]:
+    def steps(self, occurrence: int) -> list[task_module.StepRun]:
         """Return the steps of an occurrence and create them on first use."""
         steps = self._occurrences.get(occurrence)
         if steps is None:
@@ -244,7 +101,7 @@
                 return due_ms
         return None
 
-    def ready_steps(self, wall_ms: int) -> Iterator[StepRun]:
+    def ready_steps(self, wall_ms: int) -> Iterator[task_module.StepRun]:
         """Yield the unfinished steps whose predecessors are done."""
         if self.is_final():
             return
@@ -254,7 +111,7 @@
                 if step_run.open_count and self._may_begin(step_run, steps):
                     yield step_run
 
-    def startable_steps(self, wall_ms: int) -> list[StepRun]:
+    def startable_steps(self, wall_ms: int) -> list[task_module.StepRun]:
         """Return the ready steps that have tasks to start.
 
         Args:
@@ -267,19 +124,19 @@
             self._startable_steps = self._find_startable_steps(wall_ms)
         return self._startable_steps
 
-    def _find_startable_steps(self, wall_ms: int) -> list[StepRun]:
+    def _find_startable_steps(self, wall_ms: int) -> list[task_module.StepRun]:
         return [
             step_run
             for step_run in self.ready_steps(wall_ms)
             if any(not t.done and t.run is None for t in step_run.tasks)
         ]
 
-    def assign_run(self, task: Task, run: Run) -> None:
+    def assign_run(self, task: task_module.Task, run: task_module.Run) -> None:
         """Make a run the current run of one of the job's tasks."""
         task.run = run
         self._discard_derived()
 
-    def clear_run(self, task: Task) -> None:
+    def clear_run(self, task: task_module.Task) -> None:
         """Record that a task of the job has no current run."""
         task.run = None
         self._discard_derived()
@@ -289,7 +146,7 @@
         self._remaining_path_ms = None
         self._remaining_core_ms = None
 
-    def task(self, task_id: model.TaskId) -> Task | None:
+    def task(self, task_id: model.TaskId) -> task_module.Task | None:
         """Return a task by its id; None if the job does not have it."""
         if not 0 <= task_id.occurrence < self.spec.occurrences():
             return None
@@ -343,7 +200,7 @@
             finish_ms.append(start_ms + own_ms)
         return max(finish_ms, default=0)
 
-    def next_run_number(self, task: Task, epoch: int) -> int:
+    def next_run_number(self, task: task_module.Task, epoch: int) -> int:
         """Return a run number higher than any that the task has used.
 
         Args:
@@ -355,7 +212,7 @@
         )
         return max(task.last_run, unrecorded) + 1
 
-    def mark_done(self, task: Task) -> None:
+    def mark_done(self, task: task_module.Task) -> None:
         """Record that a task has succeeded.
 
         The success of a gang member counts for the whole gang.
@@ -371,7 +228,7 @@
         self._update_completion(task.id.occurrence)
 
     def record_failure(
-        self, task: Task, run_number: int, max_attempts: int
+        self, task: task_module.Task, run_number: int, max_attempts: int
     ) -> None:
         """Record a failed run; the job fails after the last attempt.
 
@@ -410,13 +267,13 @@
         if self.state is model.JobState.QUEUED:
             self.state = model.JobState.RUNNING
 
-    def done_tasks(self) -> Iterator[Task]:
+    def done_tasks(self) -> Iterator[task_module.Task]:
         """Yield the tasks that have succeeded."""
         for steps in self._occurrences.values():
             for step_run in steps:
                 yield from (task for task in step_run.tasks if task.done)
 
-    def failed_tasks(self) -> Iterator[Task]:
+    def failed_tasks(self) -> Iterator[task_module.Task]:
         """Yield the tasks that have failed runs."""
         for steps in self._occurrences.values():
             for step_run in steps:
@@ -424,14 +281,18 @@
 
     def _new_step(
         self, occurrence: int, number: int, step: model.Step
-    ) -> StepRun:
+    ) -> task_module.StepRun:
         tasks = [
-            Task(model.TaskId(self.id, occurrence, number, index), step)
+            task_module.Task(
+                model.TaskId(self.id, occurrence, number, index), step
+            )
             for index in range(step.task_count)
         ]
-        return StepRun(number, step, tasks, len(tasks))
+        return task_module.StepRun(number, step, tasks, len(tasks))
 
-    def _may_begin(self, step_run: StepRun, steps: list[StepRun]) -> bool:
+    def _may_begin(
+        self, step_run: task_module.StepRun, steps: list[task_module.StepRun]
+    ) -> bool:
         return all(
             steps[number].open_count == 0 for number in step_run.step.after
         )
--- a/src/wagtailtiller/owner/start_sender.py
+++ b/src/wagtailtiller/owner/start_sender.py
@@ -9,7 +9,7 @@
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
-from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.owner import start_gate
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
@@ -141,7 +141,7 @@
             self._pool.vm_tracker.raise_token(self._vm)
         return response.outcome
 
-    def _may_start(self, run: job_module.Run, now_ms: int) -> bool:
+    def _may_start(self, run: task_module.Run, now_ms: int) -> bool:
         # The run was planned before the command waited for its turn.
         entry = self._pool.entries.get(run.task.id.job)
         return (
@@ -154,7 +154,7 @@
         )
 
     def _log_start(
-        self, run: job_module.Run, token: int, outcome: str, took_ms: int
+        self, run: task_module.Run, token: int, outcome: str, took_ms: int
     ) -> None:
         events.emit(
             events.Event.RUN_STARTED,
@@ -167,7 +167,7 @@
             took_ms=took_ms,
         )
 
-    async def _resolve_unknown_start(self, run: job_module.Run) -> None:
+    async def _resolve_unknown_start(self, run: task_module.Run) -> None:
         # One listing resolves all unknown starts of the VM.
         async with self._resolution_lock:
             pause = RetryPause()
@@ -177,8 +177,8 @@
                     # No response, or a list of ended runs that is not complete.
                     await pause.wait()
 
-    def _is_unknown(self, run: job_module.Run) -> bool:
+    def _is_unknown(self, run: task_module.Run) -> bool:
         return (
-            run.phase is job_module.RunPhase.UNCERTAIN
+            run.phase is task_module.RunPhase.UNCERTAIN
             and self._vm.runs.get(run.task.id) is run
         )
--- a/src/wagtailtiller/platform/vms.py
+++ b/src/wagtailtiller/platform/vms.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from wagtailtiller import events
-from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.platform import http
 from wagtailtiller.platform import task_names
 from wagtailtiller.ports import vms
@@ -29,7 +29,7 @@
     "room": vms.CommandOutcome.NO_ROOM,
     "ticket": vms.CommandOutcome.BAD_TICKET,
 }
-_END_KINDS = {kind.value: kind for kind in job.EndKind}
+_END_KINDS = {kind.value: kind for kind in task_module.EndKind}
 
 
 class _CommandResponse(msgspec.Struct):
--- a/src/wagtailtiller/ports/vms.py
+++ b/src/wagtailtiller/ports/vms.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from wagtailtiller import ids
-from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 
 
 class Resources(msgspec.Struct, frozen=True):
@@ -95,7 +95,7 @@
     position: int
     task: model.TaskId
     number: int
-    kind: job.EndKind
+    kind: task_module.EndKind
     checkpoint: str
 
 
--- a/src/wagtailtiller/scheduling/candidates.py
+++ b/src/wagtailtiller/scheduling/candidates.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
-from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.scheduling import placement
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -37,7 +37,7 @@
         self._misfits: dict[str, list[_Requirement]] = {}
 
     def choose(
-        self, task: job.Task, excluded: vm_module.Vm | None = None
+        self, task: task_module.Task, excluded: vm_module.Vm | None = None
     ) -> vm_module.Vm | None:
         """Return the VM on which to start a task; None if it fits nowhere.
 
@@ -59,7 +59,7 @@
             self._remember_misfit(step)
         return chosen
 
-    def add_run(self, vm: vm_module.Vm, run: job.Run) -> None:
+    def add_run(self, vm: vm_module.Vm, run: task_module.Run) -> None:
         """Add a run to a VM and keep the index up to date."""
         position = self._positions[vm.report.vm]
         row = (vm.free_cpu, position)
--- a/src/wagtailtiller/scheduling/commands.py
+++ b/src/wagtailtiller/scheduling/commands.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 from wagtailtiller import ids
-from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 
 
 @dataclasses.dataclass(frozen=True)
@@ -19,7 +19,7 @@
     """
 
     vm: ids.VmId
-    run: job.Run
+    run: task_module.Run
     payload: str
     ticket: str = ""
 
@@ -35,7 +35,7 @@
     """
 
     vm: ids.VmId
-    run: job.Run
+    run: task_module.Run
     reason: str
 
 
@@ -49,7 +49,7 @@
     """
 
     vm: ids.VmId
-    run: job.Run
+    run: task_module.Run
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,7 +63,7 @@
     """
 
     vm: ids.VmId
-    run: job.Run
+    run: task_module.Run
     percent: int
 
 
--- a/src/wagtailtiller/scheduling/outliers.py
+++ b/src/wagtailtiller/scheduling/outliers.py
@@ -3,7 +3,7 @@
 from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller.dispatch import messages
-from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -21,7 +21,7 @@
     def observe(
         self,
         vm: vm_module.Vm,
-        task: job_module.Task,
+        task: task_module.Task,
         outcome: messages.RunOutcome,
     ) -> None:
         """Record the outcome of a run and eject the VM if it is an outlier.
--- a/src/wagtailtiller/scheduling/placement.py
+++ b/src/wagtailtiller/scheduling/placement.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from wagtailtiller.jobs import job
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.scheduling import vm as vm_module
 
 _BEST_RANK = (False, False)
@@ -11,7 +11,7 @@
 
 
 def choose(
-    task: job.Task, candidates: Iterable[vm_module.Vm]
+    task: task_module.Task, candidates: Iterable[vm_module.Vm]
 ) -> vm_module.Vm | None:
     """Return the VM on which to start a task; None if it fits nowhere.
 
@@ -41,8 +41,8 @@
 
 
 def choose_gang(
-    tasks: list[job.Task], candidates: list[vm_module.Vm]
-) -> list[tuple[job.Task, vm_module.Vm]] | None:
+    tasks: list[task_module.Task], candidates: list[vm_module.Vm]
+) -> list[tuple[task_module.Task, vm_module.Vm]] | None:
     """Place all tasks of a gang at once.
 
     Tasks of a ``same_rack`` step are placed on a single rack if they fit there.
@@ -66,10 +66,10 @@
 
 
 def _pack(
-    tasks: list[job.Task], candidates: list[vm_module.Vm]
-) -> list[tuple[job.Task, vm_module.Vm]] | None:
+    tasks: list[task_module.Task], candidates: list[vm_module.Vm]
+) -> list[tuple[task_module.Task, vm_module.Vm]] | None:
     step = tasks[0].step
-    placements: list[tuple[job.Task, vm_module.Vm]] = []
+    placements: list[tuple[task_module.Task, vm_module.Vm]] = []
     waiting = list(tasks)
     ordered = sorted(
         candidates,
@@ -84,16 +84,18 @@
     return None if waiting else placements
 
 
-def _rank(task: job.Task, candidate: vm_module.Vm) -> tuple[bool, bool]:
+def _rank(task: task_module.Task, candidate: vm_module.Vm) -> tuple[bool, bool]:
     has_failed = candidate.report.vm in task.failed_vms
     return has_failed, _off_preferred_rack(task, candidate)
 
 
-def _off_preferred_rack(task: job.Task, candidate: vm_module.Vm) -> bool:
+def _off_preferred_rack(
+    task: task_module.Task, candidate: vm_module.Vm
+) -> bool:
     preferred_rack = task.step.near_rack
     return bool(preferred_rack) and candidate.rack != preferred_rack
 
 
-def _below_vm_limit(task: job.Task, candidate: vm_module.Vm) -> bool:
+def _below_vm_limit(task: task_module.Task, candidate: vm_module.Vm) -> bool:
     limit = task.step.max_per_vm
     return not limit or candidate.step_task_count(task.id) < limit
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -2,8 +2,8 @@
 
 from wagtailtiller import events
 from wagtailtiller.dispatch import messages
-from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import outliers
@@ -34,7 +34,10 @@
         self._outlier_detector = outlier_detector
 
     def apply_start_outcome(
-        self, vm: vm_module.Vm, run: job_module.Run, outcome: vms.CommandOutcome
+        self,
+        vm: vm_module.Vm,
+        run: task_module.Run,
+        outcome: vms.CommandOutcome,
     ) -> bool:
         """Apply the outcome of a start command.
 
@@ -51,13 +54,13 @@
             return False
         match outcome:
             case vms.CommandOutcome.DONE:
-                if run.phase is job_module.RunPhase.STARTING:
-                    run.phase = job_module.RunPhase.RUNNING
+                if run.phase is task_module.RunPhase.STARTING:
+                    run.phase = task_module.RunPhase.RUNNING
                 run.confirmed_ms = self._state.clock.monotonic_ms()
                 return False
             case vms.CommandOutcome.UNANSWERED:
-                if run.phase is job_module.RunPhase.STARTING:
-                    run.phase = job_module.RunPhase.UNCERTAIN
+                if run.phase is task_module.RunPhase.STARTING:
+                    run.phase = task_module.RunPhase.UNCERTAIN
                 return True
             case vms.CommandOutcome.BAD_TICKET:
                 self._state.tickets.discard(run.task.id, vm.report.vm)
@@ -75,7 +78,9 @@
                 self._state.remove_run(vm, run)
         return False
 
-    def apply_unsent_start(self, vm: vm_module.Vm, run: job_module.Run) -> None:
+    def apply_unsent_start(
+        self, vm: vm_module.Vm, run: task_module.Run
+    ) -> None:
         """Remove a run whose start command was never sent.
 
         Args:
@@ -148,7 +153,8 @@
         fillers = [
             run
             for run in vm.runs.values()
-            if run.task.step.filler and run.phase is job_module.RunPhase.RUNNING
+            if run.task.step.filler
+            and run.phase is task_module.RunPhase.RUNNING
         ]
         if not fillers:
             return []
@@ -188,20 +194,20 @@
         task.last_run = max(task.last_run, end.number)
         if known is not None and known.number == end.number:
             self._state.remove_run(vm, known)
-            if end.kind is job_module.EndKind.DONE:
+            if end.kind is task_module.EndKind.DONE:
                 self._record_run_time(entry, known)
         if task.done:
             return
         if end.checkpoint and end.number >= task.last_run:
             task.checkpoint = end.checkpoint
         match end.kind:
-            case job_module.EndKind.DONE:
+            case task_module.EndKind.DONE:
                 self._outlier_detector.observe(
                     vm, task, messages.RunOutcome.ANSWERED
                 )
                 entry.job.mark_done(task)
                 self._state.mark_changed(entry)
-            case job_module.EndKind.FAILED:
+            case task_module.EndKind.FAILED:
                 task.failed_vms.add(vm.report.vm)
                 self._outlier_detector.observe(
                     vm, task, messages.RunOutcome.SERVER_ERROR
@@ -214,7 +220,7 @@
                 pass
 
     def _record_run_time(
-        self, entry: state.JobEntry, run: job_module.Run
+        self, entry: state.JobEntry, run: task_module.Run
     ) -> None:
         if run.task.checkpoint:
             # The run has done only a part of the task.
@@ -228,8 +234,8 @@
     ) -> list[commands.Command]:
         known = vm.runs.get(listed_run.task)
         if known is not None and known.number == listed_run.number:
-            if known.phase is not job_module.RunPhase.STOPPING:
-                known.phase = job_module.RunPhase.RUNNING
+            if known.phase is not task_module.RunPhase.STOPPING:
+                known.phase = task_module.RunPhase.RUNNING
             known.confirmed_ms = self._state.clock.monotonic_ms()
             if listed_run.checkpoint:
                 known.task.checkpoint = listed_run.checkpoint
@@ -250,13 +256,13 @@
             if wanted and task.run is None:
                 self._adopt(entry, vm, task, listed_run)
                 return []
-        orphan_task = job_module.Task(listed_run.task, model.Step(1))
+        orphan_task = task_module.Task(listed_run.task, model.Step(1))
         now_ms = self._state.clock.monotonic_ms()
-        run = job_module.Run(
+        run = task_module.Run(
             orphan_task,
             listed_run.number,
             vm.report.vm,
-            job_module.RunPhase.STOPPING,
+            task_module.RunPhase.STOPPING,
             now_ms,
         )
         return [commands.StopOrphan(vm.report.vm, run)]
@@ -265,15 +271,15 @@
         self,
         entry: state.JobEntry,
         vm: vm_module.Vm,
-        task: job_module.Task,
+        task: task_module.Task,
         listed_run: vms.ListedRun,
     ) -> None:
         now_ms = self._state.clock.monotonic_ms()
-        run = job_module.Run(
+        run = task_module.Run(
             task,
             listed_run.number,
             vm.report.vm,
-            job_module.RunPhase.RUNNING,
+            task_module.RunPhase.RUNNING,
             now_ms,
             confirmed_ms=now_ms,
         )
@@ -292,7 +298,7 @@
         for run in list(vm.runs.values()):
             if (run.task.id, run.number) in running:
                 continue
-            never_started = run.phase is job_module.RunPhase.UNCERTAIN and (
+            never_started = run.phase is task_module.RunPhase.UNCERTAIN and (
                 token >= vm.token
             )
             ended = 0 < run.confirmed_ms < sent_ms
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -1,6 +1,6 @@
 """Planning of starts: which tasks start now, and on which VMs."""
 
-from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import candidates
 from wagtailtiller.scheduling import commands
@@ -52,7 +52,7 @@
 
     def _startable_by_rank(
         self, now_ms: int
-    ) -> list[tuple[state.JobEntry, list[job_module.StepRun]]]:
+    ) -> list[tuple[state.JobEntry, list[task_module.StepRun]]]:
         """Return the jobs that have tasks to start, with these steps."""
         wall_ms = self._state.clock.wall_ms()
         ranked = []
@@ -75,7 +75,7 @@
     def _start_step(
         self,
         entry: state.JobEntry,
-        step_run: job_module.StepRun,
+        step_run: task_module.StepRun,
         open_candidates: candidates.Candidates,
     ) -> list[commands.Decision]:
         waiting = step_run.waiting_tasks()
@@ -103,8 +103,8 @@
     def _place_step(
         self,
         entry: state.JobEntry,
-        step_run: job_module.StepRun,
-        waiting: list[job_module.Task],
+        step_run: task_module.StepRun,
+        waiting: list[task_module.Task],
         open_candidates: candidates.Candidates,
     ) -> list[commands.Start]:
         if step_run.step.gang:
@@ -123,8 +123,8 @@
     def _place_gang(
         self,
         entry: state.JobEntry,
-        step_run: job_module.StepRun,
-        waiting: list[job_module.Task],
+        step_run: task_module.StepRun,
+        waiting: list[task_module.Task],
         open_candidates: candidates.Candidates,
     ) -> list[commands.Start]:
         if len(waiting) < len(step_run.tasks):
@@ -142,16 +142,16 @@
     def _start(
         self,
         entry: state.JobEntry,
-        task: job_module.Task,
+        task: task_module.Task,
         vm: vm_module.Vm,
         number: int,
         open_candidates: candidates.Candidates,
     ) -> commands.Start:
-        run = job_module.Run(
+        run = task_module.Run(
             task,
             number,
             vm.report.vm,
-            job_module.RunPhase.STARTING,
+            task_module.RunPhase.STARTING,
             self._state.clock.monotonic_ms(),
         )
         entry.job.assign_run(task, run)
@@ -161,13 +161,13 @@
         ticket = self._ticket(task, vm) or ""
         return commands.Start(vm.report.vm, run, entry.job.spec.payload, ticket)
 
-    def _ticket(self, task: job_module.Task, vm: vm_module.Vm) -> str | None:
+    def _ticket(self, task: task_module.Task, vm: vm_module.Vm) -> str | None:
         now_ms = self._state.clock.monotonic_ms()
         return self._state.tickets.ticket(task.id, vm.report.vm, now_ms)
 
     def _policy_query(
         self,
-        task: job_module.Task,
+        task: task_module.Task,
         policy: catalogue.PlacementPolicy,
         open_vms: list[vm_module.Vm],
     ) -> commands.PolicyQuery | None:
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -8,6 +8,7 @@
 from wagtailtiller.dispatch import health
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import tickets
 from wagtailtiller.scheduling import vm as vm_module
@@ -112,7 +113,7 @@
             )
             self.remove_run(vm, run)
 
-    def remove_run(self, vm: vm_module.Vm, run: job_module.Run) -> None:
+    def remove_run(self, vm: vm_module.Vm, run: task_module.Run) -> None:
         """Remove a run from its VM and from its task."""
         vm.remove(run)
         if run.task.run is not run:
--- a/src/wagtailtiller/scheduling/stop_planner.py
+++ b/src/wagtailtiller/scheduling/stop_planner.py
@@ -2,6 +2,7 @@
 
 from wagtailtiller.dispatch import messages
 from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.scheduling import candidates
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import outliers
@@ -63,13 +64,13 @@
                     self._outlier_detector.observe(
                         vm, run.task, messages.RunOutcome.TIMED_OUT
                     )
-                if run.phase is job_module.RunPhase.RUNNING:
-                    run.phase = job_module.RunPhase.STOPPING
+                if run.phase is task_module.RunPhase.RUNNING:
+                    run.phase = task_module.RunPhase.STOPPING
                 issued.append(commands.Stop(vm.report.vm, run, reason))
         return issued
 
     def _stop_reason(
-        self, vm: vm_module.Vm, run: job_module.Run, now_ms: int
+        self, vm: vm_module.Vm, run: task_module.Run, now_ms: int
     ) -> str:
         entry = self._state.entries.get(run.task.id.job)
         if entry is None or entry.job.is_final():
@@ -90,7 +91,7 @@
             return "gang_broken"
         return ""
 
-    def _is_stalled(self, run: job_module.Run) -> bool:
+    def _is_stalled(self, run: task_module.Run) -> bool:
         # The times are on the VM's clock, so that neither an unresponsive VM
         # nor a pause of this process counts as a stall.
         unchanged_ms = run.listed_ms - run.progress_ms
@@ -99,7 +100,7 @@
         step = run.task.step
         if step.long_running or step.filler or step.gang:
             return False
-        if run.phase is not job_module.RunPhase.RUNNING:
+        if run.phase is not task_module.RunPhase.RUNNING:
             return False
         # VMs report progress in whole percents, so that the progress of a long
         # task changes rarely.
@@ -107,9 +108,9 @@
         return unchanged_ms > timeout_ms
 
     def _must_move(
-        self, vm: vm_module.Vm, run: job_module.Run, now_ms: int
+        self, vm: vm_module.Vm, run: task_module.Run, now_ms: int
     ) -> bool:
-        if run.phase is not job_module.RunPhase.RUNNING:
+        if run.phase is not task_module.RunPhase.RUNNING:
             return False
         if vm.moves_all_until_ms > now_ms:
             return True
@@ -120,7 +121,7 @@
         return self._has_room_elsewhere(vm, run.task, now_ms)
 
     def _has_room_elsewhere(
-        self, vm: vm_module.Vm, task: job_module.Task, now_ms: int
+        self, vm: vm_module.Vm, task: task_module.Task, now_ms: int
     ) -> bool:
         if self._find_other_vm(vm, task, now_ms) is not None:
             return True
@@ -128,7 +129,7 @@
         return False
 
     def _find_other_vm(
-        self, vm: vm_module.Vm, task: job_module.Task, now_ms: int
+        self, vm: vm_module.Vm, task: task_module.Task, now_ms: int
     ) -> vm_module.Vm | None:
         if self._open_candidates is None:
             self._open_candidates = candidates.Candidates(
@@ -138,9 +139,9 @@
             )
         return self._open_candidates.choose(task, excluded=vm)
 
-    def _is_faster_elsewhere(self, run: job_module.Run, now_ms: int) -> bool:
+    def _is_faster_elsewhere(self, run: task_module.Run, now_ms: int) -> bool:
         """Return whether a straggler ends earlier on another VM."""
-        if run.phase is not job_module.RunPhase.RUNNING or not run.peer_run_ms:
+        if run.phase is not task_module.RunPhase.RUNNING or not run.peer_run_ms:
             return False
         restarted_ms = run.peer_run_ms
         if run.task.step.checkpointing:
@@ -152,7 +153,7 @@
         return other is not None and not other.is_slow(now_ms)
 
     def _within_disruption_budget(
-        self, entry: state.JobEntry, run: job_module.Run
+        self, entry: state.JobEntry, run: task_module.Run
     ) -> bool:
         limit = run.task.step.max_unavailable
         if limit is None or not run.task.step.long_running:
@@ -165,9 +166,9 @@
         )
         return unavailable_count < limit
 
-    def _is_available(self, task: job_module.Task) -> bool:
+    def _is_available(self, task: task_module.Task) -> bool:
         run = task.run
-        if run is None or run.phase is not job_module.RunPhase.RUNNING:
+        if run is None or run.phase is not task_module.RunPhase.RUNNING:
             return False
         vm = self._state.vms.get(run.vm)
         is_responsive = (
@@ -175,6 +176,8 @@
         )
         return is_responsive and run.percent >= _AVAILABLE_PERCENT
 
-    def _is_gang_broken(self, job: job_module.Job, run: job_module.Run) -> bool:
+    def _is_gang_broken(
+        self, job: job_module.Job, run: task_module.Run
+    ) -> bool:
         members = job.steps(run.task.id.occurrence)[run.task.id.step].tasks
         return any(member.run is None for member in members)
--- a/src/wagtailtiller/scheduling/stragglers.py
+++ b/src/wagtailtiller/scheduling/stragglers.py
@@ -8,8 +8,8 @@
 import statistics
 
 from wagtailtiller import events
-from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -49,8 +49,8 @@
         for key, runs in self._observed_runs().items():
             self._compare(key, runs, now_ms)
 
-    def _observed_runs(self) -> dict[_StepKey, list[job_module.Run]]:
-        runs_by_step: dict[_StepKey, list[job_module.Run]] = {}
+    def _observed_runs(self) -> dict[_StepKey, list[task_module.Run]]:
+        runs_by_step: dict[_StepKey, list[task_module.Run]] = {}
         for vm in self._state.vms.values():
             for run in vm.runs.values():
                 if run.observed_ms() >= _MIN_OBSERVED_MS and _is_short(run):
@@ -59,7 +59,7 @@
         return runs_by_step
 
     def _compare(
-        self, key: _StepKey, runs: list[job_module.Run], now_ms: int
+        self, key: _StepKey, runs: list[task_module.Run], now_ms: int
     ) -> None:
         entry = self._state.entries.get(key[0])
         if entry is None:
@@ -80,7 +80,7 @@
                 self._mark_slow(vm, run, now_ms)
 
     def _mark_slow(
-        self, vm: vm_module.Vm, run: job_module.Run, now_ms: int
+        self, vm: vm_module.Vm, run: task_module.Run, now_ms: int
     ) -> None:
         if not vm.is_slow(now_ms):
             events.emit(
@@ -96,8 +96,8 @@
         vm.slow_until_ms = now_ms + _SLOW_MS
 
 
-def _is_short(run: job_module.Run) -> bool:
+def _is_short(run: task_module.Run) -> bool:
     step = run.task.step
-    return run.phase is job_module.RunPhase.RUNNING and not (
+    return run.phase is task_module.RunPhase.RUNNING and not (
         step.long_running or step.filler or step.gang
     )
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -3,8 +3,8 @@
 import dataclasses
 import enum
 
-from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import throttling
 
@@ -109,7 +109,7 @@
         self.report = report
         self.token = token
         self.status = VmStatus.JOINING
-        self.runs: dict[model.TaskId, job.Run] = {}
+        self.runs: dict[model.TaskId, task_module.Run] = {}
         self.lease = LeaseTracker()
         self.last_end_position = 0
         self.unresponsive_since_ms: int | None = None
@@ -183,12 +183,12 @@
             and self._has_label(step)
         )
 
-    def add(self, run: job.Run) -> None:
+    def add(self, run: task_module.Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task.id] = run
         self._adjust_usage(run.task.step, 1)
 
-    def remove(self, run: job.Run) -> None:
+    def remove(self, run: task_module.Run) -> None:
         """Remove a run and release its resources."""
         if self.runs.get(run.task.id) is run:
             del self.runs[run.task.id]
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -2,7 +2,7 @@
 
 from wagtailtiller import events
 from wagtailtiller import ids
-from wagtailtiller.jobs import job as job_module
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
@@ -55,7 +55,7 @@
         new.lease.min_expiry_ms = old.lease.expiry_ms()
         for run in list(old.runs.values()):
             old.remove(run)
-            run.phase = job_module.RunPhase.UNCERTAIN
+            run.phase = task_module.RunPhase.UNCERTAIN
             run.confirmed_ms = 0
             new.add(run)
 
--- a/support/fake_vms.py
+++ b/support/fake_vms.py
@@ -5,8 +5,8 @@
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import ids
-from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 
 _HOLD_WAIT_S = 0.02
@@ -102,9 +102,9 @@
         """End all runs if the lease has expired."""
         if self._clock.monotonic_ms() >= self.lease_until_ms:
             for task in list(self.running):
-                self.end(task, job.EndKind.LEASE_EXPIRED)
+                self.end(task, task_module.EndKind.LEASE_EXPIRED)
 
-    def end(self, task: model.TaskId, kind: job.EndKind) -> None:
+    def end(self, task: model.TaskId, kind: task_module.EndKind) -> None:
         """End a run and list it as ended."""
         run = self.running.pop(task)
         self._last_position += 1
@@ -142,7 +142,7 @@
         )
         run = self.running.get(task)
         if run is not None and run.number == number:
-            self.end(task, job.EndKind.STOPPED)
+            self.end(task, task_module.EndKind.STOPPED)
         return vms.CommandResponse(vms.CommandOutcome.DONE)
 
     async def set_speed(
--- a/support/measure/plain_planner.py
+++ b/support/measure/plain_planner.py
@@ -3,8 +3,8 @@
 The planner of the product must decide the same, at a lower cost.
 """
 
-from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import ranking
 from wagtailtiller.scheduling import vm as vm_module
@@ -61,14 +61,14 @@
 
     def __init__(self, vm: vm_module.Vm) -> None:
         self.vm = vm
-        self._tasks: list[job_module.Task] = [
+        self._tasks: list[task_module.Task] = [
             run.task for run in vm.runs.values()
         ]
 
-    def add(self, task: job_module.Task) -> None:
+    def add(self, task: task_module.Task) -> None:
         self._tasks.append(task)
 
-    def has_room(self, task: job_module.Task) -> bool:
+    def has_room(self, task: task_module.Task) -> bool:
         step = task.step
         capacity = self.vm.report.capacity
         label = step.required_label
@@ -84,7 +84,7 @@
             and gpu_count + step.gpu_count <= capacity.gpu_count
         )
 
-    def rank(self, task: job_module.Task) -> tuple[bool, bool, int]:
+    def rank(self, task: task_module.Task) -> tuple[bool, bool, int]:
         near_rack = task.step.near_rack
         free_cpu = self._free_cpu()
         return (
--- a/support/served_vm.py
+++ b/support/served_vm.py
@@ -11,8 +11,8 @@
 
 from support import fake_vms
 from wagtailtiller import clock as clock_module
-from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.platform import task_names
 from wagtailtiller.ports import vms
 
@@ -55,7 +55,7 @@
             self.state.report, address=f"{_LOOPBACK}:{port}"
         )
 
-    def end(self, task: model.TaskId, kind: job.EndKind) -> None:
+    def end(self, task: model.TaskId, kind: task_module.EndKind) -> None:
         """End a run, so that the VM lists it as ended.
 
         Args:
@@ -113,7 +113,7 @@
         started = response.outcome is vms.CommandOutcome.DONE
         if started and self._run_s is not None:
             self._loop.call_later(
-                self._run_s, self.state.end, task, job.EndKind.DONE
+                self._run_s, self.state.end, task, task_module.EndKind.DONE
             )
         return web.json_response(
             {"clock_ms": response.clock_ms, "reason": response.outcome.value},
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -15,6 +15,7 @@
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import node
 from wagtailtiller.jobs import job
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.maintenance import machine_fleet
 from wagtailtiller.maintenance import machine_manager
 from wagtailtiller.maintenance import operations
@@ -54,7 +55,7 @@
 
 
 def _count_each_listing(
-    self: job.Job, task: job.Task, run_number: int, max_attempts: int
+    self: job.Job, task: task_module.Task, run_number: int, max_attempts: int
 ) -> None:
     """Count a failed run again although it has been counted before."""
     while run_number in task.failed_runs:
--- a/support/sim/oracle.py
+++ b/support/sim/oracle.py
@@ -10,8 +10,8 @@
 from typing import Protocol
 
 from support.sim import truth as truth_module
-from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 
 # Runs of a cancelled job may still start for this time after the
@@ -62,7 +62,7 @@
     vm: VmView
     started_ms: int
     ended_ms: int | None = None
-    kind: job_module.EndKind | None = None
+    kind: task_module.EndKind | None = None
     acknowledged: bool = False
 
 
@@ -130,7 +130,7 @@
         vm: VmView,
         task: model.TaskId,
         number: int,
-        kind: job_module.EndKind,
+        kind: task_module.EndKind,
     ) -> None:
         """Record and check that a run has ended.
 
@@ -253,12 +253,12 @@
             and run.ended_ms is not None
             and run.ended_ms < latest.started_ms
         ]
-        if any(run.kind is job_module.EndKind.DONE for run in ended_runs):
+        if any(run.kind is task_module.EndKind.DONE for run in ended_runs):
             self._record_violation(
                 "TWICE", latest, "an earlier run has completed the task"
             )
         failed = [
-            run for run in ended_runs if run.kind is job_module.EndKind.FAILED
+            run for run in ended_runs if run.kind is task_module.EndKind.FAILED
         ]
         if len(failed) >= sim_job.queue.max_attempts:
             self._record_violation(
@@ -271,14 +271,14 @@
             return
         step = sim_job.spec.steps[run.task.step]
         if step.long_running:
-            if run.kind is job_module.EndKind.STOPPED:
+            if run.kind is task_module.EndKind.STOPPED:
                 self._check_availability(run)
                 self._mark_stopped_by_command(run.task)
             availability = self._long_running[run.task]
             if availability.unavailable_since_ms is None:
                 availability.unavailable_since_ms = run.ended_ms
             return
-        if run.kind is not job_module.EndKind.DONE and not step.checkpointing:
+        if run.kind is not task_module.EndKind.DONE and not step.checkpointing:
             executed_ms = (run.ended_ms or 0) - run.started_ms
             self.waste_core_ms += executed_ms * step.cpu_millicores / 1_000
 
@@ -359,14 +359,14 @@
 
     def _is_done(self, task: model.TaskId) -> bool:
         return any(
-            run.kind is job_module.EndKind.DONE
+            run.kind is task_module.EndKind.DONE
             for run in self._runs.get(task, [])
         )
 
     def _has_exhausted_attempts(self, sim_job: truth_module.SimJob) -> bool:
         return any(
             sum(
-                run.kind is job_module.EndKind.FAILED
+                run.kind is task_module.EndKind.FAILED
                 for run in self._runs.get(task, [])
             )
             >= sim_job.queue.max_attempts
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -16,8 +16,8 @@
 from support.sim import truth as truth_module
 from wagtailtiller import clock as clock_module
 from wagtailtiller import ids
-from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 
 _T = TypeVar("_T")
@@ -101,18 +101,18 @@
         for task, run in list(self.running.items()):
             self._remove_execution(task)
             self._oracle.record_end(
-                self, task, run.number, job_module.EndKind.LOST
+                self, task, run.number, task_module.EndKind.LOST
             )
         self.running.clear()
         self._ends_changed.set()
 
-    def end(self, task: model.TaskId, kind: job_module.EndKind) -> None:
+    def end(self, task: model.TaskId, kind: task_module.EndKind) -> None:
         """End a run and list its end with the last checkpoint."""
         number = self.running[task].number
         checkpoint = self._checkpoint(task)
         self._remove_execution(task)
         super().end(task, kind)
-        if checkpoint and kind is not job_module.EndKind.DONE:
+        if checkpoint and kind is not task_module.EndKind.DONE:
             listed_end = self.ended[-1]
             self.ended[-1] = vms.ListedEnd(
                 listed_end.position, task, number, kind, checkpoint
@@ -171,9 +171,9 @@
         self._executions[task] = execution
         if step.long_running or self.health is Health.HANGS:
             return
-        kind = job_module.EndKind.DONE
+        kind = task_module.EndKind.DONE
         if sim_job.fails or self.health is Health.FAILS:
-            kind = job_module.EndKind.FAILED
+            kind = task_module.EndKind.FAILED
         restore_ms = _RESTORE_MS if checkpoint_ms else 0
         remaining_ms = (
             total_ms - checkpoint_ms
@@ -186,7 +186,7 @@
             context=loop_module.context(""),
         )
 
-    def _finish(self, task: model.TaskId, kind: job_module.EndKind) -> None:
+    def _finish(self, task: model.TaskId, kind: task_module.EndKind) -> None:
         if task in self.running:
             self.end(task, kind)
 
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -13,9 +13,9 @@
 from wagtailtiller import errors
 from wagtailtiller import ids
 from wagtailtiller import keys
-from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.ownership import claims
@@ -115,7 +115,7 @@
             owner = self.own_pool()
             self.assertEqual(messages.Accepted(), await self.submit(owner))
             await self.until(lambda: vm.running)
-            vm.end(next(iter(vm.running)), job_module.EndKind.DONE)
+            vm.end(next(iter(vm.running)), task_module.EndKind.DONE)
             await self.until(
                 lambda: (
                     owner.pool.entries["a" * 16].stored_state
@@ -318,7 +318,7 @@
             await self.submit(owner, spec=jobs.spec(jobs.step(2)))
             await self.until(lambda: len(vm.running) == 2)
             self.store.refuse_commits = True
-            vm.end(next(iter(vm.running)), job_module.EndKind.DONE)
+            vm.end(next(iter(vm.running)), task_module.EndKind.DONE)
             await asyncio.sleep(1.0)
             self.assertEqual(1, len(vm.ended))
             self.store.refuse_commits = False
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -10,8 +10,8 @@
 from support import jobs
 from wagtailtiller import clock
 from wagtailtiller import ids
-from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.owner import job_writer
 from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import vm_link
@@ -136,7 +136,7 @@
             link._job_writer._store.commit = slow_commit
             task = await self.start_task(pool, link)
             load = asyncio.create_task(self.write_jobs(pool, link))
-            fake_vm.end(task.id, job.EndKind.DONE)
+            fake_vm.end(task.id, task_module.EndKind.DONE)
             await self.until(lambda: task.done)
             await self.until(lambda: not fake_vm.ended, timeout_s=5)
             load.cancel()
@@ -172,7 +172,7 @@
 
         async def main(pool, fake_vm, vm, link):
             task = await self.start_task(pool, link)
-            fake_vm.end(task.id, job.EndKind.DONE)
+            fake_vm.end(task.id, task_module.EndKind.DONE)
             full = fake_vm.ended * 500
             fake_vm.delay_starts = True
             name = "b" * 16
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -15,8 +15,8 @@
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import runtime
-from wagtailtiller.jobs import job
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.owner import job_writer
 from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import vm_link
@@ -148,7 +148,7 @@
             for turn in range(_BLOCKED_TURNS):
                 time.sleep(_BLOCKED_S)
                 if turn == 1:
-                    self.served.end(task.id, job.EndKind.DONE)
+                    self.served.end(task.id, task_module.EndKind.DONE)
                 await asyncio.sleep(0)
                 self.plan()
             await self.until(lambda: task.done)
@@ -205,7 +205,7 @@
             task = await self.start_task()
             self.served.latency_s = _HIGH_LATENCY_S
             await self.until(lambda: vm.unresponsive_since_ms is not None)
-            self.served.end(task.id, job.EndKind.DONE)
+            self.served.end(task.id, task_module.EndKind.DONE)
             end_s = time.monotonic() + 3 * self.lease_ms / 1_000
             while not (task.done or self.other.starts):
                 self.assertLess(time.monotonic(), end_s)
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -5,9 +5,9 @@
 from support import clocks
 from support import fake_vms
 from support import jobs
-from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import pool as pool_module
@@ -145,7 +145,7 @@
         entry = self.add_job("a")
         for _ in range(3):
             (start,) = self.start_all()
-            self.end(vm, start.run, job_module.EndKind.FAILED)
+            self.end(vm, start.run, task_module.EndKind.FAILED)
         self.assertIs(model.JobState.FAILED, entry.job.state)
         self.assertEqual([], self.start_all())
 
@@ -154,7 +154,7 @@
         entry = self.add_job("a")
         for _ in range(5):
             (start,) = self.start_all()
-            self.end(vm, start.run, job_module.EndKind.LEASE_EXPIRED)
+            self.end(vm, start.run, task_module.EndKind.LEASE_EXPIRED)
         self.assertIs(model.JobState.RUNNING, entry.job.state)
 
     def test_run_numbers_rise(self):
@@ -164,7 +164,7 @@
         for _ in range(3):
             (start,) = self.start_all()
             numbers.append(start.run.number)
-            self.end(vm, start.run, job_module.EndKind.STOPPED)
+            self.end(vm, start.run, task_module.EndKind.STOPPED)
         self.assertEqual([1, 2, 3], numbers)
 
 
@@ -173,9 +173,9 @@
         vm = self.add_vm("vm-1")
         self.add_job("a", jobs.step(2), jobs.step(1, after=(0,)))
         first, second = self.start_all()
-        self.end(vm, first.run, job_module.EndKind.DONE)
+        self.end(vm, first.run, task_module.EndKind.DONE)
         self.assertEqual([], self.start_all())
-        self.end(vm, second.run, job_module.EndKind.DONE)
+        self.end(vm, second.run, task_module.EndKind.DONE)
         (third,) = self.start_all()
         self.assertEqual(1, third.run.task.id.step)
 
@@ -191,7 +191,7 @@
                 len(ended) + 1,
                 start.run.task.id,
                 start.run.number,
-                job_module.EndKind.FAILED,
+                task_module.EndKind.FAILED,
                 "",
             )
             ended.append(end)
@@ -253,7 +253,7 @@
         self.assertGreater(new.token, vm.token)
         self.answer(new)
         self.assertEqual([], self.start_all())
-        self.assertIs(job_module.RunPhase.RUNNING, start.run.phase)
+        self.assertIs(task_module.RunPhase.RUNNING, start.run.phase)
 
     def test_a_run_that_the_new_instance_does_not_list_is_started_again(self):
         self.add_vm("vm-1")
@@ -283,7 +283,7 @@
         vm = self.add_vm("vm-1")
         entry = self.add_job("a", jobs.step(3, gang=True))
         starts = self.start_all()
-        self.end(vm, starts[0].run, job_module.EndKind.DONE)
+        self.end(vm, starts[0].run, task_module.EndKind.DONE)
         self.assertIs(model.JobState.COMPLETED, entry.job.state)
 
 
@@ -324,7 +324,7 @@
         self.add_job("a")
         (first,) = self.start_all()
         vm = self.pool.vms[first.vm]
-        self.end(vm, first.run, job_module.EndKind.FAILED)
+        self.end(vm, first.run, task_module.EndKind.FAILED)
         (second,) = self.start_all()
         self.assertNotEqual(first.vm, second.vm)
 
@@ -334,11 +334,11 @@
             good.closed_until_ms = self.clock.now_ms + 1
             self.add_job(name, jobs.step(1))
             (first,) = self.start_all()
-            self.end(bad, first.run, job_module.EndKind.FAILED)
+            self.end(bad, first.run, task_module.EndKind.FAILED)
             good.closed_until_ms = 0
             (again,) = self.start_all()
             self.assertEqual("good", again.vm)
-            self.end(good, again.run, job_module.EndKind.DONE)
+            self.end(good, again.run, task_module.EndKind.DONE)
         good.closed_until_ms = self.clock.now_ms + 1
         self.add_job("d")
         self.assertEqual([], self.start_all())
@@ -350,7 +350,7 @@
         for _ in range(3):
             for start in self.start_all():
                 vm = self.pool.vms[start.vm]
-                self.end(vm, start.run, job_module.EndKind.FAILED)
+                self.end(vm, start.run, task_module.EndKind.FAILED)
         for name in ("vm-1", "vm-2"):
             self.assertFalse(self.pool.health.ejected(name, self.clock.now_ms))
 
@@ -369,7 +369,7 @@
             self.answer(vm, percent=30)
         (stop,) = self.stops()
         self.assertEqual("stalled", stop.reason)
-        self.end(vm, start.run, job_module.EndKind.STOPPED)
+        self.end(vm, start.run, task_module.EndKind.STOPPED)
         (again,) = self.start_all()
         self.assertNotEqual(start.vm, again.vm)
 
