Vacate machines with long-running tasks early in a wave

Load pattern: a wave over half of the fleet, close to its end.

Ruled out: more machines at a time, which the wave limits.

Change: up to half of the machines that may be out of service are those with long-running tasks, from the start; idle ones follow.

The new test fails on the code before.

--- a/src/wagtailtiller/maintenance/machine_fleet.py
+++ b/src/wagtailtiller/maintenance/machine_fleet.py
@@ -246,7 +246,7 @@
             self._may_be_out_of_service(machine_id, tracked_wave)
             for machine_id in tracked_wave.wave.machines
         )
-        for machine_id in self._remaining_by_load(tracked_wave):
+        for machine_id in self._remaining_in_order(tracked_wave):
             if out_count >= tracked_wave.wave.max_out:
                 return
             machine = self.machines.get(machine_id)
@@ -276,15 +276,40 @@
             in_progress or in_maintenance or self._is_cooling_down(machine_id)
         )
 
-    def _remaining_by_load(
+    def _remaining_in_order(
         self, tracked_wave: operations.TrackedWave
     ) -> list[ids.MachineId]:
+        """Return the machines of a wave that are left, the next ones first.
+
+        Machines with long-running tasks take the longest to vacate, since few
+        of these tasks may be moved at a time. Up to half of the machines that
+        may be out of service are such machines; idle machines follow.
+        """
         remaining = [
             machine_id
             for machine_id in tracked_wave.wave.machines
             if machine_id not in tracked_wave.maintained
         ]
-        return sorted(remaining, key=self._run_counts)
+        remaining.sort(key=self._run_counts)
+        slots = tracked_wave.wave.max_out // 2
+        slots -= self._vacating_long_running(tracked_wave)
+        slow = [
+            machine_id
+            for machine_id in remaining
+            if self._run_counts(machine_id)[0]
+            and machine_id not in self.operations
+        ][: max(0, slots)]
+        return slow + remaining
+
+    def _vacating_long_running(
+        self, tracked_wave: operations.TrackedWave
+    ) -> int:
+        return sum(
+            operation.wave == tracked_wave.wave.wave
+            and operation.stage is operations.Stage.EMPTYING
+            and self._run_counts(operation.machine)[0] > 0
+            for operation in self.operations.values()
+        )
 
     def _run_counts(self, machine_id: ids.MachineId) -> tuple[int, int]:
         """Return the numbers of long-running and of all runs on a machine."""
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -79,7 +79,7 @@
 def _plan_whole_wave(
     self: machine_fleet.MachineFleet, tracked_wave: operations.TrackedWave
 ) -> None:
-    for name in self._remaining_by_load(tracked_wave):
+    for name in self._remaining_in_order(tracked_wave):
         machine = self.machines.get(name)
         if machine is not None and self._is_free(machine):
             self.start_operation(machine, wave=tracked_wave.wave.wave)
--- a/tests/maintenance/test_machine_fleet.py
+++ b/tests/maintenance/test_machine_fleet.py
@@ -137,6 +137,27 @@
             self.fleet.plan()
         self.assertEqual(1, len(self.find_operations()))
 
+    def test_machines_with_long_running_tasks_are_vacated_early(self):
+        """Load pattern: a wave over half of the fleet, close to its end."""
+        for name in "abcdefgh":
+            self.add_machine(name, _RENDERS)
+            self.set_load(name, long_running=int(name in "fgh"))
+        self.add_sample(cores=8 * 32)
+        self.add_wave(*"abcdefgh", max_out=4)
+        self.fleet.plan()
+        self.assertEqual(
+            ["a", "b", "f", "g"],
+            sorted(o.machine for o in self.find_operations(wave=_WAVE)),
+        )
+        self.set_load("f")
+        for name in "ab":
+            (operation,) = self.find_operations(machine=name)
+            self.fleet.record_outcome(operation, machines.MachineOutcome.DONE)
+        self.listed["a"] = fakes.machine("a", "vm-a2", _RENDERS)
+        self.fleet.update_machines(list(self.listed.values()))
+        self.fleet.plan()
+        self.assertTrue(self.find_operations(machine="h"))
+
     def test_a_wave_takes_at_most_max_out_machines_out_of_service(self):
         for name in "abcd":
             self.add_machine(name, _RENDERS)
