Hand a pool over to a much stronger VM that returns

Load pattern: all strong entry VMs are cut off for seconds.

From 23.4 to 29.2 s the store turns many machines away, the strong ones among them. At 25.6 to 27.3 s VMs with half a core and 5 Mbit/s claim three pools.

Ruled out: a longer wait of weak VMs, which leaves the pool without an owner for as long as the outage lasts.

Change: a VM gives a pool to one of at least twice its capacity that would carry it with at most half of its load and has been listed for 2 s. The owner stops as at a planned stop, and releases its claim; the successor reads jobs and members and fences the VMs as after any claim.

The test of the decision fails on the code before (there is no such decision).

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -278,10 +278,7 @@
             self._machine_manager = None
         owner = self._owners.get(ids.PoolId(claim.shard))
         if owner is not None and owner.claim == claim:
-            del self._owners[owner.pool_id]
-            if not self._owners and self._vms_task is not None:
-                self._vms_task.cancel()
-                self._vms_task = None
+            self._remove_owner(owner)
             self._tasks.append(runtime.spawn(owner.stop()))
 
     def _on_ownership_lost(
@@ -303,3 +300,33 @@
             if age_ms > pool_owner.LEASE_RENEWAL_TIMEOUT_MS:
                 for owner in list(self._owners.values()):
                     self._on_ownership_lost(owner, "store_silent")
+            elif self._shards.store_answers():
+                await self._hand_over_to_stronger()
+
+    async def _hand_over_to_stronger(self) -> None:
+        """Give a pool to a much stronger VM that has returned.
+
+        The machine manager stays, since it needs little and a successor has to
+        wait before its first order.
+        """
+        for owner in list(self._owners.values()):
+            if not owner.ready or not self._shards.should_hand_over(
+                owner.claim
+            ):
+                continue
+            self._remove_owner(owner)
+            await owner.stop()
+            await self._shards.release(owner.claim)
+            events.emit(
+                events.Event.SHARD_LOST,
+                shard=owner.claim.shard,
+                epoch=owner.claim.epoch,
+                reason="handed_over",
+            )
+            return
+
+    def _remove_owner(self, owner: pool_owner.PoolOwner) -> None:
+        del self._owners[owner.pool_id]
+        if not self._owners and self._vms_task is not None:
+            self._vms_task.cancel()
+            self._vms_task = None
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -26,6 +26,9 @@
 # be the last to register and to claim.
 _STRONGER_WAIT_MS = 1_500
 _COMPARABLE_SHARE = 0.5
+# A shard is kept at least this long, so that it does not go back and forth, and
+# is only given to a VM that has been listed for this long.
+_MIN_OWNED_MS = 2_000
 _CLAIM_INTERVAL_MS = 100
 # A process that has just started waits first, so that it can read the records
 # of the other processes.
@@ -77,6 +80,8 @@
         self._nodes: dict[ids.NodeId, claims.NodeRecord] = {}
         self._owners: dict[ids.ShardId, claims.OwnerRecord] = {}
         self._unowned_since_ms: dict[ids.ShardId, int] = {}
+        self._claimed_ms: dict[ids.ShardId, int] = {}
+        self._listed_since_ms: dict[ids.NodeId, int] = {}
         self._highest_capacity = own_record.shard_capacity
         self._registered = False
         self._closing = False
@@ -143,6 +148,39 @@
         if self.claims_by_shard.get(claim.shard) == claim:
             del self.claims_by_shard[claim.shard]
 
+    def should_hand_over(self, claim: claims.Claim) -> bool:
+        """Return whether a much stronger VM should have a shard instead.
+
+        Such a VM has been listed for some time, and would carry the shard with
+        at most half of this VM's load.
+
+        Args:
+            claim: Claim of this process.
+        """
+        now_ms = self._clock.monotonic_ms()
+        claimed_ms = self._claimed_ms.get(claim.shard, now_ms)
+        if now_ms - claimed_ms < _MIN_OWNED_MS:
+            return False
+        owned_counts = self._owned_counts()
+        own_capacity = self._own_record.shard_capacity
+        own_load = len(self.claims_by_shard) / own_capacity
+        return any(
+            own_capacity < _COMPARABLE_SHARE * node.shard_capacity
+            and now_ms - self._listed_since_ms[node.node] >= _MIN_OWNED_MS
+            and (owned_counts.get(node.node, 0) + 1) / node.shard_capacity
+            <= own_load * _COMPARABLE_SHARE
+            for node in self._nodes.values()
+        )
+
+    async def release(self, claim: claims.Claim) -> None:
+        """Release one shard, so that another process can claim it.
+
+        Args:
+            claim: The claim; its owner must have stopped.
+        """
+        self.remove_claim(claim)
+        await claims.release(self._store, claim)
+
     async def _claim_loop(self) -> None:
         await asyncio.sleep(_STARTUP_DELAY_MS / 1_000)
         while not self._closing:
@@ -189,6 +227,7 @@
         if claim is None:
             return
         self.claims_by_shard[shard] = claim
+        self._claimed_ms[shard] = self._clock.monotonic_ms()
         self._owners[shard] = claims.OwnerRecord(
             self._own_record.node,
             self._own_record.address,
@@ -218,11 +257,8 @@
             await self._store.delete(item.key, item.revision)
 
     def _claim_delay_ms(self, shard: ids.ShardId) -> int:
-        owned_counts: dict[ids.NodeId, int] = {}
-        for owner in self._owners.values():
-            owned_counts[owner.node] = owned_counts.get(owner.node, 0) + 1
         preferred_nodes = claims.rank_candidates(
-            shard, list(self._nodes.values()), owned_counts
+            shard, list(self._nodes.values()), self._owned_counts()
         )
         node_names = [node.node for node in preferred_nodes]
         if self._own_record.node not in node_names:
@@ -234,6 +270,13 @@
             delay_ms += _STRONGER_WAIT_MS
         return delay_ms
 
+    def _owned_counts(self) -> dict[ids.NodeId, int]:
+        """Return the number of shards that each process owns."""
+        counts: dict[ids.NodeId, int] = {}
+        for owner in self._owners.values():
+            counts[owner.node] = counts.get(owner.node, 0) + 1
+        return counts
+
     def _on_session_opened(self, lease: str) -> None:
         self._registered = False
 
@@ -265,10 +308,12 @@
         record = _decode(item, claims.NodeRecord)
         if record is None:
             self._nodes.pop(node, None)
+            self._listed_since_ms.pop(node, None)
             if node == self._own_record.node:
                 self._registered = False
         else:
             self._nodes[node] = record
+            self._listed_since_ms.setdefault(node, self._clock.monotonic_ms())
             self._highest_capacity = max(
                 self._highest_capacity, record.shard_capacity
             )
--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -100,6 +100,43 @@
 
         self.run_with_shards(main)
 
+    def test_a_shard_goes_to_a_much_stronger_vm_that_returns(self):
+        """Load pattern: all strong VMs were cut off for seconds."""
+
+        async def main(shards):
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(2)
+            (claim,) = self.gained
+            await self.register("equal", 1.0)
+            await asyncio.sleep(3)
+            self.assertFalse(shards.should_hand_over(claim))
+            await self.register("strong", 4.0)
+            await asyncio.sleep(1)
+            self.assertFalse(shards.should_hand_over(claim))
+            await asyncio.sleep(2)
+            self.assertTrue(shards.should_hand_over(claim))
+            await shards.release(claim)
+            await asyncio.sleep(1)
+            self.assertEqual([claim], self.gained)
+
+        self.run_with_shards(main)
+
+    def test_a_shard_stays_if_the_strong_vm_is_as_loaded(self):
+        async def main(shards):
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(2)
+            await self.register("strong", 4.0)
+            for number in range(2):
+                owner = claims.OwnerRecord(
+                    ids.NodeId("strong"), "strong:1", "y", 1
+                )
+                key = keys.owner(ids.ShardId(f"other-{number}"))
+                self.store.state.write(key, claims.encode(owner), 0, "")
+            await asyncio.sleep(4)
+            self.assertFalse(shards.should_hand_over(self.gained[0]))
+
+        self.run_with_shards(main)
+
     def test_no_shard_is_claimed_while_lease_is_not_renewed(self):
         async def main(shards):
             await asyncio.sleep(2)
