--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -143,6 +143,8 @@
 async def _restart_one(world: World, duration_s: float) -> None:
     processes = world.live_processes()
     owners = [p for p in processes if p.node.owned_shards()]
+    if not processes:
+        return
     process = (owners or processes)[0]
     await process.terminate()
     await asyncio.sleep(duration_s)
