Authenticate callers by the API keys of their organisations

Cause: the job path knew no organisations. Configurations that declare them were served without keys, so that withdrawn and unknown keys ran jobs, and any caller could read or cancel any job.

Change: the catalogue holds organisations with digests of their keys, and which queues are public. A frontend answers 401 to a missing or unknown key. A job keeps its organisation, also in the store; other organisations neither see nor cancel it, and get 409 if they choose its id. Nothing changes where a configuration declares no organisations.

Result: tests of the frontend, the owner, the record and the decoder, all of which fail without the change.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -35,6 +35,20 @@
 _NO_EPOCH = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Where a request goes, and who sent it.
+
+    Attributes:
+        queue: The queue that the request addresses.
+        organisation: The organisation of the caller; empty if the queue needs
+            no API key.
+    """
+
+    queue: catalogue.Queue
+    organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
+
+
 @dataclasses.dataclass
 class _Submission:
     """The state of a job submission over several attempts.
@@ -55,6 +69,7 @@
     YES = "yes"
     NO = "no"
     UNKNOWN = "unknown"
+    OTHER_JOB = "other_job"
 
 
 class Directory(Protocol):
@@ -110,26 +125,41 @@
         self._store = store_client
         self._clock = clock
 
-    def route(self, host: str, path: str) -> catalogue.Queue | outcomes.Outcome:
-        """Find the queue that a request addresses.
+    def route(
+        self, host: str, path: str, api_key: str | None
+    ) -> Route | outcomes.Outcome:
+        """Find the queue that a request addresses, and who sent it.
 
         Args:
             host: The host that the caller sent, with or without a port.
             path: The path of the request.
+            api_key: The key that the caller sent; None if it sent none.
 
         Returns:
-            The queue, or the outcome of the request if there is none.
+            The route, or the outcome of the request if there is none.
         """
         current_catalogue = self._directory.catalogue()
         if current_catalogue is None:
             return outcomes.Refused(
                 admission.RefusalReason.NO_CONFIGURATION, _NO_OWNER_RETRY_MS
             )
-        return current_catalogue.route(host, path) or outcomes.NoSuchQueue()
+        queue = current_catalogue.route(host, path)
+        if queue is None:
+            return outcomes.NoSuchQueue()
+        organisation = current_catalogue.authenticate(queue, api_key)
+        if organisation is None:
+            events.emit(
+                events.Event.CALLER_REJECTED,
+                queue=queue.queue,
+                reason="no_key" if api_key is None else "unknown_key",
+                version=current_catalogue.version,
+            )
+            return outcomes.Unauthenticated()
+        return Route(queue, organisation)
 
     async def submit(
         self,
-        queue: catalogue.Queue,
+        route: Route,
         job: model.JobId,
         spec: model.JobSpec,
         timeout_ms: int,
@@ -140,16 +170,19 @@
         Retries until the outcome is known or the caller's timeout ends.
 
         Args:
-            queue: The queue to which the caller sent the job.
+            route: The queue to which the caller sent the job, and the caller.
             job: The id that the caller chose for the job.
             spec: Specification of the job.
             timeout_ms: How long the caller waits.
 
         Returns:
-            ``Accepted``, ``Refused``, or ``Unknown`` if the timeout ended
-            first.
+            ``Accepted``, ``Refused``, ``IdInUse``, or ``Unknown`` if the
+            timeout ended first.
         """
-        request = messages.Submit(queue.pool, job, queue.queue, spec)
+        queue = route.queue
+        request = messages.Submit(
+            queue.pool, job, queue.queue, spec, route.organisation
+        )
         started_ms = self._clock.monotonic_ms()
         submission = _Submission(started_ms + timeout_ms - _RESPONSE_MARGIN_MS)
         outcome = await self._submit_once(request, submission)
@@ -171,6 +204,8 @@
         match answer:
             case messages.Accepted():
                 return outcomes.Accepted()
+            case messages.IdInUse():
+                return outcomes.IdInUse()
             case messages.Rejected(
                 reason=admission.RefusalReason.STORE_UNAVAILABLE
             ):
@@ -209,6 +244,8 @@
         match await self._store_job(request):
             case _StoreResult.YES:
                 return outcomes.Accepted()
+            case _StoreResult.OTHER_JOB:
+                return outcomes.IdInUse()
             case _StoreResult.NO:
                 return None if submission.outcome_unknown else unavailable
             case _StoreResult.UNKNOWN:
@@ -216,12 +253,12 @@
                 return None
 
     async def job_status(
-        self, queue: catalogue.Queue, job: model.JobId, timeout_ms: int
+        self, route: Route, job: model.JobId, timeout_ms: int
     ) -> outcomes.Outcome:
         """Return the state of a job.
 
         Args:
-            queue: The queue to which the job was sent.
+            route: The queue to which the job was sent, and the caller.
             job: The id of the job.
             timeout_ms: How long the caller waits.
 
@@ -235,18 +272,18 @@
         ) -> outcomes.Outcome | None:
             if isinstance(answer, messages.State) and answer.state:
                 return outcomes.JobStatus(answer.state)
-            return await self._stored_state(queue.pool, job)
+            return await self._stored_state(request)
 
-        request = messages.AskState(queue.pool, job)
+        request = messages.AskState(route.queue.pool, job, route.organisation)
         return await self._ask_until_resolved(request, timeout_ms, to_outcome)
 
     async def cancel(
-        self, queue: catalogue.Queue, job: model.JobId, timeout_ms: int
+        self, route: Route, job: model.JobId, timeout_ms: int
     ) -> outcomes.Outcome:
         """Cancel a job.
 
         Args:
-            queue: The queue to which the job was sent.
+            route: The queue to which the job was sent, and the caller.
             job: The id of the job.
             timeout_ms: How long the caller waits.
 
@@ -262,13 +299,13 @@
                 case messages.Accepted():
                     return outcomes.Accepted()
                 case messages.State():
-                    stored = await self._stored_state(queue.pool, job)
+                    stored = await self._stored_state(request)
                     missing = isinstance(stored, outcomes.NoSuchJob)
                     return stored if missing else None
                 case _:
                     return None
 
-        request = messages.Cancel(queue.pool, job)
+        request = messages.Cancel(route.queue.pool, job, route.organisation)
         return await self._ask_until_resolved(request, timeout_ms, to_outcome)
 
     async def queue_status(
@@ -323,6 +360,7 @@
             request.spec,
             self._clock.wall_ms(),
             _NO_EPOCH,
+            request.organisation,
         )
         key = keys.job(request.pool, request.job)
         write = store.Write(key, record.encode(new_job))
@@ -333,12 +371,24 @@
             return _StoreResult.YES
         match result.error:
             case store.PreconditionFailed():
-                return _StoreResult.YES
+                return await self._compare_stored(request)
             case errors.StoreUnavailable(may_apply=False):
                 return _StoreResult.NO
             case _:
                 return _StoreResult.UNKNOWN
 
+    async def _compare_stored(self, request: messages.Submit) -> _StoreResult:
+        """Tell whether the job that is stored is the caller's own."""
+        result = await self._store.read_key(keys.job(request.pool, request.job))
+        if result.is_error() or result.ok is None:
+            return _StoreResult.UNKNOWN
+        decoded = record.decode(result.ok.value or b"")
+        if decoded.is_error():
+            return _StoreResult.UNKNOWN
+        if decoded.ok.organisation != request.organisation:
+            return _StoreResult.OTHER_JOB
+        return _StoreResult.YES
+
     async def _ask(
         self, address: str | None, request: messages.Request, deadline_ms: int
     ) -> messages.Answer | None:
@@ -361,9 +411,9 @@
             return None
 
     async def _stored_state(
-        self, pool: ids.PoolId, job: model.JobId
+        self, request: messages.AskState | messages.Cancel
     ) -> outcomes.Outcome | None:
-        result = await self._store.read_key(keys.job(pool, job))
+        result = await self._store.read_key(keys.job(request.pool, request.job))
         if result.is_error():
             return None
         if result.ok is None or result.ok.value is None:
@@ -371,6 +421,8 @@
         decoded = record.decode(result.ok.value)
         if decoded.is_error():
             return None
+        if decoded.ok.organisation != request.organisation:
+            return outcomes.NoSuchJob()
         return outcomes.JobStatus(decoded.ok.state)
 
     def _log_submission(
--- a/src/wagtailtiller/entry/outcomes.py
+++ b/src/wagtailtiller/entry/outcomes.py
@@ -34,6 +34,16 @@
     """No queue is declared for the host and path."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Unauthenticated:
+    """The request needs an API key, and carries none or an unknown one."""
+
+
+@dataclasses.dataclass(frozen=True)
+class IdInUse:
+    """Another organisation has a job with this id; nothing was changed."""
+
+
 @dataclasses.dataclass(frozen=True)
 class NoSuchJob:
     """No job with this id is stored: it was not accepted, or ended long ago."""
@@ -66,6 +76,8 @@
     | Refused
     | Unknown
     | NoSuchQueue
+    | Unauthenticated
+    | IdInUse
     | NoSuchJob
     | JobStatus
     | QueueStatus
--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -9,6 +9,7 @@
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
+from wagtailtiller.ports import catalogue
 
 # The store does not record starts. Each previous owner is assumed to have used
 # at most this many run numbers of a task.
@@ -24,6 +25,8 @@
         spec: Definition of the job.
         accepted_wall_ms: Time of acceptance, in Unix milliseconds.
         accepted_epoch: Epoch of the owner that accepted the job.
+        organisation: Organisation that submitted the job; empty if its queue
+            needs no API key.
         state: State that callers see.
         started: Whether any task has been started.
         cancelled_ms: Time of the cancellation, on the owner's clock; 0 if the
@@ -37,12 +40,14 @@
         spec: model.JobSpec,
         accepted_wall_ms: int,
         accepted_epoch: int,
+        organisation: ids.OrganisationId = catalogue.NO_ORGANISATION,
     ) -> None:
         self.id = job_id
         self.queue = queue
         self.spec = spec
         self.accepted_wall_ms = accepted_wall_ms
         self.accepted_epoch = accepted_epoch
+        self.organisation = organisation
         self.state = model.JobState.QUEUED
         self.started = False
         self.cancelled_ms = 0
--- a/src/wagtailtiller/jobs/record.py
+++ b/src/wagtailtiller/jobs/record.py
@@ -9,6 +9,7 @@
 from wagtailtiller import ids
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.ports import catalogue
 
 
 class _Progress(msgspec.Struct, frozen=True, array_like=True):
@@ -39,6 +40,8 @@
             record was written without an owner.
         state: State that callers see.
         progress: Progress of the steps that have done tasks or failed runs.
+        organisation: Organisation that submitted the job; empty if its queue
+            needs no API key.
     """
 
     job: model.JobId
@@ -48,6 +51,7 @@
     accepted_epoch: int
     state: model.JobState = model.JobState.QUEUED
     progress: tuple[_Progress, ...] = ()
+    organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
 
 
 def encode(job: job_module.Job) -> bytes:
@@ -60,6 +64,7 @@
         job.accepted_epoch,
         job.state,
         tuple(_progress(job)),
+        job.organisation,
     )
     return msgspec.msgpack.encode(record)
 
@@ -84,6 +89,7 @@
         record.spec,
         record.accepted_wall_ms,
         record.accepted_epoch,
+        record.organisation,
     )
     for progress in record.progress:
         if not _is_valid(job, progress):
--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -6,6 +6,7 @@
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
+from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import admission
 
 
@@ -17,12 +18,14 @@
         job: Id of the job.
         queue: Id of the job's queue.
         spec: Specification of the job.
+        organisation: Organisation of the caller.
     """
 
     pool: ids.PoolId
     job: model.JobId
     queue: ids.QueueId
     spec: model.JobSpec
+    organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
 
 
 class AskState(msgspec.Struct, frozen=True, tag=True):
@@ -31,10 +34,12 @@
     Attributes:
         pool: Id of the pool.
         job: Id of the job.
+        organisation: Organisation of the caller, which only sees its own jobs.
     """
 
     pool: ids.PoolId
     job: model.JobId
+    organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
 
 
 class Cancel(msgspec.Struct, frozen=True, tag=True):
@@ -43,10 +48,12 @@
     Attributes:
         pool: Id of the pool.
         job: Id of the job.
+        organisation: Organisation of the caller, which only sees its own jobs.
     """
 
     pool: ids.PoolId
     job: model.JobId
+    organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
 
 
 class AskPending(msgspec.Struct, frozen=True, tag=True):
@@ -193,6 +200,10 @@
     runs_left: int
 
 
+class IdInUse(msgspec.Struct, frozen=True, tag=True):
+    """Another organisation has a job with this id; nothing was changed."""
+
+
 class NotOwner(msgspec.Struct, frozen=True, tag=True):
     """The request had no effect: this process cannot answer for the pool."""
 
@@ -202,5 +213,13 @@
 
 
 Answer = (
-    Accepted | Rejected | State | Pending | Load | Vacated | NotOwner | Unsure
+    Accepted
+    | Rejected
+    | State
+    | Pending
+    | Load
+    | Vacated
+    | IdInUse
+    | NotOwner
+    | Unsure
 )
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -222,6 +222,17 @@
         self.pool.jobs.set_queues(queues)
         self._wake.set()
 
+    def set_organisations(
+        self, organisations: dict[ids.OrganisationId, catalogue.Organisation]
+    ) -> None:
+        """Update the organisations that operators have declared.
+
+        Args:
+            organisations: Declared organisations by name.
+        """
+        self.pool.organisations = organisations
+        self._wake.set()
+
     def set_reports(self, reports: dict[ids.VmId, vms.VmReport]) -> None:
         """Replace the list of the pool's VMs.
 
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -9,12 +9,14 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import errors
 from wagtailtiller import events
+from wagtailtiller import ids
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.owner import job_writer as job_writer_module
 from wagtailtiller.owner import messages
 from wagtailtiller.scheduling import admission
 from wagtailtiller.scheduling import pool as pool_module
+from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
 _STORE_RETRY_AFTER_MS = 1_000
@@ -71,9 +73,9 @@
             case messages.Submit():
                 return await self._submit(request)
             case messages.AskState():
-                return self._state(request.job)
+                return self._state(request)
             case messages.Cancel():
-                return await self._cancel(request.job)
+                return await self._cancel(request)
             case messages.AskPending():
                 return messages.Pending(
                     self._pool.jobs.pending_count(request.queue)
@@ -101,9 +103,12 @@
                 request.spec,
                 self._clock.wall_ms(),
                 self._pool.epoch,
+                request.organisation,
             )
             self._pool.jobs.add(job, inherited=False)
             self._count_arrival(request.spec)
+        elif entry.job.organisation != request.organisation:
+            return messages.IdInUse()
         elif entry.stored_state is not None:
             return messages.Accepted()
         outcome = await asyncio.shield(self._job_writer.write(request.job))
@@ -142,7 +147,8 @@
         if stored.is_error():
             return messages.Unsure()
         if stored.ok:
-            return messages.Accepted()
+            entry = self._visible_entry(request.job, request.organisation)
+            return messages.Accepted() if entry else messages.IdInUse()
         events.emit(
             events.Event.JOB_REFUSED,
             job=request.job,
@@ -156,8 +162,17 @@
         )
         return messages.Rejected(refusal.reason, refusal.retry_after_ms)
 
-    def _state(self, job: model.JobId) -> messages.Answer:
+    def _visible_entry(
+        self, job: model.JobId, organisation: ids.OrganisationId
+    ) -> state.JobEntry | None:
+        """Return a job unless it belongs to another organisation."""
         entry = self._pool.entries.get(job)
+        if entry is None or entry.job.organisation != organisation:
+            return None
+        return entry
+
+    def _state(self, request: messages.AskState) -> messages.Answer:
+        entry = self._visible_entry(request.job, request.organisation)
         if entry is None or entry.stored_state is None:
             return messages.State(None)
         if entry.stored_state in model.FINAL_STATES:
@@ -166,8 +181,9 @@
             return messages.State(model.JobState.RUNNING)
         return messages.State(model.JobState.QUEUED)
 
-    async def _cancel(self, job: model.JobId) -> messages.Answer:
-        entry = self._pool.entries.get(job)
+    async def _cancel(self, request: messages.Cancel) -> messages.Answer:
+        job = request.job
+        entry = self._visible_entry(job, request.organisation)
         if entry is None:
             return messages.State(None)
         self._pool.jobs.cancel(job)
--- a/src/wagtailtiller/platform/caller_api.py
+++ b/src/wagtailtiller/platform/caller_api.py
@@ -9,10 +9,10 @@
 from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import model
 from wagtailtiller.platform import documents
-from wagtailtiller.ports import catalogue
 
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 _TIMEOUT_HEADER = "Timeout-Ms"
+_AUTHORIZATION_SCHEME = "bearer"
 _DEFAULT_TIMEOUT_MS = 3_000
 _MAX_TIMEOUT_MS = 60_000
 
@@ -53,28 +53,30 @@
         return response
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
-        queue = self._frontend.route(request.host, request.path)
-        if not isinstance(queue, catalogue.Queue):
-            return _to_response(queue)
-        job_name = request.path[len(queue.prefix) :]
+        route = self._frontend.route(
+            request.host, request.path, _api_key(request)
+        )
+        if not isinstance(route, frontend.Route):
+            return _to_response(route)
+        job_name = request.path[len(route.queue.prefix) :]
         timeout_ms = _timeout_ms(request)
         if not job_name and request.method == "GET":
             return _to_response(
-                await self._frontend.queue_status(queue, timeout_ms)
+                await self._frontend.queue_status(route.queue, timeout_ms)
             )
         if not _JOB_ID.match(job_name):
             return _error_response(404, "no such job")
         job = model.JobId(job_name)
         match request.method:
             case "POST":
-                return await self._submit(request, queue, job, timeout_ms)
+                return await self._submit(request, route, job, timeout_ms)
             case "GET":
                 return _to_response(
-                    await self._frontend.job_status(queue, job, timeout_ms)
+                    await self._frontend.job_status(route, job, timeout_ms)
                 )
             case "DELETE":
                 return _to_response(
-                    await self._frontend.cancel(queue, job, timeout_ms)
+                    await self._frontend.cancel(route, job, timeout_ms)
                 )
             case _:
                 return _error_response(405, "method not allowed")
@@ -82,7 +84,7 @@
     async def _submit(
         self,
         request: web.BaseRequest,
-        queue: catalogue.Queue,
+        route: frontend.Route,
         job: model.JobId,
         timeout_ms: int,
     ) -> web.Response:
@@ -90,10 +92,18 @@
         if isinstance(spec, str):
             return _error_response(400, spec)
         return _to_response(
-            await self._frontend.submit(queue, job, spec, timeout_ms)
+            await self._frontend.submit(route, job, spec, timeout_ms)
         )
 
 
+def _api_key(request: web.BaseRequest) -> str | None:
+    header = request.headers.get("Authorization", "")
+    scheme, _, api_key = header.partition(" ")
+    if scheme.lower() != _AUTHORIZATION_SCHEME:
+        return None
+    return api_key.strip() or None
+
+
 def _timeout_ms(request: web.BaseRequest) -> int:
     try:
         requested_ms = int(request.headers.get(_TIMEOUT_HEADER, ""))
@@ -118,6 +128,12 @@
             return response
         case outcomes.NoSuchQueue():
             return _error_response(404, "no such queue")
+        case outcomes.Unauthenticated():
+            response = _error_response(401, "unknown key")
+            response.headers["WWW-Authenticate"] = "Bearer"
+            return response
+        case outcomes.IdInUse():
+            return _error_response(409, "id in use")
         case outcomes.NoSuchJob():
             return _error_response(410, "no such job")
         case outcomes.Unknown():
--- a/src/wagtailtiller/platform/documents.py
+++ b/src/wagtailtiller/platform/documents.py
@@ -35,7 +35,7 @@
 _TimeMs = Annotated[int, msgspec.Meta(ge=0, le=253_402_300_800_000)]
 
 
-class _Capacity(msgspec.Struct):
+class _Capacity(msgspec.Struct, frozen=True):
     cpu: int = 0
     mem_mb: int = 0
     gpu: int = 0
@@ -77,6 +77,8 @@
     target_latency_ms: int = 0
     timeout_ms: int = 0
     advice: Any = None
+    # Callers need no key of a tenant.
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -93,11 +95,21 @@
     valid_ms: int = 0
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    # Not a count, but the resources that running tasks may use.
+    max_count: _Capacity = _Capacity()
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: dict[str, Any] = {}
+    # Absent where callers need no keys.
+    tenants: list[_Tenant] | None = None
 
 
 class _Wave(msgspec.Struct):
@@ -213,6 +225,12 @@
             for service in document.services
         ),
         max_body_bytes=_max_body_bytes(document.limits),
+        organisations=_to_organisations(document.tenants),
+        organisations_by_key={
+            catalogue.digest(key): ids.OrganisationId(tenant.name)
+            for tenant in document.tenants or ()
+            for key in tenant.api_keys
+        },
     )
 
 
@@ -303,9 +321,30 @@
         # Added to the stretched duration of the critical path.
         slack_ms=route.target_latency_ms,
         policy=_to_policy(route.advice),
+        public=route.public,
     )
 
 
+def _to_organisations(
+    tenants: list[_Tenant] | None,
+) -> dict[ids.OrganisationId, catalogue.Organisation] | None:
+    if tenants is None:
+        return None
+    organisations = [
+        catalogue.Organisation(
+            organisation=ids.OrganisationId(tenant.name),
+            weight=tenant.weight,
+            limit=_to_resources(tenant.max_count),
+            api_key_digests=frozenset(map(catalogue.digest, tenant.api_keys)),
+        )
+        for tenant in tenants
+    ]
+    return {
+        organisation.organisation: organisation
+        for organisation in organisations
+    }
+
+
 def _to_step(step: _Step) -> model.Step:
     return model.Step(
         task_count=step.count,
--- a/src/wagtailtiller/ports/catalogue.py
+++ b/src/wagtailtiller/ports/catalogue.py
@@ -1,8 +1,48 @@
-"""Queues and pools that the operators have declared."""
+"""Queues, pools and organisations that the operators have declared."""
+
+import hashlib
+from typing import NewType
 
 import msgspec
 
 from wagtailtiller import ids
+from wagtailtiller.ports import vms
+
+ApiKeyDigest = NewType("ApiKeyDigest", str)
+
+# The organisation of jobs whose callers need no API key.
+NO_ORGANISATION = ids.OrganisationId("")
+
+
+def digest(api_key: str) -> ApiKeyDigest:
+    """Return the digest by which an API key is looked up and logged.
+
+    Args:
+        api_key: Key as the caller sent it.
+
+    Returns:
+        The SHA-256 digest, in hexadecimal digits.
+    """
+    return ApiKeyDigest(hashlib.sha256(api_key.encode()).hexdigest())
+
+
+class Organisation(msgspec.Struct, frozen=True):
+    """Organisation whose callers share the pools with others.
+
+    Attributes:
+        organisation: Name of the organisation.
+        weight: Share of the organisation in a full pool, relative to the
+            weights of the others; also the number of its jobs per second that
+            must be served.
+        limit: What its running tasks may use on all VMs together; 0 for a
+            resource without a limit.
+        api_key_digests: Digests of the keys of its callers.
+    """
+
+    organisation: ids.OrganisationId
+    weight: float
+    limit: vms.Resources
+    api_key_digests: frozenset[ApiKeyDigest]
 
 
 class PlacementPolicy(msgspec.Struct, frozen=True):
@@ -36,6 +76,7 @@
         stretch: Factor of the target duration.
         slack_ms: Constant part of the target duration.
         policy: Placement policy; None if every VM of the pool is allowed.
+        public: Whether callers need no API key.
     """
 
     queue: ids.QueueId
@@ -47,6 +88,7 @@
     stretch: float
     slack_ms: int
     policy: PlacementPolicy | None = None
+    public: bool = False
 
 
 class Pool(msgspec.Struct, frozen=True):
@@ -72,12 +114,35 @@
         queues: Queues, in no particular order.
         pools: Pools, in no particular order.
         max_body_bytes: Largest request body that a caller may send.
+        organisations: Organisations by name; None if callers need no API keys.
+        organisations_by_key: Organisation that each API key belongs to.
     """
 
     version: int
     queues: tuple[Queue, ...]
     pools: tuple[Pool, ...]
     max_body_bytes: int
+    organisations: dict[ids.OrganisationId, Organisation] | None = None
+    organisations_by_key: dict[ApiKeyDigest, ids.OrganisationId] = {}
+
+    def authenticate(
+        self, queue: Queue, api_key: str | None
+    ) -> ids.OrganisationId | None:
+        """Return the organisation of a caller.
+
+        Args:
+            queue: Queue that the request is about.
+            api_key: Key that the caller sent; None if it sent none.
+
+        Returns:
+            The organisation, ``NO_ORGANISATION`` if the queue needs no key, or
+            None if the key is missing or unknown.
+        """
+        if self.organisations is None or queue.public:
+            return NO_ORGANISATION
+        if api_key is None:
+            return None
+        return self.organisations_by_key.get(digest(api_key))
 
     def route(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest match for a path.
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -43,6 +43,7 @@
         epoch: Epoch of the owner.
         clock: Clock that supplies the current time.
         queues: Queues by id, including removed ones.
+        organisations: Declared organisations by name.
         entries: All known jobs.
         active: Jobs that are not final.
         changed: Jobs whose state differs from the stored state.
@@ -67,6 +68,9 @@
         self.epoch = epoch
         self.clock = clock
         self.queues: dict[ids.QueueId, catalogue.Queue] = {}
+        self.organisations: dict[
+            ids.OrganisationId, catalogue.Organisation
+        ] = {}
         self.entries: dict[model.JobId, JobEntry] = {}
         self.active: dict[model.JobId, JobEntry] = {}
         self.changed: set[model.JobId] = set()
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -67,7 +67,7 @@
 
 
 async def _acknowledge_cancel_only(
-    self: requests.RequestHandler, job_id: str
+    self: requests.RequestHandler, request: messages.Cancel
 ) -> messages.Answer:
     return messages.Accepted()
 
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -18,6 +18,7 @@
 from support.sim import truth as truth_module
 from wagtailtiller import ids
 from wagtailtiller import keys
+from wagtailtiller.entry import frontend
 from wagtailtiller.entry import outcomes
 from wagtailtiller.entry import settings as settings_module
 from wagtailtiller.jobs import model
@@ -242,7 +243,10 @@
     ) -> outcomes.Outcome | None:
         process = await self._any_process()
         call = process.node.frontend.submit(
-            sim_job.queue, sim_job.job, sim_job.spec, _CALLER_TIMEOUT_MS
+            frontend.Route(sim_job.queue),
+            sim_job.job,
+            sim_job.spec,
+            _CALLER_TIMEOUT_MS,
         )
         return await loop_module.call_remote(
             call, _CALLER_TIMEOUT_MS, process.process
@@ -253,7 +257,9 @@
         for _ in range(_CALLER_ATTEMPTS):
             process = await self._any_process()
             call = process.node.frontend.cancel(
-                sim_job.queue, sim_job.job, _CALLER_TIMEOUT_MS
+                frontend.Route(sim_job.queue),
+                sim_job.job,
+                _CALLER_TIMEOUT_MS,
             )
             outcome = await loop_module.call_remote(
                 call, _CALLER_TIMEOUT_MS, process.process
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+import msgspec
 import testtools
 
 from support import fakes
 from support import jobs
 from wagtailtiller import clock
+from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import outcomes
@@ -19,6 +21,8 @@
 _JOB = model.JobId("a" * 16)
 _OWNER = "10.0.0.1:1"
 _OWN_ADDRESS = "10.0.0.9:1"
+_ROUTE = frontend.Route(jobs.queue())
+_ORGANISATION = ids.OrganisationId("press")
 # Time after which a caller must have its answer.
 _CALLER_TIMEOUT_MS = 400
 # Long enough for a second attempt.
@@ -63,7 +67,7 @@
         return self.answers.pop(0) if self.answers else None
 
 
-class FrontendTest(testtools.TestCase):
+class _FrontendCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.directory = _Directory()
@@ -73,13 +77,15 @@
             self.directory, self.peers, self.store, clock.SystemClock()
         )
 
+
+class FrontendTest(_FrontendCase):
     def submit(self, timeout_ms=400):
         return asyncio.run(
-            self.frontend.submit(jobs.queue(), _JOB, jobs.spec(), timeout_ms)
+            self.frontend.submit(_ROUTE, _JOB, jobs.spec(), timeout_ms)
         )
 
     def state(self):
-        return asyncio.run(self.frontend.job_status(jobs.queue(), _JOB, 400))
+        return asyncio.run(self.frontend.job_status(_ROUTE, _JOB, 400))
 
     def test_job_is_accepted_by_owner(self):
         self.peers.answers = [messages.Accepted()]
@@ -156,25 +162,21 @@
     def test_submission_to_silent_owner_in_process_ends_in_time(self):
         """Guards against callers without an answer at their deadline."""
         outcome = self.run_as_owner(
-            self.frontend.submit(
-                jobs.queue(), _JOB, jobs.spec(), _CALLER_TIMEOUT_MS
-            )
+            self.frontend.submit(_ROUTE, _JOB, jobs.spec(), _CALLER_TIMEOUT_MS)
         )
         self.assertEqual(outcomes.Unknown(), outcome)
 
     def test_cancellation_by_silent_owner_in_process_ends_in_time(self):
         """Guards against callers without an answer at their deadline."""
         outcome = self.run_as_owner(
-            self.frontend.cancel(jobs.queue(), _JOB, _CALLER_TIMEOUT_MS)
+            self.frontend.cancel(_ROUTE, _JOB, _CALLER_TIMEOUT_MS)
         )
         self.assertEqual(outcomes.Unknown(), outcome)
 
     def test_job_is_left_to_silent_owner_in_process(self):
         """Guards against a second writer of a job that the owner may drop."""
         self.run_as_owner(
-            self.frontend.submit(
-                jobs.queue(), _JOB, jobs.spec(), _CALLER_TIMEOUT_MS
-            )
+            self.frontend.submit(_ROUTE, _JOB, jobs.spec(), _CALLER_TIMEOUT_MS)
         )
         item = self.store.state.item(keys.job(jobs.POOL, _JOB))
         self.assertIsNone(item.value)
@@ -186,7 +188,7 @@
         async def main():
             submission = asyncio.create_task(
                 self.frontend.submit(
-                    jobs.queue(), _JOB, jobs.spec(), _RETRIED_TIMEOUT_MS
+                    _ROUTE, _JOB, jobs.spec(), _RETRIED_TIMEOUT_MS
                 )
             )
             await asyncio.sleep(0.1)
@@ -204,7 +206,7 @@
 
         async def main():
             submission = asyncio.create_task(
-                self.frontend.submit(jobs.queue(), _JOB, jobs.spec(), 1_200)
+                self.frontend.submit(_ROUTE, _JOB, jobs.spec(), 1_200)
             )
             await asyncio.sleep(0.1)
             self.directory.local_answers = [rejected] * 50
@@ -234,7 +236,75 @@
         self.directory.declared = catalogue.Catalogue(
             1, (queue, longer), (), 1_000
         )
-        self.assertEqual(longer, self.frontend.route("HOST:80", "/proofs/a/b"))
-        self.assertEqual(queue, self.frontend.route("host", "/proofs/b"))
-        missing = self.frontend.route("other", "/proofs/b")
+        found = self.frontend.route("HOST:80", "/proofs/a/b", None)
+        self.assertEqual(frontend.Route(longer), found)
+        found = self.frontend.route("host", "/proofs/b", None)
+        self.assertEqual(frontend.Route(queue), found)
+        missing = self.frontend.route("other", "/proofs/b", None)
         self.assertEqual(outcomes.NoSuchQueue(), missing)
+
+
+class OrganisationTest(_FrontendCase):
+    """Tests of requests that carry API keys of organisations."""
+
+    def setUp(self):
+        super().setUp()
+        self.declare(1, ("old-key",))
+
+    def declare(self, version, api_keys, public=False):
+        queue = msgspec.structs.replace(jobs.queue(), public=public)
+        self.directory.declared = catalogue.Catalogue(
+            version,
+            (queue,),
+            (),
+            1_000,
+            organisations={},
+            organisations_by_key={
+                catalogue.digest(key): _ORGANISATION for key in api_keys
+            },
+        )
+
+    def find(self, api_key):
+        found = self.frontend.route("host", "/proofs/a", api_key)
+        return getattr(found, "organisation", found)
+
+    def test_only_known_keys_are_served(self):
+        """Guards against requests that run without a valid key."""
+        self.assertEqual(_ORGANISATION, self.find("old-key"))
+        self.assertEqual(outcomes.Unauthenticated(), self.find("guessed"))
+        self.assertEqual(outcomes.Unauthenticated(), self.find(None))
+
+    def test_public_queue_needs_no_key(self):
+        self.declare(1, (), public=True)
+        self.assertEqual(catalogue.NO_ORGANISATION, self.find(None))
+        self.assertEqual(catalogue.NO_ORGANISATION, self.find("guessed"))
+
+    def test_configuration_without_organisations_needs_no_key(self):
+        self.directory.declared = catalogue.Catalogue(
+            1, (jobs.queue(),), (), 1_000
+        )
+        self.assertEqual(catalogue.NO_ORGANISATION, self.find(None))
+
+    def test_key_withdrawn_between_requests_of_a_peak(self):
+        """Guards against a key that is served after its withdrawal."""
+        self.declare(2, ("new-key",))
+        self.assertEqual(outcomes.Unauthenticated(), self.find("old-key"))
+        self.assertEqual(_ORGANISATION, self.find("new-key"))
+
+    def test_stored_job_is_hidden_from_other_organisations(self):
+        """Guards against members who see one another's orders."""
+        job = jobs.job(_JOB)
+        job.organisation = _ORGANISATION
+        key = keys.job(jobs.POOL, _JOB)
+        self.store.state.write(key, record.encode(job), 0, "")
+        self.directory.address = None
+        route = frontend.Route(jobs.queue(), ids.OrganisationId("other"))
+        outcome = asyncio.run(self.frontend.job_status(route, _JOB, 400))
+        self.assertEqual(outcomes.NoSuchJob(), outcome)
+        outcome = asyncio.run(
+            self.frontend.submit(route, _JOB, jobs.spec(), 400)
+        )
+        self.assertEqual(outcomes.IdInUse(), outcome)
+        own_route = frontend.Route(jobs.queue(), _ORGANISATION)
+        outcome = asyncio.run(self.frontend.job_status(own_route, _JOB, 400))
+        self.assertEqual(outcomes.JobStatus(model.JobState.QUEUED), outcome)
--- a/tests/jobs/test_record.py
+++ b/tests/jobs/test_record.py
@@ -4,6 +4,7 @@
 import testtools
 
 from support import jobs
+from wagtailtiller import ids
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 
@@ -25,6 +26,11 @@
         self.assertFalse(self.task(stored, 0).done)
         self.assertTrue(self.task(stored, 1).done)
 
+    def test_organisation_is_stored(self):
+        """Guards against a job that its organisation loses at a takeover."""
+        self.job.organisation = ids.OrganisationId("press")
+        self.assertEqual("press", self.stored().organisation)
+
     def test_progress_of_an_unknown_task_is_an_error(self):
         self.job.mark_done(self.task(self.job, 1))
         other = jobs.job("a" * 16, jobs.spec(jobs.step(2)))
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -97,6 +97,33 @@
         request = messages.AskState(jobs.POOL, name * 16)
         return (await owner.answer(request)).state
 
+    def test_job_of_another_organisation_is_not_visible(self):
+        """Guards against members who see or cancel one another's orders."""
+
+        async def main():
+            owner = self.own_pool()
+            await self.until(lambda: owner.ready)
+            job = "a" * 16
+
+            def submit(organisation):
+                return owner.answer(
+                    messages.Submit(
+                        jobs.POOL, job, jobs.QUEUE, jobs.spec(), organisation
+                    )
+                )
+
+            self.assertEqual(messages.Accepted(), await submit("press"))
+            self.assertEqual(messages.Accepted(), await submit("press"))
+            self.assertEqual(messages.IdInUse(), await submit("other"))
+            ask = messages.AskState(jobs.POOL, job, "other")
+            self.assertIsNone((await owner.answer(ask)).state)
+            cancel = messages.Cancel(jobs.POOL, job, "other")
+            self.assertEqual(messages.State(None), await owner.answer(cancel))
+            cancel = messages.Cancel(jobs.POOL, job, "press")
+            self.assertEqual(messages.Accepted(), await owner.answer(cancel))
+
+        self.run_with(main)
+
     def test_stop_does_not_hang_on_simultaneous_wake_up(self):
         """A cancellation together with a wake-up must not be lost."""
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -64,10 +64,11 @@
         )
         self.assertIsNone(documents.decode_wave(value.encode()))
 
-    def config(self, **route_changes):
+    def config(self, tenants=None, **route_changes):
         route = {"name": "q", "host": "h", "prefix": "/q/", "service": "proofs"}
         value = {
             "version": 3,
+            "tenants": tenants,
             "routes": [{**route, **route_changes}],
             "services": [],
             "limits": {"max_body_bytes": 1_000, "unheard_of": 0.5},
@@ -77,6 +78,27 @@
     def test_unknown_limits_do_not_invalidate_the_configuration(self):
         self.assertEqual(1_000, self.config().max_body_bytes)
 
+    def test_tenants_are_decoded_as_organisations(self):
+        tenant = {
+            "name": "press",
+            "api_keys": ["k1", "k2"],
+            "priority": 1,
+            "weight": 83,
+            "max_count": {"cpu": 4_000, "mem_mb": 0, "gpu": 0},
+        }
+        decoded = self.config([tenant], public=True)
+        press = decoded.organisations["press"]
+        self.assertEqual(vms.Resources(4_000, 0, 0), press.limit)
+        self.assertEqual(83, press.weight)
+        self.assertTrue(decoded.queues[0].public)
+        queue = self.config([tenant]).queues[0]
+        self.assertEqual("press", decoded.authenticate(queue, "k2"))
+        self.assertNotIn("k2", repr(decoded))
+
+    def test_configuration_without_tenants_has_no_organisations(self):
+        self.assertIsNone(self.config().organisations)
+        self.assertEqual({}, self.config([]).organisations)
+
     def test_a_policy_with_malformed_times_still_applies(self):
         decoded = self.config(advice={"decide_ms": "soon"})
         self.assertEqual(0, decoded.queues[0].policy.decide_ms)
