Limit what organisations use over all VMs by allocations of pools

Cause: pools that serve one organisation are owned by different processes, and starts are not stored, so no process could enforce the organisation's limit. Change: a document in the store holds an allocation for each pool; owners start tasks within it and change their own entries by compare-and-swap. Jobs that cannot end in time within the limit are refused with over_limit.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -217,7 +217,10 @@
         declared = self._adapters.declared
         if declared.catalogue is not None:
             owner.set_queues(declared.catalogue.queues)
-            owner.set_organisations(declared.catalogue.organisations or {})
+            owner.set_organisations(
+                declared.catalogue.organisations or {},
+                declared.catalogue.version,
+            )
         owner.set_reports(
             {
                 report.vm: report
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -22,6 +22,7 @@
 from wagtailtiller import tasks
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
+from wagtailtiller.owner import allocations
 from wagtailtiller.owner import job_writer as job_writer_module
 from wagtailtiller.owner import members as members_module
 from wagtailtiller.owner import messages
@@ -170,6 +171,15 @@
             self._wake.set,
             self._on_ownership_lost,
         )
+        self._allocations = allocations.AllocationSync(
+            ports.store,
+            self.pool,
+            claim,
+            clock,
+            ports.rng,
+            self._wake.set,
+            self._on_ownership_lost,
+        )
         self._unresolved_vm_check: unresolved_vms.UnresolvedVmCheck | None = (
             None
         )
@@ -194,6 +204,8 @@
             runtime.spawn(self._run()),
             runtime.spawn(self._job_writer.run()),
             runtime.spawn(self._members.run()),
+            runtime.spawn(self._allocations.follow()),
+            runtime.spawn(self._allocations.run()),
             runtime.spawn(self._delete_expired_jobs()),
             runtime.spawn(self._job_mirror.run()),
         ]
@@ -209,6 +221,7 @@
         await self._job_writer.begin_flush().wait(_TAKEOVER_RETRY_MS)
         self._job_writer.stop()
         await tasks.cancel_and_wait(self._tasks)
+        self._allocations.clear_metrics()
         await asyncio.gather(*(link.close() for link in self._links.values()))
         if self.ready and self._store_contact.store_answers():
             await self._members.store_final()
@@ -223,14 +236,18 @@
         self._wake.set()
 
     def set_organisations(
-        self, organisations: dict[ids.OrganisationId, catalogue.Organisation]
+        self,
+        organisations: dict[ids.OrganisationId, catalogue.Organisation],
+        version: int,
     ) -> None:
         """Update the organisations that operators have declared.
 
         Args:
             organisations: Declared organisations by name.
+            version: Version of the declarations.
         """
         self.pool.organisations = organisations
+        self.pool.allocations.set_organisations(organisations, version)
         self._wake.set()
 
     def set_reports(self, reports: dict[ids.VmId, vms.VmReport]) -> None:
@@ -393,6 +410,7 @@
         self._members.schedule_update()
         for decision in self.pool.plan(self._members.stored):
             self._dispatch(decision)
+        self._allocations.schedule_update()
         for job in list(self.pool.changed):
             entry = self.pool.entries.get(job)
             if entry is not None and entry.job.is_final():
--- a/src/wagtailtiller/prometheus_metrics.py
+++ b/src/wagtailtiller/prometheus_metrics.py
@@ -37,6 +37,21 @@
     buckets=_BUCKETS_S,
     registry=_registry,
 )
+_allocation_gauge = prometheus_client.Gauge(
+    "wagtailtiller_allocation",
+    "What an organisation with a limit may use in a pool.",
+    ("pool", "organisation", "resource"),
+    registry=_registry,
+)
+_allocation_demand_gauge = prometheus_client.Gauge(
+    "wagtailtiller_allocation_demand",
+    "What an organisation with a limit uses and waits for in a pool.",
+    ("pool", "organisation", "resource"),
+    registry=_registry,
+)
+# Bounds the number of time series; further organisations have none.
+_MAX_ALLOCATION_SERIES = 256
+_allocation_labels: set[tuple[str, str, str]] = set()
 _OUTCOME_FIELDS = ("outcome", "reason", "how", "state")
 
 
@@ -59,6 +74,39 @@
         _latency_histogram.labels(event).observe(took_ms / 1_000)
 
 
+def set_allocation(
+    pool: str, organisation: str, resource: str, allocated: int, demand: int
+) -> None:
+    """Set the gauges of one resource of an organisation in a pool.
+
+    Args:
+        pool: Pool that this process owns.
+        organisation: Organisation with a limit.
+        resource: Name of the resource, with its unit.
+        allocated: Amount that the pool may use.
+        demand: Amount that runs and waits in the pool.
+    """
+    labels = (pool, organisation, resource)
+    if labels not in _allocation_labels:
+        if len(_allocation_labels) >= _MAX_ALLOCATION_SERIES:
+            return
+        _allocation_labels.add(labels)
+    _allocation_gauge.labels(*labels).set(allocated)
+    _allocation_demand_gauge.labels(*labels).set(demand)
+
+
+def clear_allocations(pool: str) -> None:
+    """Remove the gauges of a pool that this process no longer owns.
+
+    Args:
+        pool: Name of the pool.
+    """
+    for labels in [row for row in _allocation_labels if row[0] == pool]:
+        _allocation_labels.discard(labels)
+        _allocation_gauge.remove(*labels)
+        _allocation_demand_gauge.remove(*labels)
+
+
 def text() -> bytes:
     """Return all metrics in the text format of Prometheus."""
     return prometheus_client.generate_latest(_registry)
--- a/src/wagtailtiller/scheduling/admission.py
+++ b/src/wagtailtiller/scheduling/admission.py
@@ -26,6 +26,7 @@
 
     FITS_NOWHERE = "fits_nowhere"
     OVERLOADED = "overloaded"
+    OVER_LIMIT = "over_limit"
     STORE_UNAVAILABLE = "store_unavailable"
     NO_CONFIGURATION = "no_configuration"
     NO_OWNER = "no_owner"
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -7,6 +7,9 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import admission
+from wagtailtiller.scheduling import allocations as allocations_module
+from wagtailtiller.scheduling import limit_admission
+from wagtailtiller.scheduling import limited_backlog
 from wagtailtiller.scheduling import state
 
 # A long-running task normally starts at once; one that still waits after this
@@ -21,10 +24,19 @@
 
     Args:
         pool_state: State that the components of the pool share.
+        allocations: What organisations with a limit may use in the pool.
     """
 
-    def __init__(self, pool_state: state.PoolState) -> None:
+    def __init__(
+        self,
+        pool_state: state.PoolState,
+        allocations: allocations_module.Allocations,
+    ) -> None:
         self._state = pool_state
+        self._allocations = allocations
+        self._limit_admission = limit_admission.LimitAdmission(
+            pool_state, allocations
+        )
 
     def set_queues(self, queues: Iterable[catalogue.Queue]) -> None:
         """Add or update queues.
@@ -42,22 +54,32 @@
         return self._state.queues.get(queue)
 
     def admit(
-        self, spec: model.JobSpec, queue: catalogue.Queue
+        self,
+        spec: model.JobSpec,
+        queue: catalogue.Queue,
+        organisation: ids.OrganisationId = catalogue.NO_ORGANISATION,
     ) -> admission.Refusal | None:
         """Return the refusal of a job, or None if the job is admitted.
 
         Args:
             spec: Definition of the job.
             queue: Queue that the job was submitted to.
+            organisation: Organisation of the caller.
         """
+        refusal = self._limit_admission.check(spec, queue, organisation)
+        if refusal is not None:
+            return refusal
         return admission.check(
             spec, queue, self._state.vms.values(), self._backlog()
         )
 
     def _backlog(self) -> admission.Backlog:
-        return admission.Backlog(
-            self.waiting_core_ms(), self._state.spare_millicores
-        )
+        core_ms = self.waiting_core_ms()
+        if self._allocations.limits:
+            core_ms = limited_backlog.core_ms(
+                self._state, self._allocations, core_ms
+            )
+        return admission.Backlog(core_ms, self._state.spare_millicores)
 
     def add(
         self,
@@ -124,7 +146,8 @@
 
         A waiting task that runs for only a part of the time in which the
         backlog should be worked off counts with that part of its demand.
-        Long-running fillers are left out.
+        Long-running fillers and tasks that their organisation's allocation
+        does not allow are left out.
 
         Returns:
             The demand of tasks that are ready to start and the demand of
@@ -133,17 +156,21 @@
         startable_millicores = 0.0
         long_running_millicores = 0
         wall_ms = self._state.clock.wall_ms()
+        headroom = self._allocations.headroom()
         for entry in self._state.active.values():
+            organisation = entry.job.organisation
             for step_run in entry.job.ready_steps(wall_ms):
                 step = step_run.step
+                waiting = len(step_run.waiting_tasks())
+                count = headroom.take_fitting(organisation, step, waiting)
                 if step.long_running:
                     if not step.filler:
-                        long_running_millicores += step.cpu_millicores * len(
-                            step_run.tasks
+                        blocked = waiting - count
+                        long_running_millicores += step.cpu_millicores * (
+                            len(step_run.tasks) - blocked
                         )
                     continue
                 share = min(1.0, step.estimate_ms / _BACKLOG_TARGET_MS)
-                count = len(step_run.waiting_tasks())
                 startable_millicores += count * step.cpu_millicores * share
         return int(startable_millicores), long_running_millicores
 
@@ -172,6 +199,7 @@
         no_room = now_ms < self._state.no_room_until_ms
         wall_ms = self._state.clock.wall_ms()
         count = int(no_room)
+        headroom = self._allocations.headroom()
         for entry in self._state.active.values():
             if not entry.job.long_running:
                 continue
@@ -179,7 +207,11 @@
                 continue
             for step_run in entry.job.ready_steps(wall_ms):
                 if step_run.step.long_running:
-                    count += len(step_run.waiting_tasks())
+                    count += headroom.take_fitting(
+                        entry.job.organisation,
+                        step_run.step,
+                        len(step_run.waiting_tasks()),
+                    )
         return count
 
     def next_due_in_ms(self) -> int | None:
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -6,6 +6,7 @@
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import ids
+from wagtailtiller.scheduling import allocations
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import jobs
 from wagtailtiller.scheduling import outliers
@@ -27,6 +28,7 @@
         clock: Clock that supplies the current time.
 
     Attributes:
+        allocations: What organisations with a limit may use in the pool.
         jobs: Jobs of the pool.
         vm_tracker: Tracker of the VMs and their leases.
         run_reconciler: Applies the responses of VMs to the tracked runs.
@@ -37,11 +39,12 @@
     ) -> None:
         super().__init__(pool, epoch, clock)
         outlier_detector = outliers.OutlierDetector(self)
-        self.jobs = jobs.Jobs(self)
+        self.allocations = allocations.Allocations(self)
+        self.jobs = jobs.Jobs(self, self.allocations)
         self.vm_tracker = vm_tracker.VmTracker(self)
         self.run_reconciler = reconciler.RunReconciler(self, outlier_detector)
         self._straggler_detector = stragglers.StragglerDetector(self)
-        self._start_planner = start_planner.StartPlanner(self)
+        self._start_planner = start_planner.StartPlanner(self, self.allocations)
         self._stop_planner = stop_planner.StopPlanner(self, outlier_detector)
 
     def plan(
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -128,6 +128,7 @@
         }
         for listed_run in listing.running:
             issued.extend(self._reconcile_run(vm, listed_run))
+        vm.orphan_tasks = self._orphan_tasks(issued)
         if issued:
             # An orphan run occupies capacity that no tracked run accounts for
             # until it has stopped.
@@ -149,6 +150,21 @@
             )
         return issued
 
+    def _orphan_tasks(
+        self, issued: list[commands.Command]
+    ) -> list[task_module.Task]:
+        """Return the tasks of the orphan runs whose jobs are known."""
+        tasks = []
+        for command in issued:
+            if not isinstance(command, commands.StopOrphan):
+                continue
+            task_id = command.run.task.id
+            entry = self._state.entries.get(task_id.job)
+            task = entry.job.task(task_id) if entry is not None else None
+            if task is not None:
+                tasks.append(task)
+        return tasks
+
     def _set_speeds(self, vm: vm_module.Vm) -> list[commands.Command]:
         fillers = [
             run
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -2,6 +2,7 @@
 
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import catalogue
+from wagtailtiller.scheduling import allocations as allocations_module
 from wagtailtiller.scheduling import candidates
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import placement
@@ -19,10 +20,16 @@
 
     Args:
         pool_state: State that the components of the pool share.
+        allocations: What organisations with a limit may use in the pool.
     """
 
-    def __init__(self, pool_state: state.PoolState) -> None:
+    def __init__(
+        self,
+        pool_state: state.PoolState,
+        allocations: allocations_module.Allocations,
+    ) -> None:
         self._state = pool_state
+        self._allocations = allocations
 
     def plan(
         self, open_vms: list[vm_module.Vm], now_ms: int
@@ -39,6 +46,7 @@
         ranked = self._startable_by_rank(now_ms)
         if not ranked:
             return []
+        self._allocations.begin_plan()
         decisions: list[commands.Decision] = []
         open_candidates = candidates.Candidates(open_vms)
         for entry, step_runs in ranked:
@@ -78,6 +86,8 @@
         step_run: task_module.StepRun,
         open_candidates: candidates.Candidates,
     ) -> list[commands.Decision]:
+        if not self._is_within_allocation(entry, step_run):
+            return []
         waiting = step_run.waiting_tasks()
         queue = self._state.queues.get(entry.job.queue)
         policy = queue.policy if queue is not None else None
@@ -100,6 +110,13 @@
             open_candidates.refresh()
         return list(started)
 
+    def _is_within_allocation(
+        self, entry: state.JobEntry, step_run: task_module.StepRun
+    ) -> bool:
+        step = step_run.step
+        count = len(step_run.tasks) if step.gang else 1
+        return self._allocations.may_start(entry.job.organisation, step, count)
+
     def _place_step(
         self,
         entry: state.JobEntry,
@@ -111,6 +128,8 @@
             return self._place_gang(entry, step_run, waiting, open_candidates)
         started: list[commands.Start] = []
         for task in waiting:
+            if not self._is_within_allocation(entry, step_run):
+                break
             chosen = open_candidates.choose(task)
             if chosen is None:
                 break
@@ -157,6 +176,7 @@
         entry.job.assign_run(task, run)
         task.last_run = number
         open_candidates.add_run(vm, run)
+        self._allocations.add_start(entry.job.organisation, task.step)
         entry.job.mark_started()
         ticket = self._ticket(task, vm) or ""
         return commands.Start(vm.report.vm, run, entry.job.spec.payload, ticket)
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -106,6 +106,7 @@
             vm: VM whose runs are discarded.
             reason: Reason, as logged.
         """
+        vm.orphan_tasks = []
         for run in list(vm.runs.values()):
             events.emit(
                 events.Event.RUN_LOST,
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -109,6 +109,7 @@
             was applied.
         throttle: Throttle of the fillers on the VM.
         registered: Whether the VM is in the platform's list.
+        orphan_tasks: Tasks of the orphan runs in the latest listing.
     """
 
     def __init__(self, report: vms.VmReport, token: int) -> None:
@@ -127,6 +128,7 @@
         self.listed_clock_ms = 0
         self.throttle = throttling.FillerThrottle()
         self.registered = True
+        self.orphan_tasks: list[task_module.Task] = []
         self._reservations: dict[model.TaskId, _Reservation] = {}
         self._cpu_used = 0
         self._memory_used_mb = 0
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -53,6 +53,7 @@
         # old one; its first listing under a higher token shows which.
         new.token = old.token + 1
         new.lease.min_expiry_ms = old.lease.expiry_ms()
+        new.orphan_tasks = old.orphan_tasks
         for run in list(old.runs.values()):
             old.remove(run)
             run.phase = task_module.RunPhase.UNCERTAIN
