--- a/src/wagtailtiller/owner/allocations.py
+++ b/src/wagtailtiller/owner/allocations.py
@@ -18,11 +18,13 @@
 from wagtailtiller.scheduling import allocation
 from wagtailtiller.scheduling import pool as pool_module
 
-# At most this many writes within the period, also after conflicts.
-_MAX_WRITES = 2
-_WRITE_PERIOD_MS = 1_000
-# Shortest time between a write that succeeded and the next one.
+# Shortest time after a write that may have been applied: two a second.
 _WRITE_PAUSE_MS = 500
+# At most this many attempts within the period. An attempt that the store
+# refuses because another owner was first writes nothing and is soon repeated,
+# so that four owners that start at once all have an allocation within 0.3 s.
+_MAX_ATTEMPTS = 4
+_ATTEMPT_PERIOD_MS = 1_000
 # Upper bound of the random delay that separates owners with equal timing.
 _JITTER_MS = 60
 _EVALUATION_INTERVAL_MS = 100
@@ -71,8 +73,9 @@
         self._evaluated_ms = 0
         self._watched: ids.Revision | None = None
         self._is_uncertain = False
-        self._writes_ms: collections.deque[int] = collections.deque(
-            maxlen=_MAX_WRITES
+        self._next_write_ms = 0
+        self._attempts_ms: collections.deque[int] = collections.deque(
+            maxlen=_MAX_ATTEMPTS
         )
 
     def schedule_update(self) -> None:
@@ -117,13 +120,11 @@
             if proposal is None or expected is None:
                 self._report_metrics()
                 continue
-            if not await self._write(proposal, expected):
+            if await self._write(proposal, expected):
+                self._report_metrics()
+            else:
                 self._due.set()
-                await self._sleep_ms(self._rng.uniform(0, _JITTER_MS))
-                continue
-            self._report_metrics()
-            pause_ms = _WRITE_PAUSE_MS + self._rng.uniform(0, _JITTER_MS)
-            await self._sleep_ms(pause_ms)
+            await self._sleep_ms(self._rng.uniform(0, _JITTER_MS))
 
     async def _update(self) -> bool:
         if self._watched is None:
@@ -146,9 +147,11 @@
         return True
 
     async def _await_turn(self) -> None:
-        if len(self._writes_ms) < _MAX_WRITES:
-            return
-        earliest_ms = self._writes_ms[0] + _WRITE_PERIOD_MS
+        earliest_ms = self._next_write_ms
+        if len(self._attempts_ms) == _MAX_ATTEMPTS:
+            earliest_ms = max(
+                earliest_ms, self._attempts_ms[0] + _ATTEMPT_PERIOD_MS
+            )
         wait_ms = earliest_ms - self._clock.monotonic_ms()
         if wait_ms > 0:
             await self._sleep_ms(wait_ms)
@@ -159,7 +162,8 @@
         expected = self._claim.preconditions()
         expected[keys.ALLOCATIONS] = revision
         before = self._allocations.document
-        self._writes_ms.append(self._clock.monotonic_ms())
+        now_ms = self._clock.monotonic_ms()
+        self._attempts_ms.append(now_ms)
         result = await self._store.commit(
             store.Transaction(
                 expected,
@@ -167,6 +171,7 @@
             )
         )
         if result.is_ok():
+            self._next_write_ms = now_ms + _WRITE_PAUSE_MS
             self._allocations.load(proposal, result.ok)
             self._log_changes(before, proposal, result.ok)
             self._on_change()
@@ -175,6 +180,7 @@
             case store.PreconditionFailed(items=items):
                 self._handle_conflict(items)
             case error:
+                self._next_write_ms = now_ms + _WRITE_PAUSE_MS
                 events.emit(
                     events.Event.ALLOCATION_UNCERTAIN,
                     pool=self._pool.pool,
--- a/src/wagtailtiller/scheduling/allocation.py
+++ b/src/wagtailtiller/scheduling/allocation.py
@@ -294,8 +294,13 @@
     if demand * _RAISE_AT_DENOMINATOR <= held * _RAISE_AT_NUMERATOR:
         return held
     wanted = min(limit[number], _HEADROOM_FACTOR * demand)
-    ceiling = share if others_short else wanted
+    ceiling = wanted
     step = max(free // _FREE_DIVISOR, min(need.unit[number], free))
+    if others_short:
+        ceiling = share
+        # The shares take all known demands into account. Only the first change
+        # of a pool leaves a part to pools that have not asked yet.
+        step = free if held else step
     return max(held, min(held + step, wanted, ceiling))
 
 
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -9,6 +9,7 @@
 from support import fake_vms
 from support import fakes
 from support import jobs
+from support import limits
 from wagtailtiller import clock
 from wagtailtiller import errors
 from wagtailtiller import ids
@@ -124,6 +125,39 @@
 
         self.run_with(main)
 
+    def test_organisation_runs_no_more_than_its_limit(self):
+        """Guards against starts that ask no allocation."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            owner.set_organisations(limits.organisations(cores=3), 1)
+            await self.until(lambda: owner.ready)
+
+            async def submit(name, step):
+                return await owner.answer(
+                    messages.Submit(
+                        jobs.POOL,
+                        name * 16,
+                        jobs.QUEUE,
+                        jobs.spec(step),
+                        limits.ORGANISATION,
+                    )
+                )
+
+            accepted = await submit("a", jobs.step(6))
+            self.assertEqual(messages.Accepted(), accepted)
+            await self.until(lambda: len(vm.running) == 3)
+            await asyncio.sleep(0.2)
+            self.assertEqual(3, len(vm.running))
+            refused = await submit("b", jobs.step(1, cpu_millicores=4_000))
+            self.assertEqual("over_limit", refused.reason.value)
+            for task in list(vm.running):
+                vm.end(task, task_module.EndKind.DONE)
+            await self.until(lambda: len(vm.running) == 3)
+
+        self.run_with(main)
+
     def test_stop_does_not_hang_on_simultaneous_wake_up(self):
         """A cancellation together with a wake-up must not be lost."""
 
