--- a/src/wagtailtiller/ctl/entry_state.py
+++ b/src/wagtailtiller/ctl/entry_state.py
@@ -14,6 +14,7 @@
 from wagtailtiller.maintenance import manager_state
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
+from wagtailtiller.scheduling import allocation
 
 _EPOCH_PREFIX = keys.epoch(ids.ShardId(""))
 _MEMBERS_PREFIX = keys.members(ids.PoolId(""))
@@ -45,6 +46,7 @@
         epochs: Number of owners that each shard has had.
         members: VMs of each pool that may run tasks, sorted by name.
         waves: Progress of each wave.
+        allocations: Allocations of the organisations with a limit.
         unreadable: Keys whose values cannot be decoded.
     """
 
@@ -54,6 +56,7 @@
         self.epochs: dict[ids.ShardId, int] = {}
         self.members: dict[ids.PoolId, list[ids.VmId]] = {}
         self.waves: dict[ids.WaveId, manager_state.WaveProgress] = {}
+        self.allocations = allocation.Document()
         self.unreadable: list[str] = []
         for item in items:
             try:
@@ -86,6 +89,8 @@
                 value, type=manager_state.WaveProgress
             )
             self.waves[ids.WaveId(name)] = progress
+        elif key == keys.ALLOCATIONS:
+            self.allocations = allocation.decode(value)
 
     def _add_job(self, key: str, value: bytes) -> None:
         pool = ids.PoolId(key[len(keys.JOBS_PREFIX) :].partition("/")[0])
@@ -96,6 +101,38 @@
         self.jobs[decoded.ok.id] = StoredJob(pool, decoded.ok)
 
 
+def organisation_rows(
+    document: allocation.Document,
+) -> list[tuple[str, str, str, int, int, int]]:
+    """Return what each organisation with a limit has and asks for.
+
+    Args:
+        document: Allocations of the organisations.
+
+    Returns:
+        Organisation, resource with its unit, pool, limit, allocation and
+        demand; the pool ``all`` has the sums.
+    """
+    rows: list[tuple[str, str, str, int, int, int]] = []
+    for organisation, limit in sorted(document.limits.items()):
+        entries = sorted(document.entries.get(organisation, {}).items())
+        for number, resource in enumerate(allocation.Amounts._fields):
+            amount = limit.amounts[number]
+            if not amount:
+                continue
+            pools = [
+                (pool, entry.allocation[number], entry.demand[number])
+                for pool, entry in entries
+            ]
+            held = sum(row[1] for row in pools)
+            asked = sum(row[2] for row in pools)
+            for pool, allocated, demand in [("all", held, asked), *pools]:
+                rows.append(
+                    (organisation, resource, pool, amount, allocated, demand)
+                )
+    return rows
+
+
 def explain(
     entry_state: EntryState, job_id: model.JobId, now_wall_ms: int
 ) -> list[str]:
--- a/src/wagtailtiller/ctl/job_commands.py
+++ b/src/wagtailtiller/ctl/job_commands.py
@@ -92,6 +92,38 @@
         return output.ExitCode.OK
 
 
+class OrganisationsCommand(EntryStateCommand):
+    """Lists what organisations with a limit have and ask for."""
+
+    name = "organisations"
+    description = (
+        "List limits of organisations, allocations and demand by pool."
+        " Example: wagtailctl organisations"
+    )
+
+    def report(
+        self,
+        entry_state: entry_state_module.EntryState,
+        session: session_module.OperatorSession,
+    ) -> int:
+        """Print a row for each organisation, resource and pool."""
+        headings = (
+            "ORGANISATION",
+            "RESOURCE",
+            "POOL",
+            "LIMIT",
+            "ALLOCATION",
+            "DEMAND",
+        )
+        rows = entry_state_module.organisation_rows(entry_state.allocations)
+        value = [
+            dict(zip((name.lower() for name in headings), row, strict=True))
+            for row in rows
+        ]
+        self.show(headings, rows, value)
+        return output.ExitCode.OK
+
+
 class WavesCommand(EntryStateCommand):
     """Lists the progress of the waves on the platform's machines."""
 
--- a/src/wagtailtiller/ctl/main.py
+++ b/src/wagtailtiller/ctl/main.py
@@ -23,6 +23,7 @@
     job_commands.OwnersCommand,
     job_commands.JobsCommand,
     job_commands.JobCommand,
+    job_commands.OrganisationsCommand,
     job_commands.WavesCommand,
 )
 
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -136,7 +136,9 @@
         queue = self._pool.jobs.queue(request.queue)
         if queue is None:
             return None
-        return self._pool.jobs.admit(request.spec, queue, request.organisation)
+        return self._pool.jobs.admit(
+            request.spec, queue, request.organisation, request.job
+        )
 
     async def _refuse(
         self, request: messages.Submit, refusal: admission.Refusal
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -58,6 +58,7 @@
         spec: model.JobSpec,
         queue: catalogue.Queue,
         organisation: ids.OrganisationId = catalogue.NO_ORGANISATION,
+        job: model.JobId = model.JobId(""),
     ) -> admission.Refusal | None:
         """Return the refusal of a job, or None if the job is admitted.
 
@@ -65,8 +66,9 @@
             spec: Definition of the job.
             queue: Queue that the job was submitted to.
             organisation: Organisation of the caller.
+            job: Id of the job, for the log.
         """
-        refusal = self._limit_admission.check(spec, queue, organisation)
+        refusal = self._limit_admission.check(spec, queue, organisation, job)
         if refusal is not None:
             return refusal
         return admission.check(
--- a/src/wagtailtiller/scheduling/limit_admission.py
+++ b/src/wagtailtiller/scheduling/limit_admission.py
@@ -38,6 +38,7 @@
         spec: model.JobSpec,
         queue: catalogue.Queue,
         organisation: ids.OrganisationId,
+        job: model.JobId,
     ) -> admission.Refusal | None:
         """Decide whether to refuse a job because of its organisation's limit.
 
@@ -48,6 +49,7 @@
             spec: Definition of the job.
             queue: Queue that the job was submitted to.
             organisation: Organisation of the caller.
+            job: Id of the job, for the log.
 
         Returns:
             The refusal, or None if the limit is no reason to refuse the job.
@@ -55,13 +57,27 @@
         if organisation not in self._allocations.limits:
             return None
         limit = self._allocations.limit(organisation)
+        retry_ms = self._retry_after_ms(spec, queue, organisation, limit)
+        if retry_ms is None:
+            return None
+        self._log(job, queue, organisation, retry_ms)
+        return admission.Refusal(admission.RefusalReason.OVER_LIMIT, retry_ms)
+
+    def _retry_after_ms(
+        self,
+        spec: model.JobSpec,
+        queue: catalogue.Queue,
+        organisation: ids.OrganisationId,
+        limit: allocation.Amounts,
+    ) -> int | None:
+        """Return when a job could be admitted; None if it is admitted now."""
         if any(_exceeds(step, limit) for step in spec.steps):
-            return self._refuse(queue, organisation, _NEVER_RETRY_MS)
+            return _NEVER_RETRY_MS
         if spec.repeat_count or any(step.long_running for step in spec.steps):
             return None
         waits_ms = self._waits_ms(spec, queue, organisation, limit)
         if waits_ms is None:
-            return self._refuse(queue, organisation, _NEVER_RETRY_MS)
+            return _NEVER_RETRY_MS
         wait_ms, own_ms = waits_ms
         path_ms = spec.critical_path_ms()
         bound_ms = ranking.ZERO_VALUE_FACTOR * ranking.target_duration_ms(
@@ -71,7 +87,7 @@
         if excess_ms <= 0:
             return None
         # The waiting work shrinks by one millisecond per millisecond.
-        return self._refuse(queue, organisation, max(_MIN_RETRY_MS, excess_ms))
+        return max(_MIN_RETRY_MS, excess_ms)
 
     def _waits_ms(
         self,
@@ -110,14 +126,16 @@
             own_ms = max(own_ms, own[number] / left)
         return wait_ms, own_ms
 
-    def _refuse(
+    def _log(
         self,
+        job: model.JobId,
         queue: catalogue.Queue,
         organisation: ids.OrganisationId,
         retry_after_ms: int,
-    ) -> admission.Refusal:
+    ) -> None:
         events.emit(
             events.Event.JOB_OVER_LIMIT,
+            job=job,
             organisation=organisation,
             pool=self._state.pool,
             queue=queue.queue,
@@ -128,9 +146,6 @@
             ),
             retry_after_ms=retry_after_ms,
         )
-        return admission.Refusal(
-            admission.RefusalReason.OVER_LIMIT, retry_after_ms
-        )
 
 
 def _exceeds(step: model.Step, limit: allocation.Amounts) -> bool:
--- a/tests/ctl/test_entry_state.py
+++ b/tests/ctl/test_entry_state.py
@@ -11,6 +11,7 @@
 from wagtailtiller.maintenance import manager_state
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
+from wagtailtiller.scheduling import allocation
 
 _JOB_ID = "a" * 16
 _SHARD = ids.ShardId(jobs.POOL)
@@ -81,6 +82,30 @@
         counts = entry_state_module.EntryState(self.items).count_states()
         self.assertEqual({"queued": 1, "completed": 1}, dict(counts[jobs.POOL]))
 
+    def test_lists_limits_with_allocation_and_demand_by_pool(self):
+        org = ids.OrganisationId("press")
+        limit = allocation.Amounts(100_000, 0, 0)
+        entries = {
+            jobs.POOL: allocation.Entry(
+                allocation.Amounts(25_000), allocation.Amounts(60_000)
+            ),
+            ids.PoolId("plates"): allocation.Entry(allocation.Amounts(50_000)),
+        }
+        document = allocation.Document(
+            {org: allocation.Limit(3, limit)}, {org: entries}
+        )
+        self.put(keys.ALLOCATIONS, allocation.encode(document))
+        entry_state = entry_state_module.EntryState(self.items)
+        cpu = ("press", "cpu_millicores")
+        self.assertEqual(
+            [
+                (*cpu, "all", 100_000, 75_000, 60_000),
+                (*cpu, "plates", 100_000, 50_000, 0),
+                (*cpu, jobs.POOL, 100_000, 25_000, 60_000),
+            ],
+            entry_state_module.organisation_rows(entry_state.allocations),
+        )
+
     def test_lists_waves_and_unreadable_keys(self):
         progress = manager_state.WaveProgress([ids.MachineId("m-1")], False)
         self.put(keys.wave(ids.WaveId("7")), msgspec.msgpack.encode(progress))
