Return machines in steps, and keep pools' sizes until their phase has come

Load pattern: a peak phase comes to one pool after another.

Cause: once work had arrived anywhere for 1.5 s, the planner returned the whole surplus of all pools in one cycle, also of pools whose phase came next.

Change: a pool keeps the size that it was given until its need has risen and fallen again, or for 15 s, which is when keeping a machine has cost as much as missing it. Later returns leave a fifth of the surplus a cycle, and count only machines that are present. A machine that is being vacated and was not ordered is recalled when its pool needs it; its owner starts tasks on it again at once. A pool takes machines that others keep only while it has at most half of its need.

Three tests asserted that the whole surplus leaves in the first cycle after the observation. They now assert the same numbers after the phase, step by step.

--- a/src/wagtailtiller/maintenance/machine_fleet.py
+++ b/src/wagtailtiller/maintenance/machine_fleet.py
@@ -35,6 +35,8 @@
         waves: The known waves, by id.
         pools: The declared pools, by id.
         loads: The last reported load of each VM.
+        cancelled_moves: The VMs of machines whose move was cancelled and that
+            their owners still keep closed, by machine.
     """
 
     def __init__(self, clock: clock_module.Clock) -> None:
@@ -44,9 +46,10 @@
         self.waves: dict[ids.WaveId, operations.TrackedWave] = {}
         self.pools: dict[ids.PoolId, operations.PoolStatus] = {}
         self.loads: dict[ids.VmId, messages.VmLoad] = {}
+        self.cancelled_moves: dict[ids.MachineId, ids.VmId] = {}
         self._cooldown_until_ms: dict[ids.MachineId, int] = {}
         self._ordered_ms: dict[ids.MachineId, int] = {}
-        self._move_planner = move_planner.MovePlanner(self)
+        self._move_planner = move_planner.MovePlanner(self, clock)
 
     def update_machines(self, listed: list[machines.Machine]) -> None:
         """Replace the machines, and end the operations that are complete.
@@ -130,6 +133,9 @@
         """Return whether the machine has no runs and may be ordered now."""
         if operation.stage is operations.Stage.ORDERED:
             return False
+        if self.operations.get(operation.machine) is not operation:
+            # The move was cancelled while the VM was being vacated.
+            return False
         if not operation.vm:
             return True
         age_ms = self._clock.monotonic_ms() - (operation.empty_at_ms or 0)
@@ -332,6 +338,7 @@
             wave: The wave that maintains it; None for a move.
             pool: The pool to which it moves; None for a wave.
         """
+        self.cancelled_moves.pop(machine.machine, None)
         self.operations[machine.machine] = operations.MachineOperation(
             machine.machine,
             wave,
@@ -340,6 +347,27 @@
             self._clock.monotonic_ms(),
         )
 
+    def cancel_move(self, operation: operations.MachineOperation) -> bool:
+        """Cancel a move, so that the machine stays in its pool.
+
+        Args:
+            operation: The operation of the move.
+
+        Returns:
+            Whether the move is cancelled. It is not if an order was sent, since
+            the platform may carry it out even if it did not respond.
+        """
+        if (
+            operation.wave is not None
+            or operation.stage is not operations.Stage.EMPTYING
+            or operation.last_order_ms
+        ):
+            return False
+        del self.operations[operation.machine]
+        if operation.vm:
+            self.cancelled_moves[operation.machine] = operation.vm
+        return True
+
     def movable_machines(self) -> list[machines.Machine]:
         """Return the machines for which an operation may start."""
         return [
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -124,6 +124,7 @@
             if operation.machine not in self._in_progress:
                 self._in_progress.add(operation.machine)
                 self._background.spawn(self._advance(operation))
+        self._reopen_kept_vms()
         await self._save_waves()
 
     # Inputs of the fleet.
@@ -230,6 +231,22 @@
         if isinstance(answer, messages.Vacated):
             self._fleet.record_runs_left(operation, answer.runs_left)
 
+    def _reopen_kept_vms(self) -> None:
+        """Let owners start runs again on VMs whose move was cancelled."""
+        for machine_id, vm in list(self._fleet.cancelled_moves.items()):
+            if machine_id in self._in_progress:
+                # A request to vacate the VM may be in transit; it must not
+                # arrive last.
+                continue
+            del self._fleet.cancelled_moves[machine_id]
+            machine = self._fleet.machines.get(machine_id)
+            if machine is not None and machine.vm == vm:
+                self._background.spawn(self._reopen(machine.pool, vm))
+
+    async def _reopen(self, pool: ids.PoolId, vm: ids.VmId) -> None:
+        # Without an answer the owner reopens the VM by itself after 3 s.
+        await self._ask_owner(pool, messages.Reopen(pool, vm))
+
     async def _order(self, operation: operations.MachineOperation) -> None:
         now_ms = self._clock.monotonic_ms()
         if now_ms - operation.last_order_ms < _ORDER_RETRY_INTERVAL_MS:
--- a/src/wagtailtiller/maintenance/move_planner.py
+++ b/src/wagtailtiller/maintenance/move_planner.py
@@ -2,8 +2,10 @@
 
 from typing import Protocol
 
+from wagtailtiller import clock as clock_module
 from wagtailtiller import ids
 from wagtailtiller.maintenance import operations as operations_module
+from wagtailtiller.maintenance import returns
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import machines as machines_module
 
@@ -40,16 +42,24 @@
     ) -> None:
         """Start the maintenance or the move of a machine."""
 
+    def cancel_move(
+        self, operation: operations_module.MachineOperation
+    ) -> bool:
+        """Cancel a move; return False if it may have been ordered."""
+
 
 class MovePlanner:
     """Plans moves from the demand of the pools.
 
     Args:
         fleet: Machines and pools; the planner starts operations on it.
+        clock: Clock that supplies the current time.
     """
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, clock: clock_module.Clock) -> None:
         self._fleet = fleet
+        self._clock = clock
+        self._returns = returns.ReturnPolicy()
 
     def plan(self) -> None:
         """Start the moves that the demand of the pools requires now."""
@@ -69,38 +79,79 @@
             )
             for pool, estimator in estimators.items()
         }
+        kept = self._machines_kept(needed, available)
         short_pools = sorted(
             (pool for pool in needed if needed[pool] > available[pool]),
             key=lambda pool: available[pool] / needed[pool],
         )
         for pool in short_pools:
+            self._recall(pool, needed, available)
             while available[pool] < needed[pool]:
-                machine = self._find_spare_machine(needed, available)
+                severe = returns.is_severe(available[pool], needed[pool])
+                machine = self._find_spare_machine(
+                    needed if severe else kept, available
+                )
                 if machine is None:
                     break
                 available[pool] += 1
                 if machine.pool in available:
                     available[machine.pool] -= 1
                 self._fleet.start_operation(machine, pool=pool)
-        self._plan_returns_to_standby(needed, available)
+        self._plan_returns_to_standby(kept)
 
-    def _find_spare_machine(
+    def _machines_kept(
         self, needed: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
+    ) -> dict[ids.PoolId, int]:
+        """Return how many machines each pool keeps, by pool."""
+        now_ms = self._clock.monotonic_ms()
+        if (
+            self._returns.arrivals_since_ms is None
+            and self._has_arrival_history()
+        ):
+            self._returns.arrivals_since_ms = now_ms
+        kept = {}
+        for pool, count in needed.items():
+            self._returns.observe(pool, count, available[pool], now_ms)
+            kept[pool] = self._returns.machines_kept(pool, count, now_ms)
+        return kept
+
+    def _recall(
+        self,
+        pool: ids.PoolId,
+        needed: dict[ids.PoolId, int],
+        available: dict[ids.PoolId, int],
+    ) -> None:
+        """Cancel returns to standby of machines that their pool needs again."""
+        for operation in list(self._fleet.operations.values()):
+            if available[pool] >= needed[pool]:
+                return
+            machine = self._fleet.machines.get(operation.machine)
+            if machine is None or machine.pool != pool:
+                continue
+            if operation.pool is None or not self._fleet.is_standby(
+                operation.pool
+            ):
+                continue
+            if self._fleet.cancel_move(operation):
+                available[pool] += 1
+
+    def _find_spare_machine(
+        self, kept: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
     ) -> machines_module.Machine | None:
         for machine in self._fleet.movable_machines():
             if self._fleet.is_standby(machine.pool):
                 return machine
-        return self._find_surplus_machine(needed, available)
+        return self._find_surplus_machine(kept, available)
 
     def _find_surplus_machine(
-        self, needed: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
+        self, kept: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
     ) -> machines_module.Machine | None:
         best: machines_module.Machine | None = None
         best_runs = 0
         for machine in self._fleet.movable_machines():
             pool = machine.pool
             load = self._fleet.loads.get(machine.vm)
-            if pool not in needed or available[pool] <= needed[pool]:
+            if pool not in kept or available[pool] <= kept[pool]:
                 continue
             if load is None or load.lasting_runs or not load.usable:
                 continue
@@ -108,9 +159,7 @@
                 best, best_runs = machine, load.runs
         return best
 
-    def _plan_returns_to_standby(
-        self, needed: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
-    ) -> None:
+    def _plan_returns_to_standby(self, kept: dict[ids.PoolId, int]) -> None:
         standby = next(
             (
                 pool
@@ -122,17 +171,22 @@
         if standby is None or not self._has_arrival_history():
             return
         # A new machine manager observes a pool for the whole peak window before
-        # it returns machines of the pool to standby.
-        needed_with_history = {
-            pool: count
-            for pool, count in needed.items()
+        # it returns machines of the pool to standby. Machines that are on their
+        # way to the pool do not replace others yet.
+        present = {
+            pool: self._count_present_machines(pool)
+            for pool in kept
             if self._has_full_history(pool)
         }
+        kept_this_cycle = {
+            pool: count - returns.step_machines(count - kept[pool])
+            for pool, count in present.items()
+        }
         while True:
-            machine = self._find_surplus_machine(needed_with_history, available)
+            machine = self._find_surplus_machine(kept_this_cycle, present)
             if machine is None:
                 return
-            available[machine.pool] -= 1
+            present[machine.pool] -= 1
             self._fleet.start_operation(machine, pool=standby)
 
     def _has_arrival_history(self) -> bool:
--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -103,7 +103,19 @@
     mode: VacateMode
 
 
-Request = Submit | AskState | Cancel | AskPending | AskLoad | Vacate
+class Reopen(msgspec.Struct, frozen=True, tag=True):
+    """Request to start runs again on a VM that was being vacated.
+
+    Attributes:
+        pool: Id of the VM's pool.
+        vm: Id of the VM.
+    """
+
+    pool: ids.PoolId
+    vm: ids.VmId
+
+
+Request = Submit | AskState | Cancel | AskPending | AskLoad | Vacate | Reopen
 
 
 class Accepted(msgspec.Struct, frozen=True, tag=True):
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -85,6 +85,8 @@
                 return self._load()
             case messages.Vacate():
                 return self._vacate(request)
+            case messages.Reopen():
+                return self._reopen(request)
 
     async def _submit(self, request: messages.Submit) -> messages.Answer:
         entry = self._pool.entries.get(request.job)
@@ -212,6 +214,16 @@
             self._on_change()
         return messages.Vacated(len(vm.runs))
 
+    def _reopen(self, request: messages.Reopen) -> messages.Answer:
+        vm = self._pool.vms.get(request.vm)
+        if vm is None:
+            return messages.NotOwner()
+        vm.closed_until_ms = 0
+        vm.moves_long_running_until_ms = 0
+        vm.moves_all_until_ms = 0
+        self._on_change()
+        return messages.Vacated(len(vm.runs))
+
     def _load(self) -> messages.Answer:
         startable_millicores, long_running_millicores = self._pool.jobs.demand()
         return messages.Load(
--- a/tests/maintenance/test_machine_fleet.py
+++ b/tests/maintenance/test_machine_fleet.py
@@ -8,6 +8,7 @@
 from wagtailtiller.maintenance import demand
 from wagtailtiller.maintenance import machine_fleet
 from wagtailtiller.maintenance import operations
+from wagtailtiller.maintenance import returns
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import machines
 
@@ -62,6 +63,25 @@
         wave = machines.Wave(_WAVE, names, 20_000, max_out)
         self.fleet.waves[_WAVE] = operations.TrackedWave(wave, set())
 
+    def return_two_machines(self):
+        """Let a pool of three begin to return two after its peak."""
+        for name in "abc":
+            self.add_machine(name, _RENDERS)
+            self.set_load(name)
+        self.add_sample(cores=80)
+        self.fleet.plan()
+        self.add_samples(cores=2)
+        self.plan_after_phase()
+        self.fleet.plan()
+        self.assertEqual(2, len(self.find_operations(pool=_SPARE)))
+
+    def plan_after_phase(self):
+        """Plan while a pool's need is low and when its phase has passed."""
+        self.fleet.plan()
+        self.assertEqual([], self.find_operations())
+        self.clock.advance(1_000)
+        self.fleet.plan()
+
     def find_operations(self, **fields):
         """Return the operations whose attributes have the given values."""
         return [
@@ -85,10 +105,13 @@
         for name in "abc":
             self.add_machine(name, _RENDERS)
             self.set_load(name)
+        self.add_sample(cores=80)
+        self.fleet.plan()
         self.add_sample(cores=2)
         self.fleet.plan()
         self.assertEqual([], self.find_operations())
         self.add_samples(cores=2)
+        self.plan_after_phase()
         self.fleet.plan()
         self.assertEqual(2, len(self.find_operations(pool=_SPARE)))
 
@@ -105,8 +128,55 @@
         self.assertEqual([], self.find_operations())
         self.add_samples(arrived_jobs=1)
         self.fleet.plan()
+        self.assertEqual([], self.find_operations())
+
+    def test_a_phase_that_does_not_come_is_awaited_for_a_bounded_time(self):
+        # Load pattern: light, even load on pools of several machines.
+        for name in "abc":
+            self.add_machine(name, _RENDERS)
+            self.set_load(name)
+        self.add_samples(cores=2)
+        self.fleet.plan()
+        self.clock.advance(returns.KEEP_GIVEN_SIZE_MS)
+        self.add_samples(cores=2)
+        self.assertEqual([], self.find_operations())
+        for _ in range(5):
+            self.fleet.plan()
         self.assertEqual(2, len(self.find_operations(pool=_SPARE)))
 
+    def test_a_machine_on_its_way_out_is_recalled_when_work_arrives(self):
+        # Load pattern: a pool returns machines, and a burst follows before
+        # their VMs are vacated. Moving them out and back takes 3 s or more.
+        self.return_two_machines()
+        self.add_machine("s", _SPARE)
+        self.add_sample(cores=80)
+        self.fleet.plan()
+        self.assertEqual([], self.find_operations())
+        self.assertEqual(2, len(self.fleet.cancelled_moves))
+
+    def test_a_machine_that_was_ordered_is_not_recalled(self):
+        # The platform may carry out an order to which it did not respond.
+        self.return_two_machines()
+        self.add_machine("s", _SPARE)
+        first, second = self.find_operations(pool=_SPARE)
+        self.fleet.record_order(first)
+        self.fleet.record_outcome(first, machines.MachineOutcome.UNANSWERED)
+        self.add_sample(cores=80)
+        self.fleet.plan()
+        self.assertEqual([first], self.find_operations(pool=_SPARE))
+        self.assertEqual(
+            ["s"], [o.machine for o in self.find_operations(pool=_RENDERS)]
+        )
+
+    def test_a_recalled_machine_is_not_ordered_after_a_late_answer(self):
+        # The owner's report that the VM is empty arrives after the recall.
+        self.return_two_machines()
+        operation = self.find_operations(pool=_SPARE)[0]
+        self.add_sample(cores=80)
+        self.fleet.plan()
+        self.fleet.record_runs_left(operation, 0)
+        self.assertFalse(self.fleet.may_order(operation))
+
     def test_a_new_manager_moves_surplus_machines_to_a_short_pool(self):
         for name in "abc":
             self.add_machine(name, _RENDERS)
@@ -225,9 +295,13 @@
             self.add_machine(name, _RENDERS)
             self.set_load(name)
         self.add_machine("s", _SPARE)
-        self.add_samples(cores=20)
+        self.add_sample(cores=90)
         self.fleet.plan()
-        self.assertEqual(2, len(self.find_operations(pool=_SPARE)))
+        self.add_samples(cores=20)
+        self.plan_after_phase()
+        for count in (1, 2, 2):
+            self.assertEqual(count, len(self.find_operations(pool=_SPARE)))
+            self.fleet.plan()
 
     def test_a_machine_with_long_running_tasks_is_not_moved(self):
         for name in "ab":
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -516,6 +516,24 @@
 
         self.run_with(main)
 
+    def test_a_vm_whose_move_is_cancelled_starts_tasks_at_once(self):
+        """The pool needs the VM again before it has been vacated."""
+
+        async def main():
+            _, owner = await self.own_pool_with_run()
+            request = messages.Vacate(
+                jobs.POOL, "vm-1", messages.VacateMode.MOVE_ALL
+            )
+            await owner.answer(request)
+            await owner.answer(messages.Reopen(jobs.POOL, "vm-1"))
+            vm = owner.pool.vms["vm-1"]
+            self.assertEqual(0, vm.closed_until_ms)
+            self.assertEqual(0, vm.moves_long_running_until_ms)
+            self.assertEqual(0, vm.moves_all_until_ms)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_new_vm_does_not_wait_for_delayed_member_removal(self):
         """A VM is added while the removal of another one is being delayed."""
 
