Hand over ordered machines and the season at a planned stop

Load pattern: a rolling restart, or the death of the machine manager, ahead of a peak phase.

Cause: the stored list of orders names also machines that were only planned to be moved, and the next manager left them all alone for its cooldown.

Change: a stopped manager stores the machines that it ordered within the cooldown, and those that it inherited, in at most 0.5 s; nothing if it had not yet read its predecessor's list. It feeds the season with the loads and stores it when it has changed materially, at most every 4 s; a successor restores it.

Result: tests in virtual time. A successor of a planned stop orders machines within 1 s that were only planned; one of a crash still waits. A season that stays the same is written at most twice in 24 s.

--- a/src/wagtailtiller/keys.py
+++ b/src/wagtailtiller/keys.py
@@ -11,6 +11,8 @@
 # Lists the machines for which the machine manager is about to start an
 # operation or has recently started one.
 MACHINE_ORDERS = f"{ROOT}machine-orders"
+# The learned season of the arrivals at all pools.
+SEASON = f"{ROOT}season"
 
 
 def node(node_id: ids.NodeId) -> str:
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -18,6 +18,7 @@
 from wagtailtiller.maintenance import machine_fleet
 from wagtailtiller.maintenance import manager_state
 from wagtailtiller.maintenance import operations
+from wagtailtiller.maintenance import season as season_module
 from wagtailtiller.owner import messages
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import declarations
@@ -83,15 +84,35 @@
         self._state = manager_state.ManagerState(
             store_client, claim, declared, clock, follower.Backoff(rng)
         )
+        self._season = season_module.SeasonLearner(
+            clock.wall_ms() - clock.monotonic_ms()
+        )
+        self._season_known = False
+        self._knows_orders = False
         self._listed_ms: int | None = None
         self._background = tasks.TaskGroup()
         self._in_progress: set[ids.MachineId] = set()
         self._main_task = runtime.spawn(self._main())
 
     async def stop(self) -> None:
-        """Stop, and cancel all operations; no order is sent afterwards."""
+        """Stop, and cancel all operations; no order is sent afterwards.
+
+        The machines that were ordered and the season are stored for the
+        successor, in a bounded time.
+        """
         await tasks.cancel_and_wait([self._main_task])
         await self._background.cancel()
+        if not self._knows_orders:
+            return
+        ordered = self._fleet.recently_ordered(self._cooldown_ms)
+        stored = await self._state.save_at_stop(ordered, self._season.season())
+        events.emit(
+            events.Event.MANAGER_STOPPED,
+            epoch=self.claim.epoch,
+            ordered=len(ordered),
+            planned=len(self._fleet.operations),
+            stored=stored,
+        )
 
     async def _main(self) -> None:
         # Orders from the previous machine manager may have been carried out
@@ -103,10 +124,18 @@
             previously_ordered or set(),
             self._clock.monotonic_ms() + self._cooldown_ms,
         )
+        self._knows_orders = True
+        self._background.spawn(self._restore_season())
         while True:
             await asyncio.sleep(_CYCLE_INTERVAL_MS / 1_000)
             await self._run_cycle()
 
+    async def _restore_season(self) -> None:
+        season = await self._state.read_season()
+        if season is not None and not self._season.is_confident():
+            self._season.restore(season, self._clock.monotonic_ms())
+            self._log_season("restored")
+
     async def _run_cycle(self) -> None:
         if self._declared.catalogue is None:
             return
@@ -125,6 +154,7 @@
                 self._in_progress.add(operation.machine)
                 self._background.spawn(self._advance(operation))
         self._reopen_kept_vms()
+        self._save_season()
         await self._save_waves()
 
     # Inputs of the fleet.
@@ -173,17 +203,20 @@
 
     def _add_load(self, pool: ids.PoolId, load: messages.Load) -> None:
         estimator = self._estimators.setdefault(pool, demand.DemandEstimator())
+        now_ms = self._clock.monotonic_ms()
+        self._season.add(pool, now_ms, load.arrived_jobs, load.arrived_core_ms)
         running_millicores = sum(vm.short_millicores for vm in load.vms)
         estimator.add(
             demand.LoadSample(
-                self._clock.monotonic_ms(),
+                now_ms,
                 load.arrived_core_ms,
                 load.arrived_jobs,
                 load.idle_millicores,
                 running_millicores,
                 load.lasting_millicores,
                 load.lasting_waiting,
-            )
+            ),
+            self._season.forecast_cores(pool, now_ms, demand.FORECAST_LEAD_MS),
         )
         for vm in load.vms:
             self._fleet.loads[vm.vm] = vm
@@ -280,6 +313,30 @@
         )
         self._fleet.record_outcome(operation, outcome)
 
+    # The season.
+
+    def _save_season(self) -> None:
+        known = self._season.is_confident()
+        if known != self._season_known:
+            self._log_season("learned" if known else "lost")
+        if known and self._state.is_season_due():
+            season = self._season.season()
+            assert season is not None
+            self._background.spawn(self._store_season(season))
+
+    async def _store_season(self, season: season_module.Season) -> None:
+        if await self._state.save_season(season):
+            self._log_season("stored")
+
+    def _log_season(self, state: str) -> None:
+        self._season_known = self._season.is_confident()
+        events.emit(
+            events.Event.SEASON_CHANGED,
+            state=state,
+            period_ms=self._season.period_bins * season_module.BIN_MS,
+            confidence=round(self._season.confidence, 2),
+        )
+
     # Wave progress.
 
     async def _save_waves(self) -> None:
--- a/src/wagtailtiller/maintenance/manager_state.py
+++ b/src/wagtailtiller/maintenance/manager_state.py
@@ -1,5 +1,8 @@
 """Persistent state that a machine manager leaves to its successor."""
 
+import asyncio
+from collections.abc import Iterable
+import contextlib
 from typing import TypeVar
 
 import msgspec
@@ -9,6 +12,7 @@
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller import keys
+from wagtailtiller.maintenance import season as season_module
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import declarations
 from wagtailtiller.ports import store
@@ -17,6 +21,13 @@
 # machines that are neither planned nor recently ordered are removed. The delay
 # combines several removals into one write.
 _TRIM_DELAY_MS = 700
+# Shortest time between two writes of the season.
+_SEASON_INTERVAL_MS = 4_000
+# A planned stop waits at most this long for the store. A successor that does
+# not find the state waits for machines that it need not wait for.
+_STOP_TIMEOUT_S = 0.5
+# The first write of a stop may find that an interrupted one was applied.
+_STOP_ATTEMPTS = 2
 
 
 _T = TypeVar("_T")
@@ -85,6 +96,8 @@
         self._revisions: dict[str, ids.Revision] = {}
         self._waves: dict[ids.WaveId, WaveProgress] = {}
         self._orders_saved_ms = 0
+        self._season: season_module.Season | None = None
+        self._season_tried_ms: int | None = None
 
     async def read_orders(self) -> set[ids.MachineId] | None:
         """Return the machines that a previous manager may have ordered.
@@ -129,6 +142,80 @@
             self.saved_orders = machines
             self._orders_saved_ms = now_ms
 
+    async def save_at_stop(
+        self,
+        ordered: set[ids.MachineId],
+        season: season_module.Season | None,
+    ) -> bool:
+        """Store at a planned stop what a successor has to know.
+
+        Args:
+            ordered: Machines whose last order is so recent that a successor
+                must not order them yet; no other machine was ordered.
+            season: The learned season; None if there is none.
+
+        Returns:
+            Whether the store has confirmed it.
+        """
+        orders = store.Write(
+            keys.MACHINE_ORDERS,
+            msgspec.msgpack.encode(_Orders(sorted(ordered))),
+        )
+        writes = [orders]
+        if season is not None:
+            value = msgspec.msgpack.encode(season)
+            writes.append(store.Write(keys.SEASON, value))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_STOP_TIMEOUT_S):
+                for _ in range(_STOP_ATTEMPTS):
+                    if await self._commit(writes):
+                        return True
+        return False
+
+    async def read_season(self) -> season_module.Season | None:
+        """Return the stored season; None if there is none that is readable.
+
+        Retries until the store responds.
+        """
+        while True:
+            result = await self._store.read_key(keys.SEASON)
+            if result.is_ok():
+                break
+            await self._backoff.wait()
+        item = result.ok
+        if item is None or not item.value:
+            return None
+        self._revisions[item.key] = item.revision
+        self._season = _decode(item, season_module.Season)
+        return self._season
+
+    def is_season_due(self) -> bool:
+        """Return whether the last write of the season is long enough ago."""
+        tried_ms = self._season_tried_ms
+        now_ms = self._clock.monotonic_ms()
+        return tried_ms is None or now_ms - tried_ms >= _SEASON_INTERVAL_MS
+
+    async def save_season(self, season: season_module.Season) -> bool:
+        """Store a season if it has changed materially.
+
+        A failed write is repeated after the interval between two writes, since
+        nothing waits for it.
+
+        Args:
+            season: The learned season.
+
+        Returns:
+            Whether the season has been stored now.
+        """
+        self._season_tried_ms = self._clock.monotonic_ms()
+        if not season_module.differs_materially(season, self._season):
+            return False
+        value = msgspec.msgpack.encode(season)
+        if not await self._commit([store.Write(keys.SEASON, value)]):
+            return False
+        self._season = season
+        return True
+
     async def read_wave(self, wave: ids.WaveId) -> WaveProgress | None:
         """Return the progress of a wave; None if the store is unavailable."""
         result = await self._store.read_key(keys.wave(wave))
@@ -169,21 +256,40 @@
         return True
 
     async def _write(
-        self, key: str, value: bytes, *other_writes: store.Write
+        self, key: str, value: bytes, *status: store.Write
+    ) -> bool:
+        if await self._commit([store.Write(key, value)], status):
+            self._backoff.reset()
+            return True
+        await self._backoff.wait()
+        return False
+
+    async def _commit(
+        self, writes: list[store.Write], others: Iterable[store.Write] = ()
     ) -> bool:
-        # The expected revision of the key itself prevents a delayed write from
-        # overwriting a newer one.
+        """Write keys that only machine managers write, and others.
+
+        Args:
+            writes: Writes of the former.
+            others: Writes of the latter.
+
+        Returns:
+            Whether the store has confirmed the transaction.
+        """
+        # The expected revisions of the keys themselves prevent a delayed write
+        # from overwriting a newer one.
         expected = self._claim.preconditions()
-        expected[key] = self._revisions.get(key, store.ABSENT)
-        writes = (store.Write(key, value), *other_writes)
-        result = await self._store.commit(store.Transaction(expected, writes))
+        own_keys = {write.key for write in writes}
+        for key in own_keys:
+            expected[key] = self._revisions.get(key, store.ABSENT)
+        result = await self._store.commit(
+            store.Transaction(expected, (*writes, *others))
+        )
         if result.is_ok():
-            self._revisions[key] = result.ok
-            self._backoff.reset()
+            self._revisions.update(dict.fromkeys(own_keys, result.ok))
             return True
         if isinstance(result.error, store.PreconditionFailed):
             for item in result.error.items:
-                if item.key == key:
-                    self._revisions[key] = item.revision
-        await self._backoff.wait()
+                if item.key in own_keys:
+                    self._revisions[item.key] = item.revision
         return False
--- a/src/wagtailtiller/maintenance/season.py
+++ b/src/wagtailtiller/maintenance/season.py
@@ -224,6 +224,7 @@
         period = max(lengths)
         self._open_bin = (at_ms + self._offset_ms) // BIN_MS
         self._bins = period
+        self._own_bins = 0
         self.period_bins = period
         self.confidence = self._stored_confidence = season.confidence
         for pool, stored in itertools.islice(season.pools.items(), MAX_POOLS):
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -10,6 +10,7 @@
 from support.sim import loop as loop_module
 from wagtailtiller import ids
 from wagtailtiller import keys
+from wagtailtiller import tasks
 from wagtailtiller.maintenance import machine_manager as machine_manager_module
 from wagtailtiller.owner import messages
 from wagtailtiller.ownership import claims
@@ -28,11 +29,17 @@
 
     def __init__(self, names):
         self.pools = dict.fromkeys(names, _SPARE)
+        self.vms = {}
         self.orders = []
 
     async def list(self):
         items = self.pools.items()
-        return Ok([fakes.machine(name, "", pool) for name, pool in items])
+        return Ok(
+            [
+                fakes.machine(name, self.vms.get(name, ""), pool)
+                for name, pool in items
+            ]
+        )
 
     async def move(self, machine, pool, epoch):
         now_ms = asyncio.get_running_loop().time() * 1_000
@@ -62,10 +69,29 @@
         self.store = fakes.FakeStore()
         self.service = _FakeMachineService("abcdef")
         self.needed_machines = 0
+        self.arrived_jobs = 0
+        self.vms = {}
+        self.requests = []
+        self.may_order = True
 
     async def ask_owner(self, pool, request):
+        self.requests.append(request)
+        if isinstance(request, messages.Vacate):
+            return messages.Vacated(self.vms[request.vm])
         millicores = self.needed_machines * _CORES
-        return messages.Load(0.0, 0, 0.0, 0, millicores, 0, ())
+        vm_loads = tuple(
+            messages.VmLoad(vm, runs, 0, 0, 0, True)
+            for vm, runs in self.vms.items()
+        )
+        return messages.Load(
+            0.0,
+            0,
+            self.arrived_jobs * 1_000.0,
+            self.arrived_jobs,
+            millicores,
+            0,
+            vm_loads,
+        )
 
     def start_manager(self, epoch):
         key = keys.owner(_SHARD)
@@ -79,10 +105,24 @@
             self.ask_owner,
             loop_module.VirtualClock(asyncio.get_running_loop()),
             _LEASE_MS,
-            lambda: True,
+            lambda: self.may_order,
             random.Random(1),
         )
 
+    async def crash(self, manager):
+        """End a manager without a planned stop."""
+        await tasks.cancel_and_wait([manager._main_task])
+        await manager._background.cancel()
+
+    async def arrive_in_peaks(self, duration_s):
+        """Let jobs arrive in the first half of each 8 s."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + duration_s
+        while loop.time() < until_s:
+            await asyncio.sleep(0.05)
+            if loop.time() % 8 < 4:
+                self.arrived_jobs += 1
+
     def orders_of(self, epoch):
         return [order for order in self.service.orders if order[1] == epoch]
 
@@ -164,6 +204,137 @@
         for name, _, at_ms in repeated:
             self.assertGreaterEqual(at_ms - first_ms[name], _LEASE_MS)
 
+    def test_a_successor_does_not_wait_for_moves_that_were_only_planned(self):
+        """Load pattern: a rolling restart during a peak.
+
+        The stored list names also the machines that the previous manager only
+        planned to move (docs/incidents/sunsafe-ng-inc-f0f6.md).
+        """
+
+        async def main():
+            self.needed_machines = 4
+            self.may_order = False
+            first = self.start_manager(1)
+            await asyncio.sleep(1)
+            await first.stop()
+            self.may_order = True
+            second = self.start_manager(2)
+            await asyncio.sleep(1)
+            await second.stop()
+
+        loop_module.run(main())
+        self.assertEqual([], self.orders_of(1))
+        self.assertEqual(4, len(self.orders_of(2)))
+
+    def test_a_successor_of_a_crash_waits_for_all_planned_moves(self):
+        # Without a planned stop, any of them may have been ordered.
+        async def main():
+            self.needed_machines = 6
+            self.may_order = False
+            first = self.start_manager(1)
+            await asyncio.sleep(1)
+            await self.crash(first)
+            self.may_order = True
+            second = self.start_manager(2)
+            await asyncio.sleep(_LEASE_MS / 1_000)
+            self.assertEqual([], self.orders_of(2))
+            await asyncio.sleep(2)
+            await second.stop()
+
+        loop_module.run(main())
+        self.assertEqual(6, len(self.orders_of(2)))
+
+    def test_a_stop_within_the_wait_for_an_unreadable_list_keeps_it(self):
+        # The list may have named any machine; an empty one must not replace it.
+        self.store.state.write(keys.MACHINE_ORDERS, b"\xc1", 0, "")
+
+        async def main():
+            manager = self.start_manager(1)
+            await asyncio.sleep(1)
+            await manager.stop()
+
+        loop_module.run(main())
+        item = self.store.state.item(keys.MACHINE_ORDERS)
+        self.assertEqual(b"\xc1", item.value)
+
+    def test_a_planned_stop_is_bounded_while_the_store_is_silent(self):
+        async def main():
+            manager = self.start_manager(1)
+            await asyncio.sleep(1)
+            self.store.refuse_commits = True
+            loop = asyncio.get_running_loop()
+            start_s = loop.time()
+            await manager.stop()
+            self.assertLess(loop.time() - start_s, 1.0)
+
+        loop_module.run(main())
+
+    def test_a_recalled_vm_is_reopened_after_the_requests_to_vacate_it(self):
+        # An owner keeps a VM closed for 3 s after each of them.
+        async def main():
+            for name in "abc":
+                self.service.pools[name] = _RENDERS
+                self.service.vms[name] = f"vm-{name}"
+                self.vms[f"vm-{name}"] = 1
+            self.service.pools = dict(list(self.service.pools.items())[:3])
+            self.needed_machines = 3
+            self.arrived_jobs = 1
+            manager = self.start_manager(1)
+            await asyncio.sleep(2)
+            self.needed_machines = 1
+            await asyncio.sleep(4)
+            vacated = {
+                request.vm
+                for request in self.requests
+                if isinstance(request, messages.Vacate)
+            }
+            self.assertEqual(2, len(vacated))
+            self.needed_machines = 3
+            await asyncio.sleep(0.6)
+            last = {
+                request.vm: type(request)
+                for request in self.requests
+                if not isinstance(request, messages.AskLoad)
+            }
+            self.assertEqual(dict.fromkeys(vacated, messages.Reopen), last)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual([], self.service.orders)
+
+    def test_a_successor_knows_the_season_after_a_crash(self):
+        # The machine manager dies ahead of a peak phase.
+        async def main():
+            first = self.start_manager(1)
+            await self.arrive_in_peaks(30)
+            self.assertTrue(first._season.is_confident())
+            await self.crash(first)
+            second = self.start_manager(2)
+            await asyncio.sleep(0.5)
+            self.assertTrue(second._season.is_confident())
+            self.assertEqual(
+                first._season.period_bins, second._season.period_bins
+            )
+            await second.stop()
+
+        loop_module.run(main())
+
+    def test_a_season_that_stays_the_same_is_stored_once(self):
+        # Each write costs; a successor needs only the profile.
+        revisions = []
+
+        async def main():
+            manager = self.start_manager(1)
+            await self.arrive_in_peaks(24)
+            for _ in range(12):
+                revisions.append(self.store.state.item(keys.SEASON).revision)
+                await self.arrive_in_peaks(2)
+            await self.crash(manager)
+
+        loop_module.run(main())
+        self.assertGreater(revisions[0], 0)
+        self.assertLessEqual(len(set(revisions)), 2)
+
     def test_no_machine_is_ordered_before_the_order_is_stored(self):
         # A successor would not know of the order and could repeat it.
         async def main():
