--- a/src/wagtailtiller/keys.py
+++ b/src/wagtailtiller/keys.py
@@ -13,6 +13,8 @@
 MACHINE_ORDERS = f"{ROOT}machine-orders"
 # Holds what each pool may use for the organisations with a limit.
 ALLOCATIONS = f"{ROOT}allocations"
+# The learned season of the arrivals at all pools.
+SEASON = f"{ROOT}season"
 
 
 def node(node_id: ids.NodeId) -> str:
