Rank late and restarted processes, and name successors

Cause: candidates were ranked by load alone, and a released shard waited for the candidates' delays. Change: node records say whether a process is late or leaving (records of older builds decode). Late processes rank behind comparable ones, leaving ones are not ranked, restarted ones come first among lightly loaded ones while restarts are under way.

--- a/src/wagtailtiller/keys.py
+++ b/src/wagtailtiller/keys.py
@@ -8,6 +8,7 @@
 LIVE_PREFIX = f"{ROOT}live/"
 NODE_PREFIX = f"{LIVE_PREFIX}nodes/"
 OWNER_PREFIX = f"{LIVE_PREFIX}owners/"
+SUCCESSOR_PREFIX = f"{LIVE_PREFIX}successors/"
 # Lists the machines for which the machine manager is about to start an
 # operation or has recently started one.
 MACHINE_ORDERS = f"{ROOT}machine-orders"
@@ -23,6 +24,11 @@
     return f"{OWNER_PREFIX}{shard}"
 
 
+def successor(shard: ids.ShardId) -> str:
+    """Return the key that names who should claim a released shard."""
+    return f"{SUCCESSOR_PREFIX}{shard}"
+
+
 def epoch(shard: ids.ShardId) -> str:
     """Return the key of a shard's epoch, the number of its owners so far."""
     return f"{ROOT}epochs/{shard}"
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -20,6 +20,12 @@
 _SHARD_CPU_MILLICORES = 500
 _SHARD_LINK_MBPS = 20.0
 _MIN_SHARD_CAPACITY = 0.01
+# VMs are of comparable capacity if one has at least this share of the other's.
+COMPARABLE_SHARE = 0.5
+# What an owner on a VM that is slowed five to seven times was seen to serve.
+_LATE_CAPACITY_SHARE = 0.2
+# A restarted process is preferred as long as its VM is loaded at most so far.
+_RESTARTED_MAX_LOAD = 0.5
 
 
 class NodeRecord(msgspec.Struct, frozen=True):
@@ -32,6 +38,8 @@
         incarnation: Id of this start of the process; differs after a restart.
         data_centre: Data centre in which it runs.
         shard_capacity: Number of shards that its VM can carry, as an estimate.
+        late: Whether its event loop is late, so that it serves little.
+        leaving: Whether it is about to stop and claims nothing any more.
     """
 
     node: ids.NodeId
@@ -39,6 +47,8 @@
     incarnation: str
     data_centre: ids.DataCentreId
     shard_capacity: float = 1.0
+    late: bool = False
+    leaving: bool = False
 
 
 class OwnerRecord(msgspec.Struct, frozen=True):
@@ -57,6 +67,23 @@
     epoch: int
 
 
+class SuccessorRecord(msgspec.Struct, frozen=True):
+    """Store record of the process that should claim a released shard.
+
+    It only changes who tries first; the claim itself decides.
+
+    Attributes:
+        node: Name of the process.
+        incarnation: Id of that process's start.
+        epoch: Epoch of the ownership that was released; the record is outdated
+            once the shard has had a later owner.
+    """
+
+    node: ids.NodeId
+    incarnation: str
+    epoch: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Claim:
     """Ownership of a shard by this process.
@@ -81,29 +108,74 @@
 
 
 def rank_candidates(
-    shard: ids.ShardId, nodes: list[NodeRecord], owned: dict[ids.NodeId, int]
+    shard: ids.ShardId,
+    nodes: list[NodeRecord],
+    owned: dict[ids.NodeId, int],
+    restarted: frozenset[ids.NodeId] = frozenset(),
 ) -> list[NodeRecord]:
     """Rank processes as candidates for the ownership of a shard.
 
     Processes come first whose load with one more shard would be the smallest
-    part of what their VM can carry; ties are broken by rendezvous hashing.
+    part of what their VM can carry; ties are broken by rendezvous hashing. A
+    late process comes after all others if one of comparable capacity is not
+    late. If there is none, it counts with a part of its capacity.
 
     Args:
         shard: Id of the shard.
-        nodes: Live processes.
+        nodes: Live processes; those that are leaving are not ranked.
         owned: Number of shards that each process owns.
+        restarted: Processes that have been restarted while restarts are under
+            way. They come first as long as their VM is loaded little.
 
     Returns:
         The processes, best candidate first.
     """
-    return sorted(
-        nodes,
-        key=lambda node: (
-            (owned.get(node.node, 0) + 1) / node.shard_capacity,
-            _rendezvous_hash(shard, node),
-        ),
+    staying_nodes = [node for node in nodes if not node.leaving]
+    highest_capacity = max(
+        (node.shard_capacity for node in staying_nodes if not node.late),
+        default=0.0,
     )
 
+    def rank(node: NodeRecord) -> tuple[bool, bool, float, bytes]:
+        load = load_with_shard(node, owned)
+        replaceable = comparable(highest_capacity, node.shard_capacity)
+        preferred = (
+            node.node in restarted
+            and not node.late
+            and load <= _RESTARTED_MAX_LOAD
+        )
+        return (
+            node.late and replaceable,
+            not preferred,
+            load,
+            _rendezvous_hash(shard, node),
+        )
+
+    return sorted(staying_nodes, key=rank)
+
+
+def comparable(capacity: float, other_capacity: float) -> bool:
+    """Return whether a VM has at least comparable capacity to another.
+
+    Args:
+        capacity: Shards that the VM can carry.
+        other_capacity: Shards that the other VM can carry.
+    """
+    return capacity >= COMPARABLE_SHARE * other_capacity
+
+
+def load_with_shard(node: NodeRecord, owned: dict[ids.NodeId, int]) -> float:
+    """Return a process's load with one more shard; 1 is what it can carry.
+
+    Args:
+        node: Record of the process.
+        owned: Number of shards that each process owns.
+    """
+    capacity = node.shard_capacity
+    if node.late:
+        capacity *= _LATE_CAPACITY_SHARE
+    return (owned.get(node.node, 0) + 1) / capacity
+
 
 def shard_capacity(cpu_millicores: int, link_mbps: float) -> float:
     """Estimate how many shards the VM of a process can carry.
@@ -176,21 +248,49 @@
     return confirmed
 
 
-async def release(store_client: store.Store, claim: Claim) -> None:
+async def release(
+    store_client: store.Store,
+    claim: Claim,
+    successor: NodeRecord | None = None,
+    hint_revision: ids.Revision = store.ABSENT,
+) -> bool:
     """Delete the owner key, so that another process can claim the shard.
 
     Args:
         store_client: Client of the store that holds the owner keys.
         claim: Claim to release; if it is outdated, nothing is deleted.
+        successor: Process that should claim the shard at once; None if there
+            is no better one than the candidates' order gives.
+        hint_revision: Last known revision of the shard's successor key.
+
+    Returns:
+        Whether the key is known to have been deleted.
     """
-    await store_client.commit(
-        store.Transaction(
-            claim.preconditions(), deletes=(keys.owner(claim.shard),)
+    owner_key = keys.owner(claim.shard)
+    if successor is not None:
+        hint_key = keys.successor(claim.shard)
+        hint = SuccessorRecord(
+            successor.node, successor.incarnation, claim.epoch
+        )
+        result = await store_client.commit(
+            store.Transaction(
+                {**claim.preconditions(), hint_key: hint_revision},
+                (store.Write(hint_key, encode(hint)),),
+                (owner_key,),
+            )
         )
+        if result.is_ok():
+            return True
+        if not isinstance(result.error, store.PreconditionFailed):
+            return False
+        # The successor key may have another revision than the known one.
+    result = await store_client.commit(
+        store.Transaction(claim.preconditions(), deletes=(owner_key,))
     )
+    return result.is_ok()
 
 
-def encode(record: NodeRecord | OwnerRecord) -> bytes:
+def encode(record: NodeRecord | OwnerRecord | SuccessorRecord) -> bytes:
     """Encode a record as JSON for the store."""
     return msgspec.json.encode(record)
 
