Hand shards over in limited time, also when the owner is late

Cause: a slowed owner kept its pools for as long as it was slow. The hand-over to a stronger VM had no time limit and ran in the task that watches the session; the one at a planned stop released one shard after another, each with the store's timeout. A late owner gives its pools and the machine manager, one at a time, to a VM of comparable capacity that is not late, unless most of these are late. A stopping process says that it leaves before it releases anything, and names successors.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
+from collections.abc import Coroutine
 import dataclasses
 import random
+from typing import Any
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
@@ -13,6 +14,7 @@
 from wagtailtiller import runtime
 from wagtailtiller import tasks
 from wagtailtiller.entry import frontend
+from wagtailtiller.entry import hand_over as hand_over_module
 from wagtailtiller.entry import peers
 from wagtailtiller.entry import settings as settings_module
 from wagtailtiller.entry import shards
@@ -20,6 +22,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import succession
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import declarations
 from wagtailtiller.ports import machines
@@ -31,9 +34,11 @@
 _SESSION_CHECK_INTERVAL_MS = 250
 _ASK_TIMEOUT_MS = 500
 _INCARNATION_BITS = 128
-# Bounds the hand-over, because the new owners cannot start before the owner
-# keys of this process are deleted.
-_HAND_OVER_TIMEOUT_S = 1.5
+_HAND_OVER_CHECK_INTERVAL_MS = 250
+# Longest wait for the store at a planned stop. It must be short, because the
+# new owners cannot start before this process has released its shards.
+_LEAVING_TIMEOUT_S = 0.4
+_SESSION_END_TIMEOUT_S = 0.4
 # The machine manager orders no machine while the lease in the store may have
 # expired.
 _MANAGER_MAX_SESSION_AGE_MS = 1_500
@@ -121,6 +126,10 @@
         )
         self._vms_task: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._background = tasks.TaskGroup()
+        self._loop_monitor = loop_monitor.LoopMonitor(clock)
+        self._stopping = False
+        self._withheld: set[ids.ShardId] = set()
 
     async def start(self) -> None:
         """Start to serve peers, follow declarations and claim shards."""
@@ -130,29 +139,48 @@
             runtime.spawn(self._adapters.declared.run()),
             runtime.spawn(self._shards.run()),
             runtime.spawn(self._monitor_session()),
-            runtime.spawn(loop_monitor.LoopMonitor(self._clock).run()),
+            runtime.spawn(self._hand_over_when_better()),
+            runtime.spawn(self._loop_monitor.run()),
         ]
 
     async def hand_over(self) -> None:
-        """Release all shards, so that other processes can claim them."""
-        if self._machine_manager is not None:
-            await self._machine_manager.stop()
-            self._machine_manager = None
-        owners, self._owners = self._owners, {}
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_HAND_OVER_TIMEOUT_S):
-                await asyncio.gather(
-                    *(owner.stop() for owner in owners.values())
-                )
-        await self._shards.close()
+        """Release all shards, so that other processes can claim them.
+
+        The record of this process stays in the store until ``stop``, so that
+        the others know that it is leaving.
+        """
+        self._stopping = True
+        await self._run_limited(
+            self._shards.announce_leaving(), _LEAVING_TIMEOUT_S
+        )
+        plans = self._shards.plan_stop()
+        outcomes = await asyncio.gather(
+            *(
+                self._hand_over(claim, plans[claim.shard])
+                for claim in list(self._shards.claims_by_shard.values())
+            )
+        )
+        if hand_over_module.Outcome.NOT_RELEASED in outcomes:
+            await self._end_session()
 
     async def stop(self) -> None:
         """Stop all background tasks and the calls between processes."""
+        await self._end_session()
         if self._vms_task is not None:
             self._tasks.append(self._vms_task)
         await tasks.cancel_and_wait(self._tasks)
+        await self._background.cancel()
         await self._peers.close()
 
+    async def _end_session(self) -> None:
+        await self._run_limited(self._shards.close(), _SESSION_END_TIMEOUT_S)
+
+    async def _run_limited(
+        self, main: Coroutine[Any, Any, None], limit_s: float
+    ) -> None:
+        """Wait for a coroutine for a limited time; it goes on afterwards."""
+        await asyncio.wait({self._background.spawn(main)}, timeout=limit_s)
+
     # The methods of ``frontend.Directory``.
 
     def catalogue(self) -> catalogue.Catalogue | None:
@@ -301,30 +329,107 @@
             if age_ms > pool_owner.LEASE_RENEWAL_TIMEOUT_MS:
                 for owner in list(self._owners.values()):
                     self._on_ownership_lost(owner, "store_silent")
-            elif self._shards.store_answers():
-                await self._hand_over_to_stronger()
 
-    async def _hand_over_to_stronger(self) -> None:
-        """Give a pool to a much stronger VM that has returned.
-
-        The machine manager stays, since it needs little and a successor has to
-        wait before its first order.
-        """
-        for owner in list(self._owners.values()):
-            if not owner.ready or not self._shards.should_hand_over(
-                owner.claim
-            ):
-                continue
-            self._remove_owner(owner)
-            await owner.stop()
-            await self._shards.release(owner.claim)
+    async def _hand_over_when_better(self) -> None:
+        """Hand over shards that another process would serve better."""
+        while True:
+            await asyncio.sleep(_HAND_OVER_CHECK_INTERVAL_MS / 1_000)
+            self._publish_lateness()
+            if not self._stopping and self._shards.store_answers():
+                await self._hand_over_one()
+
+    def _publish_lateness(self) -> None:
+        gauge = self._loop_monitor.gauge
+        if self._shards.set_late(gauge.late):
             events.emit(
-                events.Event.SHARD_LOST,
-                shard=owner.claim.shard,
-                epoch=owner.claim.epoch,
-                reason="handed_over",
+                events.Event.LATENESS_CHANGED,
+                late=gauge.late,
+                recent_ms=gauge.recent_ms(self._clock.monotonic_ms()),
             )
+
+    async def _hand_over_one(self) -> None:
+        """Hand over one shard at most, the pools before the machines."""
+        lateness_ms = self._loop_monitor.gauge.recent_ms(
+            self._clock.monotonic_ms()
+        )
+        shard_claims = sorted(
+            self._shards.claims_by_shard.values(),
+            key=lambda claim: (claim.shard == MACHINES_SHARD, claim.shard),
+        )
+        for claim in shard_claims:
+            if not self._is_ready(claim):
+                continue
+            match self._shards.plan_hand_over(claim, lateness_ms):
+                case succession.Plan() as plan:
+                    await self._hand_over(claim, plan)
+                    return
+                case succession.Withheld() as withheld:
+                    self._log_withheld(claim, withheld)
+                case None:
+                    self._withheld.discard(claim.shard)
+
+    def _is_ready(self, claim: claims.Claim) -> bool:
+        if claim.shard == MACHINES_SHARD:
+            return self._machine_manager is not None
+        owner = self._owners.get(ids.PoolId(claim.shard))
+        return owner is not None and owner.ready
+
+    def _log_withheld(
+        self, claim: claims.Claim, withheld: succession.Withheld
+    ) -> None:
+        if claim.shard in self._withheld:
             return
+        self._withheld.add(claim.shard)
+        events.emit(
+            events.Event.HAND_OVER_WITHHELD,
+            shard=claim.shard,
+            epoch=claim.epoch,
+            comparable=withheld.comparable_count,
+            late=withheld.late_count,
+        )
+
+    async def _hand_over(
+        self, claim: claims.Claim, plan: succession.Plan
+    ) -> hand_over_module.Outcome:
+        """Stop serving a shard and release it, in limited time."""
+        started_ms = self._clock.monotonic_ms()
+        events.emit(
+            events.Event.HAND_OVER_STARTED,
+            shard=claim.shard,
+            epoch=claim.epoch,
+            reason=plan.reason.value,
+            successor=plan.successor.node if plan.successor else "",
+        )
+        outcome = await hand_over_module.run(
+            self._detach(claim.shard),
+            lambda: self._shards.release(claim, plan.successor),
+            self._background,
+        )
+        events.emit(
+            events.Event.SHARD_LOST,
+            shard=claim.shard,
+            epoch=claim.epoch,
+            reason=plan.reason.value,
+        )
+        events.emit(
+            events.Event.HAND_OVER_ENDED,
+            shard=claim.shard,
+            epoch=claim.epoch,
+            outcome=outcome.value,
+            took_ms=self._clock.monotonic_ms() - started_ms,
+        )
+        return outcome
+
+    def _detach(self, shard: ids.ShardId) -> hand_over_module.Stop | None:
+        """Stop to answer for a shard, and return what stops its service."""
+        if shard == MACHINES_SHARD:
+            manager, self._machine_manager = self._machine_manager, None
+            return manager.stop if manager is not None else None
+        owner = self._owners.get(ids.PoolId(shard))
+        if owner is None:
+            return None
+        self._remove_owner(owner)
+        return owner.stop
 
     def _remove_owner(self, owner: pool_owner.PoolOwner) -> None:
         del self._owners[owner.pool_id]
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -2,19 +2,23 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import random
 from typing import TypeVar
 
 import msgspec
 
 from wagtailtiller import clock as clock_module
+from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
+from wagtailtiller.ownership import restarts
 from wagtailtiller.ownership import session
+from wagtailtiller.ownership import succession
 from wagtailtiller.ports import store
 
 # Additional claim delay for each position in the order of preference. The
@@ -25,11 +29,16 @@
 # one. After an outage of the store, in which all leases expire, strong VMs may
 # be the last to register and to claim.
 _STRONGER_WAIT_MS = 1_500
-_COMPARABLE_SHARE = 0.5
-# A shard is kept at least this long, so that it does not go back and forth, and
-# is only given to a VM that has been listed for this long.
-_MIN_OWNED_MS = 2_000
 _CLAIM_INTERVAL_MS = 100
+# VMs that are slowed down together do not notice it at the same time. A late
+# process waits for their records before it judges who is better off: for this
+# time, and for the turns of the loops that write and read them.
+_LATE_SETTLING_MS = 500
+_SETTLING_TURNS = 2
+# The claim loop may be writing the record at the same time.
+_LEAVING_ATTEMPTS = 2
+# Shortest time between two changes of this process's record.
+_PUBLISH_INTERVAL_MS = 1_000
 # A process that has just started waits first, so that it can read the records
 # of the other processes.
 _STARTUP_DELAY_MS = 400
@@ -82,6 +91,19 @@
         self._unowned_since_ms: dict[ids.ShardId, int] = {}
         self._claimed_ms: dict[ids.ShardId, int] = {}
         self._listed_since_ms: dict[ids.NodeId, int] = {}
+        self._hints: dict[ids.ShardId, claims.SuccessorRecord] = {}
+        # The latest known epoch of each shard's owners.
+        self._epochs: dict[ids.ShardId, int] = {}
+        # Processes that this one has named as successors, until they claim.
+        self._named: dict[ids.ShardId, ids.NodeId] = {}
+        self._releasing: set[ids.ShardId] = set()
+        self._restarts = restarts.RestartTracker()
+        self._has_listed = False
+        self._wake = asyncio.Event()
+        self._stored_record: claims.NodeRecord | None = None
+        self._stored_ms = 0
+        self._record_revision = store.ABSENT
+        self._published_ms: int | None = None
         self._highest_capacity = own_record.shard_capacity
         self._registered = False
         self._closing = False
@@ -132,13 +154,38 @@
             self._mirror.run(), self._session.run(), self._claim_loop()
         )
 
+    async def announce_leaving(self) -> None:
+        """Claim nothing from now on, and tell the other processes so."""
+        self._closing = True
+        self._own_record = msgspec.structs.replace(
+            self._own_record, leaving=True
+        )
+        events.emit(
+            events.Event.NODE_LEAVING, shards=sorted(self.claims_by_shard)
+        )
+        for _ in range(_LEAVING_ATTEMPTS):
+            if not self._session.lease or await self._write_record():
+                return
+
     async def close(self) -> None:
-        """Release all shards and end the lease."""
+        """End the lease; the store deletes all keys of this process."""
         self._closing = True
-        for claim in list(self.claims_by_shard.values()):
-            await claims.release(self._store, claim)
         await self._session.close()
 
+    def set_late(self, late: bool) -> bool:
+        """Set whether this process is late; the claim loop publishes it.
+
+        Args:
+            late: Whether the event loop of this process is late.
+
+        Returns:
+            Whether this is a change.
+        """
+        if late == self._own_record.late:
+            return False
+        self._own_record = msgspec.structs.replace(self._own_record, late=late)
+        return True
+
     def remove_claim(self, claim: claims.Claim) -> None:
         """Remove a claim whose ownership was lost.
 
@@ -148,43 +195,82 @@
         if self.claims_by_shard.get(claim.shard) == claim:
             del self.claims_by_shard[claim.shard]
 
-    def should_hand_over(self, claim: claims.Claim) -> bool:
-        """Return whether a much stronger VM should have a shard instead.
-
-        Such a VM has been listed for some time, and would carry the shard with
-        at most half of this VM's load.
+    def plan_hand_over(
+        self, claim: claims.Claim, lateness_ms: int = 0
+    ) -> succession.Plan | succession.Withheld | None:
+        """Decide whether another process should have a shard of this one.
 
         Args:
             claim: Claim of this process.
+            lateness_ms: Recent lateness of the event loop of this process.
+
+        Returns:
+            As ``succession.plan``; None as well until this process and the
+            others can know which of them are late.
         """
+        stored = self._stored_record
         now_ms = self._clock.monotonic_ms()
+        if stored is None or stored.late != self._own_record.late:
+            return None
+        settling_ms = _LATE_SETTLING_MS + _SETTLING_TURNS * lateness_ms
+        if stored.late and now_ms - self._stored_ms < settling_ms:
+            return None
         claimed_ms = self._claimed_ms.get(claim.shard, now_ms)
-        if now_ms - claimed_ms < _MIN_OWNED_MS:
-            return False
-        owned_counts = self._owned_counts()
-        own_capacity = self._own_record.shard_capacity
-        own_load = len(self.claims_by_shard) / own_capacity
-        return any(
-            own_capacity < _COMPARABLE_SHARE * node.shard_capacity
-            and now_ms - self._listed_since_ms[node.node] >= _MIN_OWNED_MS
-            and (owned_counts.get(node.node, 0) + 1) / node.shard_capacity
-            <= own_load * _COMPARABLE_SHARE
-            for node in self._nodes.values()
-        )
+        return succession.plan(claim.shard, self._view(), now_ms - claimed_ms)
+
+    def plan_stop(self) -> dict[ids.ShardId, succession.Plan]:
+        """Choose successors for all shards of this process."""
+        return succession.plan_stop(sorted(self.claims_by_shard), self._view())
 
-    async def release(self, claim: claims.Claim) -> None:
+    async def release(
+        self,
+        claim: claims.Claim,
+        successor: claims.NodeRecord | None = None,
+    ) -> bool:
         """Release one shard, so that another process can claim it.
 
+        If this fails, the claim loop deletes the owner key later.
+
         Args:
             claim: The claim; its owner must have stopped.
+            successor: Process that should claim the shard at once.
+
+        Returns:
+            Whether the shard is known to be released.
         """
         self.remove_claim(claim)
-        await claims.release(self._store, claim)
+        if successor is not None:
+            self._named[claim.shard] = successor.node
+        hint = self._mirror.items.get(keys.successor(claim.shard))
+        self._releasing.add(claim.shard)
+        try:
+            return await claims.release(
+                self._store,
+                claim,
+                successor,
+                hint.revision if hint is not None else store.ABSENT,
+            )
+        finally:
+            self._releasing.discard(claim.shard)
+
+    def _view(self) -> succession.View:
+        now_ms = self._clock.monotonic_ms()
+        own_node = self._own_record.node
+        return succession.View(
+            self._own_record,
+            [node for node in self._nodes.values() if node.node != own_node],
+            self._owned_counts(),
+            {
+                node: now_ms - listed_ms
+                for node, listed_ms in self._listed_since_ms.items()
+            },
+            self._restarts.restarted(now_ms),
+        )
 
     async def _claim_loop(self) -> None:
         await asyncio.sleep(_STARTUP_DELAY_MS / 1_000)
         while not self._closing:
-            await asyncio.sleep(_CLAIM_INTERVAL_MS / 1_000)
+            await self._wait_for_turn()
             if not self._session.lease:
                 continue
             if self.session_age_ms() > _MAX_SESSION_AGE_MS:
@@ -192,21 +278,57 @@
             if not self._registered:
                 await self._register()
                 continue
+            await self._publish_changes()
             for shard in sorted(self._shards):
                 await self._claim_if_unowned(shard)
+                if self._closing:
+                    return
+
+    async def _wait_for_turn(self) -> None:
+        """Wait until the next check is due, or a hint names this process."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CLAIM_INTERVAL_MS / 1_000):
+                await self._wake.wait()
+        self._wake.clear()
 
     async def _register(self) -> None:
+        self._registered = await self._write_record()
+        if not self._registered:
+            await asyncio.sleep(_CLAIM_INTERVAL_MS / 1_000)
+
+    async def _publish_changes(self) -> None:
+        if self._stored_record == self._own_record:
+            return
+        now_ms = self._clock.monotonic_ms()
+        if (
+            self._published_ms is not None
+            and now_ms - self._published_ms < _PUBLISH_INTERVAL_MS
+        ):
+            return
+        self._published_ms = now_ms
+        await self._write_record()
+
+    async def _write_record(self) -> bool:
         # The key may still exist, from a previous start of this process or
-        # under an expired lease.
+        # under an expired lease. The latest write may not have been read yet.
         key = keys.node(self._own_record.node)
         known = self._mirror.items.get(key)
-        expected = known.revision if known is not None else store.ABSENT
+        mirrored = known.revision if known is not None else store.ABSENT
+        record = self._own_record
         result = await self._store.write(
-            key, claims.encode(self._own_record), expected, self._session.lease
+            key,
+            claims.encode(record),
+            max(mirrored, self._record_revision),
+            self._session.lease,
         )
-        self._registered = result.is_ok()
-        if not self._registered:
-            await asyncio.sleep(_CLAIM_INTERVAL_MS / 1_000)
+        if result.is_error():
+            if isinstance(result.error, errors.Conflict):
+                self._record_revision = store.ABSENT
+            return False
+        self._record_revision = result.ok
+        self._stored_record = record
+        self._stored_ms = self._clock.monotonic_ms()
+        return True
 
     async def _claim_if_unowned(self, shard: ids.ShardId) -> None:
         now_ms = self._clock.monotonic_ms()
@@ -226,8 +348,14 @@
         self._unowned_since_ms.pop(shard, None)
         if claim is None:
             return
+        if self._closing:
+            # The process was told to stop while it claimed the shard.
+            await claims.release(self._store, claim)
+            return
         self.claims_by_shard[shard] = claim
         self._claimed_ms[shard] = self._clock.monotonic_ms()
+        self._epochs[shard] = claim.epoch
+        self._named.pop(shard, None)
         self._owners[shard] = claims.OwnerRecord(
             self._own_record.node,
             self._own_record.address,
@@ -250,6 +378,7 @@
         if (
             owner.incarnation != self._own_record.incarnation
             or shard in self.claims_by_shard
+            or shard in self._releasing
         ):
             return
         item = self._mirror.items.get(keys.owner(shard))
@@ -257,28 +386,51 @@
             await self._store.delete(item.key, item.revision)
 
     def _claim_delay_ms(self, shard: ids.ShardId) -> int:
-        preferred_nodes = claims.rank_candidates(
-            shard, list(self._nodes.values()), self._owned_counts()
+        successor = self._successor(shard)
+        if successor == self._own_record.node:
+            return 0
+        ranking = claims.rank_candidates(
+            shard,
+            list(self._nodes.values()),
+            self._owned_counts(),
+            self._restarts.restarted(self._clock.monotonic_ms()),
         )
-        node_names = [node.node for node in preferred_nodes]
+        node_names = [node.node for node in ranking if node.node != successor]
+        if successor is not None:
+            node_names.insert(0, successor)
         if self._own_record.node not in node_names:
             return _CLAIM_DELAY_STEP_MS * (len(node_names) + 1)
         position = node_names.index(self._own_record.node)
         delay_ms = _CLAIM_DELAY_STEP_MS * position
-        own_capacity = self._own_record.shard_capacity
-        if own_capacity < _COMPARABLE_SHARE * self._highest_capacity:
+        if not claims.comparable(
+            self._own_record.shard_capacity, self._highest_capacity
+        ):
             delay_ms += _STRONGER_WAIT_MS
         return delay_ms
 
+    def _successor(self, shard: ids.ShardId) -> ids.NodeId | None:
+        """Return the live process that the previous owner has named."""
+        hint = self._hints.get(shard)
+        if hint is None or hint.epoch != self._epochs.get(shard):
+            return None
+        node = self._nodes.get(hint.node)
+        if node is None or node.incarnation != hint.incarnation:
+            return None
+        return None if node.leaving else hint.node
+
     def _owned_counts(self) -> dict[ids.NodeId, int]:
         """Return the number of shards that each process owns."""
         counts: dict[ids.NodeId, int] = {}
-        for owner in self._owners.values():
-            counts[owner.node] = counts.get(owner.node, 0) + 1
+        holders = {shard: owner.node for shard, owner in self._owners.items()}
+        holders.update(self._named)
+        for node in holders.values():
+            counts[node] = counts.get(node, 0) + 1
         return counts
 
     def _on_session_opened(self, lease: str) -> None:
         self._registered = False
+        self._stored_record = None
+        self._record_revision = store.ABSENT
 
     def _on_session_expired(self) -> None:
         self._registered = False
@@ -302,6 +454,15 @@
                 self._update_node(item)
             elif item.key.startswith(keys.OWNER_PREFIX):
                 self._update_owner(item)
+            elif item.key.startswith(keys.SUCCESSOR_PREFIX):
+                self._update_successor(item)
+        self._has_listed = True
+        if any(
+            shard not in self._owners
+            and self._successor(shard) == self._own_record.node
+            for shard in self._hints
+        ):
+            self._wake.set()
 
     def _update_node(self, item: store.Item) -> None:
         node = ids.NodeId(item.key[len(keys.NODE_PREFIX) :])
@@ -312,12 +473,33 @@
             if node == self._own_record.node:
                 self._registered = False
         else:
+            self._track_restarts(record)
             self._nodes[node] = record
             self._listed_since_ms.setdefault(node, self._clock.monotonic_ms())
             self._highest_capacity = max(
                 self._highest_capacity, record.shard_capacity
             )
 
+    def _track_restarts(self, record: claims.NodeRecord) -> None:
+        now_ms = self._clock.monotonic_ms()
+        known = self._nodes.get(record.node)
+        was_leaving = known is not None and known.leaving
+        if record.leaving and not was_leaving:
+            self._restarts.record_leaving(record.node, now_ms)
+        self._restarts.record_start(
+            record.node,
+            record.incarnation,
+            now_ms if self._has_listed else None,
+        )
+
+    def _update_successor(self, item: store.Item) -> None:
+        shard = ids.ShardId(item.key[len(keys.SUCCESSOR_PREFIX) :])
+        hint = _decode(item, claims.SuccessorRecord)
+        if hint is None:
+            self._hints.pop(shard, None)
+        else:
+            self._hints[shard] = hint
+
     def _update_owner(self, item: store.Item) -> None:
         shard = ids.ShardId(item.key[len(keys.OWNER_PREFIX) :])
         claim = self.claims_by_shard.get(shard)
@@ -328,6 +510,9 @@
             self._owners.pop(shard, None)
         else:
             self._owners[shard] = record
+            self._epochs[shard] = record.epoch
+            if record.node != self._own_record.node:
+                self._named.pop(shard, None)
 
 
 def _decode(item: store.Item, record_type: type[_T]) -> _T | None:
--- a/src/wagtailtiller/tasks.py
+++ b/src/wagtailtiller/tasks.py
@@ -39,15 +39,19 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def spawn(self, main: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, main: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
         """Start a task in the group.
 
         Args:
             main: Coroutine to run.
+
+        Returns:
+            The task.
         """
         task = runtime.spawn(main)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have ended."""
--- /dev/null
+++ b/tests/entry/test_node.py
@@ -0,0 +1,206 @@
+"""Tests of ownership across simulated entry processes, in virtual time."""
+
+import asyncio
+import random
+
+import testtools
+
+from support.sim import loop as loop_module
+from support.sim import scenarios
+from support.sim import world as world_module
+from wagtailtiller import ids
+from wagtailtiller.entry import node as node_module
+
+# Long enough for all processes to register and claim.
+_START_S = 4.0
+# A slowed process runs for _RUN_S, then waits for _WAIT_S.
+_RUN_S = 0.02
+_WAIT_S = 0.4
+
+
+class _NodeCase(testtools.TestCase):
+    def run_world(self, main, processes=6, strong_processes=0):
+        async def wrapped():
+            scenario = scenarios.small()
+            scenario = scenario.__class__(
+                **{
+                    **vars(scenario),
+                    "processes": processes,
+                    "strong_processes": strong_processes,
+                }
+            )
+            self.world = world_module.World(scenario)
+            loop_module.spawn(self.world.store_service.run())
+            for number, (pool, count) in enumerate(scenario.machines.items()):
+                for machine in range(count):
+                    self.world.fleet.add(f"m{number}-{machine}", pool, "r1")
+            for number in range(processes):
+                await self.world.start_process(f"e{number}")
+            await asyncio.sleep(_START_S)
+            await main()
+
+        loop_module.run(wrapped())
+
+    def owners(self):
+        """Return the name of the process that owns each shard."""
+        return {
+            shard: process.name
+            for process in self.world.live_processes()
+            for shard in process.node.owned_shards()
+        }
+
+    def epochs(self):
+        items = self.world.store_service.state.read("wagtail/epochs/").items
+        return {item.key: int(item.value) for item in items}
+
+    async def slow_down(self, process, duration_s):
+        """Let a process run for a small part of the time only."""
+        end_ms = self.world.clock.monotonic_ms() + duration_s * 1_000
+        while self.world.clock.monotonic_ms() < end_ms:
+            process.pause()
+            await asyncio.sleep(_WAIT_S)
+            process.resume()
+            await asyncio.sleep(_RUN_S)
+
+
+class LateOwnerTest(_NodeCase):
+    def test_slowed_owner_hands_all_its_shards_over(self):
+        """Guards against a pool that waits 5 s for its slowed owner."""
+
+        async def main():
+            before = self.owners()
+            name = before[node_module.MACHINES_SHARD]
+            slowed = self.world.processes[name]
+            await self.slow_down(slowed, 5)
+            after = self.owners()
+            self.assertEqual(before.keys(), after.keys())
+            self.assertNotIn(name, after.values())
+            # The other owners keep their shards.
+            for shard, owner in before.items():
+                if owner != name:
+                    self.assertEqual(owner, after[shard])
+
+        self.run_world(main)
+
+    def test_ownership_does_not_flap_after_a_slowdown(self):
+        async def main():
+            before = self.epochs()
+            slowed = self.world.processes[self.owners()["proofs"]]
+            for _ in range(3):
+                await self.slow_down(slowed, 4)
+                await asyncio.sleep(4)
+            after = self.epochs()
+            changes = sum(after.values()) - sum(before.values())
+            self.assertLessEqual(changes, 2)
+
+        self.run_world(main)
+
+    def test_all_vms_slow_and_nobody_hands_over(self):
+        """Guards against ownership that flaps while all VMs are slow."""
+
+        async def main():
+            before = self.epochs()
+            rng = random.Random(1)
+
+            async def slow_down(process):
+                await asyncio.sleep(rng.uniform(0, 0.1))
+                await self.slow_down(process, 8)
+
+            await asyncio.gather(*map(slow_down, self.world.live_processes()))
+            self.assertEqual(before, self.epochs())
+
+        self.run_world(main)
+
+    def test_strong_vm_that_is_slowed_gives_to_a_strong_vm(self):
+        async def main():
+            slowed = self.world.processes[self.owners()["proofs"]]
+            self.assertIn(slowed.name, ("e0", "e1"))
+            await self.slow_down(slowed, 5)
+            self.assertIn(self.owners()["proofs"], ("e0", "e1"))
+            self.assertNotEqual(slowed.name, self.owners()["proofs"])
+
+        self.run_world(main, strong_processes=2)
+
+
+class RestartTest(_NodeCase):
+    async def restart(self, process):
+        await process.terminate()
+        await asyncio.sleep(0.6)
+        await self.world.start_process(process.name)
+
+    async def restart_all(self):
+        restarts = []
+        for process in self.world.live_processes():
+            restarts.append(asyncio.create_task(self.restart(process)))
+            await asyncio.sleep(2)
+        await asyncio.gather(*restarts)
+
+    def test_all_entry_vms_are_restarted_in_turn(self):
+        """Guards against pools that move with each restart."""
+
+        async def main():
+            before = self.epochs()
+            await self.restart_all()
+            await asyncio.sleep(1)
+            after = self.epochs()
+            moves = [after[key] - before[key] for key in after]
+            self.assertLessEqual(max(moves), 3)
+            self.assertEqual(3, len(self.owners()))
+
+        self.run_world(main, processes=10, strong_processes=4)
+
+    def test_pools_stay_on_strong_vms_while_one_is_up(self):
+        """Guards against a large pool behind a small link."""
+
+        async def main():
+            strong = {f"e{number}" for number in range(3)}
+            restarting = asyncio.create_task(self.restart_all())
+            while not restarting.done():
+                await asyncio.sleep(0.1)
+                self.assertLessEqual(set(self.owners().values()), strong)
+
+        self.run_world(main, processes=10, strong_processes=3)
+
+    def test_planned_stop_leaves_pool_without_owner_for_a_moment_only(self):
+        """Guards against callers that wait for the candidates' delays."""
+
+        async def main():
+            process = self.world.processes[self.owners()["proofs"]]
+            stop = asyncio.create_task(process.node.hand_over())
+            await asyncio.sleep(0.3)
+            owner = self.owners().get(ids.ShardId("proofs"))
+            self.assertNotIn(owner, (None, process.name))
+            await stop
+
+        self.run_world(main, processes=10, strong_processes=3)
+
+    def test_stop_without_the_store_ends_in_time(self):
+        """Guards against a process that is killed with requests open."""
+
+        async def main():
+            process = self.world.processes[self.owners()["proofs"]]
+            self.world.store_service.faults.partitioned.add(process.process)
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            await process.node.hand_over()
+            await process.node.stop()
+            self.assertLess(loop.time() - started_s, 3)
+            await asyncio.sleep(4)
+            process.kill()
+            self.assertEqual(3, len(self.owners()))
+
+        self.run_world(main)
+
+    def test_hand_over_that_hangs_does_not_hide_a_lost_session(self):
+        """Guards against commands of an owner that is cut off for too long."""
+
+        async def main():
+            process = self.world.processes[self.owners()["proofs"]]
+            self.world.store_service.faults.partitioned.add(process.process)
+            for owner in process.node._owners.values():
+                owner.stop = loop_module.wait_forever
+            loop_module.spawn(process.node._hand_over_one(), process.process)
+            await asyncio.sleep(7)
+            self.assertEqual({}, process.node._owners)
+
+        self.run_world(main)
--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -4,6 +4,7 @@
 import random
 
 from expression import Error
+import msgspec
 import testtools
 
 from support import fakes
@@ -13,6 +14,7 @@
 from wagtailtiller import keys
 from wagtailtiller.entry import shards as shards_module
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import succession
 
 _SHARD = ids.ShardId("renders")
 
@@ -32,13 +34,13 @@
         return await super().watch(prefix, after, wait_ms)
 
 
-class ShardsTest(testtools.TestCase):
-    def run_with_shards(self, main):
+class _ShardsCase(testtools.TestCase):
+    def run_with_shards(self, main, shard_capacity=1.0):
         async def wrapped():
             self.store = _Store()
             self.gained = []
             own_record = claims.NodeRecord(
-                ids.NodeId("e-1"), "e-1:1", "x", "dc-1"
+                ids.NodeId("e-1"), "e-1:1", "x", "dc-1", shard_capacity
             )
             shards = shards_module.Shards(
                 self.store,
@@ -54,17 +56,9 @@
 
         loop_module.run(wrapped())
 
-    def test_unowned_shard_is_claimed(self):
-        async def main(shards):
-            shards.set_shards({_SHARD})
-            await asyncio.sleep(2)
-            self.assertEqual([_SHARD], [claim.shard for claim in self.gained])
-
-        self.run_with_shards(main)
-
-    async def register(self, name, shard_capacity):
+    async def register(self, name, shard_capacity, **flags):
         record = claims.NodeRecord(
-            ids.NodeId(name), f"{name}:1", "y", "dc-1", shard_capacity
+            ids.NodeId(name), f"{name}:1", "y", "dc-1", shard_capacity, **flags
         )
         key = keys.node(record.node)
         revision = self.store.state.item(key).revision
@@ -72,6 +66,16 @@
             key, claims.encode(record), revision, ""
         ).ok
 
+
+class ShardsTest(_ShardsCase):
+    def test_unowned_shard_is_claimed(self):
+        async def main(shards):
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(2)
+            self.assertEqual([_SHARD], [claim.shard for claim in self.gained])
+
+        self.run_with_shards(main)
+
     def test_a_weak_vm_leaves_time_to_strong_ones_after_an_outage(self):
         """Load pattern: all leases expire while the store is away."""
 
@@ -109,12 +113,14 @@
             (claim,) = self.gained
             await self.register("equal", 1.0)
             await asyncio.sleep(3)
-            self.assertFalse(shards.should_hand_over(claim))
+            self.assertIsNone(shards.plan_hand_over(claim))
             await self.register("strong", 4.0)
             await asyncio.sleep(1)
-            self.assertFalse(shards.should_hand_over(claim))
+            self.assertIsNone(shards.plan_hand_over(claim))
             await asyncio.sleep(2)
-            self.assertTrue(shards.should_hand_over(claim))
+            plan = shards.plan_hand_over(claim)
+            self.assertEqual(succession.Reason.STRONGER_VM, plan.reason)
+            self.assertEqual("strong", plan.successor.node)
             await shards.release(claim)
             await asyncio.sleep(1)
             self.assertEqual([claim], self.gained)
@@ -133,7 +139,7 @@
                 key = keys.owner(ids.ShardId(f"other-{number}"))
                 self.store.state.write(key, claims.encode(owner), 0, "")
             await asyncio.sleep(4)
-            self.assertFalse(shards.should_hand_over(self.gained[0]))
+            self.assertIsNone(shards.plan_hand_over(self.gained[0]))
 
         self.run_with_shards(main)
 
@@ -150,3 +156,197 @@
             self.assertEqual(1, len(self.gained))
 
         self.run_with_shards(main)
+
+
+class SuccessorTest(_ShardsCase):
+    """Tests of shards that are released by an owner that names a successor."""
+
+    async def add_owner(self, epoch=1):
+        """Make another process the owner of the shard."""
+        owner = claims.OwnerRecord(ids.NodeId("old"), "old:1", "y", epoch)
+        key = keys.owner(_SHARD)
+        revision = self.store.state.write(key, claims.encode(owner), 0, "").ok
+        self.store.state.write(keys.epoch(_SHARD), str(epoch).encode(), 0, "")
+        return claims.Claim(_SHARD, epoch, revision)
+
+    async def release(self, claim, name, incarnation):
+        successor = claims.NodeRecord(
+            ids.NodeId(name), f"{name}:1", incarnation, "dc-1"
+        )
+        await claims.release(self.store, claim, successor)
+
+    async def time_to_claim_ms(self):
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        while not self.gained and loop.time() < started_s + 8:
+            await asyncio.sleep(0.005)
+        return int((loop.time() - started_s) * 1_000)
+
+    def test_named_successor_claims_at_once(self):
+        """Guards against callers that wait for the candidates' delays."""
+
+        async def main(shards):
+            await self.register("strong", 4.0)
+            for number in range(5):
+                await self.register(f"other-{number}", 0.25)
+            shards.set_shards({_SHARD})
+            claim = await self.add_owner()
+            await asyncio.sleep(2)
+            await self.release(claim, "e-1", "x")
+            self.assertLess(await self.time_to_claim_ms(), 100)
+
+        self.run_with_shards(main, shard_capacity=0.25)
+
+    def test_successor_that_does_not_claim_is_replaced(self):
+        """Guards against a shard that waits for a successor that has died."""
+
+        async def main(shards):
+            await self.register("other", 1.0)
+            shards.set_shards({_SHARD})
+            claim = await self.add_owner()
+            await asyncio.sleep(2)
+            await self.release(claim, "other", "y")
+            took_ms = await self.time_to_claim_ms()
+            self.assertGreaterEqual(took_ms, 200)
+            self.assertLess(took_ms, 500)
+
+        self.run_with_shards(main)
+
+    def test_successor_that_dies_after_the_hint_is_forgotten(self):
+        async def main(shards):
+            revision = await self.register("other", 1.0)
+            shards.set_shards({_SHARD})
+            claim = await self.add_owner()
+            await asyncio.sleep(2)
+            await self.release(claim, "other", "y")
+            await self.store.delete(keys.node(ids.NodeId("other")), revision)
+            self.assertLess(await self.time_to_claim_ms(), 200)
+
+        self.run_with_shards(main)
+
+    def test_hint_of_an_earlier_release_is_ignored(self):
+        """Guards against a hint that outlives the ownership it belongs to."""
+
+        async def main(shards):
+            await self.register("strong", 4.0)
+            shards.set_shards({_SHARD})
+            claim = await self.add_owner(epoch=1)
+            await self.release(claim, "e-1", "x")
+            claim = await self.add_owner(epoch=2)
+            await asyncio.sleep(2)
+            self.assertEqual([], self.gained)
+            await claims.release(self.store, claim)
+            self.assertGreater(await self.time_to_claim_ms(), 1_500)
+
+        self.run_with_shards(main)
+
+    def test_changed_hint_does_not_prevent_the_release(self):
+        async def main(shards):
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(2)
+            (claim,) = self.gained
+            self.store.state.write(keys.successor(_SHARD), b"?", 0, "")
+            await self.register("other", 1.0)
+            successor = claims.NodeRecord(
+                ids.NodeId("other"), "other:1", "y", "dc-1"
+            )
+            self.assertTrue(await shards.release(claim, successor))
+            owner = self.store.state.item(keys.owner(_SHARD))
+            self.assertIsNone(owner.value)
+
+        self.run_with_shards(main)
+
+    def test_release_without_an_answer_is_repeated(self):
+        """Guards against a shard that a live process neither serves nor frees.
+
+        The store is away during the hand-over.
+        """
+
+        async def main(shards):
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(2)
+            (claim,) = self.gained
+            strong = claims.NodeRecord(
+                ids.NodeId("strong"), "strong:1", "y", "dc-1", 4.0
+            )
+            await self.register("strong", 4.0)
+            self.store.faults = [fakes.Fault.REQUEST_LOST]
+            self.assertFalse(await shards.release(claim, strong))
+            await asyncio.sleep(0.3)
+            owner = self.store.state.item(keys.owner(_SHARD))
+            self.assertIsNone(owner.value)
+
+        self.run_with_shards(main)
+
+
+class RecordTest(_ShardsCase):
+    """Tests of what a process tells the others about itself."""
+
+    def stored(self):
+        value = self.store.state.item(keys.node(ids.NodeId("e-1"))).value
+        return msgspec.json.decode(value, type=claims.NodeRecord)
+
+    def test_lateness_is_published_with_few_writes(self):
+        """Guards against a slow process that floods the store."""
+
+        async def main(shards):
+            await asyncio.sleep(2)
+            writes = self.store.writes
+            for number in range(40):
+                shards.set_late(number % 2 == 0)
+                await asyncio.sleep(0.1)
+            self.assertLessEqual(self.store.writes - writes, 5)
+            shards.set_late(True)
+            await asyncio.sleep(1.5)
+            self.assertTrue(self.stored().late)
+
+        self.run_with_shards(main)
+
+    def test_late_process_keeps_its_shard_until_the_others_know(self):
+        async def main(shards):
+            shards.set_shards({_SHARD})
+            await self.register("other", 1.0)
+            await asyncio.sleep(5)
+            (claim,) = self.gained
+            shards.set_late(True)
+            self.assertIsNone(shards.plan_hand_over(claim))
+            await asyncio.sleep(1)
+            plan = shards.plan_hand_over(claim)
+            self.assertEqual(succession.Reason.OWN_LATENESS, plan.reason)
+
+        self.run_with_shards(main)
+
+    def test_leaving_process_claims_nothing(self):
+        """Load pattern: all entry VMs are restarted in turn."""
+
+        async def main(shards):
+            await asyncio.sleep(2)
+            await shards.announce_leaving()
+            self.assertTrue(self.stored().leaving)
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(4)
+            self.assertEqual([], self.gained)
+
+        self.run_with_shards(main)
+
+    def test_claim_won_during_the_stop_is_released(self):
+        """Guards against a pool whose new owner is about to exit."""
+
+        async def main(shards):
+            await asyncio.sleep(2)
+            commit = self.store.commit
+
+            async def slow_commit(transaction):
+                await asyncio.sleep(0.2)
+                return await commit(transaction)
+
+            self.store.commit = slow_commit
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(0.15)
+            await shards.announce_leaving()
+            await asyncio.sleep(1)
+            self.assertEqual([], self.gained)
+            owner = self.store.state.item(keys.owner(_SHARD))
+            self.assertIsNone(owner.value)
+
+        self.run_with_shards(main)
