Answer every request that was read before connections are closed

Cause: callers saw connections closed without an answer, and timeouts that ended before our 504. Found: a request still open 5 s after SIGTERM was cancelled; one read while connections were closed had 0.4 s; a slow body was waited for without limit and its time was not counted; calls to the store during a submission were not bounded by the caller's timeout; the margin for the answer did not grow with the lateness of the event loop; the process closed its listener 2.5 s after SIGTERM also while requests still came. Change: one time limit around all work on a request, which a stop shortens and lateness shortens too; a body that does not arrive is refused, with the reason in the log; the process stays until two readiness checks have failed and no request has come for 0.5 s, within the limit as before.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import enum
 from typing import Protocol
@@ -13,6 +14,7 @@
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import timeouts
+from wagtailtiller.entry import deadlines as deadlines_module
 from wagtailtiller.entry import outcomes
 from wagtailtiller.entry import peers
 from wagtailtiller.jobs import job as job_module
@@ -24,9 +26,10 @@
 from wagtailtiller.scheduling import admission
 
 _ASK_TIMEOUT_MS = 700
+# An ask ends before the time limit of its request, so that the connection of an
+# owner that does not answer is replaced.
+_ASK_MARGIN_MS = 20
 _RETRY_INTERVAL_MS = 60
-# Subtracted from a caller's timeout, so that the answer reaches it in time.
-_RESPONSE_MARGIN_MS = 150
 _NO_OWNER_RETRY_MS = 1_000
 _ToOutcome = Callable[
     [messages.Answer | None], Awaitable[outcomes.Outcome | None]
@@ -111,6 +114,10 @@
         peer_client: Client that sends requests to the other entry processes.
         store_client: Client of the store.
         clock: Clock that supplies the current time.
+        lateness_ms: Returns how late the event loop has recently been.
+
+    Attributes:
+        deadlines: Time limits of all requests.
     """
 
     def __init__(
@@ -119,7 +126,9 @@
         peer_client: peers.Peers,
         store_client: store.Store,
         clock: clock_module.Clock,
+        lateness_ms: Callable[[], int] = lambda: 0,
     ) -> None:
+        self.deadlines = deadlines_module.Deadlines(clock, lateness_ms)
         self._directory = directory
         self._peers = peer_client
         self._store = store_client
@@ -184,17 +193,24 @@
             queue.pool, job, queue.queue, spec, route.organisation
         )
         started_ms = self._clock.monotonic_ms()
-        submission = _Submission(started_ms + timeout_ms - _RESPONSE_MARGIN_MS)
-        outcome = await self._submit_once(request, submission)
-        while outcome is None:
-            if self._clock.monotonic_ms() >= submission.deadline_ms:
-                outcome = outcomes.Unknown()
-                break
-            await asyncio.sleep(_RETRY_INTERVAL_MS / 1_000)
-            outcome = await self._submit_once(request, submission)
+        outcome: outcomes.Outcome = outcomes.Unknown()
+        with contextlib.suppress(TimeoutError):
+            async with self.deadlines.limit(timeout_ms) as deadline_ms:
+                outcome = await self._submit_until_resolved(
+                    request, _Submission(deadline_ms)
+                )
         self._log_submission(job, queue, outcome, started_ms)
         return outcome
 
+    async def _submit_until_resolved(
+        self, request: messages.Submit, submission: _Submission
+    ) -> outcomes.Outcome:
+        while True:
+            outcome = await self._submit_once(request, submission)
+            if outcome is not None:
+                return outcome
+            await asyncio.sleep(_RETRY_INTERVAL_MS / 1_000)
+
     async def _submit_once(
         self, request: messages.Submit, submission: _Submission
     ) -> outcomes.Outcome | None:
@@ -335,19 +351,17 @@
         self, request: messages.Request, timeout_ms: int, to_outcome: _ToOutcome
     ) -> outcomes.Outcome:
         """Repeat a request to a pool's owner until its outcome is known."""
-        deadline_ms = (
-            self._clock.monotonic_ms() + timeout_ms - _RESPONSE_MARGIN_MS
-        )
-        while True:
-            address = self._directory.owner_address(request.pool)
-            outcome = await to_outcome(
-                await self._ask(address, request, deadline_ms)
-            )
-            if outcome is not None:
-                return outcome
-            if self._clock.monotonic_ms() >= deadline_ms:
-                return outcomes.Unknown()
-            await asyncio.sleep(_RETRY_INTERVAL_MS / 1_000)
+        with contextlib.suppress(TimeoutError):
+            async with self.deadlines.limit(timeout_ms) as deadline_ms:
+                while True:
+                    address = self._directory.owner_address(request.pool)
+                    outcome = await to_outcome(
+                        await self._ask(address, request, deadline_ms)
+                    )
+                    if outcome is not None:
+                        return outcome
+                    await asyncio.sleep(_RETRY_INTERVAL_MS / 1_000)
+        return outcomes.Unknown()
 
     async def _store_job(self, request: messages.Submit) -> _StoreResult:
         """Store a job whose pool has no reachable owner.
@@ -394,7 +408,8 @@
     ) -> messages.Answer | None:
         if address is None:
             return None
-        time_left_ms = max(50, deadline_ms - self._clock.monotonic_ms())
+        time_left_ms = deadline_ms - self._clock.monotonic_ms()
+        time_left_ms = max(1, time_left_ms - _ASK_MARGIN_MS)
         timeout_ms = min(_ASK_TIMEOUT_MS, time_left_ms)
         if address == self._directory.own_address():
             return await self._ask_local(request, timeout_ms)
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -118,8 +118,9 @@
             self._on_shard_lost,
             rng,
         )
+        self._loop_monitor = loop_monitor.LoopMonitor(clock)
         self.frontend = frontend.Frontend(
-            self, self._peers, adapters.store, clock
+            self, self._peers, adapters.store, clock, self._lateness_ms
         )
         self._machine_manager: machine_manager_module.MachineManager | None = (
             None
@@ -127,7 +128,6 @@
         self._vms_task: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._background = tasks.TaskGroup()
-        self._loop_monitor = loop_monitor.LoopMonitor(clock)
         self._stopping = False
         self._withheld: set[ids.ShardId] = set()
 
@@ -344,14 +344,15 @@
             events.emit(
                 events.Event.LATENESS_CHANGED,
                 late=gauge.late,
-                recent_ms=gauge.recent_ms(self._clock.monotonic_ms()),
+                recent_ms=self._lateness_ms(),
             )
 
+    def _lateness_ms(self) -> int:
+        return self._loop_monitor.gauge.recent_ms(self._clock.monotonic_ms())
+
     async def _hand_over_one(self) -> None:
         """Hand over one shard at most, the pools before the machines."""
-        lateness_ms = self._loop_monitor.gauge.recent_ms(
-            self._clock.monotonic_ms()
-        )
+        lateness_ms = self._lateness_ms()
         shard_claims = sorted(
             self._shards.claims_by_shard.values(),
             key=lambda claim: (claim.shard == MACHINES_SHARD, claim.shard),
--- a/src/wagtailtiller/platform/caller_api.py
+++ b/src/wagtailtiller/platform/caller_api.py
@@ -1,20 +1,24 @@
 """The HTTP interface for callers, on top of the frontend."""
 
+import asyncio
 import re
 
 from aiohttp import web
 import msgspec
 
+from wagtailtiller import events
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import model
 from wagtailtiller.platform import documents
+from wagtailtiller.ports import catalogue
 
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 _TIMEOUT_HEADER = "Timeout-Ms"
 _AUTHORIZATION_SCHEME = "bearer"
 _DEFAULT_TIMEOUT_MS = 3_000
 _MAX_TIMEOUT_MS = 60_000
+_BODY_RETRY_AFTER_S = 1
 
 
 class CallerApi:
@@ -25,6 +29,8 @@
 
     Attributes:
         in_flight: The number of requests that are being served.
+        last_request_s: Time of the event loop at which the latest request was
+            read.
         stopping: Whether the process shuts down; each connection is then
             closed after its next response.
     """
@@ -32,6 +38,7 @@
     def __init__(self, entry_frontend: frontend.Frontend) -> None:
         self._frontend = entry_frontend
         self.in_flight = 0
+        self.last_request_s = 0.0
         self.stopping = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -44,6 +51,7 @@
             The response to the request.
         """
         self.in_flight += 1
+        self.last_request_s = asyncio.get_running_loop().time()
         try:
             response = await self._serve(request)
         finally:
@@ -88,11 +96,19 @@
         job: model.JobId,
         timeout_ms: int,
     ) -> web.Response:
-        spec = documents.decode_job(await request.read())
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        try:
+            async with self._frontend.deadlines.limit(timeout_ms):
+                body = await request.read()
+        except TimeoutError:
+            return _refuse_without_body(route.queue, job)
+        spec = documents.decode_job(body)
         if isinstance(spec, str):
             return _error_response(400, spec)
+        time_left_ms = timeout_ms - int((loop.time() - started_s) * 1_000)
         return _to_response(
-            await self._frontend.submit(route, job, spec, timeout_ms)
+            await self._frontend.submit(route, job, spec, time_left_ms)
         )
 
 
@@ -140,6 +156,22 @@
             return _error_response(504, "not known in time")
 
 
+def _refuse_without_body(
+    queue: catalogue.Queue, job: model.JobId
+) -> web.Response:
+    """Refuse a job whose specification has not arrived in time."""
+    events.emit(
+        events.Event.JOB_REFUSED,
+        job=job,
+        queue=queue.queue,
+        reason="no_body",
+        retry_after_ms=_BODY_RETRY_AFTER_S * 1_000,
+    )
+    response = _error_response(503, "no_body")
+    response.headers["Retry-After"] = str(_BODY_RETRY_AFTER_S)
+    return response
+
+
 def _error_response(status: int, detail: str) -> web.Response:
     return _json_response(status, {"error": detail})
 
--- a/src/wagtailtiller/platform/main.py
+++ b/src/wagtailtiller/platform/main.py
@@ -19,6 +19,7 @@
 from wagtailtiller.entry import settings as settings_module
 from wagtailtiller.platform import caller_api
 from wagtailtiller.platform import declarations
+from wagtailtiller.platform import drain
 from wagtailtiller.platform import machines
 from wagtailtiller.platform import policy
 from wagtailtiller.platform import settings as settings_file
@@ -29,13 +30,15 @@
 
 _EXIT_BAD_SETTINGS = 2
 _METRICS_PATH = "/metrics"
-# Time for the load balancer to notice the shutdown: it stops sending new
-# connections after two failed readiness checks.
-_BALANCER_UPDATE_S = 2.5
-_POLL_INTERVAL_S = 0.05
 # Part of the shutdown time that is reserved for the steps after the last open
 # request.
 _STOP_MARGIN_S = 1.0
+# Requests that are open then are answered before the connections are closed.
+_ANSWER_MARGIN_MS = 300
+# Requests that are read while the connections are being closed are answered
+# within the first time, and their connections stay open for the second.
+_LAST_ANSWER_MS = 400
+_CLOSE_TIMEOUT_S = 0.6
 
 
 class EntryService(aiomisc.Service):
@@ -67,6 +70,7 @@
             random.SystemRandom(),
         )
         self._caller_api = caller_api.CallerApi(self._node.frontend)
+        self._readiness = drain.Readiness()
         self._runners = [
             await _listen(
                 self._caller_api.handle, self.settings.caller_address
@@ -89,17 +93,17 @@
         """
         self._caller_api.stopping = True
         events.emit(events.Event.ENTRY_STOPPING, node=self.settings.node)
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
         limit_s = self.settings.stop_within_ms / 1_000 - _STOP_MARGIN_S
+        self._node.frontend.deadlines.end_all_within(
+            int(limit_s * 1_000) - _ANSWER_MARGIN_MS
+        )
+        waiting = asyncio.ensure_future(
+            drain.wait_until_unused(self._caller_api, self._readiness, limit_s)
+        )
         await self._node.hand_over()
-        while loop.time() - started_s < limit_s:
-            balancer_updated = loop.time() - started_s >= _BALANCER_UPDATE_S
-            if balancer_updated and not self._caller_api.in_flight:
-                break
-            await asyncio.sleep(_POLL_INTERVAL_S)
-        for runner in self._runners:
-            await runner.cleanup()
+        await waiting
+        self._node.frontend.deadlines.end_all_within(_LAST_ANSWER_MS)
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         await self._node.stop()
         await self._store.close()
         if self._machines is not None:
@@ -124,6 +128,7 @@
         ready = (
             not self._caller_api.stopping and self._node.catalogue() is not None
         )
+        self._readiness.record_check(ready)
         return web.Response(status=200 if ready else 503)
 
 
@@ -138,7 +143,8 @@
 
 async def _listen(handler: _Handler, address: str) -> web.ServerRunner:
     runner = web.ServerRunner(
-        web.Server(handler, keepalive_timeout=75.0), shutdown_timeout=0.2
+        web.Server(handler, keepalive_timeout=75.0),
+        shutdown_timeout=_CLOSE_TIMEOUT_S,
     )
     await runner.setup()
     host, port = address.split(":")
