Ask a pool's new owner at once, and refuse when nothing can be done

Cause: a submission waited up to 0.7 s for an owner that had been replaced; a refusal by the next owner was withheld to the caller's timeout; a frontend that was cut off from the store asked a previous owner until then. Change: a question ends when the pool has a new owner, which is asked next. A submission names the epoch of the owner that it is meant for, so that a later owner's refusal is definite. A process that no longer owns a pool names the owner that it knows. After 0.7 s without a ready owner the frontend stores the job, or refuses it if it cannot reach the store.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -1,6 +1,7 @@
 """The frontend, which forwards callers' requests to the owners of pools."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
@@ -8,6 +9,8 @@
 import enum
 from typing import Protocol
 
+import msgspec
+
 from wagtailtiller import clock as clock_module
 from wagtailtiller import errors
 from wagtailtiller import events
@@ -30,6 +33,9 @@
 # owner that does not answer is replaced.
 _ASK_MARGIN_MS = 20
 _RETRY_INTERVAL_MS = 60
+# An owner that has just claimed a pool is ready after a fraction of this time.
+# After it, a frontend stores jobs itself, or refuses them.
+_TAKEOVER_WAIT_MS = 700
 _NO_OWNER_RETRY_MS = 1_000
 _ToOutcome = Callable[
     [messages.Answer | None], Awaitable[outcomes.Outcome | None]
@@ -52,18 +58,65 @@
     organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
 
 
+@dataclasses.dataclass(frozen=True)
+class _Owner:
+    """The owner of a pool.
+
+    Attributes:
+        address: Its address for peers, as ``ip:port``.
+        epoch: Epoch of its ownership.
+    """
+
+    address: str
+    epoch: int
+
+
 @dataclasses.dataclass
 class _Submission:
     """The state of a job submission over several attempts.
 
+    A job that an earlier attempt may have stored, or may still store, must not
+    be reported as refused.
+
     Attributes:
         deadline_ms: Time on the monotonic clock at which the attempts end.
-        outcome_unknown: Whether an earlier attempt may have stored the job or
-            may still store it. Such a job must not be reported as refused.
+        asked: The owner that the latest attempt addressed; None if none was
+            known.
+        unknown_epoch: Highest epoch of an owner that may have stored the job;
+            None if there is none.
+        store_write_unknown: Whether this process may have stored it.
+        not_owner_since_ms: Time of the first of the latest answers that
+            named no ready owner; None if the latest answer was another one.
     """
 
     deadline_ms: int
-    outcome_unknown: bool = False
+    asked: _Owner | None = None
+    unknown_epoch: int | None = None
+    store_write_unknown: bool = False
+    not_owner_since_ms: int | None = None
+
+    @property
+    def outcome_unknown(self) -> bool:
+        """Whether an earlier attempt may have stored the job."""
+        return self.store_write_unknown or self.unknown_epoch is not None
+
+    def record_unknown(self) -> None:
+        """Record that the owner that was asked may have stored the job."""
+        if self.asked is not None:
+            self.unknown_epoch = max(self.unknown_epoch or 0, self.asked.epoch)
+
+    def is_refusal_definite(self) -> bool:
+        """Return whether a refusal by the owner that was asked is certain.
+
+        The owner has found no stored job. Writes of owners of earlier epochs
+        fail since it has claimed the pool, and owners of other epochs do not
+        accept the earlier requests.
+        """
+        if self.store_write_unknown or self.asked is None:
+            return False
+        return (
+            self.unknown_epoch is None or self.asked.epoch > self.unknown_epoch
+        )
 
 
 class _StoreResult(enum.Enum):
@@ -92,6 +145,13 @@
             None if no owner is known.
         """
 
+    def owner_epoch(self, pool: ids.PoolId) -> int:
+        """Return the epoch of a pool's last known owner; 0 if none was known.
+
+        Args:
+            pool: Id of the pool.
+        """
+
     async def ask_local(self, request: messages.Request) -> messages.Answer:
         """Answer a request in this process, without a network call.
 
@@ -133,6 +193,21 @@
         self._peers = peer_client
         self._store = store_client
         self._clock = clock
+        # Owners that previous owners have named, while the store is away.
+        self._redirects: dict[ids.PoolId, _Owner] = {}
+        self._asks: dict[ids.PoolId, dict[asyncio.Timeout, _Owner]] = {}
+
+    def on_owner_change(self, pool: ids.PoolId) -> None:
+        """End the questions to previous owners of a pool.
+
+        Args:
+            pool: Id of a pool that has a new owner.
+        """
+        owner = self._owner(pool)
+        now_s = asyncio.get_running_loop().time()
+        for scope, asked in self._asks.get(pool, {}).items():
+            if asked != owner and not scope.expired():
+                scope.reschedule(now_s)
 
     def route(
         self, host: str, path: str, api_key: str | None
@@ -209,15 +284,20 @@
             outcome = await self._submit_once(request, submission)
             if outcome is not None:
                 return outcome
+            await self._wait_before_retry(request.pool, submission.asked)
+
+    async def _wait_before_retry(
+        self, pool: ids.PoolId, asked: _Owner | None
+    ) -> None:
+        """Wait, unless the pool has another owner than the one asked."""
+        if self._owner(pool) == asked:
             await asyncio.sleep(_RETRY_INTERVAL_MS / 1_000)
 
     async def _submit_once(
         self, request: messages.Submit, submission: _Submission
     ) -> outcomes.Outcome | None:
         """Try to submit a job once; None if the outcome is unknown."""
-        address = self._directory.owner_address(request.pool)
-        answer = await self._ask(address, request, submission.deadline_ms)
-        match answer:
+        match await self._ask_to_accept(request, submission):
             case messages.Accepted():
                 return outcomes.Accepted()
             case messages.IdInUse():
@@ -228,26 +308,56 @@
                 # The owner may be cut off from the store while this process
                 # is not.
                 return await self._submit_to_store(request, submission)
-            case messages.Rejected():
-                if submission.outcome_unknown:
+            case messages.Rejected() as rejected:
+                if not submission.is_refusal_definite():
                     return None
-                return outcomes.Refused(answer.reason, answer.retry_after_ms)
+                return outcomes.Refused(
+                    rejected.reason, rejected.retry_after_ms
+                )
             case messages.NotOwner():
-                return None
+                return await self._submit_without_owner(request, submission)
             case messages.Unsure():
-                submission.outcome_unknown = True
-                return None
-            case None if address == self._directory.own_address():
-                # The owner still tries to store the job. If its write fails
-                # without an effect, it drops the job, so no other writer may
-                # store it meanwhile.
-                submission.outcome_unknown = True
+                submission.record_unknown()
                 return None
             case _:
-                submission.outcome_unknown = (
-                    submission.outcome_unknown or address is not None
-                )
-                return await self._submit_to_store(request, submission)
+                return await self._submit_without_answer(request, submission)
+
+    async def _ask_to_accept(
+        self, request: messages.Submit, submission: _Submission
+    ) -> messages.Answer | None:
+        owner = self._owner(request.pool)
+        submission.asked = owner
+        if owner is not None:
+            request = msgspec.structs.replace(request, epoch=owner.epoch)
+        answer = await self._ask(owner, request, submission.deadline_ms)
+        if not isinstance(answer, messages.NotOwner):
+            submission.not_owner_since_ms = None
+        return answer
+
+    async def _submit_without_answer(
+        self, request: messages.Submit, submission: _Submission
+    ) -> outcomes.Outcome | None:
+        submission.record_unknown()
+        # An owner in this process still tries to store the job. If its write
+        # fails without an effect, it drops the job, so no other writer may
+        # store it meanwhile. A new owner is asked first.
+        if (
+            self._is_local(submission.asked)
+            or self._owner(request.pool) != submission.asked
+        ):
+            return None
+        return await self._submit_to_store(request, submission)
+
+    async def _submit_without_owner(
+        self, request: messages.Submit, submission: _Submission
+    ) -> outcomes.Outcome | None:
+        """Wait for a pool's next owner, for a limited time."""
+        now_ms = self._clock.monotonic_ms()
+        if submission.not_owner_since_ms is None:
+            submission.not_owner_since_ms = now_ms
+        if now_ms - submission.not_owner_since_ms < _TAKEOVER_WAIT_MS:
+            return None
+        return await self._submit_to_store(request, submission)
 
     async def _submit_to_store(
         self, request: messages.Submit, submission: _Submission
@@ -265,7 +375,7 @@
             case _StoreResult.NO:
                 return None if submission.outcome_unknown else unavailable
             case _StoreResult.UNKNOWN:
-                submission.outcome_unknown = True
+                submission.store_write_unknown = True
                 return None
 
     async def job_status(
@@ -354,13 +464,13 @@
         with contextlib.suppress(TimeoutError):
             async with self.deadlines.limit(timeout_ms) as deadline_ms:
                 while True:
-                    address = self._directory.owner_address(request.pool)
+                    owner = self._owner(request.pool)
                     outcome = await to_outcome(
-                        await self._ask(address, request, deadline_ms)
+                        await self._ask(owner, request, deadline_ms)
                     )
                     if outcome is not None:
                         return outcome
-                    await asyncio.sleep(_RETRY_INTERVAL_MS / 1_000)
+                    await self._wait_before_retry(request.pool, owner)
         return outcomes.Unknown()
 
     async def _store_job(self, request: messages.Submit) -> _StoreResult:
@@ -403,17 +513,73 @@
             return _StoreResult.OTHER_JOB
         return _StoreResult.YES
 
+    def _owner(self, pool: ids.PoolId) -> _Owner | None:
+        """Return the latest owner that this process knows."""
+        address = self._directory.owner_address(pool)
+        epoch = self._directory.owner_epoch(pool)
+        redirect = self._redirects.get(pool)
+        if redirect is not None and redirect.epoch > epoch:
+            return redirect
+        return _Owner(address, epoch) if address is not None else None
+
+    def _is_local(self, owner: _Owner | None) -> bool:
+        return (
+            owner is not None and owner.address == self._directory.own_address()
+        )
+
     async def _ask(
-        self, address: str | None, request: messages.Request, deadline_ms: int
+        self,
+        owner: _Owner | None,
+        request: messages.Request,
+        deadline_ms: int,
     ) -> messages.Answer | None:
-        if address is None:
+        """Ask an owner; None without an answer, or if it has been replaced."""
+        if owner is None:
             return None
         time_left_ms = deadline_ms - self._clock.monotonic_ms()
         time_left_ms = max(1, time_left_ms - _ASK_MARGIN_MS)
         timeout_ms = min(_ASK_TIMEOUT_MS, time_left_ms)
-        if address == self._directory.own_address():
-            return await self._ask_local(request, timeout_ms)
-        return await self._peers.ask(address, request, timeout_ms)
+        answer = None
+        with contextlib.suppress(TimeoutError):
+            async with self._while_owner(request.pool, owner):
+                if self._is_local(owner):
+                    answer = await self._ask_local(request, timeout_ms)
+                else:
+                    answer = await self._peers.ask(
+                        owner.address, request, timeout_ms
+                    )
+        if isinstance(answer, messages.NotOwner):
+            self._follow(request.pool, answer)
+        return answer
+
+    @contextlib.asynccontextmanager
+    async def _while_owner(
+        self, pool: ids.PoolId, owner: _Owner
+    ) -> AsyncIterator[None]:
+        """End a block with ``TimeoutError`` when a pool has a new owner."""
+        asks = self._asks.setdefault(pool, {})
+        async with asyncio.timeout(None) as scope:
+            asks[scope] = owner
+            try:
+                yield
+            finally:
+                del asks[scope]
+
+    def _follow(self, pool: ids.PoolId, answer: messages.NotOwner) -> None:
+        """Use the owner that a previous one has named, if it is a later one."""
+        current = self._owner(pool)
+        known_epoch = max(
+            self._directory.owner_epoch(pool), current.epoch if current else 0
+        )
+        if not answer.address or answer.epoch <= known_epoch:
+            return
+        self._redirects[pool] = _Owner(answer.address, answer.epoch)
+        events.emit(
+            events.Event.OWNER_REDIRECTED,
+            pool=pool,
+            address=answer.address,
+            epoch=answer.epoch,
+        )
 
     async def _ask_local(
         self, request: messages.Request, timeout_ms: int
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -34,6 +34,7 @@
 _SESSION_CHECK_INTERVAL_MS = 250
 _ASK_TIMEOUT_MS = 500
 _INCARNATION_BITS = 128
+_ANY_EPOCH = 0
 _HAND_OVER_CHECK_INTERVAL_MS = 250
 # Longest wait for the store at a planned stop. It must be short, because the
 # new owners cannot start before this process has released its shards.
@@ -117,6 +118,7 @@
             self._on_shard_gained,
             self._on_shard_lost,
             rng,
+            lambda shard: self.frontend.on_owner_change(ids.PoolId(shard)),
         )
         self._loop_monitor = loop_monitor.LoopMonitor(clock)
         self.frontend = frontend.Frontend(
@@ -200,6 +202,10 @@
         owner = self._shards.owner(ids.ShardId(pool))
         return owner.address if owner is not None else None
 
+    def owner_epoch(self, pool: ids.PoolId) -> int:
+        """Return the epoch of a pool's last known owner, or 0."""
+        return self._shards.owner_epoch(ids.ShardId(pool))
+
     def owned_shards(self) -> list[ids.ShardId]:
         """Return the shards that this process owns, in order."""
         return sorted(self._shards.claims_by_shard)
@@ -219,12 +225,22 @@
             request: The request, from this process or from a peer.
 
         Returns:
-            The answer; ``NotOwner`` if this process does not own the pool.
+            The answer; ``NotOwner`` if this process does not own the pool, or
+            not under the epoch that the request is meant for.
         """
         owner = self._owners.get(request.pool)
-        if owner is None:
+        if owner is None or not _is_for(request, owner.claim):
+            return self._not_owner(request.pool)
+        answer = await owner.answer(request)
+        if isinstance(answer, messages.NotOwner):
+            return self._not_owner(request.pool)
+        return answer
+
+    def _not_owner(self, pool: ids.PoolId) -> messages.NotOwner:
+        known = self._shards.owner(ids.ShardId(pool))
+        if known is None:
             return messages.NotOwner()
-        return await owner.answer(request)
+        return messages.NotOwner(known.address, known.epoch)
 
     # Changes of the declarations and of the owned shards.
 
@@ -437,3 +453,10 @@
         if not self._owners and self._vms_task is not None:
             self._vms_task.cancel()
             self._vms_task = None
+
+
+def _is_for(request: messages.Request, claim: claims.Claim) -> bool:
+    """Return whether a request may be answered under a claim."""
+    if not isinstance(request, messages.Submit):
+        return True
+    return request.epoch in (_ANY_EPOCH, claim.epoch)
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -65,6 +65,7 @@
         on_lost: Called with the claim of each shard that this process no
             longer owns, and with the reason.
         rng: Random source that spreads retries.
+        on_owner_change: Called with each shard that has a new owner.
 
     Attributes:
         claims_by_shard: The claims that this process has won.
@@ -78,7 +79,9 @@
         on_gained: Callable[[claims.Claim], None],
         on_lost: Callable[[claims.Claim, str], None],
         rng: random.Random,
+        on_owner_change: Callable[[ids.ShardId], None] = lambda shard: None,
     ) -> None:
+        self._on_owner_change = on_owner_change
         self.claims_by_shard: dict[ids.ShardId, claims.Claim] = {}
         self._store = store_client
         self._own_record = own_record
@@ -135,6 +138,10 @@
         """Return the last known owner of a shard, or None."""
         return self._owners.get(shard)
 
+    def owner_epoch(self, shard: ids.ShardId) -> int:
+        """Return the epoch of a shard's last known owner, or 0."""
+        return self._epochs.get(shard, 0)
+
     def session_age_ms(self) -> int:
         """Return the time since the lease was last known to be valid."""
         return self._session.age_ms()
@@ -369,6 +376,7 @@
             revision=claim.revision,
         )
         self._on_gained(claim)
+        self._on_owner_change(shard)
 
     async def _delete_stale_claim(
         self, shard: ids.ShardId, owner: claims.OwnerRecord
@@ -510,7 +518,10 @@
             self._owners.pop(shard, None)
         else:
             self._owners[shard] = record
+            is_new = record.epoch != self._epochs.get(shard)
             self._epochs[shard] = record.epoch
+            if is_new:
+                self._on_owner_change(shard)
             if record.node != self._own_record.node:
                 self._named.pop(shard, None)
 
--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -19,6 +19,9 @@
         queue: Id of the job's queue.
         spec: Specification of the job.
         organisation: Organisation of the caller.
+        epoch: Epoch of the owner that is asked; an owner of another epoch does
+            not accept the job, so that a request that arrives late has no
+            effect once a later owner has refused it. 0 for any epoch.
     """
 
     pool: ids.PoolId
@@ -26,6 +29,7 @@
     queue: ids.QueueId
     spec: model.JobSpec
     organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
+    epoch: int = 0
 
 
 class AskState(msgspec.Struct, frozen=True, tag=True):
@@ -205,7 +209,16 @@
 
 
 class NotOwner(msgspec.Struct, frozen=True, tag=True):
-    """The request had no effect: this process cannot answer for the pool."""
+    """The request had no effect: this process cannot answer for the pool.
+
+    Attributes:
+        address: Address of the owner that this process knows, as ``ip:port``;
+            empty if it knows none.
+        epoch: Epoch of that owner.
+    """
+
+    address: str = ""
+    epoch: int = 0
 
 
 class Unsure(msgspec.Struct, frozen=True, tag=True):
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -7,6 +7,7 @@
 
 from support import fakes
 from support import jobs
+from support.sim import loop as loop_module
 from wagtailtiller import clock
 from wagtailtiller import ids
 from wagtailtiller import keys
@@ -32,6 +33,7 @@
 class _Directory:
     def __init__(self):
         self.address = _OWNER
+        self.epoch = 1
         self.store_unavailable = False
         self.local_answers = []
         self.local_requests = []
@@ -43,6 +45,9 @@
     def owner_address(self, pool):
         return self.address
 
+    def owner_epoch(self, pool):
+        return self.epoch
+
     def own_address(self):
         return _OWN_ADDRESS
 
@@ -244,6 +249,151 @@
         self.assertEqual(outcomes.NoSuchQueue(), missing)
 
 
+class OwnerChangeTest(_FrontendCase):
+    """Tests of submissions whose owner changes or cannot be reached."""
+
+    def setUp(self):
+        super().setUp()
+        self.later_owner = "10.0.0.2:1"
+
+    def replace_owner(self, epoch=2):
+        self.directory.address = self.later_owner
+        self.directory.epoch = epoch
+
+    def submit(self, later_answer, act, silent_ask_s=60):
+        """Submit a job; return the outcome and the time it took.
+
+        The first owner does not answer, the later one gives ``later_answer``.
+        """
+        self.asked = []
+
+        async def ask(address, request, timeout_ms):
+            self.asked.append((address, request.epoch))
+            if address == self.later_owner:
+                return later_answer
+            await asyncio.sleep(min(silent_ask_s, timeout_ms / 1_000))
+            return None
+
+        self.peers.ask = ask
+
+        async def main():
+            loop = asyncio.get_running_loop()
+            self.frontend = frontend.Frontend(
+                self.directory,
+                self.peers,
+                self.store,
+                loop_module.VirtualClock(loop),
+            )
+            acting = asyncio.create_task(act())
+            started_s = loop.time()
+            outcome = await self.frontend.submit(
+                _ROUTE, _JOB, jobs.spec(), _RETRIED_TIMEOUT_MS
+            )
+            acting.cancel()
+            return outcome, loop.time() - started_s
+
+        return loop_module.run(main())
+
+    async def replace_owner_soon(self, delay_s=0.2):
+        await asyncio.sleep(delay_s)
+        self.replace_owner()
+        self.frontend.on_owner_change(jobs.POOL)
+
+    async def do_nothing(self):
+        pass
+
+    def test_new_owner_is_asked_at_once(self):
+        """Guards against a wait for an owner that has been replaced."""
+        outcome, took_s = self.submit(
+            messages.Accepted(), self.replace_owner_soon
+        )
+        self.assertEqual(outcomes.Accepted(), outcome)
+        self.assertLess(took_s, 0.25)
+        self.assertEqual([(_OWNER, 1), (self.later_owner, 2)], self.asked)
+
+    def test_refusal_by_new_owner_is_returned_at_once(self):
+        """Guards against a definite refusal that is held to the deadline."""
+        reason = admission.RefusalReason.OVERLOADED
+        outcome, took_s = self.submit(
+            messages.Rejected(reason, 700), self.replace_owner_soon
+        )
+        self.assertEqual(outcomes.Refused(reason, 700), outcome)
+        self.assertLess(took_s, 0.25)
+
+    def test_refusal_after_unknown_write_of_own_is_not_returned(self):
+        """Guards against a refused job that is stored after all."""
+        self.store.faults = [fakes.Fault.DELAYED]
+        reason = admission.RefusalReason.OVERLOADED
+        outcome, _ = self.submit(
+            messages.Rejected(reason, 700),
+            lambda: self.replace_owner_soon(0.8),
+        )
+        self.assertEqual(outcomes.Unknown(), outcome)
+
+    def test_refusal_without_the_store_after_silence_is_not_returned(self):
+        """Guards against a refused job that the first owner has stored."""
+        self.directory.store_unavailable = True
+        reason = admission.RefusalReason.STORE_UNAVAILABLE
+        outcome, _ = self.submit(
+            messages.Rejected(reason, 700), self.replace_owner_soon
+        )
+        self.assertEqual(outcomes.Unknown(), outcome)
+
+    def test_known_owner_is_asked_without_the_store(self):
+        """Load pattern: a third of the VMs is cut off from the store."""
+        self.directory.store_unavailable = True
+        self.replace_owner()
+        outcome, took_s = self.submit(messages.Accepted(), self.do_nothing)
+        self.assertEqual(outcomes.Accepted(), outcome)
+        self.assertLess(took_s, 0.1)
+
+    def test_owner_named_by_the_previous_one_is_asked(self):
+        """Guards against a frontend that is cut off while a pool moves."""
+        self.directory.store_unavailable = True
+        self.asked = []
+
+        async def ask(address, request, timeout_ms):
+            self.asked.append((address, request.epoch))
+            if address == self.later_owner:
+                return messages.Accepted()
+            return messages.NotOwner(self.later_owner, 2)
+
+        self.peers.ask = ask
+        for _ in range(2):
+            outcome = asyncio.run(
+                self.frontend.submit(_ROUTE, _JOB, jobs.spec(), 400)
+            )
+            self.assertEqual(outcomes.Accepted(), outcome)
+        self.assertEqual(
+            [_OWNER, self.later_owner, self.later_owner],
+            [address for address, _ in self.asked],
+        )
+
+    def test_owner_of_an_earlier_epoch_is_not_followed(self):
+        """Guards against processes that name one another."""
+        self.replace_owner(epoch=5)
+        outcome, _ = self.submit(messages.NotOwner(_OWNER, 4), self.do_nothing)
+        self.assertEqual(outcomes.Accepted(), outcome)
+        self.assertEqual({self.later_owner}, {a for a, _ in self.asked})
+
+    def test_job_is_refused_soon_if_nobody_owns_its_pool(self):
+        """Guards against a refusal that is held to the caller's timeout."""
+        self.directory.store_unavailable = True
+        self.replace_owner()
+        outcome, took_s = self.submit(messages.NotOwner(), self.do_nothing)
+        self.assertIsInstance(outcome, outcomes.Refused)
+        self.assertLess(took_s, 1)
+
+    def test_job_is_stored_if_its_owner_is_not_ready_for_long(self):
+        """Guards against callers that wait for a delayed takeover."""
+        self.replace_owner()
+        outcome, took_s = self.submit(messages.NotOwner(), self.do_nothing)
+        self.assertEqual(outcomes.Accepted(), outcome)
+        self.assertLess(took_s, 1)
+        item = self.store.state.item(keys.job(jobs.POOL, _JOB))
+        self.assertEqual(_JOB, record.decode(item.value).ok.id)
+
+
 class OrganisationTest(_FrontendCase):
     """Tests of requests that carry API keys of organisations."""
 
--- a/tests/entry/test_node.py
+++ b/tests/entry/test_node.py
@@ -5,11 +5,14 @@
 
 import testtools
 
+from support import jobs
 from support.sim import loop as loop_module
 from support.sim import scenarios
 from support.sim import world as world_module
 from wagtailtiller import ids
 from wagtailtiller.entry import node as node_module
+from wagtailtiller.jobs import model
+from wagtailtiller.owner import messages
 
 # Long enough for all processes to register and claim.
 _START_S = 4.0
@@ -122,6 +125,28 @@
         self.run_world(main, strong_processes=2)
 
 
+class EpochTest(_NodeCase):
+    def test_submission_for_an_earlier_epoch_has_no_effect(self):
+        """Guards against a late request whose job was refused meanwhile."""
+
+        async def main():
+            process = self.world.processes[self.owners()["proofs"]]
+            epoch = self.epochs()["wagtail/epochs/proofs"]
+            request = messages.Submit(
+                ids.PoolId("proofs"),
+                model.JobId("a" * 16),
+                ids.QueueId("proof-page"),
+                jobs.spec(),
+                epoch=epoch + 1,
+            )
+            answer = await process.node.ask_local(request)
+            self.assertEqual(
+                messages.NotOwner(f"{process.name}:1", epoch), answer
+            )
+
+        self.run_world(main)
+
+
 class RestartTest(_NodeCase):
     async def restart(self, process):
         await process.terminate()
