Keep a shard while the owner is about to recover

Cause: a takeover can make the loop of a new owner late for a moment; with the hysteresis of the record it would have handed the pool on 3 s after its claim. Change: a hand-over for lateness needs lateness in the last 2 s, and a shard is kept for at least 5 s.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -368,7 +368,7 @@
 
     async def _hand_over_one(self) -> None:
         """Hand over one shard at most, the pools before the machines."""
-        lateness_ms = self._lateness_ms()
+        late_now = self._loop_monitor.gauge.late_now
         shard_claims = sorted(
             self._shards.claims_by_shard.values(),
             key=lambda claim: (claim.shard == MACHINES_SHARD, claim.shard),
@@ -376,7 +376,9 @@
         for claim in shard_claims:
             if not self._is_ready(claim):
                 continue
-            match self._shards.plan_hand_over(claim, lateness_ms):
+            match self._shards.plan_hand_over(
+                claim, late_now, self._lateness_ms()
+            ):
                 case succession.Plan() as plan:
                     await self._hand_over(claim, plan)
                     return
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import random
 from typing import TypeVar
 
@@ -203,12 +204,17 @@
             del self.claims_by_shard[claim.shard]
 
     def plan_hand_over(
-        self, claim: claims.Claim, lateness_ms: int = 0
+        self,
+        claim: claims.Claim,
+        late_now: bool = False,
+        lateness_ms: int = 0,
     ) -> succession.Plan | succession.Withheld | None:
         """Decide whether another process should have a shard of this one.
 
         Args:
             claim: Claim of this process.
+            late_now: Whether this process is still late; one that is about to
+                recover keeps its shards.
             lateness_ms: Recent lateness of the event loop of this process.
 
         Returns:
@@ -223,7 +229,12 @@
         if stored.late and now_ms - self._stored_ms < settling_ms:
             return None
         claimed_ms = self._claimed_ms.get(claim.shard, now_ms)
-        return succession.plan(claim.shard, self._view(), now_ms - claimed_ms)
+        view = self._view()
+        if not late_now:
+            view = dataclasses.replace(
+                view, own=msgspec.structs.replace(view.own, late=False)
+            )
+        return succession.plan(claim.shard, view, now_ms - claimed_ms)
 
     def plan_stop(self) -> dict[ids.ShardId, succession.Plan]:
         """Choose successors for all shards of this process."""
--- a/src/wagtailtiller/loop_monitor.py
+++ b/src/wagtailtiller/loop_monitor.py
@@ -46,10 +46,12 @@
 
     Attributes:
         late: Whether the process is late.
+        late_now: Whether it was late in the last two seconds.
     """
 
     def __init__(self) -> None:
         self.late = False
+        self.late_now = False
         self._samples: collections.deque[_Sample] = collections.deque()
         self._last_late_ms = 0
 
@@ -62,7 +64,8 @@
         """
         self._samples.append(_Sample(now_ms, max(0, late_ms)))
         self._drop_old_samples()
-        if self._is_window_late():
+        self.late_now = self._is_window_late()
+        if self.late_now:
             self.late = True
             self._last_late_ms = now_ms
         elif now_ms - self._last_late_ms >= _RECOVERY_MS:
--- a/src/wagtailtiller/ownership/succession.py
+++ b/src/wagtailtiller/ownership/succession.py
@@ -9,9 +9,9 @@
 # A shard is kept at least this long, so that it does not go back and forth, and
 # is only given to a stronger VM that has been listed for this long.
 _MIN_OWNED_MS = 2_000
-# A late owner gives a shard away at most this often. A takeover makes the loop
-# of a small VM late for up to two seconds.
-_MIN_OWNED_WHILE_LATE_MS = 3_000
+# A shard changes its owner for lateness at most this often: a pool that makes
+# each of its owners late would otherwise have none for much of the time.
+_MIN_OWNED_WHILE_LATE_MS = 5_000
 # A process that has just been listed may not have read the declarations yet.
 _MIN_LISTED_MS = 1_000
 # More late candidates than this share, and nothing is gained by a hand-over.
--- a/tests/test_loop_monitor.py
+++ b/tests/test_loop_monitor.py
@@ -49,8 +49,10 @@
     def test_late_process_recovers_after_seconds_without_lateness(self):
         """Guards against ownership that flaps with the turns of a loop."""
         self.add(400, 10)
+        self.assertTrue(self.gauge.late_now)
         self.add(2, 20)
         self.assertTrue(self.gauge.late)
+        self.assertFalse(self.gauge.late_now)
         self.add(400, 4)
         self.add(2, 25)
         self.assertTrue(self.gauge.late)
