Hold back the VMs of a rack that is failing

Cause: a rack that goes silent was noticed VM by VM. Until each of its VMs had failed to respond in 0.7 to 2 s, tasks started there and waited for the end of their leases, and the machine manager counted the dark machines as available.

Change: if at least two VMs and half of those asked in a rack become unresponsive within a second while other racks answer, the rest of the rack is asked at once and gets no tasks until it has answered, for 2 s at most and for at most a third of the pool. None is held back while the owner's own plans are late. The capacity of VMs that became unresponsive unplanned is added to the pool's demand for machines.

--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -214,6 +214,11 @@
 
     def _load(self) -> messages.Answer:
         startable_millicores, long_running_millicores = self._pool.jobs.demand()
+        # Their machines count as available, although their tasks will have to
+        # start elsewhere.
+        startable_millicores += self._pool.rack_monitor.unresponsive_millicores(
+            self._clock.monotonic_ms()
+        )
         return messages.Load(
             self._pool.jobs.waiting_core_ms(),
             startable_millicores,
--- a/src/wagtailtiller/owner/start_sender.py
+++ b/src/wagtailtiller/owner/start_sender.py
@@ -129,6 +129,8 @@
         response = await self._client.start(start_command)
         took_ms = self._clock.monotonic_ms() - now_ms
         self._log_start(run, token, response.outcome.value, took_ms)
+        if response.outcome is not vms.CommandOutcome.UNANSWERED:
+            self._vm.record_answer(now_ms, now_ms + took_ms)
         was_fenced = response.outcome is vms.CommandOutcome.FENCED
         if was_fenced and token == self._vm.token:
             self._link.on_fenced()
@@ -151,6 +153,7 @@
             and not run.task.done
             and self._vm.runs.get(run.task.id) is run
             and self._vm.open_for_starts(now_ms)
+            and not self._vm.is_held_back(now_ms)
         )
 
     def _log_start(
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -97,6 +97,8 @@
                 self._command_tasks.spawn(self._stop(command))
             case commands.SetSpeed():
                 self._command_tasks.spawn(self._set_speed(command))
+            case commands.Probe():
+                self._command_tasks.spawn(self._probe())
 
     async def _run(self) -> None:
         pause = start_sender.RetryPause()
@@ -135,12 +137,15 @@
             revision=self._job_writer.committed_revision,
         )
 
-    async def hold(self, wait_ms: int) -> bool:
+    async def hold(self, wait_ms: int, may_renew: bool = True) -> bool:
         """Renew the lease of the VM's runs and apply the listing of its runs.
 
         Args:
             wait_ms: Longest time that the VM waits for a run to end before it
                 responds.
+            may_renew: Whether the lease is renewed. A VM that is likely to be
+                lost keeps the end of its lease, at which its runs start
+                elsewhere.
 
         Returns:
             Whether a listing was received.
@@ -152,7 +157,9 @@
         # Requests to an unresponsive VM carry no lease, since each would
         # postpone the time at which the VM's runs are discarded.
         renews = (
-            self._gate.may_command() and self.vm.unresponsive_since_ms is None
+            may_renew
+            and self._gate.may_command()
+            and self.vm.unresponsive_since_ms is None
         )
         if self.vm.lease.vm_clock_ms and renews:
             until_ms = self.vm.lease.extend(sent_ms, self._lease_ms)
@@ -172,6 +179,9 @@
         self.on_change()
         return True
 
+    async def _probe(self) -> None:
+        await self.hold(0, may_renew=False)
+
     def _apply_listing(
         self, token: int, sent_ms: int, listing: vms.Listing
     ) -> bool:
@@ -220,7 +230,7 @@
                 runs=len(self.vm.runs),
                 waited_ms=self._clock.monotonic_ms() - sent_ms,
             )
-        self._pool.vm_tracker.mark_unresponsive(self.vm)
+        self._pool.vm_tracker.mark_unresponsive(self.vm, sent_ms)
         self.on_change()
 
     async def _stop(self, command: commands.Stop | commands.StopOrphan) -> None:
--- a/src/wagtailtiller/scheduling/commands.py
+++ b/src/wagtailtiller/scheduling/commands.py
@@ -67,6 +67,17 @@
     percent: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """Ask a VM for a listing at once, without extending its lease.
+
+    Attributes:
+        vm: VM to ask.
+    """
+
+    vm: ids.VmId
+
+
 @dataclasses.dataclass(frozen=True)
 class PolicyQuery:
     """Query to the placement policy about the VMs that may run a step.
@@ -82,5 +93,5 @@
     timeout_ms: int
 
 
-Command = Start | Stop | StopOrphan | SetSpeed
+Command = Start | Stop | StopOrphan | SetSpeed | Probe
 Decision = Command | PolicyQuery
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -9,6 +9,7 @@
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import jobs
 from wagtailtiller.scheduling import outliers
+from wagtailtiller.scheduling import racks
 from wagtailtiller.scheduling import reconciler
 from wagtailtiller.scheduling import start_planner
 from wagtailtiller.scheduling import state
@@ -30,6 +31,7 @@
         jobs: Jobs of the pool.
         vm_tracker: Tracker of the VMs and their leases.
         run_reconciler: Applies the responses of VMs to the tracked runs.
+        rack_monitor: Identifies failing racks.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         self.jobs = jobs.Jobs(self)
         self.vm_tracker = vm_tracker.VmTracker(self)
         self.run_reconciler = reconciler.RunReconciler(self, outlier_detector)
+        self.rack_monitor = racks.RackMonitor(self)
         self._straggler_detector = stragglers.StragglerDetector(self)
         self._start_planner = start_planner.StartPlanner(self)
         self._stop_planner = stop_planner.StopPlanner(self, outlier_detector)
@@ -64,6 +67,7 @@
         decisions: list[commands.Decision] = list(
             self._stop_planner.plan(now_ms)
         )
+        decisions.extend(self.rack_monitor.update(now_ms))
         open_vms = self._open_vms(members, now_ms)
         if open_vms:
             decisions.extend(self._start_planner.plan(open_vms, now_ms))
@@ -78,6 +82,7 @@
             if vm.open_for_starts(now_ms)
             and (members is None or vm.report.vm in members)
             and not self.health.ejected(vm.report.vm, now_ms)
+            and not vm.is_held_back(now_ms)
         ]
         normal_vms = [vm for vm in open_vms if not vm.is_slow(now_ms)]
         if 2 * len(normal_vms) < len(open_vms):
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -113,6 +113,7 @@
         Returns:
             Commands that stop orphan runs or set the speed of fillers.
         """
+        vm.record_answer(sent_ms, self._state.clock.monotonic_ms())
         if listing.clock_ms < vm.listed_clock_ms:
             # A newer listing has arrived before this one.
             return []
--- a/src/wagtailtiller/scheduling/stop_planner.py
+++ b/src/wagtailtiller/scheduling/stop_planner.py
@@ -150,6 +150,7 @@
                 other
                 for other in self._state.vms.values()
                 if other.open_for_starts(now_ms)
+                and not other.is_held_back(now_ms)
             )
         return self._open_candidates.choose(task, excluded=vm)
 
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -105,6 +105,9 @@
         avoid_until_ms: Time until which nothing starts on the VM because it has
             refused a start or runs an orphan run.
         slow_until_ms: Time until which the VM counts as slow.
+        answered_ms: Time of the last response; 0 if there was none.
+        failed_call_sent_ms: Time at which the call was sent whose timeout made
+            the VM unresponsive.
         listed_clock_ms: Reading of the VM's clock in the latest listing that
             was applied.
         throttle: Throttle of the fillers on the VM.
@@ -124,9 +127,13 @@
         self.moves_all_until_ms = 0
         self.avoid_until_ms = 0
         self.slow_until_ms = 0
+        self.answered_ms = 0
+        self.failed_call_sent_ms = 0
         self.listed_clock_ms = 0
         self.throttle = throttling.FillerThrottle()
         self.registered = True
+        self._held_since_ms = 0
+        self._held_until_ms = 0
         self._reservations: dict[model.TaskId, _Reservation] = {}
         self._cpu_used = 0
         self._memory_used_mb = 0
@@ -162,6 +169,31 @@
         """Return whether runs on the VM take much longer than on others."""
         return now_ms < self.slow_until_ms
 
+    def hold_back(self, since_ms: int, until_ms: int) -> None:
+        """Start nothing on the VM until it has answered a later call.
+
+        Args:
+            since_ms: Current time; an earlier call does not count.
+            until_ms: Time at which the VM is used again in any case.
+        """
+        self._held_since_ms = since_ms
+        self._held_until_ms = until_ms
+
+    def is_held_back(self, now_ms: int) -> bool:
+        """Return whether the VM gets no tasks because its rack is failing."""
+        return now_ms < self._held_until_ms
+
+    def record_answer(self, sent_ms: int, received_ms: int) -> None:
+        """Record that the VM has answered a call.
+
+        Args:
+            sent_ms: Time at which the call was sent.
+            received_ms: Time at which the response arrived.
+        """
+        self.answered_ms = max(self.answered_ms, received_ms)
+        if sent_ms >= self._held_since_ms:
+            self._held_until_ms = 0
+
     def fits_when_empty(self, step: model.Step) -> bool:
         """Return whether a task of a step fits on the VM when it is empty."""
         capacity = self.report.capacity
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -92,11 +92,20 @@
         if vm.status is vm_module.VmStatus.UNRESPONSIVE:
             vm.status = vm_module.VmStatus.USABLE
 
-    def mark_unresponsive(self, vm: vm_module.Vm) -> None:
-        """Record that a VM did not respond in time."""
+    def mark_unresponsive(
+        self, vm: vm_module.Vm, sent_ms: int | None = None
+    ) -> None:
+        """Record that a VM did not respond in time.
+
+        Args:
+            vm: VM that did not respond.
+            sent_ms: Time at which the call was sent, on the owner's clock; now
+                if it is not given.
+        """
         now_ms = self._state.clock.monotonic_ms()
         if vm.unresponsive_since_ms is None:
             vm.unresponsive_since_ms = now_ms
+            vm.failed_call_sent_ms = now_ms if sent_ms is None else sent_ms
         if vm.status is vm_module.VmStatus.USABLE:
             vm.status = vm_module.VmStatus.UNRESPONSIVE
 
