Spread the tasks of a step over racks among equal VMs

Cause: among VMs with the same free capacity the first one was chosen, so that the tasks of a step could all run on one rack and be lost with it.

Change: among VMs with the same free capacity, those in use come first, then those whose rack runs the fewest tasks of the step. Best fit still decides first, so that no additional machine is used. The plain planner decides the same.

--- a/src/wagtailtiller/scheduling/candidates.py
+++ b/src/wagtailtiller/scheduling/candidates.py
@@ -8,7 +8,10 @@
 import bisect
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
+import functools
 
+from wagtailtiller import ids
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.scheduling import placement
@@ -36,14 +39,36 @@
         self._by_free_cpu = self._ordered()
         self._misfits: dict[str, list[_Requirement]] = {}
 
+    def spread(
+        self,
+        step_run: task_module.StepRun,
+        vms: Mapping[ids.VmId, vm_module.Vm],
+    ) -> placement.RackSpread:
+        """Return the numbers of a step's running tasks by rack.
+
+        Args:
+            step_run: Step whose tasks start.
+            vms: All VMs of the pool by id.
+        """
+        return placement.RackSpread(step_run, vms, self._racks)
+
+    @functools.cached_property
+    def _racks(self) -> frozenset[str]:
+        return frozenset(vm.rack for vm in self.vms)
+
     def choose(
-        self, task: task_module.Task, excluded: vm_module.Vm | None = None
+        self,
+        task: task_module.Task,
+        excluded: vm_module.Vm | None = None,
+        spread: placement.RackSpread | None = None,
     ) -> vm_module.Vm | None:
         """Return the VM on which to start a task; None if it fits nowhere.
 
         Args:
             task: Task to start.
             excluded: VM that is not chosen.
+            spread: Running tasks of the step by rack; None to choose the first
+                of VMs that are equal otherwise.
         """
         step = task.step
         if self.is_misfit(step):
@@ -54,7 +79,7 @@
         )
         if is_excluding:
             vms = (vm for vm in vms if vm is not excluded)
-        chosen = placement.choose(task, vms)
+        chosen = placement.choose(task, vms, spread)
         if chosen is None and not step.max_per_vm and not is_excluding:
             self._remember_misfit(step)
         return chosen
@@ -62,18 +87,18 @@
     def add_run(self, vm: vm_module.Vm, run: task_module.Run) -> None:
         """Add a run to a VM and keep the index up to date."""
         position = self._positions[vm.report.vm]
-        row = (vm.free_cpu, position)
+        row = _row(vm, position)
         del self._by_free_cpu[bisect.bisect_left(self._by_free_cpu, row)]
         vm.add(run)
-        bisect.insort(self._by_free_cpu, (vm.free_cpu, position))
+        bisect.insort(self._by_free_cpu, _row(vm, position))
 
     def refresh(self) -> None:
         """Order the VMs again after runs were added to them elsewhere."""
         self._by_free_cpu = self._ordered()
 
-    def _ordered(self) -> list[tuple[int, int]]:
+    def _ordered(self) -> list["_Row"]:
         return sorted(
-            (vm.free_cpu, position) for position, vm in enumerate(self.vms)
+            _row(vm, position) for position, vm in enumerate(self.vms)
         )
 
     def _with_room(self, step: model.Step) -> Iterator[vm_module.Vm]:
@@ -84,15 +109,15 @@
         if step.filler:
             # Equal VMs keep their order of preference.
             rows = sorted(self._by_free_cpu, key=lambda row: -row[0])
-            for _, position in rows:
+            for _, _, position in rows:
                 yield self.vms[position]
             return
         first = 0
         if step.cpu_millicores:
-            row = (step.cpu_millicores, 0)
+            row = (step.cpu_millicores, False, 0)
             first = bisect.bisect_left(self._by_free_cpu, row)
         for number in range(first, len(self._by_free_cpu)):
-            yield self.vms[self._by_free_cpu[number][1]]
+            yield self.vms[self._by_free_cpu[number][2]]
 
     def is_misfit(self, step: model.Step) -> bool:
         """Return whether tasks of a step are known to fit on no VM."""
@@ -121,6 +146,12 @@
 
 
 _Requirement = tuple[int, int, int]
+# Free processor capacity in millicores, whether the VM is idle, its position.
+_Row = tuple[int, bool, int]
+
+
+def _row(vm: vm_module.Vm, position: int) -> _Row:
+    return vm.free_cpu, not vm.runs, position
 
 
 def _requirement(step: model.Step) -> _Requirement:
--- a/src/wagtailtiller/scheduling/placement.py
+++ b/src/wagtailtiller/scheduling/placement.py
@@ -1,17 +1,66 @@
 """Choice of the VM on which a task starts."""
 
+import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
+import functools
 
+from wagtailtiller import ids
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.scheduling import vm as vm_module
 
 _BEST_RANK = (False, False)
-# Compares higher than the rank of any VM.
-_WORST_RANK = (True, True, True)
+
+
+class RackSpread:
+    """Numbers of the running tasks of one step by rack.
+
+    They are counted when VMs that are equal otherwise are first compared.
+
+    Args:
+        step_run: Step whose tasks are spread over racks.
+        vms: All VMs of the pool by id.
+        racks: Racks of the VMs that accept new tasks.
+    """
+
+    def __init__(
+        self,
+        step_run: task_module.StepRun,
+        vms: Mapping[ids.VmId, vm_module.Vm],
+        racks: frozenset[str],
+    ) -> None:
+        self._step_run = step_run
+        self._vms = vms
+        self._racks = racks
+
+    def add(self, rack: str) -> None:
+        """Count a task that starts on a rack."""
+        if "_counts" in self.__dict__:
+            self._counts[rack] += 1
+
+    def count(self, rack: str) -> int:
+        """Return the number of the step's tasks that run on a rack."""
+        return self._counts[rack]
+
+    def is_least_used(self, rack: str) -> bool:
+        """Return whether no rack runs fewer of the step's tasks."""
+        counts = self._counts
+        return counts[rack] <= min(counts[other] for other in self._racks)
+
+    @functools.cached_property
+    def _counts(self) -> collections.Counter[str]:
+        counts: collections.Counter[str] = collections.Counter()
+        for task in self._step_run.tasks:
+            vm = self._vms.get(task.run.vm) if task.run is not None else None
+            if vm is not None:
+                counts[vm.rack] += 1
+        return counts
 
 
 def choose(
-    task: task_module.Task, candidates: Iterable[vm_module.Vm]
+    task: task_module.Task,
+    candidates: Iterable[vm_module.Vm],
+    spread: RackSpread | None = None,
 ) -> vm_module.Vm | None:
     """Return the VM on which to start a task; None if it fits nowhere.
 
@@ -20,26 +69,41 @@
     be moved to other pools. A filler uses the idle processor time of a VM, so
     it goes to the VM that has the most. VMs off the task's preferred rack rank
     behind those on it, and VMs on which the task has failed rank behind all
-    others.
+    others. VMs that are equal in all of this are chosen by the number of the
+    step's tasks on their racks.
 
     Args:
         task: Task to start.
-        candidates: VMs that accept new tasks, those with the best fit first.
+        candidates: VMs that accept new tasks, those with the best fit first,
+            and among equal ones those that run tasks first.
+        spread: Running tasks of the step by rack; None to choose the first of
+            the equal VMs.
     """
     best: vm_module.Vm | None = None
-    best_rank: tuple[bool, ...] = _WORST_RANK
+    best_rank = (True, True)
     for candidate in candidates:
+        is_equal = best is not None and _has_equal_room(candidate, best)
+        if best is not None and best_rank == _BEST_RANK:
+            # All later candidates are a worse fit, or equal at best.
+            if not is_equal or spread is None:
+                break
+            if spread.is_least_used(best.rack):
+                break
         rank = _rank(task, candidate)
-        if rank >= best_rank or not candidate.fits(task.step):
-            continue
-        if not _below_vm_limit(task, candidate):
-            continue
-        best, best_rank = candidate, rank
-        if rank == _BEST_RANK:
-            break
+        if best is not None and rank >= best_rank:
+            if rank > best_rank or not is_equal or spread is None:
+                continue
+            if spread.count(candidate.rack) >= spread.count(best.rack):
+                continue
+        if candidate.fits(task.step) and _below_vm_limit(task, candidate):
+            best, best_rank = candidate, rank
     return best
 
 
+def _has_equal_room(one: vm_module.Vm, other: vm_module.Vm) -> bool:
+    return one.free_cpu == other.free_cpu and bool(one.runs) == bool(other.runs)
+
+
 def choose_gang(
     tasks: list[task_module.Task], candidates: list[vm_module.Vm]
 ) -> list[tuple[task_module.Task, vm_module.Vm]] | None:
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -110,10 +110,12 @@
         if step_run.step.gang:
             return self._place_gang(entry, step_run, waiting, open_candidates)
         started: list[commands.Start] = []
+        spread = open_candidates.spread(step_run, self._state.vms)
         for task in waiting:
-            chosen = open_candidates.choose(task)
+            chosen = open_candidates.choose(task, spread=spread)
             if chosen is None:
                 break
+            spread.add(chosen.rack)
             number = entry.job.next_run_number(task, self._state.epoch)
             started.append(
                 self._start(entry, task, chosen, number, open_candidates)
--- a/support/measure/plain_planner.py
+++ b/support/measure/plain_planner.py
@@ -26,17 +26,23 @@
     placements: list[Placement] = []
     for entry in _by_rank(pool, now_ms):
         for step_run in entry.job.ready_steps(pool.clock.wall_ms()):
+            racks = [
+                pool.vms[task.run.vm].rack
+                for task in step_run.tasks
+                if task.run is not None
+            ]
             for task in step_run.tasks:
                 if task.done or task.run is not None:
                     continue
                 best = min(
                     (u for u in usage.values() if u.has_room(task)),
-                    key=lambda u: u.rank(task),
+                    key=lambda u: u.rank(task, racks),
                     default=None,
                 )
                 if best is None:
                     break
                 best.add(task)
+                racks.append(best.vm.rack)
                 placements.append((task.id, best.vm.report.vm))
     return placements
 
@@ -84,13 +90,23 @@
             and gpu_count + step.gpu_count <= capacity.gpu_count
         )
 
-    def rank(self, task: task_module.Task) -> tuple[bool, bool, int]:
+    def rank(
+        self, task: task_module.Task, racks: list[str]
+    ) -> tuple[bool, bool, int, bool, int]:
+        """Return the rank of the VM for a task; the lowest is chosen.
+
+        Args:
+            task: Task to start.
+            racks: Racks of the running tasks of the same step.
+        """
         near_rack = task.step.near_rack
         free_cpu = self._free_cpu()
         return (
             self.vm.report.vm in task.failed_vms,
             bool(near_rack) and near_rack != self.vm.rack,
             -free_cpu if task.step.filler else free_cpu,
+            not self._tasks,
+            racks.count(self.vm.rack),
         )
 
     def _free_cpu(self) -> int:
