Learn the ratio of run times to callers' estimates by queue

Cause: demand for machines and the backlog of admission took callers' estimates as they are, although they are off by a factor that depends on the queue and the job.

Change: each step gives one observation, the logarithm of the median of its tasks' run times over the estimate, also from the progress of running tasks. It corrects Jobs.demand() and waiting_core_ms().

--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -1,5 +1,6 @@
 """The jobs of a pool and their demand for capacity."""
 
+import collections
 from collections.abc import Iterable
 
 from wagtailtiller import ids
@@ -112,11 +113,16 @@
     def waiting_core_ms(self) -> float:
         """Return the remaining processor work, in core milliseconds.
 
-        Long-running and repeated jobs are left out.
+        The callers' estimates are corrected by what was learned about their
+        queues. Long-running and repeated jobs are left out.
         """
+        core_ms: collections.defaultdict[ids.QueueId, float]
+        core_ms = collections.defaultdict(float)
+        for entry in self._state.active.values():
+            core_ms[entry.job.queue] += entry.job.remaining_core_ms()
         return sum(
-            entry.job.remaining_core_ms()
-            for entry in self._state.active.values()
+            estimated * self._state.run_times.ratio(queue)
+            for queue, estimated in core_ms.items()
         )
 
     def demand(self) -> tuple[int, int]:
@@ -142,7 +148,10 @@
                             step_run.tasks
                         )
                     continue
-                share = min(1.0, step.estimate_ms / _BACKLOG_TARGET_MS)
+                expected_ms = self._state.run_times.expected_ms(
+                    entry.job.queue, step.estimate_ms
+                )
+                share = min(1.0, expected_ms / _BACKLOG_TARGET_MS)
                 count = len(step_run.waiting_tasks())
                 startable_millicores += count * step.cpu_millicores * share
         return int(startable_millicores), long_running_millicores
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -7,6 +7,7 @@
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import outliers
+from wagtailtiller.scheduling import run_times
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -229,6 +230,15 @@
         step_run = entry.job.steps(run.task.id.occurrence)[run.task.id.step]
         run_ms = self._state.clock.monotonic_ms() - run.started_ms
         step_run.run_times.append((run.vm, run_ms))
+        self._state.run_times.observe(
+            entry.job.queue,
+            run.task.id[:3],
+            step_run.step,
+            run_times.Progress(
+                [ended_ms for _, ended_ms in step_run.run_times],
+                len(step_run.run_times) / len(step_run.tasks),
+            ),
+        )
 
     def _reconcile_run(
         self, vm: vm_module.Vm, listed_run: vms.ListedRun
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -10,6 +10,7 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import catalogue
+from wagtailtiller.scheduling import run_times
 from wagtailtiller.scheduling import tickets
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -59,6 +60,7 @@
         tickets: Tickets of the placement policy.
         health: Failure rates by job and VM, from which faulty VMs are
             identified.
+        run_times: Learned ratios of run times to callers' estimates.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         self.no_room_until_ms = 0
         self.tickets = tickets.Tickets()
         self.health = health.Health()
+        self.run_times = run_times.RunTimes(pool, clock)
 
     def mark_changed(self, entry: JobEntry) -> None:
         """Record that a job differs from its stored state."""
--- a/src/wagtailtiller/scheduling/stragglers.py
+++ b/src/wagtailtiller/scheduling/stragglers.py
@@ -10,6 +10,7 @@
 from wagtailtiller import events
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
+from wagtailtiller.scheduling import run_times
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -66,9 +67,19 @@
             return
         step_run = entry.job.steps(key[1])[key[2]]
         times = list(step_run.run_times)
+        share = float(len(times))
         for run in runs:
             if run.observed_percent() >= _MIN_PROGRESS_PERCENT:
                 times.append((run.vm, run.projected_ms()))
+                share += run.observed_percent() / 100
+        self._state.run_times.observe(
+            entry.job.queue,
+            key,
+            step_run.step,
+            run_times.Progress(
+                [run_ms for _, run_ms in times], share / len(step_run.tasks)
+            ),
+        )
         for run in runs:
             peers = {vm: run_ms for vm, run_ms in times if vm != run.vm}
             if len(peers) < _MIN_PEER_VMS:
