--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -1,5 +1,6 @@
 """The jobs of a pool and their demand for capacity."""
 
+import collections
 from collections.abc import Iterable
 
 from wagtailtiller import ids
@@ -114,7 +115,6 @@
         self._state.entries.pop(job, None)
         self._state.active.pop(job, None)
         self._state.changed.discard(job)
-        self._state.health.remove_queue(ids.QueueId(job))
         self._state.tickets.remove_job(job)
 
     def cancel(self, job: model.JobId) -> None:
@@ -136,11 +136,16 @@
     def waiting_core_ms(self) -> float:
         """Return the remaining processor work, in core milliseconds.
 
-        Long-running and repeated jobs are left out.
+        The callers' estimates are corrected by what was learned about their
+        queues. Long-running and repeated jobs are left out.
         """
+        core_ms: collections.defaultdict[ids.QueueId, float]
+        core_ms = collections.defaultdict(float)
+        for entry in self._state.active.values():
+            core_ms[entry.job.queue] += entry.job.remaining_core_ms()
         return sum(
-            entry.job.remaining_core_ms()
-            for entry in self._state.active.values()
+            estimated * self._state.run_times.ratio(queue)
+            for queue, estimated in core_ms.items()
         )
 
     def demand(self) -> tuple[int, int]:
@@ -172,7 +177,10 @@
                             len(step_run.tasks) - blocked
                         )
                     continue
-                share = min(1.0, step.estimate_ms / _BACKLOG_TARGET_MS)
+                expected_ms = self._state.run_times.expected_ms(
+                    entry.job.queue, step.estimate_ms
+                )
+                share = min(1.0, expected_ms / _BACKLOG_TARGET_MS)
                 startable_millicores += count * step.cpu_millicores * share
         return int(startable_millicores), long_running_millicores
 
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -10,6 +10,8 @@
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import jobs
 from wagtailtiller.scheduling import outliers
+from wagtailtiller.scheduling import probation
+from wagtailtiller.scheduling import racks
 from wagtailtiller.scheduling import reconciler
 from wagtailtiller.scheduling import start_planner
 from wagtailtiller.scheduling import state
@@ -32,18 +34,25 @@
         jobs: Jobs of the pool.
         vm_tracker: Tracker of the VMs and their leases.
         run_reconciler: Applies the responses of VMs to the tracked runs.
+        rack_monitor: Identifies failing racks.
     """
 
     def __init__(
         self, pool: ids.PoolId, epoch: int, clock: clock_module.Clock
     ) -> None:
         super().__init__(pool, epoch, clock)
-        outlier_detector = outliers.OutlierDetector(self)
+        self._probation = probation.Probation(self)
+        outlier_detector = outliers.OutlierDetector(self, self._probation)
         self.allocations = allocations.Allocations(self)
         self.jobs = jobs.Jobs(self, self.allocations)
         self.vm_tracker = vm_tracker.VmTracker(self)
-        self.run_reconciler = reconciler.RunReconciler(self, outlier_detector)
-        self._straggler_detector = stragglers.StragglerDetector(self)
+        self.run_reconciler = reconciler.RunReconciler(
+            self, outlier_detector, self._probation
+        )
+        self.rack_monitor = racks.RackMonitor(self)
+        self._straggler_detector = stragglers.StragglerDetector(
+            self, self._probation
+        )
         self._start_planner = start_planner.StartPlanner(self, self.allocations)
         self._stop_planner = stop_planner.StopPlanner(self, outlier_detector)
 
@@ -63,10 +72,13 @@
         for vm in self.vms.values():
             # Their tasks start in this plan, or have waited too long.
             vm.release_reservations(now_ms)
+        probes = self.rack_monitor.update(now_ms)
+        self._probation.update(now_ms, self.rack_monitor.owner_is_late(now_ms))
         self._straggler_detector.update(now_ms)
         decisions: list[commands.Decision] = list(
             self._stop_planner.plan(now_ms)
         )
+        decisions.extend(probes)
         open_vms = self._open_vms(members, now_ms)
         if open_vms:
             decisions.extend(self._start_planner.plan(open_vms, now_ms))
@@ -81,6 +93,7 @@
             if vm.open_for_starts(now_ms)
             and (members is None or vm.report.vm in members)
             and not self.health.ejected(vm.report.vm, now_ms)
+            and not vm.is_held_back(now_ms)
         ]
         normal_vms = [vm for vm in open_vms if not vm.is_slow(now_ms)]
         if 2 * len(normal_vms) < len(open_vms):
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -54,6 +54,11 @@
         new.token = old.token + 1
         new.lease.min_expiry_ms = old.lease.expiry_ms()
         new.orphan_tasks = old.orphan_tasks
+        new.on_probation = old.on_probation
+        new.progress_ends_probation = old.progress_ends_probation
+        new.probation_since_ms = old.probation_since_ms
+        new.probation_ends_ms = old.probation_ends_ms
+        new.silent_at_ms = old.silent_at_ms
         for run in list(old.runs.values()):
             old.remove(run)
             run.phase = task_module.RunPhase.UNCERTAIN
@@ -93,13 +98,23 @@
         if vm.status is vm_module.VmStatus.UNRESPONSIVE:
             vm.status = vm_module.VmStatus.USABLE
 
-    def mark_unresponsive(self, vm: vm_module.Vm) -> None:
-        """Record that a VM did not respond in time."""
+    def mark_unresponsive(
+        self, vm: vm_module.Vm, sent_ms: int | None = None
+    ) -> None:
+        """Record that a VM did not respond in time.
+
+        Args:
+            vm: VM that did not respond.
+            sent_ms: Time at which the call was sent, on the owner's clock; now
+                if it is not given.
+        """
         now_ms = self._state.clock.monotonic_ms()
         if vm.unresponsive_since_ms is None:
             vm.unresponsive_since_ms = now_ms
+            vm.failed_call_sent_ms = now_ms if sent_ms is None else sent_ms
         if vm.status is vm_module.VmStatus.USABLE:
             vm.status = vm_module.VmStatus.UNRESPONSIVE
+            vm.silent_at_ms = (now_ms, *vm.silent_at_ms[:1])
 
     def expire_leases(self) -> list[vm_module.Vm]:
         """Discard the runs of unresponsive VMs whose leases have expired.
@@ -123,6 +138,7 @@
             self._state.discard_runs(vm, "lease_over")
             if not vm.registered:
                 del self._state.vms[vm.report.vm]
+                self._state.health.remove_vm(vm.report.vm)
                 instance = (vm.report.vm, vm.report.born_ms)
                 self._removed_tokens[instance] = vm.token
                 removed.append(vm)
