Switch for the control of overload

Callers compete for pools that are at times too small, and the platform says by the contract "pressure" where it expects a choice among jobs.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -236,7 +236,9 @@
             claim,
             self._owner_ports,
             pool_owner.OwnerSettings(
-                self._settings.vm_lease_ms, self._settings.job_kept_ms
+                self._settings.vm_lease_ms,
+                self._settings.job_kept_ms,
+                self._settings.overload_control,
             ),
             self._on_ownership_lost,
             self._shards,
--- a/src/wagtailtiller/entry/settings.py
+++ b/src/wagtailtiller/entry/settings.py
@@ -38,6 +38,8 @@
         stop_within_ms: How long a graceful shutdown may take before the
             process is killed.
         capacity: What the entry VM offers to this process.
+        overload_control: Whether jobs are ordered and admitted by what a delay
+            or a refusal costs their callers.
     """
 
     node: ids.NodeId
@@ -54,3 +56,4 @@
     job_kept_ms: int
     stop_within_ms: int
     capacity: Capacity = Capacity()
+    overload_control: bool = False
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -68,10 +68,13 @@
     Attributes:
         lease_ms: Longest lease that VMs accept, in ms.
         job_kept_ms: Time for which a job is kept after its end, in ms.
+        overload_control: Whether jobs are ordered and admitted by what a delay
+            or a refusal costs their callers.
     """
 
     lease_ms: int
     job_kept_ms: int
+    overload_control: bool = False
 
 
 class StoreContact(Protocol):
@@ -136,6 +139,7 @@
         self.claim = claim
         self.pool_id = ids.PoolId(claim.shard)
         self.pool = pool_module.Pool(self.pool_id, claim.epoch, clock)
+        self.pool.overload_control = settings.overload_control
         self.ready = False
         self._store = ports.store
         self._connect = ports.connect
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -44,6 +44,8 @@
         clock: Clock that supplies the current time.
         queues: Queues by id, including removed ones.
         organisations: Declared organisations by name.
+        overload_control: Whether jobs are ordered and admitted by what a delay
+            or a refusal costs their callers.
         entries: All known jobs.
         active: Jobs that are not final.
         changed: Jobs whose state differs from the stored state.
@@ -71,6 +73,7 @@
         self.organisations: dict[
             ids.OrganisationId, catalogue.Organisation
         ] = {}
+        self.overload_control = False
         self.entries: dict[model.JobId, JobEntry] = {}
         self.active: dict[model.JobId, JobEntry] = {}
         self.changed: set[model.JobId] = set()
