Order and admit jobs by what their delay costs

An overloaded pool ranked jobs one by one, so that a job that could not be on time any more took capacity until shortly before its deadline, and admission counted processor time only. Where overload control is switched on or organisations are declared, the waiting jobs are ordered together: which of them are late is decided by priority, share and value by capacity, and admission estimates the end of a new job from the work ahead of it by dominant resource. Otherwise rank and admission are as before. tests/scheduling, tests/owner, tests/platform and tests/entry pass unchanged.

--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -57,6 +57,7 @@
         self._startable_steps: list[task_module.StepRun] | None = None
         self._remaining_path_ms: int | None = None
         self._remaining_core_ms: float | None = None
+        self._remaining_memory_ms: float | None = None
 
     @functools.cached_property
     def long_running(self) -> bool:
@@ -150,6 +151,7 @@
         self._startable_steps = None
         self._remaining_path_ms = None
         self._remaining_core_ms = None
+        self._remaining_memory_ms = None
 
     def task(self, task_id: model.TaskId) -> task_module.Task | None:
         """Return a task by its id; None if the job does not have it."""
@@ -182,6 +184,26 @@
             self._remaining_core_ms = self._compute_remaining_core_ms()
         return self._remaining_core_ms
 
+    def remaining_memory_ms(self) -> float:
+        """Return the estimated memory use of the tasks that are not done.
+
+        The unit is one megabyte for one millisecond. Long-running and repeated
+        jobs have no estimate and count as 0.
+        """
+        if self._remaining_memory_ms is None:
+            self._remaining_memory_ms = self._compute_remaining_memory_ms()
+        return self._remaining_memory_ms
+
+    def _compute_remaining_memory_ms(self) -> float:
+        if self.long_running or self.spec.repeat_count:
+            return 0.0
+        return sum(
+            float(step_run.open_count)
+            * step_run.step.memory_mb
+            * step_run.step.estimate_ms
+            for step_run in self.steps(0)
+        )
+
     def _compute_remaining_core_ms(self) -> float:
         if self.long_running or self.spec.repeat_count:
             return 0.0
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -136,7 +136,9 @@
         queue = self._pool.jobs.queue(request.queue)
         if queue is None:
             return None
-        return self._pool.jobs.admit(request.spec, queue)
+        return self._pool.jobs.admit(
+            request.spec, queue, request.job, request.organisation
+        )
 
     async def _refuse(
         self, request: messages.Submit, refusal: admission.Refusal
@@ -159,6 +161,8 @@
             vms=len(self._pool.vms),
             spare_millicores=self._pool.spare_millicores,
             epoch=self._pool.epoch,
+            organisation=request.organisation,
+            **refusal.inputs(),
         )
         return messages.Rejected(refusal.reason, refusal.retry_after_ms)
 
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -7,6 +7,8 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import admission
+from wagtailtiller.scheduling import cost_admission
+from wagtailtiller.scheduling import cost_order as cost_order_module
 from wagtailtiller.scheduling import state
 
 # A long-running task normally starts at once; one that still waits after this
@@ -14,6 +16,7 @@
 _LONG_RUNNING_START_MS = 500
 # Time in which the pool should work off its backlog.
 _BACKLOG_TARGET_MS = 1_200
+_NO_JOB_ID = model.JobId("")
 
 
 class Jobs:
@@ -21,10 +24,19 @@
 
     Args:
         pool_state: State that the components of the pool share.
+        cost_order: Order of the jobs while capacity is insufficient.
     """
 
-    def __init__(self, pool_state: state.PoolState) -> None:
+    def __init__(
+        self,
+        pool_state: state.PoolState,
+        cost_order: cost_order_module.CostOrder,
+    ) -> None:
         self._state = pool_state
+        self._cost_order = cost_order
+        self._cost_admission = cost_admission.CostAdmission(
+            pool_state, cost_order
+        )
 
     def set_queues(self, queues: Iterable[catalogue.Queue]) -> None:
         """Add or update queues.
@@ -42,14 +54,22 @@
         return self._state.queues.get(queue)
 
     def admit(
-        self, spec: model.JobSpec, queue: catalogue.Queue
+        self,
+        spec: model.JobSpec,
+        queue: catalogue.Queue,
+        job_id: model.JobId = _NO_JOB_ID,
+        organisation: ids.OrganisationId = catalogue.NO_ORGANISATION,
     ) -> admission.Refusal | None:
         """Return the refusal of a job, or None if the job is admitted.
 
         Args:
             spec: Definition of the job.
             queue: Queue that the job was submitted to.
+            job_id: Id of the job.
+            organisation: Organisation that submitted the job.
         """
+        if self._cost_order.enabled:
+            return self._cost_admission.check(spec, queue, job_id, organisation)
         return admission.check(
             spec, queue, self._state.vms.values(), self._backlog()
         )
@@ -83,6 +103,8 @@
             entry.final_ms = self._state.clock.monotonic_ms()
         else:
             self._state.active[job.id] = entry
+            if self._cost_order.enabled:
+                self._cost_admission.add(entry)
         return entry
 
     def remove(self, job: model.JobId) -> None:
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -7,6 +7,7 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import ids
 from wagtailtiller.scheduling import commands
+from wagtailtiller.scheduling import cost_order
 from wagtailtiller.scheduling import jobs
 from wagtailtiller.scheduling import outliers
 from wagtailtiller.scheduling import reconciler
@@ -28,6 +29,7 @@
 
     Attributes:
         jobs: Jobs of the pool.
+        cost_order: Order of the waiting jobs while capacity is insufficient.
         vm_tracker: Tracker of the VMs and their leases.
         run_reconciler: Applies the responses of VMs to the tracked runs.
     """
@@ -37,13 +39,19 @@
     ) -> None:
         super().__init__(pool, epoch, clock)
         outlier_detector = outliers.OutlierDetector(self)
-        self.jobs = jobs.Jobs(self)
+        self.cost_order = cost_order.CostOrder(self)
+        self.jobs = jobs.Jobs(self, self.cost_order)
         self.vm_tracker = vm_tracker.VmTracker(self)
         self.run_reconciler = reconciler.RunReconciler(self, outlier_detector)
         self._straggler_detector = stragglers.StragglerDetector(self)
-        self._start_planner = start_planner.StartPlanner(self)
+        self._start_planner = start_planner.StartPlanner(self, self.cost_order)
         self._stop_planner = stop_planner.StopPlanner(self, outlier_detector)
 
+    def mark_final(self, entry: state.JobEntry) -> None:
+        """Remove a job that has become final from the active jobs."""
+        super().mark_final(entry)
+        self.cost_order.record_end(entry)
+
     def plan(
         self, members: set[ids.VmId] | None = None
     ) -> list[commands.Decision]:
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -4,6 +4,7 @@
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import candidates
 from wagtailtiller.scheduling import commands
+from wagtailtiller.scheduling import cost_order as cost_order_module
 from wagtailtiller.scheduling import placement
 from wagtailtiller.scheduling import ranking
 from wagtailtiller.scheduling import state
@@ -19,10 +20,16 @@
 
     Args:
         pool_state: State that the components of the pool share.
+        cost_order: Order of the jobs while capacity is insufficient.
     """
 
-    def __init__(self, pool_state: state.PoolState) -> None:
+    def __init__(
+        self,
+        pool_state: state.PoolState,
+        cost_order: cost_order_module.CostOrder,
+    ) -> None:
         self._state = pool_state
+        self._cost_order = cost_order
 
     def plan(
         self, open_vms: list[vm_module.Vm], now_ms: int
@@ -41,6 +48,20 @@
             return []
         decisions: list[commands.Decision] = []
         open_candidates = candidates.Candidates(open_vms)
+        overdue = self._cost_order.overdue([entry for entry, _ in ranked])
+        if overdue is not None:
+            entry, step_runs = ranked.pop(overdue)
+            for step_run in step_runs:
+                decisions.extend(
+                    self._start_step(entry, step_run, open_candidates)
+                )
+            reserved = self._reserved_vm(step_runs, open_vms)
+            if reserved is None:
+                self._cost_order.mark_overdue_started()
+            else:
+                open_candidates = candidates.Candidates(
+                    vm for vm in open_vms if vm is not reserved
+                )
         for entry, step_runs in ranked:
             for step_run in step_runs:
                 if open_candidates.is_misfit(step_run.step):
@@ -50,20 +71,54 @@
                 )
         return decisions
 
+    def _reserved_vm(
+        self, step_runs: list[task_module.StepRun], open_vms: list[vm_module.Vm]
+    ) -> vm_module.Vm | None:
+        """Return the VM that is kept for tasks that have waited longest.
+
+        Without it, smaller tasks would take each part of a VM that becomes
+        free, and a task that needs most of a VM would never start.
+
+        Returns:
+            The VM; None if no task waits, or none fits any VM.
+        """
+        for step_run in step_runs:
+            if step_run.waiting_tasks():
+                suitable = [
+                    vm for vm in open_vms if vm.fits_when_empty(step_run.step)
+                ]
+                return max(suitable, key=lambda vm: vm.free_cpu, default=None)
+        return None
+
     def _startable_by_rank(
         self, now_ms: int
     ) -> list[tuple[state.JobEntry, list[task_module.StepRun]]]:
         """Return the jobs that have tasks to start, with these steps."""
         wall_ms = self._state.clock.wall_ms()
-        ranked = []
+        by_cost = self._cost_order.enabled
+        if by_cost:
+            self._cost_order.refresh(now_ms)
+        ranked: list[
+            tuple[
+                ranking.Rank | cost_order_module.Rank,
+                str,
+                state.JobEntry,
+                list[task_module.StepRun],
+            ]
+        ] = []
         for entry in self._state.active.values():
             step_runs = entry.job.startable_steps(wall_ms)
             if not step_runs or not self._may_start(entry):
                 continue
             queue = self._state.queues.get(entry.job.queue)
-            if queue is not None:
-                rank = ranking.rank(entry.job, entry.accepted_ms, queue, now_ms)
-                ranked.append((rank, entry.job.id, entry, step_runs))
+            if queue is None:
+                continue
+            rank = (
+                self._cost_order.rank(entry, queue)
+                if by_cost
+                else ranking.rank(entry.job, entry.accepted_ms, queue, now_ms)
+            )
+            ranked.append((rank, entry.job.id, entry, step_runs))
         ranked.sort(key=lambda row: row[:2])
         return [(entry, step_runs) for _, _, entry, step_runs in ranked]
 
@@ -154,6 +209,9 @@
             task_module.RunPhase.STARTING,
             self._state.clock.monotonic_ms(),
         )
+        self._cost_order.record_start(
+            entry, task.step, self._state.clock.monotonic_ms()
+        )
         entry.job.assign_run(task, run)
         task.last_run = number
         open_candidates.add_run(vm, run)
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -10,6 +10,7 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import catalogue
+from wagtailtiller.scheduling import cost as cost_module
 from wagtailtiller.scheduling import tickets
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -26,6 +27,9 @@
             stored yet.
         final_ms: Time at which the job became final, on the owner's clock; 0 if
             it has not.
+        cost: What a delay of the job costs; None unless its pool orders jobs
+            by that.
+        outcome_known: Whether it is recorded if the job was on time.
     """
 
     job: job_module.Job
@@ -33,6 +37,8 @@
     inherited: bool
     stored_state: model.JobState | None
     final_ms: int = 0
+    cost: cost_module.JobCost | None = None
+    outcome_known: bool = False
 
 
 class PoolState:
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -190,6 +190,31 @@
             and self._has_label(step)
         )
 
+    def room(self, step: model.Step, limit: int) -> int:
+        """Return how many tasks of a step fit beside the current runs.
+
+        Args:
+            step: Step of the tasks.
+            limit: Largest number that is of interest.
+        """
+        if not self._has_label(step):
+            return 0
+        if step.max_per_vm:
+            limit = min(limit, step.max_per_vm)
+        capacity = self.report.capacity
+        needs = (
+            (
+                0 if step.filler else step.cpu_millicores,
+                capacity.cpu_millicores - self._cpu_used,
+            ),
+            (step.memory_mb, capacity.memory_mb - self._memory_used_mb),
+            (step.gpu_count, capacity.gpu_count - self._gpu_used),
+        )
+        for need, free in needs:
+            if need:
+                limit = min(limit, free // need)
+        return max(0, limit)
+
     def add(self, run: task_module.Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task.id] = run
