--- a/src/wagtailtiller/scheduling/cost.py
+++ b/src/wagtailtiller/scheduling/cost.py
@@ -40,7 +40,7 @@
 _MIN_OUTCOMES = 3.0
 # Callers need large jobs to be served at least half as often as all jobs. The
 # margin covers the time until a change of the order shows in the outcomes.
-_PROTECTED_BELOW = 0.75
+_PROTECTED_BELOW = 0.6
 
 
 class Work(NamedTuple):
@@ -232,10 +232,12 @@
         if size is Size.ORDINARY or self._total[size] < _MIN_OUTCOMES:
             return False
         share = self._on_time[size] / self._total[size]
-        total = self._total[Size.ORDINARY]
-        if not total:
+        ordinary = self._total[Size.ORDINARY]
+        if not ordinary:
             return False
-        return share < _PROTECTED_BELOW * self._on_time[Size.ORDINARY] / total
+        return (
+            share < _PROTECTED_BELOW * self._on_time[Size.ORDINARY] / ordinary
+        )
 
     def _refresh(self) -> None:
         ordered = sorted(self._recent)
--- a/src/wagtailtiller/scheduling/cost_order.py
+++ b/src/wagtailtiller/scheduling/cost_order.py
@@ -19,13 +19,15 @@
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
-# The order is computed again after this time. The latest starts of jobs lie
-# hundreds of milliseconds ahead.
-_REFRESH_MS = 50
+# The order is computed again after this time, and after so much for each job in
+# it, so that a long queue does not take more processor time. The latest starts
+# of jobs lie hundreds of milliseconds ahead.
+_REFRESH_MS = 25
+_REFRESH_MS_PER_JOB = 0.2
 # So many jobs may start before the one that has waited longest, although the
 # delay of it costs least. Each such job takes capacity from others, so that the
-# limit costs about a sixteenth of it while capacity is insufficient.
-OVERTAKING_LIMIT = 16
+# limit costs about a sixty-fourth of it while capacity is insufficient.
+OVERTAKING_LIMIT = 64
 # A job that waited longer is logged when it starts.
 _LOGGED_WAIT_MS = 500
 
@@ -40,8 +42,8 @@
 
     Attributes:
         group: Group of the job.
-        key: Latest start of the job in the group ``ON_TIME``, on the owner's
-            clock; its position in other groups.
+        key: Deadline of the job in the group ``ON_TIME``, on the owner's clock;
+            its position in other groups.
     """
 
     group: ranking.Group
@@ -70,6 +72,7 @@
         self._ranks: dict[model.JobId, Rank] = {}
         self._organisations: object = None
         self._refreshed_ms: int | None = None
+        self._capacity = vms.Resources()
         self._starts_since_overdue = 0
 
     @property
@@ -86,7 +89,10 @@
 
     def sizes(self, queue: ids.QueueId) -> cost.QueueSizes:
         """Return the sizes of the jobs of a queue."""
-        return self._sizes.setdefault(queue, cost.QueueSizes())
+        sizes = self._sizes.get(queue)
+        if sizes is None:
+            sizes = self._sizes[queue] = cost.QueueSizes()
+        return sizes
 
     def add(self, entry: state.JobEntry, now_ms: int) -> None:
         """Record a job that was accepted or inherited.
@@ -135,7 +141,7 @@
             work = cost.Work(
                 task_ms * step.cpu_millicores / 1_000, task_ms * step.memory_mb
             )
-            work_ms = work.pool_ms(self.capacity(now_ms))
+            work_ms = work.pool_ms(self._capacity)
             self.share.charge(entry.job.organisation, work_ms, now_ms)
         if not entry.job.started:
             self._starts_since_overdue += 1
@@ -153,7 +159,7 @@
         """
         rank = self._ranks.get(entry.job.id)
         if rank is None:
-            return Rank(ranking.Group.ON_TIME, latest_start_ms(entry, queue))
+            return Rank(ranking.Group.ON_TIME, deadline_ms(entry, queue))
         return rank
 
     def refresh(self, now_ms: int) -> None:
@@ -165,19 +171,18 @@
         if self._organisations is not self._state.organisations:
             self._organisations = self._state.organisations
             self.share.set_organisations(self._state.organisations)
-        if (
-            self._refreshed_ms is not None
-            and now_ms - self._refreshed_ms < _REFRESH_MS
+        if self._refreshed_ms is not None and now_ms - self._refreshed_ms < max(
+            _REFRESH_MS, _REFRESH_MS_PER_JOB * len(self._ranks)
         ):
             return
         self._refreshed_ms = now_ms
-        capacity = self.capacity(now_ms)
+        self._capacity = self.capacity(now_ms)
         wall_ms = self._state.clock.wall_ms()
         contenders = []
         for entry in self._state.active.values():
             queue = self._state.queues.get(entry.job.queue)
             if queue is not None and entry.job.startable_steps(wall_ms):
-                contender = self._contender(entry, queue, capacity, now_ms)
+                contender = self._contender(entry, queue, now_ms)
                 contenders.append(contender)
         take_tag = None
         if self.share.active:
@@ -225,7 +230,6 @@
         self,
         entry: state.JobEntry,
         queue: catalogue.Queue,
-        capacity: vms.Resources,
         now_ms: int,
     ) -> ranking.Contender:
         job = entry.job
@@ -238,11 +242,13 @@
             rank.lateness,
             queue.priority,
             entry.accepted_ms,
-            latest_start_ms(entry, queue),
-            cost.remaining_work(job).pool_ms(capacity),
+            rank.deadline_ms - job.remaining_critical_path_ms(),
+            rank.deadline_ms,
+            cost.remaining_work(job).pool_ms(self._capacity),
             self._loss(entry, rank, now_ms),
             job.organisation,
-            self.sizes(job.queue).is_protected(size),
+            size is not cost.Size.ORDINARY
+            and self.sizes(job.queue).is_protected(size),
         )
 
     def _loss(
@@ -283,7 +289,7 @@
             waited_ms=waited_ms,
             priority=queue.priority,
             latest_start_in_ms=latest_start_ms(entry, queue) - now_ms,
-            work_ms=int(work.pool_ms(self.capacity(now_ms))),
+            work_ms=int(work.pool_ms(self._capacity)),
             value=round(entry.cost.value, 2) if entry.cost else 1.0,
             organisation=entry.job.organisation,
             share_level=placing.share_level,
@@ -293,7 +299,7 @@
 
 def _rank(contender: ranking.Contender, placing: ranking.Placing) -> Rank:
     if placing.group is ranking.Group.ON_TIME:
-        return Rank(placing.group, contender.latest_start_ms)
+        return Rank(placing.group, contender.deadline_ms)
     return Rank(placing.group, placing.position)
 
 
@@ -315,18 +321,31 @@
     return vms.Resources(cpu_millicores, memory_mb)
 
 
-def latest_start_ms(entry: state.JobEntry, queue: catalogue.Queue) -> int:
-    """Return when a job's remaining critical path must start to be on time.
+def deadline_ms(entry: state.JobEntry, queue: catalogue.Queue) -> int:
+    """Return when a job's target duration ends, on the owner's clock.
 
-    A long-running job has no target duration, and should start when it is
-    accepted.
+    A long-running job has none, and should start when it is accepted.
 
     Args:
         entry: Entry of the job.
         queue: Queue of the job.
     """
-    job: job_module.Job = entry.job
+    job = entry.job
     if job.long_running:
         return entry.accepted_ms
-    target_ms = ranking.target_duration_ms(job.critical_path_ms, queue)
-    return entry.accepted_ms + target_ms - job.remaining_critical_path_ms()
+    return entry.accepted_ms + ranking.target_duration_ms(
+        job.critical_path_ms, queue
+    )
+
+
+def latest_start_ms(entry: state.JobEntry, queue: catalogue.Queue) -> int:
+    """Return when a job's remaining critical path must start to be on time.
+
+    Args:
+        entry: Entry of the job.
+        queue: Queue of the job.
+    """
+    if entry.job.long_running:
+        return entry.accepted_ms
+    path_ms = entry.job.remaining_critical_path_ms()
+    return deadline_ms(entry, queue) - path_ms
--- a/src/wagtailtiller/scheduling/ranking.py
+++ b/src/wagtailtiller/scheduling/ranking.py
@@ -115,6 +115,8 @@
         accepted_ms: Time of acceptance, on the owner's clock.
         latest_start_ms: Time at which its remaining critical path must start
             for it to be on time, on the owner's clock.
+        deadline_ms: Time at which its target duration ends, on the owner's
+            clock; for a long-running job, the time of its acceptance.
         work_ms: Time for which its remaining work occupies the whole pool.
         loss: Value that is expected to be lost if it waits and becomes late; if
             it is late, the value that it still has.
@@ -128,6 +130,7 @@
     priority: int
     accepted_ms: int
     latest_start_ms: int
+    deadline_ms: int
     work_ms: float
     loss: float
     organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
@@ -182,7 +185,7 @@
     }
     for contender in contenders:
         by_lateness[contender.lateness].append(contender)
-    punctual = sorted(by_lateness[Lateness.ON_TIME], key=_by_latest_start)
+    punctual = sorted(by_lateness[Lateness.ON_TIME], key=_by_deadline)
     levels = _share_levels(punctual, take_tag)
     on_time, deferred = _select(punctual, levels, now_ms)
     late = sorted(by_lateness[Lateness.LATE], key=_by_acceptance)
@@ -256,8 +259,8 @@
     }
 
 
-def _by_latest_start(contender: Contender) -> tuple[int, model.JobId]:
-    return contender.latest_start_ms, contender.job
+def _by_deadline(contender: Contender) -> tuple[int, model.JobId]:
+    return contender.deadline_ms, contender.job
 
 
 def _by_acceptance(contender: Contender) -> tuple[int, model.JobId]:
--- a/support/measure/planning.py
+++ b/support/measure/planning.py
@@ -16,6 +16,8 @@
 _MAX_STARTED_JOBS = 40
 _REPEAT_COUNT = 9
 _US_PER_NS = 1e-3
+# Longer than an order of waiting jobs is kept.
+_NEW_ORDER_MS = 150
 _CAPACITY = vms.Resources(32_000, 131_072, 0)
 _TASK = {"cpu_millicores": 9_800, "memory_mb": 28_000, "estimate_ms": 2_100}
 
@@ -30,11 +32,17 @@
         Table of the processor time of a plan and of one started task.
     """
     del seed
-    rows = [_row(vm_count, job_count) for vm_count, job_count in _SIZES]
+    rows = [
+        _row(vm_count, job_count, by_cost)
+        for by_cost in (False, True)
+        for vm_count, job_count in _SIZES
+    ]
     headings = (
+        "order",
         "VMs",
         "waiting jobs",
         "nothing fits, us a plan",
+        "with a new order, us",
         "admission, us",
         "filling, us a start",
         "starts",
@@ -42,8 +50,9 @@
     return tables.table("planning", headings, rows)
 
 
-def _row(vm_count: int, job_count: int) -> tuple[object, ...]:
+def _row(vm_count: int, job_count: int, by_cost: bool) -> tuple[object, ...]:
     pool, clock = _pool(vm_count)
+    pool.overload_control = by_cost
     _add_jobs(pool, min(_MAX_STARTED_JOBS, job_count), "first")
     started_ns = time.process_time_ns()
     starts = _start_all(pool)
@@ -61,10 +70,18 @@
         pool.jobs.admit(jobs.spec(jobs.step(1, **_TASK)), jobs.queue())
         admit_ns.append(time.process_time_ns() - planned_ns)
         plan_ns.append(planned_ns - started_ns)
+    new_order_ns = []
+    for _ in range(_REPEAT_COUNT):
+        clock.advance(_NEW_ORDER_MS)
+        started_ns = time.process_time_ns()
+        pool.plan()
+        new_order_ns.append(time.process_time_ns() - started_ns)
     return (
+        "by cost" if by_cost else "by job",
         vm_count,
         job_count,
         f"{min(plan_ns) * _US_PER_NS:.0f}",
+        f"{min(new_order_ns) * _US_PER_NS:.0f}",
         f"{min(admit_ns) * _US_PER_NS:.0f}",
         f"{filling_ns * _US_PER_NS / max(1, starts):.0f}",
         starts,
