--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -163,6 +163,8 @@
             vms=len(self._pool.vms),
             spare_millicores=self._pool.spare_millicores,
             epoch=self._pool.epoch,
+            organisation=request.organisation,
+            **refusal.inputs(),
         )
         return messages.Rejected(refusal.reason, refusal.retry_after_ms)
 
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -9,6 +9,8 @@
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import admission
 from wagtailtiller.scheduling import allocations as allocations_module
+from wagtailtiller.scheduling import cost_admission
+from wagtailtiller.scheduling import cost_order as cost_order_module
 from wagtailtiller.scheduling import limit_admission
 from wagtailtiller.scheduling import limited_backlog
 from wagtailtiller.scheduling import state
@@ -18,6 +20,7 @@
 _LONG_RUNNING_START_MS = 500
 # Time in which the pool should work off its backlog.
 _BACKLOG_TARGET_MS = 1_200
+_NO_JOB_ID = model.JobId("")
 
 
 class Jobs:
@@ -26,18 +29,24 @@
     Args:
         pool_state: State that the components of the pool share.
         allocations: What organisations with a limit may use in the pool.
+        cost_order: Order of the jobs while capacity is insufficient.
     """
 
     def __init__(
         self,
         pool_state: state.PoolState,
         allocations: allocations_module.Allocations,
+        cost_order: cost_order_module.CostOrder,
     ) -> None:
         self._state = pool_state
         self._allocations = allocations
         self._limit_admission = limit_admission.LimitAdmission(
             pool_state, allocations
         )
+        self._cost_order = cost_order
+        self._cost_admission = cost_admission.CostAdmission(
+            pool_state, cost_order
+        )
 
     def set_queues(self, queues: Iterable[catalogue.Queue]) -> None:
         """Add or update queues.
@@ -59,7 +68,7 @@
         spec: model.JobSpec,
         queue: catalogue.Queue,
         organisation: ids.OrganisationId = catalogue.NO_ORGANISATION,
-        job: model.JobId = model.JobId(""),
+        job: model.JobId = _NO_JOB_ID,
     ) -> admission.Refusal | None:
         """Return the refusal of a job, or None if the job is admitted.
 
@@ -67,11 +76,13 @@
             spec: Definition of the job.
             queue: Queue that the job was submitted to.
             organisation: Organisation of the caller.
-            job: Id of the job, for the log.
+            job: Id of the job.
         """
         refusal = self._limit_admission.check(spec, queue, organisation, job)
         if refusal is not None:
             return refusal
+        if self._cost_order.enabled:
+            return self._cost_admission.check(spec, queue, job, organisation)
         return admission.check(
             spec, queue, self._state.vms.values(), self._backlog()
         )
@@ -108,6 +119,8 @@
             entry.final_ms = self._state.clock.monotonic_ms()
         else:
             self._state.active[job.id] = entry
+            if self._cost_order.enabled:
+                self._cost_admission.add(entry)
         return entry
 
     def remove(self, job: model.JobId) -> None:
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -8,6 +8,7 @@
 from wagtailtiller import ids
 from wagtailtiller.scheduling import allocations
 from wagtailtiller.scheduling import commands
+from wagtailtiller.scheduling import cost_order
 from wagtailtiller.scheduling import jobs
 from wagtailtiller.scheduling import outliers
 from wagtailtiller.scheduling import probation
@@ -32,6 +33,7 @@
     Attributes:
         allocations: What organisations with a limit may use in the pool.
         jobs: Jobs of the pool.
+        cost_order: Order of the waiting jobs while capacity is insufficient.
         vm_tracker: Tracker of the VMs and their leases.
         run_reconciler: Applies the responses of VMs to the tracked runs.
         rack_monitor: Identifies failing racks.
@@ -44,7 +46,8 @@
         self._probation = probation.Probation(self)
         outlier_detector = outliers.OutlierDetector(self, self._probation)
         self.allocations = allocations.Allocations(self)
-        self.jobs = jobs.Jobs(self, self.allocations)
+        self.cost_order = cost_order.CostOrder(self)
+        self.jobs = jobs.Jobs(self, self.allocations, self.cost_order)
         self.vm_tracker = vm_tracker.VmTracker(self)
         self.run_reconciler = reconciler.RunReconciler(
             self, outlier_detector, self._probation
@@ -53,9 +56,16 @@
         self._straggler_detector = stragglers.StragglerDetector(
             self, self._probation
         )
-        self._start_planner = start_planner.StartPlanner(self, self.allocations)
+        self._start_planner = start_planner.StartPlanner(
+            self, self.allocations, self.cost_order
+        )
         self._stop_planner = stop_planner.StopPlanner(self, outlier_detector)
 
+    def mark_final(self, entry: state.JobEntry) -> None:
+        """Remove a job that has become final from the active jobs."""
+        super().mark_final(entry)
+        self.cost_order.record_end(entry)
+
     def plan(
         self, members: set[ids.VmId] | None = None
     ) -> list[commands.Decision]:
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -9,6 +9,7 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import catalogue
+from wagtailtiller.scheduling import cost as cost_module
 from wagtailtiller.scheduling import run_times
 from wagtailtiller.scheduling import tickets
 from wagtailtiller.scheduling import vm as vm_module
@@ -27,6 +28,9 @@
             stored yet.
         final_ms: Time at which the job became final, on the owner's clock; 0 if
             it has not.
+        cost: What a delay of the job costs; None unless its pool orders jobs
+            by that.
+        outcome_known: Whether it is recorded if the job was on time.
     """
 
     job: job_module.Job
@@ -34,6 +38,8 @@
     inherited: bool
     stored_state: model.JobState | None
     final_ms: int = 0
+    cost: cost_module.JobCost | None = None
+    outcome_known: bool = False
 
 
 class PoolState:
@@ -45,6 +51,8 @@
         clock: Clock that supplies the current time.
         queues: Queues by id, including removed ones.
         organisations: Declared organisations by name.
+        overload_control: Whether jobs are ordered and admitted by what a delay
+            or a refusal costs their callers.
         entries: All known jobs.
         active: Jobs that are not final.
         changed: Jobs whose state differs from the stored state.
@@ -73,6 +81,7 @@
         self.organisations: dict[
             ids.OrganisationId, catalogue.Organisation
         ] = {}
+        self.overload_control = False
         self.entries: dict[model.JobId, JobEntry] = {}
         self.active: dict[model.JobId, JobEntry] = {}
         self.changed: set[model.JobId] = set()
