--- a/tests/entry/test_node.py
+++ b/tests/entry/test_node.py
@@ -13,6 +13,7 @@
 from wagtailtiller.entry import node as node_module
 from wagtailtiller.jobs import model
 from wagtailtiller.owner import messages
+from wagtailtiller.ownership import succession
 
 # Long enough for all processes to register and claim, and for a late owner to
 # be allowed to hand over.
@@ -221,12 +222,18 @@
         """Guards against commands of an owner that is cut off for too long."""
 
         async def main():
-            process = self.world.processes[self.owners()["proofs"]]
+            (process,) = self.world.live_processes()
+            node = process.node
+            owner = node._owners[ids.PoolId("proofs")]
+            owner.stop = loop_module.wait_forever
+            plan = succession.Plan(succession.Reason.STRONGER_VM, None)
+            node._shards.plan_hand_over = lambda claim, *lateness: (
+                plan if claim == owner.claim else None
+            )
             self.world.store_service.faults.partitioned.add(process.process)
-            for owner in process.node._owners.values():
-                owner.stop = loop_module.wait_forever
-            loop_module.spawn(process.node._hand_over_one(), process.process)
-            await asyncio.sleep(7)
-            self.assertEqual({}, process.node._owners)
+            await asyncio.sleep(1)
+            self.assertEqual({"colours"}, node._owners.keys())
+            await asyncio.sleep(6)
+            self.assertEqual({}, node._owners)
 
-        self.run_world(main)
+        self.run_world(main, processes=1)
--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -256,6 +256,30 @@
 
         self.run_with_shards(main)
 
+    def test_claim_loop_does_not_interfere_with_a_release(self):
+        """Guards against a shard that is freed without its successor's name."""
+
+        async def main(shards):
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(2)
+            (claim,) = self.gained
+            await self.register("other", 1.0)
+            successor = claims.NodeRecord(
+                ids.NodeId("other"), "other:1", "y", "dc-1"
+            )
+            commit = self.store.commit
+
+            async def slow_commit(transaction):
+                await asyncio.sleep(0.3)
+                return await commit(transaction)
+
+            self.store.commit = slow_commit
+            self.assertTrue(await shards.release(claim, successor))
+            hint = self.store.state.item(keys.successor(_SHARD))
+            self.assertIsNotNone(hint.value)
+
+        self.run_with_shards(main)
+
     def test_release_without_an_answer_is_repeated(self):
         """Guards against a shard that a live process neither serves nor frees.
 
