Publish lateness only where it matters

Cause: each change of a node record reaches all processes; small VMs that only serve callers may be late often during peaks. Change: a process publishes its lateness if it owns a shard or its VM is comparable to the strongest one that it has known. Result: tests/entry/test_shards.py.

--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -315,7 +315,7 @@
             await asyncio.sleep(_CLAIM_INTERVAL_MS / 1_000)
 
     async def _publish_changes(self) -> None:
-        if self._stored_record == self._own_record:
+        if self._stored_record == self._record_to_publish():
             return
         now_ms = self._clock.monotonic_ms()
         if (
@@ -326,13 +326,30 @@
         self._published_ms = now_ms
         await self._write_record()
 
+    def _record_to_publish(self) -> claims.NodeRecord:
+        """Return what the other processes need to know of this one.
+
+        Each change reaches all processes. The lateness of a small VM that owns
+        nothing matters to none of them while stronger ones are known.
+        """
+        record = self._own_record
+        matters = bool(self.claims_by_shard) or claims.comparable(
+            record.shard_capacity, self._highest_capacity
+        )
+        known_late = (
+            self._stored_record is not None and self._stored_record.late
+        )
+        if record.late and not matters and not known_late:
+            return msgspec.structs.replace(record, late=False)
+        return record
+
     async def _write_record(self) -> bool:
         # The key may still exist, from a previous start of this process or
         # under an expired lease. The latest write may not have been read yet.
         key = keys.node(self._own_record.node)
         known = self._mirror.items.get(key)
         mirrored = known.revision if known is not None else store.ABSENT
-        record = self._own_record
+        record = self._record_to_publish()
         result = await self._store.write(
             key,
             claims.encode(record),
--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -326,6 +326,26 @@
 
         self.run_with_shards(main)
 
+    def test_small_vm_without_shards_does_not_publish_its_lateness(self):
+        """Guards against a change to all processes for each slow frontend."""
+
+        async def main(shards):
+            await self.register("strong", 4.0)
+            await asyncio.sleep(2)
+            writes = self.store.writes
+            shards.set_late(True)
+            await asyncio.sleep(2)
+            self.assertEqual(writes, self.store.writes)
+            await self.add_owned_shard(shards)
+            self.assertTrue(self.stored().late)
+
+        self.run_with_shards(main)
+
+    async def add_owned_shard(self, shards):
+        shards.set_shards({_SHARD})
+        await asyncio.sleep(5)
+        self.assertEqual(1, len(self.gained))
+
     def test_late_process_keeps_its_shard_until_the_others_know(self):
         async def main(shards):
             shards.set_shards({_SHARD})
