--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -256,6 +256,30 @@
 
         self.run_with_shards(main)
 
+    def test_claim_loop_does_not_interfere_with_a_release(self):
+        """Guards against a shard that is freed without its successor's name."""
+
+        async def main(shards):
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(2)
+            (claim,) = self.gained
+            await self.register("other", 1.0)
+            successor = claims.NodeRecord(
+                ids.NodeId("other"), "other:1", "y", "dc-1"
+            )
+            commit = self.store.commit
+
+            async def slow_commit(transaction):
+                await asyncio.sleep(0.3)
+                return await commit(transaction)
+
+            self.store.commit = slow_commit
+            self.assertTrue(await shards.release(claim, successor))
+            hint = self.store.state.item(keys.successor(_SHARD))
+            self.assertIsNotNone(hint.value)
+
+        self.run_with_shards(main)
+
     def test_release_without_an_answer_is_repeated(self):
         """Guards against a shard that a live process neither serves nor frees.
 
@@ -302,6 +326,26 @@
 
         self.run_with_shards(main)
 
+    def test_small_vm_without_shards_does_not_publish_its_lateness(self):
+        """Guards against a change to all processes for each slow frontend."""
+
+        async def main(shards):
+            await self.register("strong", 4.0)
+            await asyncio.sleep(2)
+            writes = self.store.writes
+            shards.set_late(True)
+            await asyncio.sleep(2)
+            self.assertEqual(writes, self.store.writes)
+            await self.add_owned_shard(shards)
+            self.assertTrue(self.stored().late)
+
+        self.run_with_shards(main)
+
+    async def add_owned_shard(self, shards):
+        shards.set_shards({_SHARD})
+        await asyncio.sleep(5)
+        self.assertEqual(1, len(self.gained))
+
     def test_late_process_keeps_its_shard_until_the_others_know(self):
         async def main(shards):
             shards.set_shards({_SHARD})
