Share machines by the cost of missing them, and log each decision

Load pattern: a burst coincides with another pool's peak phase; periodic peaks on small and large pools.

Cause: the pool that was shortest when a cycle began took all that was free.

Change: machines are given one at a time to the pool whose relative shortage, weighted by waiting work, is largest. A pool recalls machines also from moves to pools that are less short. A machine stays at least 1.5 s after a move. Of a forecast, 0.6 is provided 2 s ahead, its levels are means over a period, and arrivals that stay away for 2 s lower the confidence at once.

--- a/src/wagtailtiller/maintenance/demand.py
+++ b/src/wagtailtiller/maintenance/demand.py
@@ -22,9 +22,13 @@
 # With a forecast, the peak need within this time is enough: it bridges lulls of
 # some samples, and the forecast says whether work follows.
 _FORECAST_PEAK_WINDOW_MS = 600
-# The order, the move (1.5 s) and vacating a VM take about this long. Forecasts
-# cover this time.
-FORECAST_LEAD_MS = 2_500
+# The order and the move (1.5 s) of a machine that is on standby or idle take
+# about this long. Forecasts cover this time.
+FORECAST_LEAD_MS = 2_000
+# Share of the forecast that is provided ahead. Jobs have some slack, so that
+# reaction can provide the rest; small deployments would pay for more machines
+# without serving more.
+_FORECAST_SHARE = 0.6
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,6 +101,18 @@
         """Return whether the newest sample came with a forecast."""
         return self._forecast_cores is not None
 
+    def forecast_cores(self) -> float | None:
+        """Return the newest forecast in whole cores; None without one."""
+        if self._forecast_cores is None:
+            return None
+        return round(self._forecast_cores)
+
+    def waiting_cores(self) -> float:
+        """Return the cores that the waiting tasks could use now."""
+        if not self._loads:
+            return 0.0
+        return self._loads[-1].waiting_millicores / 1_000
+
     def has_full_history(self) -> bool:
         """Return whether the samples span the whole peak window."""
         if self._first_load_ms is None:
@@ -139,7 +155,7 @@
         long_running = newest.long_running_millicores / 1_000
         running = newest.running_millicores / 1_000
         expected = _HEADROOM_FACTOR * self._arriving_cores()
-        forecast = self._forecast_cores or 0.0
+        forecast = _FORECAST_SHARE * (self._forecast_cores or 0.0)
         return long_running + waiting + max(expected, running, forecast)
 
     def _arriving_cores(self) -> float:
--- a/src/wagtailtiller/maintenance/machine_fleet.py
+++ b/src/wagtailtiller/maintenance/machine_fleet.py
@@ -21,6 +21,10 @@
 # A machine is ordered only if a report that its VM has no runs is at most this
 # old.
 _EMPTY_REPORT_MAX_AGE_MS = 400
+# A machine stays in a pool for as long as its move took, so that it is not
+# moved back and forth within a peak phase. Longer stays keep machines in pools
+# whose peak has passed while others miss them.
+_MIN_STAY_MS = 1_500
 
 
 class MachineFleet:
@@ -49,6 +53,7 @@
         self.cancelled_moves: dict[ids.MachineId, ids.VmId] = {}
         self._cooldown_until_ms: dict[ids.MachineId, int] = {}
         self._ordered_ms: dict[ids.MachineId, int] = {}
+        self._moved_ms: dict[ids.MachineId, int] = {}
         self._move_planner = move_planner.MovePlanner(self, clock)
 
     def update_machines(self, listed: list[machines.Machine]) -> None:
@@ -232,6 +237,7 @@
             finished = up and self._is_back_in_service(machine, operation)
         if finished:
             del self.operations[operation.machine]
+            self._moved_ms[operation.machine] = self._clock.monotonic_ms()
 
     def _is_back_in_service(
         self, machine: machines.Machine, operation: operations.MachineOperation
@@ -376,6 +382,16 @@
             if self._is_free(machine)
         ]
 
+    def has_settled(self, machine: machines.Machine) -> bool:
+        """Return whether the last move of a machine is long enough ago.
+
+        Args:
+            machine: The machine; one that a previous manager moved has settled.
+        """
+        moved_ms = self._moved_ms.get(machine.machine)
+        now_ms = self._clock.monotonic_ms()
+        return moved_ms is None or now_ms - moved_ms >= _MIN_STAY_MS
+
     def _is_free(self, machine: machines.Machine) -> bool:
         return (
             machine.state is machines.MachineState.UP
--- a/src/wagtailtiller/maintenance/move_planner.py
+++ b/src/wagtailtiller/maintenance/move_planner.py
@@ -1,14 +1,22 @@
 """Plans moves of machines between pools, and their return to standby."""
 
+import collections
+import dataclasses
 from typing import Protocol
 
 from wagtailtiller import clock as clock_module
+from wagtailtiller import events
 from wagtailtiller import ids
+from wagtailtiller.maintenance import demand
 from wagtailtiller.maintenance import operations as operations_module
 from wagtailtiller.maintenance import returns
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import machines as machines_module
 
+# Weight of a machine that is missed by forecast work only, relative to one that
+# is missed by waiting work.
+_FORECAST_WEIGHT = 0.5
+
 
 class Fleet(Protocol):
     """The machines and pools, as the planner sees and changes them.
@@ -34,6 +42,9 @@
     def is_standby(self, pool: ids.PoolId) -> bool:
         """Return whether the machines of a pool are switched off."""
 
+    def has_settled(self, machine: machines_module.Machine) -> bool:
+        """Return whether the last move of a machine is long enough ago."""
+
     def start_operation(
         self,
         machine: machines_module.Machine,
@@ -48,6 +59,44 @@
         """Cancel a move; return False if it may have been ordered."""
 
 
+@dataclasses.dataclass
+class _PoolPlan:
+    """What is known of a pool in a cycle, and what has been decided.
+
+    Attributes:
+        pool: Id of the pool.
+        estimator: Estimator of its demand.
+        needed: Number of machines that the pool needs.
+        kept: Number of machines that it does not return.
+        available: Number of machines that it can use now or very soon.
+        waiting: Machines that the waiting tasks could use.
+        assigned: Numbers of machines that begin to move to the pool in this
+            cycle, by whether they come from standby.
+        recalled: Number of machines whose move out was cancelled.
+    """
+
+    pool: ids.PoolId
+    estimator: demand.DemandEstimator
+    needed: int
+    kept: int
+    available: int
+    waiting: float
+    assigned: collections.Counter[bool]
+    recalled: int = 0
+
+    def missing_cost(self) -> float:
+        """Return what missing one more machine costs; 0 if none is missed.
+
+        This is the relative shortage, weighted by the share of the missing
+        machines that waiting work could use.
+        """
+        missing = self.needed - self.available
+        if missing <= 0:
+            return 0.0
+        weight = max(_FORECAST_WEIGHT, min(1.0, self.waiting / missing))
+        return weight * missing / self.needed
+
+
 class MovePlanner:
     """Plans moves from the demand of the pools.
 
@@ -60,109 +109,125 @@
         self._fleet = fleet
         self._clock = clock
         self._returns = returns.ReturnPolicy()
+        self._movable: dict[ids.MachineId, machines_module.Machine] = {}
 
     def plan(self) -> None:
         """Start the moves that the demand of the pools requires now."""
-        estimators = {
-            pool: pool_status.estimator
-            for pool, pool_status in self._fleet.pools.items()
-            if pool_status.estimator is not None
-        }
-        available = {
-            pool: self._fleet.count_available_machines(pool)
-            for pool in estimators
+        self._movable = {
+            machine.machine: machine
+            for machine in self._fleet.movable_machines()
         }
-        cores = self._mean_machine_cores()
-        needed = {
-            pool: estimator.machines_needed(
-                cores, self._count_present_machines(pool)
-            )
-            for pool, estimator in estimators.items()
-        }
-        kept = self._machines_kept(needed, available)
-        short_pools = sorted(
-            (pool for pool in needed if needed[pool] > available[pool]),
-            key=lambda pool: available[pool] / needed[pool],
-        )
-        for pool in short_pools:
-            self._recall(pool, needed, available)
-            while available[pool] < needed[pool]:
-                severe = returns.is_severe(available[pool], needed[pool])
-                machine = self._find_spare_machine(
-                    needed if severe else kept, available
-                )
-                if machine is None:
-                    break
-                available[pool] += 1
-                if machine.pool in available:
-                    available[machine.pool] -= 1
-                self._fleet.start_operation(machine, pool=pool)
-        self._plan_returns_to_standby(kept)
-
-    def _machines_kept(
-        self, needed: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
-    ) -> dict[ids.PoolId, int]:
-        """Return how many machines each pool keeps, by pool."""
+        plans = self._pool_plans()
+        self._recall(plans)
+        self._assign(plans)
+        for plan in plans.values():
+            _log_gains(plan)
+        self._return_to_standby(plans)
+
+    def _pool_plans(self) -> dict[ids.PoolId, _PoolPlan]:
         now_ms = self._clock.monotonic_ms()
         if (
             self._returns.arrivals_since_ms is None
             and self._has_arrival_history()
         ):
             self._returns.arrivals_since_ms = now_ms
-        kept = {}
-        for pool, count in needed.items():
-            self._returns.observe(pool, count, available[pool], now_ms)
-            if self._has_forecast(pool):
-                kept[pool] = count
-            else:
-                kept[pool] = self._returns.machines_kept(pool, count, now_ms)
-        return kept
-
-    def _recall(
-        self,
-        pool: ids.PoolId,
-        needed: dict[ids.PoolId, int],
-        available: dict[ids.PoolId, int],
-    ) -> None:
-        """Cancel returns to standby of machines that their pool needs again."""
+        cores = self._mean_machine_cores()
+        plans = {}
+        for pool, status in self._fleet.pools.items():
+            estimator = status.estimator
+            if estimator is None:
+                continue
+            needed = estimator.machines_needed(
+                cores, self._count_present_machines(pool)
+            )
+            available = self._fleet.count_available_machines(pool)
+            self._returns.observe(pool, needed, available, now_ms)
+            kept = needed
+            if not estimator.has_forecast():
+                kept = self._returns.machines_kept(pool, needed, now_ms)
+            plans[pool] = _PoolPlan(
+                pool,
+                estimator,
+                needed,
+                kept,
+                available,
+                estimator.waiting_cores() / cores,
+                collections.Counter(),
+            )
+        return plans
+
+    def _recall(self, plans: dict[ids.PoolId, _PoolPlan]) -> None:
+        """Cancel moves of machines that their pool needs again."""
         for operation in list(self._fleet.operations.values()):
-            if available[pool] >= needed[pool]:
-                return
             machine = self._fleet.machines.get(operation.machine)
-            if machine is None or machine.pool != pool:
+            if machine is None or operation.pool is None:
+                continue
+            plan = plans.get(machine.pool)
+            target = plans.get(operation.pool)
+            if plan is None or plan is target or not plan.missing_cost():
                 continue
-            if operation.pool is None or not self._fleet.is_standby(
-                operation.pool
+            if target is not None and (
+                target.missing_cost() >= plan.missing_cost()
             ):
                 continue
             if self._fleet.cancel_move(operation):
-                available[pool] += 1
+                plan.available += 1
+                plan.recalled += 1
+                if target is not None:
+                    target.available -= 1
+
+    def _assign(self, plans: dict[ids.PoolId, _PoolPlan]) -> None:
+        """Give machines to the pools that miss them most, one at a time."""
+        short = [plan for plan in plans.values() if plan.missing_cost()]
+        while short:
+            plan = max(short, key=_PoolPlan.missing_cost)
+            machine = self._find_spare_machine(plan, plans)
+            if machine is None:
+                # Another pool may be short enough to take what others keep.
+                short.remove(plan)
+                continue
+            plan.available += 1
+            from_standby = self._fleet.is_standby(machine.pool)
+            plan.assigned[from_standby] += 1
+            if not from_standby:
+                plans[machine.pool].available -= 1
+            self._start_move(machine, plan.pool)
+            if not plan.missing_cost():
+                short.remove(plan)
 
     def _find_spare_machine(
-        self, kept: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
+        self, plan: _PoolPlan, plans: dict[ids.PoolId, _PoolPlan]
     ) -> machines_module.Machine | None:
-        for machine in self._fleet.movable_machines():
+        for machine in self._movable.values():
             if self._fleet.is_standby(machine.pool):
                 return machine
-        return self._find_surplus_machine(kept, available)
+        severe = returns.is_severe(plan.available, plan.needed)
+        surplus = {
+            other.pool: other.available
+            - (other.needed if severe else other.kept)
+            for other in plans.values()
+        }
+        return self._find_surplus_machine(surplus)
 
     def _find_surplus_machine(
-        self, kept: dict[ids.PoolId, int], available: dict[ids.PoolId, int]
+        self, surplus: dict[ids.PoolId, int]
     ) -> machines_module.Machine | None:
+        """Return the machine with the fewest runs in a pool with a surplus."""
         best: machines_module.Machine | None = None
         best_runs = 0
-        for machine in self._fleet.movable_machines():
-            pool = machine.pool
-            load = self._fleet.loads.get(machine.vm)
-            if pool not in kept or available[pool] <= kept[pool]:
+        for machine in self._movable.values():
+            if surplus.get(machine.pool, 0) <= 0:
                 continue
+            load = self._fleet.loads.get(machine.vm)
             if load is None or load.lasting_runs or not load.usable:
                 continue
-            if best is None or load.runs < best_runs:
+            if best is not None and load.runs >= best_runs:
+                continue
+            if self._fleet.has_settled(machine):
                 best, best_runs = machine, load.runs
         return best
 
-    def _plan_returns_to_standby(self, kept: dict[ids.PoolId, int]) -> None:
+    def _return_to_standby(self, plans: dict[ids.PoolId, _PoolPlan]) -> None:
         standby = next(
             (
                 pool
@@ -173,27 +238,41 @@
         )
         if standby is None or not self._has_arrival_history():
             return
-        # A new machine manager observes a pool for the whole peak window before
-        # it returns machines of the pool to standby. Machines that are on their
-        # way to the pool do not replace others yet.
-        present = {
-            pool: self._count_present_machines(pool)
-            for pool in kept
-            if self._has_full_history(pool)
-        }
-        kept_this_cycle = {
-            pool: count
-            - returns.step_machines(
-                count - kept[pool], self._has_forecast(pool)
-            )
-            for pool, count in present.items()
-        }
-        while True:
-            machine = self._find_surplus_machine(kept_this_cycle, present)
+        for plan in plans.values():
+            # A new machine manager observes a pool for the whole peak window
+            # before it returns machines of the pool.
+            if plan.estimator.has_full_history():
+                self._return_from(plan, standby)
+
+    def _return_from(self, plan: _PoolPlan, standby: ids.PoolId) -> None:
+        # Machines that are on their way to the pool do not replace others yet.
+        present = self._count_present_machines(plan.pool)
+        count = returns.step_machines(
+            present - plan.kept, plan.estimator.has_forecast()
+        )
+        returned = 0
+        while returned < count:
+            machine = self._find_surplus_machine({plan.pool: 1})
             if machine is None:
-                return
-            present[machine.pool] -= 1
-            self._fleet.start_operation(machine, pool=standby)
+                break
+            self._start_move(machine, standby)
+            returned += 1
+        if returned:
+            events.emit(
+                events.Event.MACHINES_RETURNED,
+                pool=plan.pool,
+                machines=returned,
+                present=present,
+                kept=plan.kept,
+                needed=plan.needed,
+                forecast_cores=plan.estimator.forecast_cores(),
+            )
+
+    def _start_move(
+        self, machine: machines_module.Machine, pool: ids.PoolId
+    ) -> None:
+        del self._movable[machine.machine]
+        self._fleet.start_operation(machine, pool=pool)
 
     def _has_arrival_history(self) -> bool:
         """Return whether work has been arriving at any pool for some time.
@@ -206,14 +285,6 @@
             for status in self._fleet.pools.values()
         )
 
-    def _has_forecast(self, pool: ids.PoolId) -> bool:
-        estimator = self._fleet.pools[pool].estimator
-        return estimator is not None and estimator.has_forecast()
-
-    def _has_full_history(self, pool: ids.PoolId) -> bool:
-        estimator = self._fleet.pools[pool].estimator
-        return estimator is not None and estimator.has_full_history()
-
     def _count_present_machines(self, pool: ids.PoolId) -> int:
         return sum(
             1
@@ -229,3 +300,25 @@
             for machine in self._fleet.machines.values()
         ]
         return sum(cores) / len(cores) if cores else 1.0
+
+
+def _log_gains(plan: _PoolPlan) -> None:
+    if plan.recalled:
+        events.emit(
+            events.Event.MACHINES_RECALLED,
+            pool=plan.pool,
+            machines=plan.recalled,
+            needed=plan.needed,
+            available=plan.available,
+        )
+    if plan.assigned:
+        events.emit(
+            events.Event.MACHINES_ASSIGNED,
+            pool=plan.pool,
+            machines=plan.assigned.total(),
+            from_standby=plan.assigned[True],
+            needed=plan.needed,
+            available=plan.available,
+            waiting_cores=round(plan.estimator.waiting_cores()),
+            forecast_cores=plan.estimator.forecast_cores(),
+        )
--- a/src/wagtailtiller/maintenance/returns.py
+++ b/src/wagtailtiller/maintenance/returns.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 
+from wagtailtiller import events
 from wagtailtiller import ids
 
 # A machine that is missed is back after the move and the time in which the
@@ -83,6 +84,14 @@
         elif history.low_since_ms is None:
             history.low_since_ms = now_ms
         elif now_ms - history.low_since_ms >= _PASSED_AFTER_MS:
+            if not history.passed:
+                events.emit(
+                    events.Event.POOL_PHASE_PASSED,
+                    pool=pool,
+                    given=history.given_machines,
+                    peak=history.peak_machines,
+                    needed=needed_machines,
+                )
             history.passed = True
 
     def machines_kept(
--- a/src/wagtailtiller/maintenance/season.py
+++ b/src/wagtailtiller/maintenance/season.py
@@ -41,6 +41,13 @@
 # Counts of independent arrivals vary by 0.375 of their mean after smoothing.
 # Below twice that there is no season, and likeness is chance.
 _MIN_VARIANCE = 0.75
+# Arrivals that stay away, or come to another pool, lower the confidence before
+# a period has passed: when less than this share of the jobs expected in the
+# newest bins has arrived. Ten expected jobs rule out chance.
+_AGREEMENT_BINS = 4
+_MIN_AGREEMENT = 0.4
+_MIN_EXPECTED_JOBS = 10
+_DISAGREEING_CONFIDENCE = 0.3
 # A stored season is replaced when a pool's profile differs by this share of its
 # arrivals; counts of one period vary by less.
 _MATERIAL_SHARE = 0.5
@@ -188,10 +195,7 @@
         at_ms += self._offset_ms
         first = at_ms // BIN_MS - self._open_bin
         last = (at_ms + lead_ms) // BIN_MS - self._open_bin
-        jobs = max(
-            self._forecast_jobs(arrivals.counts, ahead)
-            for ahead in range(first, last + 1)
-        )
+        jobs = self._forecast_jobs(arrivals.counts, range(first, last + 1))
         return jobs * arrivals.mean_core_ms() / BIN_MS
 
     def season(self) -> Season | None:
@@ -238,20 +242,28 @@
             self._pools[pool] = arrivals
 
     def _forecast_jobs(
-        self, counts: collections.deque[float], ahead: int
+        self, counts: collections.deque[float], ahead: range
     ) -> float:
-        """Return the expected count of a bin, smoothed over three bins.
+        """Return the largest expected count of some bins.
+
+        The newest period is taken for two levels, above and below its mean.
+        The mean of a level varies less by chance than single bins do, the
+        largest of which would be too high.
 
         Args:
             counts: Closed bins of a pool.
-            ahead: Number of the bin, relative to the open one.
+            ahead: Numbers of the bins, relative to the open one.
         """
         period = self.period_bins
-        back = period - ahead % period
-        newest = counts[-back]
-        before = counts[-back - 1] if back < len(counts) else newest
-        after = counts[-back + 1] if back > 1 else newest
-        return (before + 2 * newest + after) / 4
+        profile = list(counts)[-period:]
+        smoothed = _smooth(profile)
+        mean = sum(profile) / period
+        levels: dict[bool, list[float]] = {False: [], True: []}
+        for count, smooth in zip(profile, smoothed, strict=True):
+            levels[smooth > mean].append(count)
+        high = any(smoothed[number % period] > mean for number in ahead)
+        level = levels[high]
+        return sum(level) / len(level) if level else mean
 
     def _close_bins(self, open_bin: int) -> None:
         if self._open_bin is None:
@@ -309,6 +321,8 @@
         else:
             self.period_bins = self._search_period(rows)
         self.confidence = self._new_confidence(rows)
+        if self._recent_agreement() < _MIN_AGREEMENT:
+            self.confidence = min(self.confidence, _DISAGREEING_CONFIDENCE)
 
     def _standardised_rows(self) -> list[list[float]]:
         """Return the counts by pool, each with mean 0 and chance variance 1."""
@@ -366,6 +380,22 @@
             )
             self._next_lag += 1
 
+    def _recent_agreement(self) -> float:
+        """Return the share of the newest expected jobs that has arrived."""
+        period = self.period_bins
+        if not period or self._bins < period + _AGREEMENT_BINS:
+            return 1.0
+        expected = met = 0.0
+        for arrivals in self._pools.values():
+            counts = list(arrivals.counts)
+            start = len(counts) - _AGREEMENT_BINS
+            pool_expected = sum(counts[start - period :][:_AGREEMENT_BINS])
+            expected += pool_expected
+            met += min(pool_expected, sum(counts[start:]))
+        if expected < _MIN_EXPECTED_JOBS:
+            return 1.0
+        return met / expected
+
     def _new_confidence(self, rows: list[list[float]]) -> float:
         period = self.period_bins
         window = min(period, self._bins - period)
