Test racks and VMs against silence in all racks and old failures

Cause: four changed conditions in racks.py and vm_health.py were not noticed by any test.

Change: tests of silence in half of all racks, of a pool with one rack, of a rack that was vacated, and of runs that fail on a VM after a later one has succeeded there.

--- a/tests/scheduling/test_probation.py
+++ b/tests/scheduling/test_probation.py
@@ -186,6 +186,21 @@
             self.end(self.pool.vms[start.vm], start.run, _DONE)
         self.assertEqual(set(), self.restricted())
 
+    def test_old_runs_that_fail_on_a_vm_that_has_recovered_do_not_count(self):
+        self.add_job("a")
+        self.add_job("b")
+        old = self.start_all()
+        vm = self.pool.vms[old[0].vm]
+        self.clock.advance(100)
+        self.add_job("new")
+        (new,) = self.start_all()
+        self.end(vm, new.run, _DONE)
+        for start in old:
+            self.end(vm, start.run, _FAILED)
+        for start in self.start_all():
+            self.end(self.pool.vms[start.vm], start.run, _DONE)
+        self.assertEqual(set(), self.restricted())
+
     def test_old_runs_that_succeed_do_not_hide_that_new_ones_fail(self):
         self.add_job("old")
         (old,) = self.start_all()
--- a/tests/scheduling/test_racks.py
+++ b/tests/scheduling/test_racks.py
@@ -137,6 +137,25 @@
         self.assertEqual([], self.suspected())
         self.assertEqual(0, self.unresponsive_millicores())
 
+    def test_half_of_all_racks_silent_makes_no_rack_suspect(self):
+        dark = [vm for r in _RACKS for vm in self.rack(r)[: _VMS_PER_RACK // 2]]
+        self.wait(_TIMEOUT_MS, dark)
+        self.fail(*dark)
+        _, probed = self.plan()
+        self.assertEqual(set(), probed)
+        self.assertEqual([], self.suspected())
+
+    def test_the_only_rack_of_a_pool_is_never_suspect(self):
+        for rack in _RACKS[1:]:
+            for vm in self.rack(rack):
+                del self.pool.vms[vm.report.vm]
+        dark = self.rack("r1")
+        self.wait(_TIMEOUT_MS, dark)
+        self.fail(*dark[:3])
+        _, probed = self.plan()
+        self.assertEqual(set(), probed)
+        self.assertEqual([], self.suspected())
+
     def test_an_owner_whose_plans_are_late_holds_no_vm_back(self):
         dark = self.rack("r1")
         self.clock.advance(900)
@@ -166,6 +185,7 @@
         self.fail(*dark)
         _, probed = self.plan()
         self.assertEqual(set(), probed)
+        self.assertEqual([], self.suspected())
         self.assertEqual(0, self.unresponsive_millicores())
 
     def test_the_capacity_of_a_dark_rack_is_asked_for_before_leases_end(self):
