Look at racks and ratios of estimates only where they matter

Cause: spreading compared the free capacity of VMs also where all are on one rack, and each plan built the racks of all VMs.

Change: no comparison with a single rack, racks only of VMs that are unresponsive, and one look-up of a queue's ratio for a backlog.

--- a/src/wagtailtiller/scheduling/candidates.py
+++ b/src/wagtailtiller/scheduling/candidates.py
@@ -43,13 +43,18 @@
         self,
         step_run: task_module.StepRun,
         vms: Mapping[ids.VmId, vm_module.Vm],
-    ) -> placement.RackSpread:
+    ) -> placement.RackSpread | None:
         """Return the numbers of a step's running tasks by rack.
 
         Args:
             step_run: Step whose tasks start.
             vms: All VMs of the pool by id.
+
+        Returns:
+            The numbers; None if there is only one rack.
         """
+        if len(self._racks) < 2:
+            return None
         return placement.RackSpread(step_run, vms, self._racks)
 
     @functools.cached_property
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -1,6 +1,5 @@
 """The jobs of a pool and their demand for capacity."""
 
-import collections
 from collections.abc import Iterable
 
 from wagtailtiller import ids
@@ -115,14 +114,13 @@
         The callers' estimates are corrected by what was learned about their
         queues. Long-running and repeated jobs are left out.
         """
-        core_ms: collections.defaultdict[ids.QueueId, float]
-        core_ms = collections.defaultdict(float)
+        ratio = self._state.run_times.ratio
+        ratios = {queue: ratio(queue) for queue in self._state.queues}
+        core_ms = 0.0
         for entry in self._state.active.values():
-            core_ms[entry.job.queue] += entry.job.remaining_core_ms()
-        return sum(
-            estimated * self._state.run_times.ratio(queue)
-            for queue, estimated in core_ms.items()
-        )
+            job = entry.job
+            core_ms += job.remaining_core_ms() * ratios.get(job.queue, 1.0)
+        return core_ms
 
     def demand(self) -> tuple[int, int]:
         """Return the processor demand of waiting and of long-running tasks.
--- a/src/wagtailtiller/scheduling/placement.py
+++ b/src/wagtailtiller/scheduling/placement.py
@@ -82,16 +82,18 @@
     best: vm_module.Vm | None = None
     best_rank = (True, True)
     for candidate in candidates:
-        is_equal = best is not None and _has_equal_room(candidate, best)
-        if best is not None and best_rank == _BEST_RANK:
-            # All later candidates are a worse fit, or equal at best.
-            if not is_equal or spread is None:
-                break
-            if spread.is_least_used(best.rack):
-                break
+        # After the best rank, all candidates are a worse fit or equal.
+        if (
+            best is not None
+            and best_rank == _BEST_RANK
+            and not _may_spread(spread, candidate, best)
+        ):
+            break
         rank = _rank(task, candidate)
         if best is not None and rank >= best_rank:
-            if rank > best_rank or not is_equal or spread is None:
+            if rank > best_rank or spread is None:
+                continue
+            if not _has_equal_room(candidate, best):
                 continue
             if spread.count(candidate.rack) >= spread.count(best.rack):
                 continue
@@ -100,6 +102,17 @@
     return best
 
 
+def _may_spread(
+    spread: RackSpread | None, candidate: vm_module.Vm, best: vm_module.Vm
+) -> bool:
+    """Return whether a VM of equal rank may be on a less used rack."""
+    return (
+        spread is not None
+        and _has_equal_room(candidate, best)
+        and not spread.is_least_used(best.rack)
+    )
+
+
 def _has_equal_room(one: vm_module.Vm, other: vm_module.Vm) -> bool:
     return one.free_cpu == other.free_cpu and bool(one.runs) == bool(other.runs)
 
--- a/src/wagtailtiller/scheduling/racks.py
+++ b/src/wagtailtiller/scheduling/racks.py
@@ -89,7 +89,9 @@
         racks = {
             vm.rack
             for vm in self._state.vms.values()
-            if vm.rack and _became_silent(vm, now_ms)
+            if vm.unresponsive_since_ms is not None
+            and _became_silent(vm, now_ms)
+            and vm.rack
         }
         probes: list[commands.Probe] = []
         for rack in sorted(racks - self._suspect_since_ms.keys()):
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -115,7 +115,8 @@
             chosen = open_candidates.choose(task, spread=spread)
             if chosen is None:
                 break
-            spread.add(chosen.rack)
+            if spread is not None:
+                spread.add(chosen.rack)
             number = entry.job.next_run_number(task, self._state.epoch)
             started.append(
                 self._start(entry, task, chosen, number, open_candidates)
