Serve jobs within the weights of organisations first, and test overload

Jobs beyond the weight of their organisation now come after the others in their class and are refused first.

--- a/src/wagtailtiller/scheduling/admission.py
+++ b/src/wagtailtiller/scheduling/admission.py
@@ -216,10 +216,10 @@
         return None
     reason = RefusalReason.OVERLOADED
     ready_ms = estimate.excess_ms
-    if ready_ms <= 0:
+    if over_share:
         reason = RefusalReason.OVER_SHARE
         full_ms = estimate.wait_ms + estimate.path_ms - estimate.target_ms
-        ready_ms = min(estimate.share_wait_ms, full_ms)
+        ready_ms = max(ready_ms, min(estimate.share_wait_ms, full_ms))
     # The refused callers need the pool for as long as their work takes.
     spread_ms = max(_MIN_SPREAD_MS, estimate.promised_ms + estimate.work_ms)
     retry_ms = max(_MIN_RETRY_MS, ready_ms) + spread_ms * _fraction(job_id)
--- a/src/wagtailtiller/scheduling/candidates.py
+++ b/src/wagtailtiller/scheduling/candidates.py
@@ -33,6 +33,7 @@
         self._positions = {
             vm.report.vm: position for position, vm in enumerate(self.vms)
         }
+        self._kept: set[int] = set()
         self._by_free_cpu = self._ordered()
         self._misfits: dict[str, list[_Requirement]] = {}
 
@@ -67,13 +68,35 @@
         vm.add(run)
         bisect.insort(self._by_free_cpu, (vm.free_cpu, position))
 
+    def keep_free(self, step: model.Step) -> bool:
+        """Exclude the VM that has room for a task of a step first.
+
+        That is the one with the most free processor capacity. It stays the same
+        one from plan to plan, because nothing else starts on it.
+
+        Args:
+            step: Step with a waiting task that fits on no VM now.
+
+        Returns:
+            Whether there is such a VM.
+        """
+        for number in range(len(self._by_free_cpu) - 1, -1, -1):
+            _, position = self._by_free_cpu[number]
+            if self.vms[position].fits_when_empty(step):
+                del self._by_free_cpu[number]
+                self._kept.add(position)
+                return True
+        return False
+
     def refresh(self) -> None:
         """Order the VMs again after runs were added to them elsewhere."""
         self._by_free_cpu = self._ordered()
 
     def _ordered(self) -> list[tuple[int, int]]:
         return sorted(
-            (vm.free_cpu, position) for position, vm in enumerate(self.vms)
+            (vm.free_cpu, position)
+            for position, vm in enumerate(self.vms)
+            if position not in self._kept
         )
 
     def _with_room(self, step: model.Step) -> Iterator[vm_module.Vm]:
--- a/src/wagtailtiller/scheduling/cost_admission.py
+++ b/src/wagtailtiller/scheduling/cost_admission.py
@@ -126,7 +126,7 @@
             ).plus(cost.remaining_work(entry.job))
         organisation = self._state.organisations.get(entry.job.organisation)
         if organisation is not None and not entry.inherited:
-            self._rates.take(organisation, now_ms)
+            entry.beyond_weight = not self._rates.take(organisation, now_ms)
 
     def _estimate(
         self,
--- a/src/wagtailtiller/scheduling/cost_order.py
+++ b/src/wagtailtiller/scheduling/cost_order.py
@@ -26,10 +26,12 @@
 _REFRESH_MS_PER_JOB = 0.2
 # So many jobs may start before the one that has waited longest, although the
 # delay of it costs least. Each such job takes capacity from others, so that the
-# limit costs about a sixty-fourth of it while capacity is insufficient.
-OVERTAKING_LIMIT = 64
+# limit costs little of it while capacity is insufficient.
+OVERTAKING_LIMIT = 256
 # A job that waited longer is logged when it starts.
 _LOGGED_WAIT_MS = 500
+# Bounds the number of metrics by priority.
+_MAX_COUNTED_PRIORITY = 9
 
 OrderFunction = Callable[
     [Iterable[ranking.Contender], int, ranking.TakeTag | None],
@@ -42,11 +44,15 @@
 
     Attributes:
         group: Group of the job.
+        share_level: How far the organisation of the job is above its share in
+            the group ``ON_TIME``; 0 in other groups, where the position
+            contains it.
         key: Deadline of the job in the group ``ON_TIME``, on the owner's clock;
             its position in other groups.
     """
 
     group: ranking.Group
+    share_level: int
     key: int
 
 
@@ -159,7 +165,8 @@
         """
         rank = self._ranks.get(entry.job.id)
         if rank is None:
-            return Rank(ranking.Group.ON_TIME, deadline_ms(entry, queue))
+            level = ranking.BEYOND_WEIGHT_LEVEL if entry.beyond_weight else 0
+            return Rank(ranking.Group.ON_TIME, level, deadline_ms(entry, queue))
         return rank
 
     def refresh(self, now_ms: int) -> None:
@@ -247,6 +254,7 @@
             cost.remaining_work(job).pool_ms(self._capacity),
             self._loss(entry, rank, now_ms),
             job.organisation,
+            entry.beyond_weight,
             size is not cost.Size.ORDINARY
             and self.sizes(job.queue).is_protected(size),
         )
@@ -286,8 +294,8 @@
             queue=entry.job.queue,
             group=placing.group.name.lower(),
             position=placing.position,
-            waited_ms=waited_ms,
-            priority=queue.priority,
+            took_ms=waited_ms,
+            outcome=f"priority_{min(queue.priority, _MAX_COUNTED_PRIORITY)}",
             latest_start_in_ms=latest_start_ms(entry, queue) - now_ms,
             work_ms=int(work.pool_ms(self._capacity)),
             value=round(entry.cost.value, 2) if entry.cost else 1.0,
@@ -299,8 +307,8 @@
 
 def _rank(contender: ranking.Contender, placing: ranking.Placing) -> Rank:
     if placing.group is ranking.Group.ON_TIME:
-        return Rank(placing.group, contender.deadline_ms)
-    return Rank(placing.group, placing.position)
+        return Rank(placing.group, placing.share_level, contender.deadline_ms)
+    return Rank(placing.group, 0, placing.position)
 
 
 def is_usable(vm: vm_module.Vm, now_ms: int) -> bool:
--- a/src/wagtailtiller/scheduling/fair_share.py
+++ b/src/wagtailtiller/scheduling/fair_share.py
@@ -23,8 +23,8 @@
 # Leads below this are forgotten: 10 ms of a pool's time.
 _MIN_LEAD_MS = 10.0
 _MS_PER_S = 1_000
-# Jobs arrive unevenly: twice the weight for a second is not beyond it.
-_BURST_S = 1.0
+# Jobs arrive unevenly: twice the weight for two seconds is not beyond it.
+_BURST_S = 2.0
 # All jobs of an organisation without a weight are beyond it.
 _NO_WEIGHT_WAIT_MS = 1_000.0
 
@@ -169,18 +169,23 @@
             return 0.0
         return missing / organisation.weight * _MS_PER_S
 
-    def take(self, organisation: catalogue.Organisation, now_ms: int) -> None:
+    def take(self, organisation: catalogue.Organisation, now_ms: int) -> bool:
         """Count an accepted job.
 
         Args:
             organisation: Organisation of the job.
             now_ms: Current time, on the owner's clock.
+
+        Returns:
+            Whether the job is within the weight.
         """
+        within = not self.wait_ms(organisation, now_ms)
         level = self._level(organisation, now_ms)
         # Jobs beyond the weight are free while there is capacity, so that they
         # do not count against later ones for long.
         level = max(-_burst(organisation), level - 1.0)
         self._levels[organisation.organisation] = (level, now_ms)
+        return within
 
     def _level(
         self, organisation: catalogue.Organisation, now_ms: int
--- a/src/wagtailtiller/scheduling/ranking.py
+++ b/src/wagtailtiller/scheduling/ranking.py
@@ -25,6 +25,9 @@
 # Start tags of organisations that differ by less than this part of a pool's
 # time are equal, so that among them the value by capacity decides.
 _SHARE_QUANTUM_MS = 100.0
+# Jobs beyond the weight of their organisation come after all that are within
+# theirs: this is more than the share levels of a minute of a pool's time.
+BEYOND_WEIGHT_LEVEL = 1_000
 _MIN_WORK_MS = 1e-6
 
 
@@ -121,6 +124,8 @@
         loss: Value that is expected to be lost if it waits and becomes late; if
             it is late, the value that it still has.
         organisation: Organisation that submitted it.
+        beyond_weight: Whether it was one more per second than its
+            organisation's weight.
         protected: Whether jobs of its size are on time much less often than
             the other jobs of its queue.
     """
@@ -134,6 +139,7 @@
     work_ms: float
     loss: float
     organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
+    beyond_weight: bool = False
     protected: bool = False
 
 
@@ -254,8 +260,9 @@
     tags = {c.job: take_tag(c.organisation, c.work_ms) for c in contenders}
     lowest = min(tags.values(), default=0.0)
     return {
-        job_id: int((tag - lowest) / _SHARE_QUANTUM_MS)
-        for job_id, tag in tags.items()
+        c.job: int((tags[c.job] - lowest) / _SHARE_QUANTUM_MS)
+        + (BEYOND_WEIGHT_LEVEL if c.beyond_weight else 0)
+        for c in contenders
     }
 
 
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -50,45 +50,33 @@
         open_candidates = candidates.Candidates(open_vms)
         overdue = self._cost_order.overdue([entry for entry, _ in ranked])
         if overdue is not None:
-            entry, step_runs = ranked.pop(overdue)
+            ranked.insert(0, ranked.pop(overdue))
+        for number, (entry, step_runs) in enumerate(ranked):
+            is_overdue = overdue is not None and number == 0
             for step_run in step_runs:
-                decisions.extend(
-                    self._start_step(entry, step_run, open_candidates)
-                )
-            reserved = self._reserved_vm(step_runs, open_vms)
-            if reserved is None:
-                self._cost_order.mark_overdue_started()
-            else:
-                open_candidates = candidates.Candidates(
-                    vm for vm in open_vms if vm is not reserved
-                )
-        for entry, step_runs in ranked:
-            for step_run in step_runs:
-                if open_candidates.is_misfit(step_run.step):
-                    continue
-                decisions.extend(
-                    self._start_step(entry, step_run, open_candidates)
-                )
+                if not open_candidates.is_misfit(step_run.step):
+                    decisions.extend(
+                        self._start_step(entry, step_run, open_candidates)
+                    )
+            if is_overdue:
+                self._keep_room(step_runs, open_candidates)
         return decisions
 
-    def _reserved_vm(
-        self, step_runs: list[task_module.StepRun], open_vms: list[vm_module.Vm]
-    ) -> vm_module.Vm | None:
-        """Return the VM that is kept for tasks that have waited longest.
-
-        Without it, smaller tasks would take each part of a VM that becomes
-        free, and a task that needs most of a VM would never start.
+    def _keep_room(
+        self,
+        step_runs: list[task_module.StepRun],
+        open_candidates: candidates.Candidates,
+    ) -> None:
+        """Keep a VM free for a task of the job that has waited longest.
 
-        Returns:
-            The VM; None if no task waits, or none fits any VM.
+        Otherwise smaller tasks of other jobs would take each part of a VM that
+        becomes free, and a task that needs most of a VM would never start.
         """
-        for step_run in step_runs:
-            if step_run.waiting_tasks():
-                suitable = [
-                    vm for vm in open_vms if vm.fits_when_empty(step_run.step)
-                ]
-                return max(suitable, key=lambda vm: vm.free_cpu, default=None)
-        return None
+        waiting = [s.step for s in step_runs if s.waiting_tasks()]
+        if not waiting:
+            self._cost_order.mark_overdue_started()
+        elif not waiting[0].filler:
+            open_candidates.keep_free(waiting[0])
 
     def _startable_by_rank(
         self, now_ms: int
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -29,6 +29,8 @@
             it has not.
         cost: What a delay of the job costs; None unless its pool orders jobs
             by that.
+        beyond_weight: Whether the job was one more per second than its
+            organisation's weight.
         outcome_known: Whether it is recorded if the job was on time.
     """
 
@@ -38,6 +40,7 @@
     stored_state: model.JobState | None
     final_ms: int = 0
     cost: cost_module.JobCost | None = None
+    beyond_weight: bool = False
     outcome_known: bool = False
 
 
--- a/support/overload_lab.py
+++ b/support/overload_lab.py
@@ -17,6 +17,7 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import admission
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import cost
 from wagtailtiller.scheduling import pool as pool_module
@@ -141,6 +142,7 @@
         jobs: All jobs that were submitted.
         retries: Whether refused callers return.
         started: Ids of the jobs in the order of their first tasks.
+        refusals: Time, job and refusal of each refused submission.
     """
 
     def __init__(
@@ -167,6 +169,7 @@
         self.jobs: dict[model.JobId, LabJob] = {}
         self.retries = True
         self.started: list[model.JobId] = []
+        self.refusals: list[tuple[int, LabJob, admission.Refusal]] = []
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._job_numbers = itertools.count()
@@ -257,6 +260,7 @@
         )
         if refusal is not None:
             lab_job.refusals += 1
+            self.refusals.append((self.now_ms, lab_job, refusal))
             if self.retries and lab_job.refusals <= _MAX_RETRIES:
                 seconds = -(-refusal.retry_after_ms // 1_000)
                 self.at(
