Keep the profile of a period until a bin ends, and pad pools without one

Cause: each forecast smoothed a whole period, in every cycle and for every pool. A pool that a stored season does not have kept a shorter history than the period, which ended in an IndexError.

--- a/src/wagtailtiller/maintenance/season.py
+++ b/src/wagtailtiller/maintenance/season.py
@@ -119,6 +119,24 @@
         return self.core_ms / self.jobs if self.jobs else 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class _Profile:
+    """The newest period of a pool, taken for two levels.
+
+    The mean of a level varies less by chance than single bins do, the largest
+    of which would be too high.
+
+    Attributes:
+        high_bins: Whether each bin of the period is above the period's mean.
+        high_jobs: Mean count of those bins.
+        low_jobs: Mean count of the others.
+    """
+
+    high_bins: list[bool]
+    high_jobs: float
+    low_jobs: float
+
+
 class SeasonLearner:
     """Learns the season of the arrivals at all pools.
 
@@ -139,6 +157,7 @@
         self._bins = 0
         self._own_bins = 0
         self._stored_confidence: float | None = None
+        self._profiles: dict[ids.PoolId, _Profile] = {}
         self._covariances: list[float] = []
         self._next_lag = 0
         self.period_bins = 0
@@ -195,7 +214,7 @@
         at_ms += self._offset_ms
         first = at_ms // BIN_MS - self._open_bin
         last = (at_ms + lead_ms) // BIN_MS - self._open_bin
-        jobs = self._forecast_jobs(arrivals.counts, range(first, last + 1))
+        jobs = self._forecast_jobs(pool, range(first, last + 1))
         return jobs * arrivals.mean_core_ms() / BIN_MS
 
     def season(self) -> Season | None:
@@ -231,6 +250,9 @@
         self._own_bins = 0
         self.period_bins = period
         self.confidence = self._stored_confidence = season.confidence
+        self._profiles.clear()
+        for known in self._pools.values():
+            known.counts = _new_counts(period)
         for pool, stored in itertools.islice(season.pools.items(), MAX_POOLS):
             arrivals = _PoolArrivals(_new_counts(0))
             for number in range(self._open_bin - period, self._open_bin):
@@ -241,29 +263,19 @@
             arrivals.core_ms = _MIN_MEAN_JOBS * stored.mean_core_ms
             self._pools[pool] = arrivals
 
-    def _forecast_jobs(
-        self, counts: collections.deque[float], ahead: range
-    ) -> float:
+    def _forecast_jobs(self, pool: ids.PoolId, ahead: range) -> float:
         """Return the largest expected count of some bins.
 
-        The newest period is taken for two levels, above and below its mean.
-        The mean of a level varies less by chance than single bins do, the
-        largest of which would be too high.
-
         Args:
-            counts: Closed bins of a pool.
+            pool: Id of a known pool.
             ahead: Numbers of the bins, relative to the open one.
         """
-        period = self.period_bins
-        profile = list(counts)[-period:]
-        smoothed = _smooth(profile)
-        mean = sum(profile) / period
-        levels: dict[bool, list[float]] = {False: [], True: []}
-        for count, smooth in zip(profile, smoothed, strict=True):
-            levels[smooth > mean].append(count)
-        high = any(smoothed[number % period] > mean for number in ahead)
-        level = levels[high]
-        return sum(level) / len(level) if level else mean
+        if pool not in self._profiles:
+            counts = self._pools[pool].counts
+            self._profiles[pool] = _profile(counts, self.period_bins)
+        profile = self._profiles[pool]
+        high = any(profile.high_bins[n % self.period_bins] for n in ahead)
+        return profile.high_jobs if high else profile.low_jobs
 
     def _close_bins(self, open_bin: int) -> None:
         if self._open_bin is None:
@@ -298,11 +310,14 @@
         self._bins = self._own_bins = self.period_bins = 0
         self.confidence = 0.0
         self._covariances.clear()
+        self._next_lag = 0
+        self._profiles.clear()
         for arrivals in self._pools.values():
             arrivals.counts.clear()
             arrivals.open_count = 0.0
 
     def _update(self) -> None:
+        self._profiles.clear()
         for arrivals in self._pools.values():
             arrivals.open_count = 0.0
         rows = self._standardised_rows()
@@ -440,6 +455,20 @@
     return collections.deque([0.0] * bins, maxlen=HISTORY_BINS)
 
 
+def _profile(counts: collections.deque[float], period: int) -> _Profile:
+    newest = list(counts)[-period:]
+    mean = sum(newest) / period
+    high_bins = [smooth > mean for smooth in _smooth(newest)]
+    levels: dict[bool, list[float]] = {False: [], True: []}
+    for count, high in zip(newest, high_bins, strict=True):
+        levels[high].append(count)
+    low_jobs, high_jobs = (
+        sum(level) / len(level) if level else mean
+        for level in (levels[False], levels[True])
+    )
+    return _Profile(high_bins, high_jobs, low_jobs)
+
+
 def _smooth(counts: Sequence[float]) -> list[float]:
     values = list(counts)
     before = [values[0], *values[:-1]]
--- a/tests/maintenance/test_season.py
+++ b/tests/maintenance/test_season.py
@@ -181,6 +181,29 @@
             learner.restore(season.Season(0, 1.0, pools), 0)
             self.assertFalse(learner.is_confident())
 
+    def test_a_pool_that_the_stored_season_does_not_have_is_forecast_idle(self):
+        # A pool was declared after the season was stored.
+        arrivals = _Arrivals(1, _rotating)
+        arrivals.run(43_000)
+        stored = arrivals.learner.season()
+        successor = season.SeasonLearner(0)
+        new_pool = ids.PoolId("new")
+        successor.add(new_pool, 45_000, 0, 0.0)
+        successor.restore(stored, 45_000)
+        self.assertEqual(
+            0.0, successor.forecast_cores(new_pool, 45_200, _LEAD_MS)
+        )
+
+    def test_arrivals_that_end_lower_the_confidence_within_three_seconds(self):
+        # Machines would be moved for each phase of a day that has ended.
+        arrivals = _Arrivals(
+            1, lambda index, at: _rotating(index, at) if at < 50_000 else 0.0
+        )
+        arrivals.run(50_000)
+        self.assertTrue(arrivals.learner.is_confident())
+        arrivals.run(53_000)
+        self.assertFalse(arrivals.learner.is_confident())
+
     def test_only_material_changes_are_stored(self):
         # Each cycle would otherwise write to the store.
         arrivals = _Arrivals(1, _rotating)
