Let both tests of rotating peaks fail on the code before

Cause: one demanded more of the set-up than four rounds give, the other passed on the code before. Change: six rounds, and a demand that rises fivefold.

--- a/tests/scheduling/test_allocation.py
+++ b/tests/scheduling/test_allocation.py
@@ -80,10 +80,10 @@
     """Peaks of one organisation that pass from pool to pool."""
 
     def test_peak_that_begins_elsewhere_finds_the_limit_free(self):
-        """Guards against a peak that waits for what an idle pool still holds."""
+        """Guards against a peak that waits for what an idle pool holds."""
         first, second = self.add_pools("first", "second")
         first.add_job("a" * 16, jobs.step(95))
-        self.commit_all(rounds=4)
+        self.commit_all(rounds=6)
         self.assertGreaterEqual(self.held("first"), 95_000)
         first.jobs.cancel("a" * 16)
         self.commit_all(rounds=5)
@@ -91,14 +91,12 @@
         self.commit(second)
         self.assertGreaterEqual(self.held("second"), 40_000)
 
-    def test_rising_demand_is_ahead_of_the_allocation_after_one_change(self):
-        """Guards against a peak that takes many writes to become usable."""
+    def test_first_change_of_a_peak_covers_a_demand_that_rises_fivefold(self):
+        """Guards against a peak that waits for the store at each rise."""
         (pool,) = self.add_pools("first")
-        pool.add_job("a" * 16, jobs.step(2))
+        pool.add_job("a" * 16, jobs.step(10))
         self.commit(pool)
-        pool.add_job("b" * 16, jobs.step(40))
-        self.commit(pool)
-        self.assertGreaterEqual(self.held("first"), 42_000)
+        self.assertGreaterEqual(self.held("first"), 50_000)
 
 
 class AllocationTest(PoolsTest):
