Compare equal VMs by the numbers of their racks first

Cause: on a pool of 110 VMs in ten racks, listed rack by rack, a start took 30 us after 15 us: for each of the equal VMs, the least used rack was looked up and the VM ranked again.

Change: the least number is kept until a task starts, and VMs on racks that are not less used are passed over before they are ranked.

Tests of scheduling and of the owner pass, the property tests among them.

--- a/src/wagtailtiller/scheduling/placement.py
+++ b/src/wagtailtiller/scheduling/placement.py
@@ -32,11 +32,13 @@
         self._step_run = step_run
         self._vms = vms
         self._racks = racks
+        self._least: int | None = None
 
     def add(self, rack: str) -> None:
         """Count a task that starts on a rack."""
         if "_counts" in self.__dict__:
             self._counts[rack] += 1
+            self._least = None
 
     def count(self, rack: str) -> int:
         """Return the number of the step's tasks that run on a rack."""
@@ -45,7 +47,9 @@
     def is_least_used(self, rack: str) -> bool:
         """Return whether no rack runs fewer of the step's tasks."""
         counts = self._counts
-        return counts[rack] <= min(counts[other] for other in self._racks)
+        if self._least is None:
+            self._least = min(counts[other] for other in self._racks)
+        return counts[rack] <= self._least
 
     @functools.cached_property
     def _counts(self) -> collections.Counter[str]:
@@ -82,20 +86,19 @@
     best: vm_module.Vm | None = None
     best_rank = (True, True)
     for candidate in candidates:
-        # After the best rank, all candidates are a worse fit or equal.
-        if (
-            best is not None
-            and best_rank == _BEST_RANK
-            and not _may_spread(spread, candidate, best)
-        ):
-            break
+        if best is not None and best_rank == _BEST_RANK:
+            # All later candidates are a worse fit, or equal at best.
+            if not _may_spread(spread, candidate, best):
+                break
+            if not _is_less_used(spread, candidate, best):
+                continue
         rank = _rank(task, candidate)
         if best is not None and rank >= best_rank:
             if rank > best_rank or spread is None:
                 continue
             if not _has_equal_room(candidate, best):
                 continue
-            if spread.count(candidate.rack) >= spread.count(best.rack):
+            if not _is_less_used(spread, candidate, best):
                 continue
         if candidate.fits(task.step) and _below_vm_limit(task, candidate):
             best, best_rank = candidate, rank
@@ -113,6 +116,14 @@
     )
 
 
+def _is_less_used(
+    spread: RackSpread | None, candidate: vm_module.Vm, best: vm_module.Vm
+) -> bool:
+    return spread is not None and (
+        spread.count(candidate.rack) < spread.count(best.rack)
+    )
+
+
 def _has_equal_room(one: vm_module.Vm, other: vm_module.Vm) -> bool:
     return one.free_cpu == other.free_cpu and bool(one.runs) == bool(other.runs)
 
