--- a/src/wagtailtiller/scheduling/cost.py
+++ b/src/wagtailtiller/scheduling/cost.py
@@ -36,11 +36,11 @@
 _UPPER_QUANTILE = 0.7
 _TOP_QUANTILE = 0.9
 # Number of jobs of a size over which its outcomes fade.
-_OUTCOME_FADE = 0.95
+_OUTCOME_FADE = 0.9
 _MIN_OUTCOMES = 3.0
 # Callers need large jobs to be served at least half as often as all jobs. The
 # margin covers the time until a change of the order shows in the outcomes.
-_PROTECTED_BELOW = 0.6
+_PROTECTED_BELOW = 0.55
 
 
 class Work(NamedTuple):
