--- a/src/wagtailtiller/maintenance/machine_fleet.py
+++ b/src/wagtailtiller/maintenance/machine_fleet.py
@@ -32,6 +32,8 @@
 
     Args:
         clock: Clock that supplies the current time.
+        sizes_are_given: Whether the pools have the sizes that operators gave
+            them, because no machine manager has moved machines before.
 
     Attributes:
         machines: The machines that the platform listed last, by id.
@@ -43,7 +45,9 @@
             their owners still keep closed, by machine.
     """
 
-    def __init__(self, clock: clock_module.Clock) -> None:
+    def __init__(
+        self, clock: clock_module.Clock, sizes_are_given: bool = True
+    ) -> None:
         self._clock = clock
         self.machines: dict[ids.MachineId, machines.Machine] = {}
         self.operations: dict[ids.MachineId, operations.MachineOperation] = {}
@@ -54,7 +58,9 @@
         self._cooldown_until_ms: dict[ids.MachineId, int] = {}
         self._ordered_ms: dict[ids.MachineId, int] = {}
         self._moved_ms: dict[ids.MachineId, int] = {}
-        self._move_planner = move_planner.MovePlanner(self, clock)
+        self._move_planner = move_planner.MovePlanner(
+            self, clock, sizes_are_given
+        )
 
     def update_machines(self, listed: list[machines.Machine]) -> None:
         """Replace the machines, and end the operations that are complete.
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -76,7 +76,9 @@
         self._clock = clock
         self._cooldown_ms = machine_lease_ms + _TAKEOVER_MARGIN_MS
         self._is_lease_fresh = is_lease_fresh
-        self._fleet = machine_fleet.MachineFleet(clock)
+        self._fleet = machine_fleet.MachineFleet(
+            clock, sizes_are_given=claim.epoch == claims.FIRST_EPOCH
+        )
         self._estimators: dict[ids.PoolId, demand.DemandEstimator] = {}
         self._state = manager_state.ManagerState(
             store_client, claim, declared, clock, follower.Backoff(rng)
--- a/src/wagtailtiller/maintenance/move_planner.py
+++ b/src/wagtailtiller/maintenance/move_planner.py
@@ -103,12 +103,19 @@
     Args:
         fleet: Machines and pools; the planner starts operations on it.
         clock: Clock that supplies the current time.
+        sizes_are_given: Whether the pools have the sizes that operators gave
+            them.
     """
 
-    def __init__(self, fleet: Fleet, clock: clock_module.Clock) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        clock: clock_module.Clock,
+        sizes_are_given: bool,
+    ) -> None:
         self._fleet = fleet
         self._clock = clock
-        self._returns = returns.ReturnPolicy()
+        self._returns = returns.ReturnPolicy(sizes_are_given)
         self._movable: dict[ids.MachineId, machines_module.Machine] = {}
 
     def plan(self) -> None:
--- a/src/wagtailtiller/maintenance/returns.py
+++ b/src/wagtailtiller/maintenance/returns.py
@@ -49,12 +49,17 @@
 class ReturnPolicy:
     """Bounds the machines that pools return.
 
+    Args:
+        sizes_are_given: Whether the pools have the sizes that operators gave
+            them, and not those that a previous machine manager left.
+
     Attributes:
         arrivals_since_ms: Clock reading at which work began to arrive at any
             pool; None before.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, sizes_are_given: bool = True) -> None:
+        self._sizes_are_given = sizes_are_given
         self._pools: dict[ids.PoolId, _PoolHistory] = {}
         self.arrivals_since_ms: int | None = None
 
@@ -109,6 +114,8 @@
             phase has not passed and may still follow.
         """
         history = self._pools[pool]
+        if not self._sizes_are_given:
+            return needed_machines
         if history.passed or self._is_absence_known(now_ms):
             return needed_machines
         return max(needed_machines, history.given_machines)
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -16,6 +16,8 @@
 from wagtailtiller import keys
 from wagtailtiller.ports import store
 
+# Epoch of the first owner that a shard has ever had.
+FIRST_EPOCH = 1
 # What the owner of a busy pool of a hundred VMs needs.
 _SHARD_CPU_MILLICORES = 500
 _SHARD_LINK_MBPS = 20.0
@@ -215,7 +217,7 @@
     if result.is_error():
         return None
     epoch_item = result.ok
-    epoch = 1
+    epoch = FIRST_EPOCH
     revision = store.ABSENT
     if epoch_item is not None and epoch_item.value is not None:
         if not epoch_item.value.isdigit():
--- a/tests/maintenance/test_machine_fleet.py
+++ b/tests/maintenance/test_machine_fleet.py
@@ -144,6 +144,26 @@
             self.fleet.plan()
         self.assertEqual(2, len(self.find_operations(pool=_SPARE)))
 
+    def test_successor_does_not_keep_the_sizes_that_it_finds(self):
+        """Load pattern: the machine manager changes while a peak ends.
+
+        Guards against pools that keep all machines of the peak for longer with
+        each new machine manager.
+        """
+        self.fleet = machine_fleet.MachineFleet(
+            self.clock, sizes_are_given=False
+        )
+        self.fleet.pools = {
+            _RENDERS: operations.PoolStatus(False, self.estimator),
+            _SPARE: operations.PoolStatus(True, None),
+        }
+        for name in "abc":
+            self.add_machine(name, _RENDERS)
+            self.set_load(name)
+        self.add_samples(cores=2)
+        self.fleet.plan()
+        self.assertNotEqual([], self.find_operations(pool=_SPARE))
+
     def test_long_running_tasks_without_room_are_not_taken_for_a_peak(self):
         """Load pattern: long-running tasks start first, the peak comes later.
 
