Mend what reviews of the parts have found

Cause: three readers who had not written the parts found, by reading: a gang could start on a VM that is kept free, and its plan failed; the order by cost deferred long-running jobs; repeated jobs grew late with their age; a job that cannot start took the turn of the job that has waited longest; ejected VMs were left out although no others were open; a claim could be made without a lease; a stale owner record could delete another process's key; a release of a shard that is gone ended the session; a successor without work never released its predecessor's allocation, and the unknown outcome of a lowering held a new peak back.

Change: each of them is mended.

--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -387,6 +387,10 @@
             # The process was told to stop while it claimed the shard.
             await claims.release(self._store, claim)
             return
+        stored = self._mirror.items.get(keys.owner(shard))
+        if stored is not None and stored.revision > claim.revision:
+            # The answer came so late that another process owns the shard.
+            return
         self.claims_by_shard[shard] = claim
         self._claimed_ms[shard] = self._clock.monotonic_ms()
         self._epochs[shard] = claim.epoch
@@ -418,8 +422,15 @@
         ):
             return
         item = self._mirror.items.get(keys.owner(shard))
-        if item is not None:
+        if item is None:
+            return
+        stored = _decode(item, claims.OwnerRecord)
+        if stored is None or stored.incarnation == owner.incarnation:
             await self._store.delete(item.key, item.revision)
+        else:
+            # A claim that was answered late is recorded here although another
+            # process owns the shard by now.
+            self._update_owner(item)
 
     def _claim_delay_ms(self, shard: ids.ShardId) -> int:
         successor = self._successor(shard)
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -212,6 +212,9 @@
     Returns:
         The claim, or None if it failed or its outcome is unknown.
     """
+    if not lease:
+        # The owner key would stay after this process has ended.
+        return None
     epoch_key = keys.epoch(shard)
     result = await store_client.read_key(epoch_key)
     if result.is_error():
@@ -266,7 +269,7 @@
         hint_revision: Last known revision of the shard's successor key.
 
     Returns:
-        Whether the key is known to have been deleted.
+        Whether this process is known not to own the shard any more.
     """
     owner_key = keys.owner(claim.shard)
     if successor is not None:
@@ -289,7 +292,10 @@
     result = await store_client.commit(
         store.Transaction(claim.preconditions(), deletes=(owner_key,))
     )
-    return result.is_ok()
+    if result.is_error():
+        # The key is gone, or another process owns the shard.
+        return isinstance(result.error, store.PreconditionFailed)
+    return True
 
 
 def encode(record: NodeRecord | OwnerRecord | SuccessorRecord) -> bytes:
--- a/src/wagtailtiller/platform/main.py
+++ b/src/wagtailtiller/platform/main.py
@@ -32,7 +32,7 @@
 _METRICS_PATH = "/metrics"
 # Part of the shutdown time that is reserved for the steps after the last open
 # request.
-_STOP_MARGIN_S = 1.0
+_STOP_MARGIN_S = 1.5
 # Requests that are open then are answered before the connections are closed.
 _ANSWER_MARGIN_MS = 300
 # Requests that are read while the connections are being closed are answered
--- a/src/wagtailtiller/scheduling/allocations.py
+++ b/src/wagtailtiller/scheduling/allocations.py
@@ -139,6 +139,9 @@
         """Return whether the owner has to follow the document now."""
         if not self.limits:
             return False
+        if self.revision is None:
+            # A predecessor may have left an entry that has to be released.
+            return True
         if any(
             self._state.pool in entries
             for entries in self.document.entries.values()
@@ -264,7 +267,8 @@
             entries[organisation] = after
             stored = limits.get(organisation)
             if after is not before or (
-                stored is None
+                self._is_held_back(organisation)
+                or stored is None
                 or stored.amounts != limit.amounts
                 or limit.must_replace(stored)
             ):
@@ -277,6 +281,14 @@
         self._headroom = None
         return proposal
 
+    def _is_held_back(self, organisation: ids.OrganisationId) -> bool:
+        """Return whether a proposal of unknown outcome still lowers the use.
+
+        A write at the same revision settles the outcome.
+        """
+        own = _own_allocation(self.document, organisation, self._state.pool)
+        return self._lowest_proposed.get(organisation, own).lowest(own) != own
+
     def _remember(self, proposal: allocation.Document) -> None:
         for organisation in self.document.entries | proposal.entries:
             proposed = _own_allocation(proposal, organisation, self._state.pool)
--- a/src/wagtailtiller/scheduling/candidates.py
+++ b/src/wagtailtiller/scheduling/candidates.py
@@ -62,6 +62,15 @@
     def _racks(self) -> frozenset[str]:
         return frozenset(vm.rack for vm in self.vms)
 
+    @property
+    def available(self) -> list[vm_module.Vm]:
+        """VMs that are not kept free."""
+        return [
+            vm
+            for position, vm in enumerate(self.vms)
+            if position not in self._kept
+        ]
+
     def choose(
         self,
         task: task_module.Task,
@@ -125,7 +134,8 @@
         """
         for number in range(len(self._by_free_cpu) - 1, -1, -1):
             position = self._by_free_cpu[number][-1]
-            if self.vms[position].fits_when_empty(step):
+            vm = self.vms[position]
+            if vm.fits_when_empty(step) and not vm.on_probation:
                 del self._by_free_cpu[number]
                 self._kept.add(position)
                 return True
--- a/src/wagtailtiller/scheduling/cost_admission.py
+++ b/src/wagtailtiller/scheduling/cost_admission.py
@@ -174,6 +174,9 @@
             queue = self._state.queues.get(entry.job.queue)
             if queue is None or self._is_too_late(entry, queue, now_ms):
                 continue
+            if entry.job.long_running or entry.job.spec.repeat_count:
+                # Their work is not known; their running tasks count below.
+                continue
             priority = queue.priority
             priorities[entry.job.id] = priority
             waiting[priority] = waiting.get(priority, cost.NO_WORK).plus(
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -97,14 +97,21 @@
     def _open_vms(
         self, members: set[ids.VmId] | None, now_ms: int
     ) -> list[vm_module.Vm]:
-        open_vms = [
+        usable_vms = [
             vm
             for vm in self.vms.values()
             if vm.open_for_starts(now_ms)
             and (members is None or vm.report.vm in members)
-            and not self.health.ejected(vm.report.vm, now_ms)
+        ]
+        open_vms = [
+            vm
+            for vm in usable_vms
+            if not self.health.ejected(vm.report.vm, now_ms)
             and not vm.is_held_back(now_ms)
         ]
+        if not open_vms:
+            # Ejected VMs are on probation, so that they get one task each.
+            return usable_vms
         normal_vms = [vm for vm in open_vms if not vm.is_slow(now_ms)]
         if 2 * len(normal_vms) < len(open_vms):
             # Too many to do without them.
--- a/src/wagtailtiller/scheduling/ranking.py
+++ b/src/wagtailtiller/scheduling/ranking.py
@@ -78,7 +78,8 @@
         queue: Queue of the job.
         now_ms: Current time, on the owner's clock.
     """
-    if waiting_job.long_running:
+    if waiting_job.long_running or waiting_job.spec.repeat_count:
+        # The age of a repeated job says nothing about its latest occurrence.
         return Rank(Lateness.ON_TIME, queue.priority, accepted_ms)
     limit_ms = target_duration_ms(waiting_job.critical_path_ms, queue)
     # Age of the job at its earliest possible end.
@@ -221,6 +222,9 @@
     selected: list[tuple[_DelayKey, Contender]] = []
     total_ms = 0.0
     for contender in punctual:
+        if not contender.work_ms:
+            # Long-running and repeated jobs have no deadline to be compared by.
+            continue
         key = _delay_key(contender, levels[contender.job])
         heapq.heappush(selected, (_reversed(key), contender))
         total_ms += contender.work_ms
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -85,10 +85,14 @@
         for step_run in waiting:
             # Capacity does not help tasks that a limit of their organisation
             # blocks.
-            if self._is_within_allocation(entry, step_run):
-                if not step_run.step.filler:
-                    open_candidates.keep_free(step_run.step)
+            if not self._is_within_allocation(entry, step_run):
+                continue
+            step = step_run.step
+            if step.filler or open_candidates.keep_free(step):
                 return
+        # The job cannot start now. The next one that has waited long is not to
+        # wait for it.
+        self._cost_order.mark_overdue_started()
 
     def _startable_by_rank(
         self, now_ms: int
@@ -142,12 +146,14 @@
             return list(
                 self._place_step(entry, step_run, waiting, open_candidates)
             )
-        query = self._policy_query(waiting[0], policy, open_candidates.vms)
+        query = self._policy_query(
+            waiting[0], policy, open_candidates.available
+        )
         if query is not None:
             return [query]
         allowed_vms = [
             vm
-            for vm in open_candidates.vms
+            for vm in open_candidates.available
             if self._ticket(waiting[0], vm) is not None
         ]
         started = self._place_step(
@@ -198,7 +204,9 @@
     ) -> list[commands.Start]:
         if len(waiting) < len(step_run.tasks):
             return []
-        placements = placement.choose_gang(waiting, open_candidates.vms) or []
+        placements = (
+            placement.choose_gang(waiting, open_candidates.available) or []
+        )
         number = max(
             entry.job.next_run_number(task, self._state.epoch)
             for task in waiting
--- a/tests/ownership/test_claims.py
+++ b/tests/ownership/test_claims.py
@@ -44,6 +44,18 @@
             self.assertEqual(epoch, claim.epoch)
             asyncio.run(claims.release(self.store, claim))
 
+    def test_no_claim_without_a_lease(self):
+        """Guards against an owner key that stays when its owner has died."""
+        claim = asyncio.run(claims.claim(self.store, _SHARD, _node("a"), ""))
+        self.assertIsNone(claim)
+        self.assertIsNone(self.store.state.item(keys.owner(_SHARD)).value)
+
+    def test_release_of_a_shard_that_is_gone_is_complete(self):
+        """Guards against a planned stop that ends its session too early."""
+        claim = self.claim()
+        asyncio.run(claims.release(self.store, claim))
+        self.assertTrue(asyncio.run(claims.release(self.store, claim)))
+
     def test_claim_with_lost_response_is_read_back(self):
         """The store applies the commit, but its response does not arrive."""
         self.store.faults = [fakes.Fault.NONE, fakes.Fault.RESPONSE_LOST]
--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -151,3 +151,15 @@
 
     test.patch(vm_class, "fits", fits)
     return looked_at
+
+
+class KeptVmTest(testtools.TestCase):
+    def test_gang_does_not_start_on_a_vm_that_is_kept_free(self):
+        """Guards against a plan that fails when it adds the run of a gang."""
+        pool = _pool([(8, 8, "r1"), (4, 8, "r1")], clocks.FakeClock())
+        open_candidates = candidates.Candidates(pool.vms.values())
+        self.assertTrue(
+            open_candidates.keep_free(jobs.step(cpu_millicores=6_000))
+        )
+        names = [vm.report.vm for vm in open_candidates.available]
+        self.assertEqual(["vm-1"], names)
