--- a/src/wagtailtiller/timeouts.py
+++ b/src/wagtailtiller/timeouts.py
@@ -7,6 +7,9 @@
 # Each slice lasts for at least one turn of the event loop, in which the loop
 # reads what has arrived.
 _SLICE_MS = 100
+# The clock of the event loop counts whole milliseconds, so that a timer may
+# expire that much early.
+_CLOCK_RESOLUTION_MS = 1
 
 
 @contextlib.asynccontextmanager
@@ -42,7 +45,7 @@
 
     def __init__(self, scope: asyncio.Timeout, timeout_ms: int) -> None:
         self._scope = scope
-        self._left_ms = timeout_ms
+        self._left_ms = timeout_ms + _CLOCK_RESOLUTION_MS
         self._loop = asyncio.get_running_loop()
         self._begin()
 
