--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -6,23 +6,19 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import enum
 from typing import Protocol
 
 import msgspec
 
 from wagtailtiller import clock as clock_module
-from wagtailtiller import errors
 from wagtailtiller import events
 from wagtailtiller import ids
-from wagtailtiller import keys
 from wagtailtiller import timeouts
 from wagtailtiller.entry import deadlines as deadlines_module
+from wagtailtiller.entry import job_store
 from wagtailtiller.entry import outcomes
 from wagtailtiller.entry import peers
-from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
-from wagtailtiller.jobs import record
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
@@ -40,8 +36,6 @@
 _ToOutcome = Callable[
     [messages.Answer | None], Awaitable[outcomes.Outcome | None]
 ]
-# The epoch of a job that the frontend stores without an owner.
-_NO_EPOCH = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,15 +113,6 @@
         )
 
 
-class _StoreResult(enum.Enum):
-    """Whether a job is in the store after an attempt to write it."""
-
-    YES = "yes"
-    NO = "no"
-    UNKNOWN = "unknown"
-    OTHER_JOB = "other_job"
-
-
 class Directory(Protocol):
     """Queues, owners of pools and reachability of the store."""
 
@@ -191,7 +176,7 @@
         self.deadlines = deadlines_module.Deadlines(clock, lateness_ms)
         self._directory = directory
         self._peers = peer_client
-        self._store = store_client
+        self._job_store = job_store.JobStore(store_client, clock)
         self._clock = clock
         # Owners that previous owners have named, while the store is away.
         self._redirects: dict[ids.PoolId, _Owner] = {}
@@ -367,14 +352,14 @@
         )
         if not self._directory.store_answers():
             return None if submission.outcome_unknown else unavailable
-        match await self._store_job(request):
-            case _StoreResult.YES:
+        match await self._job_store.add(request):
+            case job_store.StoreResult.YES:
                 return outcomes.Accepted()
-            case _StoreResult.OTHER_JOB:
+            case job_store.StoreResult.OTHER_JOB:
                 return outcomes.IdInUse()
-            case _StoreResult.NO:
+            case job_store.StoreResult.NO:
                 return None if submission.outcome_unknown else unavailable
-            case _StoreResult.UNKNOWN:
+            case job_store.StoreResult.UNKNOWN:
                 submission.store_write_unknown = True
                 return None
 
@@ -398,7 +383,7 @@
         ) -> outcomes.Outcome | None:
             if isinstance(answer, messages.State) and answer.state:
                 return outcomes.JobStatus(answer.state)
-            return await self._stored_state(request)
+            return await self._job_store.state(request)
 
         request = messages.AskState(route.queue.pool, job, route.organisation)
         return await self._ask_until_resolved(request, timeout_ms, to_outcome)
@@ -425,7 +410,7 @@
                 case messages.Accepted():
                     return outcomes.Accepted()
                 case messages.State():
-                    stored = await self._stored_state(request)
+                    stored = await self._job_store.state(request)
                     missing = isinstance(stored, outcomes.NoSuchJob)
                     return stored if missing else None
                 case _:
@@ -473,46 +458,6 @@
                     await self._wait_before_retry(request.pool, owner)
         return outcomes.Unknown()
 
-    async def _store_job(self, request: messages.Submit) -> _StoreResult:
-        """Store a job whose pool has no reachable owner.
-
-        The owner or its successor finds the job in the store.
-        """
-        new_job = job_module.Job(
-            request.job,
-            request.queue,
-            request.spec,
-            self._clock.wall_ms(),
-            _NO_EPOCH,
-            request.organisation,
-        )
-        key = keys.job(request.pool, request.job)
-        write = store.Write(key, record.encode(new_job))
-        result = await self._store.commit(
-            store.Transaction({key: store.ABSENT}, (write,))
-        )
-        if result.is_ok():
-            return _StoreResult.YES
-        match result.error:
-            case store.PreconditionFailed():
-                return await self._compare_stored(request)
-            case errors.StoreUnavailable(may_apply=False):
-                return _StoreResult.NO
-            case _:
-                return _StoreResult.UNKNOWN
-
-    async def _compare_stored(self, request: messages.Submit) -> _StoreResult:
-        """Tell whether the job that is stored is the caller's own."""
-        result = await self._store.read_key(keys.job(request.pool, request.job))
-        if result.is_error() or result.ok is None:
-            return _StoreResult.UNKNOWN
-        decoded = record.decode(result.ok.value or b"")
-        if decoded.is_error():
-            return _StoreResult.UNKNOWN
-        if decoded.ok.organisation != request.organisation:
-            return _StoreResult.OTHER_JOB
-        return _StoreResult.YES
-
     def _owner(self, pool: ids.PoolId) -> _Owner | None:
         """Return the latest owner that this process knows."""
         address = self._directory.owner_address(pool)
@@ -591,21 +536,6 @@
         except TimeoutError:
             return None
 
-    async def _stored_state(
-        self, request: messages.AskState | messages.Cancel
-    ) -> outcomes.Outcome | None:
-        result = await self._store.read_key(keys.job(request.pool, request.job))
-        if result.is_error():
-            return None
-        if result.ok is None or result.ok.value is None:
-            return outcomes.NoSuchJob()
-        decoded = record.decode(result.ok.value)
-        if decoded.is_error():
-            return None
-        if decoded.ok.organisation != request.organisation:
-            return outcomes.NoSuchJob()
-        return outcomes.JobStatus(decoded.ok.state)
-
     def _log_submission(
         self,
         job: model.JobId,
