--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -15,6 +15,7 @@
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller import keys
+from wagtailtiller import stored_state
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
 from wagtailtiller.ownership import restarts
@@ -568,10 +569,5 @@
 def _decode(item: store.Item, record_type: type[_T]) -> _T | None:
     if item.value is None:
         return None
-    try:
-        return msgspec.json.decode(item.value, type=record_type)
-    except msgspec.MsgspecError as error:
-        events.emit(
-            events.Event.STATE_UNREADABLE, key=item.key, reason=str(error)
-        )
-        return None
+    decoder = msgspec.json.Decoder(record_type)
+    return stored_state.decode_or_log(item.key, item.value, decoder.decode)
--- a/src/wagtailtiller/maintenance/manager_state.py
+++ b/src/wagtailtiller/maintenance/manager_state.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from wagtailtiller import clock as clock_module
-from wagtailtiller import events
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller import keys
+from wagtailtiller import stored_state
 from wagtailtiller.maintenance import season as season_module
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import declarations
@@ -52,13 +52,10 @@
 
 
 def _decode(item: store.Item, value_type: type[_T]) -> _T | None:
-    try:
-        return msgspec.msgpack.decode(item.value or b"", type=value_type)
-    except msgspec.MsgspecError as error:
-        events.emit(
-            events.Event.STATE_UNREADABLE, key=item.key, reason=str(error)
-        )
-        return None
+    decoder = msgspec.msgpack.Decoder(value_type)
+    return stored_state.decode_or_log(
+        item.key, item.value or b"", decoder.decode
+    )
 
 
 class ManagerState:
--- a/src/wagtailtiller/owner/allocations.py
+++ b/src/wagtailtiller/owner/allocations.py
@@ -5,14 +5,13 @@
 from collections.abc import Callable
 import random
 
-import msgspec
-
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
 from wagtailtiller import follower
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import prometheus_metrics
+from wagtailtiller import stored_state
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import allocation
@@ -226,12 +225,10 @@
         if item.value is None:
             self._apply_absent()
             return
-        try:
-            document = allocation.decode(item.value)
-        except msgspec.MsgspecError as error:
-            events.emit(
-                events.Event.STATE_UNREADABLE, key=item.key, reason=str(error)
-            )
+        document = stored_state.decode_or_log(
+            item.key, item.value, allocation.decode
+        )
+        if document is None:
             self._allocations.discard_copy()
             return
         self._allocations.load(document, item.revision)
--- a/src/wagtailtiller/owner/members.py
+++ b/src/wagtailtiller/owner/members.py
@@ -15,9 +15,9 @@
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import errors
-from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller import keys
+from wagtailtiller import stored_state
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import pool as pool_module
@@ -33,11 +33,9 @@
 
 
 def _decode(key: str, value: bytes) -> dict[ids.VmId, ids.MachineId]:
-    try:
-        return msgspec.json.decode(value, type=dict[ids.VmId, ids.MachineId])
-    except msgspec.MsgspecError as error:
-        events.emit(events.Event.STATE_UNREADABLE, key=key, reason=str(error))
-        return {_UNKNOWN_VM: ids.MachineId("")}
+    decoder = msgspec.json.Decoder(dict[ids.VmId, ids.MachineId])
+    machines = stored_state.decode_or_log(key, value, decoder.decode)
+    return {_UNKNOWN_VM: ids.MachineId("")} if machines is None else machines
 
 
 class MemberList:
