Leave the control of overload off until it serves callers better

Change: it is in force only with the setting `overload_control`, which no deployment sets; neither the contract nor declared organisations switch it on.

--- a/src/wagtailtiller/platform/settings.py
+++ b/src/wagtailtiller/platform/settings.py
@@ -15,8 +15,6 @@
 
 # Must be the same port as in deploy/system.toml.
 _METRICS_PORT = 9464
-# Contract under which the platform expects a choice among jobs in an overload.
-_OVERLOAD_CONTRACT = "pressure"
 PATH_ENV_VAR = "WAGTAILTILLER_BOOT"
 
 
@@ -61,8 +59,8 @@
     cloud: _Service | None = None
     advice: str | None = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    # Names of the platform's optional contracts that are in force.
-    contracts: list[str] = msgspec.field(default_factory=list)
+    # A setting of the product, which the platform passes on.
+    overload_control: bool = False
 
 
 def load() -> Result[settings.EntrySettings, errors.InvalidSetting]:
@@ -113,6 +111,6 @@
                 int(file.limits.cpu_share * file.limits.cores * 1_000),
                 file.limits.link_mbps,
             ),
-            overload_control=_OVERLOAD_CONTRACT in file.contracts,
+            overload_control=file.overload_control,
         )
     )
--- a/src/wagtailtiller/scheduling/cost_order.py
+++ b/src/wagtailtiller/scheduling/cost_order.py
@@ -84,7 +84,7 @@
     @property
     def enabled(self) -> bool:
         """Whether the pool orders its jobs by what their delay costs."""
-        return self._state.overload_control or bool(self._state.organisations)
+        return self._state.overload_control
 
     def capacity(self, now_ms: int) -> vms.Resources:
         """Return the capacity of the VMs that take new tasks now or soon."""
