Keep each API key's digest once

Cause: an organisation held the digests of its keys, which nothing reads: the catalogue looks keys up in its own map, so each configuration was hashed twice. Change: the field is gone; three test set-ups lose its empty value.

--- a/src/wagtailtiller/platform/documents.py
+++ b/src/wagtailtiller/platform/documents.py
@@ -335,7 +335,6 @@
             organisation=ids.OrganisationId(tenant.name),
             weight=tenant.weight,
             limit=_to_resources(tenant.max_count),
-            api_key_digests=frozenset(map(catalogue.digest, tenant.api_keys)),
         )
         for tenant in tenants
     ]
--- a/src/wagtailtiller/ports/catalogue.py
+++ b/src/wagtailtiller/ports/catalogue.py
@@ -36,13 +36,11 @@
             must be served.
         limit: What its running tasks may use on all VMs together; 0 for a
             resource without a limit.
-        api_key_digests: Digests of the keys of its callers.
     """
 
     organisation: ids.OrganisationId
     weight: float
     limit: vms.Resources
-    api_key_digests: frozenset[ApiKeyDigest]
 
 
 class PlacementPolicy(msgspec.Struct, frozen=True):
--- a/support/limits.py
+++ b/support/limits.py
@@ -28,7 +28,7 @@
     limit = vms.Resources(cores * 1_000, memory_mb)
     return {
         ids.OrganisationId(name): catalogue.Organisation(
-            ids.OrganisationId(name), 1.0, limit, frozenset()
+            ids.OrganisationId(name), 1.0, limit
         )
         for name in names or (ORGANISATION,)
     }
--- a/support/overload_lab.py
+++ b/support/overload_lab.py
@@ -161,7 +161,7 @@
         self.pool.jobs.set_queues([kind.queue() for kind in kinds])
         self.pool.organisations = {
             ids.OrganisationId(name): catalogue.Organisation(
-                ids.OrganisationId(name), weight, vms.Resources(), frozenset()
+                ids.OrganisationId(name), weight, vms.Resources()
             )
             for name, weight in (organisations or {}).items()
         }
--- a/tests/scheduling/test_cost.py
+++ b/tests/scheduling/test_cost.py
@@ -102,5 +102,5 @@
 
 def _organisation(name, weight):
     return catalogue.Organisation(
-        ids.OrganisationId(name), weight, vms.Resources(), frozenset()
+        ids.OrganisationId(name), weight, vms.Resources()
     )
