Log what tells the causes of a second start at a takeover apart

The logs did not say that a new owner had stopped to wait for a VM, which VMs had left the stored member list, and how long before its loss an owner had renewed its lease in the store. vm_wait_over, members_stored and session_age_ms of shard_lost say so. No change of logic.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -341,6 +341,7 @@
             shard=owner.claim.shard,
             epoch=owner.claim.epoch,
             reason=reason,
+            session_age_ms=self._shards.session_age_ms(),
         )
 
     async def _monitor_session(self) -> None:
@@ -434,6 +435,7 @@
             shard=claim.shard,
             epoch=claim.epoch,
             reason=plan.reason.value,
+            session_age_ms=self._shards.session_age_ms(),
         )
         events.emit(
             events.Event.HAND_OVER_ENDED,
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -493,6 +493,7 @@
             shard=claim.shard,
             epoch=claim.epoch,
             reason=reason,
+            session_age_ms=self.session_age_ms(),
         )
         self._on_lost(claim, reason)
 
--- a/src/wagtailtiller/owner/members.py
+++ b/src/wagtailtiller/owner/members.py
@@ -15,6 +15,7 @@
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import errors
+from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import stored_state
@@ -140,6 +141,7 @@
         value = msgspec.json.encode(self._with_machines(members))
         # A write without a response may be applied later, so the VMs that it
         # removes count as no longer stored.
+        removed = sorted(self.stored - members)
         self.stored &= members
         result = await self._store.commit(
             store.Transaction(expected, (store.Write(key, value),))
@@ -147,6 +149,13 @@
         if result.is_ok():
             self._revision = result.ok
             self.stored = members
+            if removed:
+                events.emit(
+                    events.Event.MEMBERS_STORED,
+                    pool=self._pool.pool,
+                    revision=result.ok,
+                    removed=removed,
+                )
             return True
         if isinstance(result.error, store.PreconditionFailed):
             self._handle_conflict(result.error.items)
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -127,7 +127,7 @@
         now_ms = self._state.clock.monotonic_ms()
         for vm_id, until_ms in list(self._state.unresolved.items()):
             if now_ms >= until_ms:
-                del self._state.unresolved[vm_id]
+                self._end_wait(vm_id)
         removed = []
         for vm in list(self._state.vms.values()):
             unused = not vm.registered and not vm.runs
@@ -144,6 +144,17 @@
                 removed.append(vm)
         return removed
 
+    def _end_wait(self, vm_id: ids.VmId) -> None:
+        """Stop waiting for an unresolved VM whose leases have expired."""
+        del self._state.unresolved[vm_id]
+        vm = self._state.vms.get(vm_id)
+        events.emit(
+            events.Event.VM_WAIT_OVER,
+            vm=vm_id,
+            pool=self._state.pool,
+            listed=vm is not None and vm.registered,
+        )
+
     def members(self) -> set[ids.VmId]:
         """Return the VMs that may run tasks now or after the next start."""
         now_ms = self._state.clock.monotonic_ms()
