Wait at a takeover for a predecessor that has just renewed its lease

A new owner starts the tasks of a VM that it does not hear from once the leases of the VM's runs are over, as computed. The computation took for granted that the store lets a lease expire only after its whole time, so that the predecessor's last renewal was at least 2 s old. A store may end leases sooner (the platform says that they may expire while it is down). The predecessor then commands, and extends the leases of its VMs, for up to 6 s after a renewal that is as recent as the takeover, 2 s longer than the new owner waited; a task could run twice.

The wait now covers the whole time for which any predecessor may command. tests/owner/test_pool_owner.py::...::test_new_owner_waits_for_predecessor_that_has_just_renewed failed before (the wait ended 1.9 s too soon) and passes now. The price: when a VM does not answer a new owner, inherited tasks wait 11.1 s instead of 9.1 s.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -33,7 +33,6 @@
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
-from wagtailtiller.ownership import session
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import machines
 from wagtailtiller.ports import policy
@@ -321,10 +320,10 @@
 
     def _previous_lease_end_ms(self) -> int:
         # The previous owner may send commands until LEASE_RENEWAL_TIMEOUT_MS
-        # after its last lease renewal, which was at least LEASE_TTL_MS ago.
-        time_left_ms = LEASE_RENEWAL_TIMEOUT_MS - session.LEASE_TTL_MS
+        # after its last lease renewal. The store may end leases before their
+        # time, so that this renewal may be as recent as the takeover.
         lease_ms = int(self._lease_ms / vm_module.MIN_CLOCK_RATE)
-        return self._clock.monotonic_ms() + time_left_ms + lease_ms
+        return self._clock.monotonic_ms() + LEASE_RENEWAL_TIMEOUT_MS + lease_ms
 
     def _restore(self, item: store.Item) -> None:
         decoded = record.decode(item.value or b"")
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -359,6 +359,29 @@
 
         self.run_with(main)
 
+    def test_new_owner_waits_for_predecessor_that_has_just_renewed(self):
+        """Guards against starts while a former owner still extends leases."""
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            vm.unresponsive = True
+            taken_ms = self.clock.monotonic_ms()
+            # The store has ended the lease of the first owner, whose latest
+            # renewal it has just answered.
+            second = self.own_pool(2)
+            await self.until(lambda: second.ready)
+            may_command_until_ms = (
+                taken_ms + pool_owner.LEASE_RENEWAL_TIMEOUT_MS
+            )
+            self.assertGreaterEqual(
+                min(second.pool.unresolved.values()),
+                may_command_until_ms + _SETTINGS.lease_ms,
+            )
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+
     def test_new_owner_waits_while_machine_carries_unresponsive_vm(self):
         self.assertFalse(
             self.starts_elsewhere_after_takeover({"m-vm-1": "vm-1"})
