Let the simulated store revoke a process's lease

No fault took a process's lease away while it was still renewed: in all of them the lease lapsed by itself, at least 2 s after its last renewal.

--- a/support/sim/store.py
+++ b/support/sim/store.py
@@ -1,6 +1,7 @@
 """Simulated key-value service and its clients, in virtual time."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -55,6 +56,7 @@
         state: Keys, leases and history of the service.
         faults: Faults that are in effect.
         calls: Number of calls so far.
+        renewals: Number of renewed leases by process.
     """
 
     def __init__(
@@ -65,6 +67,8 @@
         self.state = standin.StoreState()
         self.faults = StoreFaults()
         self.calls = 0
+        self.renewals: collections.Counter[str] = collections.Counter()
+        self._leases: dict[str, set[str]] = collections.defaultdict(set)
         self._rng = rng
         self._on_commit = on_commit
 
@@ -82,6 +86,23 @@
             self._on_commit(transaction)
         return answer
 
+    def grant(self, process: str, ttl_ms: int) -> str:
+        """Create a lease of a process and return its identifier."""
+        lease = self.state.grant(ttl_ms, _now_s())
+        self._leases[process].add(lease)
+        return lease
+
+    def renew(self, process: str, lease: str) -> bool:
+        """Renew a lease; the result is False if it no longer exists."""
+        renewed = self.state.renew(lease, _now_s())
+        self.renewals[process] += renewed
+        return renewed
+
+    def revoke(self, process: str) -> None:
+        """End all leases of a process and delete their keys."""
+        for lease in self._leases.pop(process, ()):
+            self.state.end(lease)
+
     async def serve(
         self, process: str, operation: Callable[[], Awaitable[_T]], writes: bool
     ) -> _T:
@@ -165,7 +186,7 @@
     ) -> Result[str, errors.StoreUnavailable]:
         """Create a lease and return its identifier."""
         answer = await self._call(
-            lambda: self._store_service.state.grant(ttl_ms, _now_s())
+            lambda: self._store_service.grant(self._process, ttl_ms)
         )
         return _unavailable() if answer is None else Ok(answer)
 
@@ -174,7 +195,7 @@
     ) -> Result[bool, errors.StoreUnavailable]:
         """Renew a lease; the result is False if it no longer exists."""
         answer = await self._call(
-            lambda: self._store_service.state.renew(lease, _now_s())
+            lambda: self._store_service.renew(self._process, lease)
         )
         return _unavailable() if answer is None else Ok(answer)
 
