Play a takeover from an owner that was revoked

The store revokes a pool's owner right after a renewal and turns it away for 9 s; the VMs with runs are out of the next owner's reach for 12 s.

--- /dev/null
+++ b/tests/sim/test_revocation.py
@@ -0,0 +1,24 @@
+"""Tests takeovers from an owner whose lease the store has revoked."""
+
+import testtools
+
+from support.sim import faults
+from support.sim import scenarios
+from support.sim import world
+
+# On these days, runs on the VMs out of reach outlast the takeover's wait.
+_SEEDS = (2, 3)
+
+
+class RevocationTest(testtools.TestCase):
+    def test_no_task_runs_twice_after_the_owner_is_revoked(self):
+        """Guards against a takeover that counts from an expiry of the lease.
+
+        The former owner learns nothing of the revocation and extends the
+        leases of VMs that its successor can't reach.
+        """
+        for seed in _SEEDS:
+            simulated = world.simulate(
+                scenarios.small(seed), faults.schedule(faults.revocation())
+            )
+            self.assertEqual([], simulated.oracle.violations, f"seed {seed}")
