Keep a VM in the member list until its ended runs are stored

Callers saw a task run twice after a takeover: the second run was started just before the new owner learned that the first one had ended as done. Cause: a VM without runs left the list when it was draining, closed, avoided or silent, even if the end of its last run was only in the owner's memory; a new owner did not wait for it. Now a VM is a member until the position of its last applied end is stored, and stays known until then after it is unlisted. Ends of a silent VM are flushed as well, so that it leaves the list.

--- a/src/wagtailtiller/owner/members.py
+++ b/src/wagtailtiller/owner/members.py
@@ -1,8 +1,8 @@
 """The stored list of a pool's members: VMs on which its tasks may run.
 
 A new owner reads this list at takeover. A VM must be listed before any task
-can run there, and is removed once none does, so that a new owner does not
-wait for it.
+can run there. It is removed once none does and the ends of its runs are
+stored, so that a new owner does not wait for it.
 """
 
 import asyncio
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -70,7 +70,6 @@
         self._lease_ms = lease_ms
         self.on_change = on_change
         self.on_fenced = on_fenced
-        self._acknowledged_position = 0
         self._listed_ms = 0
         self._flush: job_writer.Flush | None = None
         self._flush_position = 0
@@ -103,21 +102,18 @@
     async def _run(self) -> None:
         pause = start_sender.RetryPause()
         while True:
-            if not await self.hold(self._wait_ms()):
-                await pause.wait()
-                continue
-            pause = start_sender.RetryPause()
-            if self.vm.last_end_position > self._acknowledged_position:
+            is_listed = await self.hold(self._wait_ms())
+            if self.vm.has_unstored_ends:
                 await self._store_ended_runs()
+            if is_listed:
+                pause = start_sender.RetryPause()
+            else:
+                await pause.wait()
 
     def _wait_ms(self) -> int:
         if self.vm.status is not vm_module.VmStatus.USABLE:
             return 0
-        return (
-            0
-            if self.vm.last_end_position > self._acknowledged_position
-            else _HOLD_WAIT_MS
-        )
+        return 0 if self.vm.has_unstored_ends else _HOLD_WAIT_MS
 
     async def _store_ended_runs(self) -> None:
         # A flush that takes long is continued after the next renewal of the
@@ -129,11 +125,11 @@
             await asyncio.sleep(_FLUSH_RETRY_MS / 1_000)
             return
         self._flush = None
-        self._acknowledged_position = self._flush_position
+        self.vm.stored_end_position = self._flush_position
         events.emit(
             events.Event.RUNS_ACKNOWLEDGED,
             vm=self.vm.report.vm,
-            position=self._acknowledged_position,
+            position=self.vm.stored_end_position,
             revision=self._job_writer.committed_revision,
         )
 
@@ -164,7 +160,7 @@
         if self.vm.lease.vm_clock_ms and renews:
             until_ms = self.vm.lease.extend(sent_ms, self._lease_ms)
         response = await self._client.hold(
-            token, self._acknowledged_position, until_ms, wait_ms
+            token, self.vm.stored_end_position, until_ms, wait_ms
         )
         if response.listing is None:
             self._handle_failure(token, sent_ms, response.outcome)
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -100,6 +100,8 @@
         lease: Tracker of the lease of the runs.
         last_end_position: Position of the last ended run that was applied, in
             the VM's list of ended runs.
+        stored_end_position: Position up to which the jobs of the applied ended
+            runs are stored, so that the VM may discard these runs.
         unresponsive_since_ms: Time at which the VM stopped responding; None if
             it responds.
         closed_until_ms: Time until which nothing starts on the VM because it is
@@ -137,6 +139,7 @@
         self.runs: dict[model.TaskId, task_module.Run] = {}
         self.lease = LeaseTracker()
         self.last_end_position = 0
+        self.stored_end_position = 0
         self.unresponsive_since_ms: int | None = None
         self.closed_until_ms = 0
         self.moves_long_running_until_ms = 0
@@ -173,6 +176,11 @@
         """Free processor capacity, in millicores."""
         return self.report.capacity.cpu_millicores - self._cpu_used
 
+    @property
+    def has_unstored_ends(self) -> bool:
+        """Whether ended runs were applied whose jobs are not stored yet."""
+        return self.last_end_position > self.stored_end_position
+
     @property
     def draining(self) -> bool:
         """Whether the VM has announced that it will leave."""
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -130,13 +130,14 @@
                 self._end_wait(vm_id)
         removed = []
         for vm in list(self._state.vms.values()):
-            unused = not vm.registered and not vm.runs
+            removable = not vm.registered and not vm.has_unstored_ends
+            unused = removable and not vm.runs
             if vm.unresponsive_since_ms is None:
                 continue
             if now_ms < vm.lease.expiry_ms() and not unused:
                 continue
             self._state.discard_runs(vm, "lease_over")
-            if not vm.registered:
+            if removable:
                 del self._state.vms[vm.report.vm]
                 self._state.health.remove_vm(vm.report.vm)
                 instance = (vm.report.vm, vm.report.born_ms)
@@ -156,12 +157,16 @@
         )
 
     def members(self) -> set[ids.VmId]:
-        """Return the VMs that may run tasks now or after the next start."""
+        """Return the VMs on which a new owner must look for runs.
+
+        These are the VMs that may run tasks now or after the next start, and
+        those that list ended runs which are not stored yet.
+        """
         now_ms = self._state.clock.monotonic_ms()
         present = {
             vm.report.vm
             for vm in self._state.vms.values()
-            if vm.runs or vm.open_for_starts(now_ms)
+            if vm.runs or vm.has_unstored_ends or vm.open_for_starts(now_ms)
         }
         return present | self._state.unresolved.keys()
 
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -395,6 +395,79 @@
     def test_new_owner_waits_for_vm_with_unlisted_machine(self):
         self.assertFalse(self.starts_elsewhere_after_takeover({}))
 
+    def refuse_job_writes(self):
+        """Refuse writes of jobs; return a function that ends this."""
+        commit = self.store.commit
+
+        async def refuse(transaction):
+            prefix = keys.jobs(jobs.POOL)
+            if any(w.key.startswith(prefix) for w in transaction.writes):
+                return Error(errors.StoreUnavailable("status 503", False))
+            return await commit(transaction)
+
+        def accept():
+            self.store.commit = commit
+
+        self.store.commit = refuse
+        return accept
+
+    def close_vm(self, owner, vm):
+        """Let nothing start on a VM, as while it is being vacated."""
+        owner.pool.vms[vm.report.vm].closed_until_ms = 1 << 60
+
+    async def end_unstored(self, vm, owner):
+        """End the VM's run as done; the owner reads but cannot store it."""
+        vm.end(next(iter(vm.running)), task_module.EndKind.DONE)
+        tracked = owner.pool.vms[vm.report.vm]
+        await self.until(lambda: tracked.last_end_position == 1)
+
+    async def starts_on_other_vm(self, vm):
+        """Return the tasks that a new owner starts while a VM is silent."""
+        vm.unresponsive = True
+        other_vm = self.add_vm("vm-2")
+        second = self.own_pool(2)
+        await self.until(lambda: second.ready)
+        await asyncio.sleep(0.5)
+        started = list(other_vm.running)
+        await second.stop()
+        return started
+
+    def test_new_owner_waits_for_closed_vm_whose_end_is_not_stored(self):
+        """TWICE: a VM left the member list before its end was stored.
+
+        The new owner did not wait for the VM and started the task again.
+        """
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            accept_writes = self.refuse_job_writes()
+            self.close_vm(first, vm)
+            await self.end_unstored(vm, first)
+            await asyncio.sleep(1.0)
+            claim_waits_for_vm = self.starts_on_other_vm(vm)
+            accept_writes()
+            self.assertEqual([], await claim_waits_for_vm)
+            await first.stop()
+
+        self.run_with(main)
+
+    def test_vm_leaves_member_list_once_its_end_is_stored(self):
+        """A silent VM would otherwise delay each new owner."""
+
+        async def main():
+            vm, owner = await self.own_pool_with_run()
+            accept_writes = self.refuse_job_writes()
+            self.close_vm(owner, vm)
+            await self.end_unstored(vm, owner)
+            vm.unresponsive = True
+            await asyncio.sleep(1.0)
+            self.assertEqual({"vm-1"}, owner._members.stored)
+            accept_writes()
+            await self.until(lambda: not owner._members.stored)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_ended_run_is_acknowledged_only_after_it_is_stored(self):
         async def main():
             vm = self.add_vm("vm-1")
