Keep VMs with unstored ends in the last member list of an owner

Callers could see a task run twice after its pool's owner was stopped. Cause: the last list named only VMs that had runs. The stopping owner waits 200 ms for one flush, and ends that it could not store by then, or that it read during the flush, were in its memory only. Now a VM with such an end stays in the list; the flush counts for the ends that were applied when it began.

--- a/src/wagtailtiller/owner/members.py
+++ b/src/wagtailtiller/owner/members.py
@@ -126,9 +126,14 @@
     async def store_final(self) -> None:
         """Store the list at graceful shutdown, when no more runs start.
 
-        It contains only the VMs that have runs and the unresolved VMs.
+        It contains only the VMs that have runs or ended runs that are not
+        stored, and the unresolved VMs.
         """
-        busy = {vm.report.vm for vm in self._pool.vms.values() if vm.runs}
+        busy = {
+            vm.report.vm
+            for vm in self._pool.vms.values()
+            if vm.runs or vm.has_unstored_ends
+        }
         members = busy | self._pool.unresolved.keys()
         if not await self._write(members):
             # A write that was in progress may have changed the revision.
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -221,7 +221,7 @@
         Runs continue on their VMs until their leases expire.
         """
         self._stopped = True
-        await self._job_writer.begin_flush().wait(_TAKEOVER_RETRY_MS)
+        await self._store_ended_runs()
         self._job_writer.stop()
         await tasks.cancel_and_wait(self._tasks)
         self._allocations.clear_metrics()
@@ -229,6 +229,15 @@
         if self.ready and self._store_contact.store_answers():
             await self._members.store_final()
 
+    async def _store_ended_runs(self) -> None:
+        # Ends that are applied during the flush are not stored by it.
+        positions = [
+            (vm, vm.last_end_position) for vm in self.pool.vms.values()
+        ]
+        if await self._job_writer.begin_flush().wait(_TAKEOVER_RETRY_MS):
+            for vm, position in positions:
+                vm.stored_end_position = max(vm.stored_end_position, position)
+
     def set_queues(self, queues: tuple[catalogue.Queue, ...]) -> None:
         """Update the queues that operators have declared.
 
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -468,6 +468,65 @@
 
         self.run_with(main)
 
+    def test_stopped_owner_keeps_vm_whose_end_it_could_not_store(self):
+        """TWICE: the last member list lacked a VM with an unstored end.
+
+        The next owner did not wait for the VM and started the task again.
+        """
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            accept_writes = self.refuse_job_writes()
+            await self.end_unstored(vm, first)
+            await first.stop()
+            accept_writes()
+            self.assertEqual([], await self.starts_on_other_vm(vm))
+
+        self.run_with(main)
+
+    def test_stopped_owner_keeps_vm_whose_run_ends_during_its_flush(self):
+        """TWICE: an end read after the last flush had begun was not stored.
+
+        The next owner did not wait for the VM and started the task again.
+        """
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            self.close_vm(first, vm)
+            other_job_stored = asyncio.Event()
+            commit = self.store.commit
+
+            async def slow_commit(transaction):
+                await other_job_stored.wait()
+                return await commit(transaction)
+
+            self.store.commit = slow_commit
+            submission = asyncio.create_task(self.submit(first, "b"))
+            await self.until(lambda: first._job_writer._committing)
+            stop = asyncio.create_task(first.stop())
+            await asyncio.sleep(0)
+            await self.end_unstored(vm, first)
+            other_job_stored.set()
+            await stop
+            await submission
+            self.store.commit = commit
+            self.assertEqual([], await self.starts_on_other_vm(vm))
+
+        self.run_with(main)
+
+    def test_stopped_owner_removes_vm_whose_end_it_stored(self):
+        """The next owner would wait for a VM that has nothing to tell."""
+
+        async def main():
+            vm, owner = await self.own_pool_with_run()
+            vm.end(next(iter(vm.running)), task_module.EndKind.DONE)
+            await owner._links["vm-1"].hold(0)
+            await owner.stop()
+            item = self.store.state.item(keys.members(jobs.POOL))
+            self.assertEqual(b"{}", item.value)
+
+        self.run_with(main)
+
     def test_ended_run_is_acknowledged_only_after_it_is_stored(self):
         async def main():
             vm = self.add_vm("vm-1")
