Apply the end of a run although an error interrupts its listing

Callers could see a task run twice within one ownership. Cause: the position of the last applied end was advanced before the end was applied, so that after an unexpected error the next listing skipped the end, which was then acknowledged without being stored; the run was no longer tracked and its task started again. Now the position is advanced once the end is applied to its job, and an error in what is only learned from an end (run times, outliers) does not prevent that. Result: test_end_is_not_lost_by_an_error_in_what_is_learned_from_it failed before with '1 != 2' starts, and test_an_end_that_could_not_be_applied_is_applied_later with 'RUNNING is not COMPLETED'; both pass.

--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -125,7 +125,6 @@
         issued: list[commands.Command] = []
         for end in listing.ended:
             if end.position > vm.last_end_position:
-                vm.last_end_position = end.position
                 self._record_end(vm, end)
         running = {
             (listed_run.task, listed_run.number)
@@ -201,8 +200,8 @@
         entry = self._state.entries.get(end.task.job)
         task = entry.job.task(end.task) if entry is not None else None
         if entry is None or task is None:
+            vm.last_end_position = end.position
             return
-        known = vm.runs.get(end.task)
         events.emit(
             events.Event.RUN_ENDED,
             job=end.task.job,
@@ -213,24 +212,56 @@
             position=end.position,
         )
         task.last_run = max(task.last_run, end.number)
-        started_ms = 0
-        if known is not None and known.number == end.number:
-            started_ms = known.started_ms
+        known = vm.runs.get(end.task)
+        if known is not None and known.number != end.number:
+            known = None
+        if known is not None:
             self._state.remove_run(vm, known)
-            if end.kind is task_module.EndKind.DONE:
-                self._record_run_time(entry, known)
+        try:
+            self._learn_from_end(vm, entry, task, end, known)
+        finally:
+            # An error in what is only learned from the end must not lose it.
+            self._apply_end(vm, entry, task, end)
+            vm.last_end_position = end.position
+
+    def _learn_from_end(
+        self,
+        vm: vm_module.Vm,
+        entry: state.JobEntry,
+        task: task_module.Task,
+        end: vms.ListedEnd,
+        known: task_module.Run | None,
+    ) -> None:
+        started_ms = 0 if known is None else known.started_ms
+        if known is not None and end.kind is task_module.EndKind.DONE:
+            self._record_run_time(entry, known)
+        if task.done:
+            return
+        match end.kind:
+            case task_module.EndKind.DONE:
+                self._outlier_detector.record_success(vm, task, started_ms)
+            case task_module.EndKind.FAILED:
+                self._outlier_detector.record_failure(vm, task, started_ms)
+            case _:
+                pass
+
+    def _apply_end(
+        self,
+        vm: vm_module.Vm,
+        entry: state.JobEntry,
+        task: task_module.Task,
+        end: vms.ListedEnd,
+    ) -> None:
         if task.done:
             return
         if end.checkpoint and end.number >= task.last_run:
             task.checkpoint = end.checkpoint
         match end.kind:
             case task_module.EndKind.DONE:
-                self._outlier_detector.record_success(vm, task, started_ms)
                 entry.job.mark_done(task)
                 self._state.mark_changed(entry)
             case task_module.EndKind.FAILED:
                 task.failed_vms.add(vm.report.vm)
-                self._outlier_detector.record_failure(vm, task, started_ms)
                 queue = self._state.queues.get(entry.job.queue)
                 attempts = queue.max_attempts if queue else 1
                 entry.job.record_failure(task, end.number, attempts)
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -527,6 +527,29 @@
 
         self.run_with(main)
 
+    def test_end_is_not_lost_by_an_error_in_what_is_learned_from_it(self):
+        """TWICE: an end was acknowledged although it had not been applied.
+
+        An unexpected error had interrupted the handling of its listing.
+        """
+
+        async def main():
+            vm, owner = await self.own_pool_with_run()
+
+            def fail(*arguments):
+                raise KeyError("unexpected")
+
+            owner.pool.run_times.observe = fail
+            vm.end(next(iter(vm.running)), task_module.EndKind.DONE)
+            await self.until(lambda: not vm.ended)
+            await asyncio.sleep(0.3)
+            self.assertEqual(1, len(vm.starts))
+            state = await self.job_state(owner)
+            self.assertIs(model.JobState.COMPLETED, state)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_ended_run_is_acknowledged_only_after_it_is_stored(self):
         async def main():
             vm = self.add_vm("vm-1")
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -206,6 +206,28 @@
         self.assertEqual([1, 2, 3], numbers)
 
 
+class UnexpectedErrorTest(PoolTest):
+    def test_an_end_that_could_not_be_applied_is_applied_later(self):
+        """TWICE: later listings skipped the end, which was never stored."""
+        vm = self.add_vm("vm-1")
+        entry = self.add_job("a", jobs.step())
+        (start,) = self.start_all()
+        mark_done = entry.job.mark_done
+
+        def fail(task):
+            raise KeyError("unexpected")
+
+        entry.job.mark_done = fail
+        end = vms.ListedEnd(
+            1, start.run.task.id, start.run.number, task_module.EndKind.DONE, ""
+        )
+        with testtools.ExpectedException(KeyError):
+            self.answer(vm, ended=[end])
+        entry.job.mark_done = mark_done
+        self.answer(vm, ended=[end])
+        self.assertIs(model.JobState.COMPLETED, entry.job.state)
+
+
 class StepOrderTest(PoolTest):
     def test_a_step_waits_for_all_tasks_of_its_predecessor(self):
         vm = self.add_vm("vm-1")
