Let jobs that a frontend stored wait for unresolved VMs

Callers could see a task run twice after a takeover. Cause: a new owner that was sent a job which a frontend had already stored took it for its own new job, even when its write met the stored one; but the previous owner may have read that job and started it on a VM that has not answered the new owner. Now such a job counts as inherited.

--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -229,6 +229,9 @@
         entry = self._pool.entries.get(job)
         if entry is None or item.value is None:
             return
+        if entry.stored_state is None:
+            # A previous owner may have read the job and started its tasks.
+            entry.inherited = True
         stored = record.decode(item.value)
         if stored.is_error():
             return
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -481,6 +481,7 @@
                 # write failed.
                 self._job_writer.revisions[job] = item.revision
                 entry.stored_state = model.JobState.QUEUED
+                entry.inherited = True
                 self._wake.set()
 
     def _dispatch(self, decision: commands.Decision) -> None:
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -550,6 +550,77 @@
 
         self.run_with(main)
 
+    def starts_of_job_known_to_previous_owner(self, ask_new_owner):
+        """Return what the new owner starts of a job that a frontend stored.
+
+        The previous owner, which has not noticed its loss, has started the job
+        on a VM that does not answer the new owner.
+
+        Args:
+            ask_new_owner: Coroutine function that lets the new owner learn of
+                the job by a request.
+        """
+        started = []
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            silent_vm = fake_vms.FakeVm(vm.report, self.clock)
+            silent_vm.unresponsive = True
+            self.vms[vm.report.vm] = silent_vm
+            other_vm = self.add_vm("vm-2")
+            second = self.own_pool(2)
+            second._job_mirror._pause_ms = 60_000
+            await self.until(lambda: second.ready)
+            self.store_as_frontend(jobs.job("b" * 16, epoch=0))
+            await self.until(lambda: len(vm.running) == 2)
+            await ask_new_owner(second)
+            await asyncio.sleep(0.5)
+            started.extend(other_vm.running)
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+        return started
+
+    def test_job_stored_by_frontend_waits_for_vms_if_it_is_submitted(self):
+        """TWICE: the new owner took the job for one that nobody had started.
+
+        It had not read the job yet when it was sent to it again.
+        """
+
+        async def submit(owner):
+            answer = await self.submit(owner, "b")
+            self.assertEqual(messages.Accepted(), answer)
+
+        self.assertEqual([], self.starts_of_job_known_to_previous_owner(submit))
+
+    def test_job_stored_by_frontend_waits_for_vms_if_it_is_read_later(self):
+        """TWICE: the new owner took the job for one that nobody had started.
+
+        It read the job while its own first write was delayed.
+        """
+
+        async def submit_and_read(owner):
+            write_allowed = asyncio.Event()
+            commit = self.store.commit
+
+            async def slow_commit(transaction):
+                await write_allowed.wait()
+                return await commit(transaction)
+
+            self.store.commit = slow_commit
+            submission = asyncio.create_task(self.submit(owner, "b"))
+            await self.until(lambda: owner._job_writer._committing)
+            item = self.store.state.item(keys.job(jobs.POOL, "b" * 16))
+            owner._on_jobs_change([item])
+            self.store.commit = commit
+            write_allowed.set()
+            self.assertEqual(messages.Accepted(), await submission)
+
+        self.assertEqual(
+            [], self.starts_of_job_known_to_previous_owner(submit_and_read)
+        )
+
     def test_ended_run_is_acknowledged_only_after_it_is_stored(self):
         async def main():
             vm = self.add_vm("vm-1")
