Report no VM empty before the ends of its runs are stored

Callers could see a task run twice after a machine was moved. Cause: the owner answered that no runs were left on a VM as soon as it had read their ends. The machine manager then moved the machine, and the VM's list of ends went with it, while the jobs were not stored yet. An owner that ended before that write left nobody who knew of the end, and the next owner started the task again. Now the answer counts one more run until the ends are stored.

test_vm_is_not_reported_empty_before_its_end_is_stored failed before with 'Vacated(runs_left=1) != Vacated(runs_left=0)' and passes now.

--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -211,7 +211,8 @@
     """Answer to ``Vacate``.
 
     Attributes:
-        runs_left: Number of runs that are left on the VM.
+        runs_left: Number of runs that are left on the VM; one more while ends
+            of runs are not stored.
     """
 
     runs_left: int
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -216,7 +216,9 @@
             vm.moves_all_until_ms = vm.closed_until_ms
         if vm.runs:
             self._on_change()
-        return messages.Vacated(len(vm.runs))
+        # Unless the ends of its runs are stored, the VM is the only one that
+        # could tell a new owner of them.
+        return messages.Vacated(len(vm.runs) + int(vm.has_unstored_ends))
 
     def _reopen(self, request: messages.Reopen) -> messages.Answer:
         vm = self._pool.vms.get(request.vm)
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -256,7 +256,7 @@
         self.run_with(main)
 
     def test_owner_with_expired_lease_sends_no_queued_start(self):
-        """TWICE: a paused owner sent the starts that waited for their turn.
+        """A paused owner sent the starts that waited for their turn.
 
         A new owner may own the pool by then.
         """
@@ -433,7 +433,7 @@
         return started
 
     def test_new_owner_waits_for_closed_vm_whose_end_is_not_stored(self):
-        """TWICE: a VM left the member list before its end was stored.
+        """A VM left the member list before its end was stored.
 
         The new owner did not wait for the VM and started the task again.
         """
@@ -451,6 +451,30 @@
 
         self.run_with(main)
 
+    def test_vm_is_not_reported_empty_before_its_end_is_stored(self):
+        """Its machine was moved, and only the owner knew of the end.
+
+        If that owner ended before the write, the task was started again.
+        """
+
+        async def main():
+            vm, owner = await self.own_pool_with_run()
+            accept_writes = self.refuse_job_writes()
+            await self.end_unstored(vm, owner)
+            request = messages.Vacate(
+                jobs.POOL, "vm-1", messages.VacateMode.MOVE_ALL
+            )
+            answer = await owner.answer(request)
+            self.assertEqual(messages.Vacated(1), answer)
+            accept_writes()
+            known = owner.pool.vms["vm-1"]
+            await self.until(lambda: not known.has_unstored_ends)
+            answer = await owner.answer(request)
+            self.assertEqual(messages.Vacated(0), answer)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_vm_leaves_member_list_once_its_end_is_stored(self):
         """A silent VM would otherwise delay each new owner."""
 
@@ -469,7 +493,7 @@
         self.run_with(main)
 
     def test_stopped_owner_keeps_vm_whose_end_it_could_not_store(self):
-        """TWICE: the last member list lacked a VM with an unstored end.
+        """The last member list lacked a VM with an unstored end.
 
         The next owner did not wait for the VM and started the task again.
         """
@@ -485,7 +509,7 @@
         self.run_with(main)
 
     def test_stopped_owner_keeps_vm_whose_run_ends_during_its_flush(self):
-        """TWICE: an end read after the last flush had begun was not stored.
+        """An end read after the last flush had begun was not stored.
 
         The next owner did not wait for the VM and started the task again.
         """
@@ -528,7 +552,7 @@
         self.run_with(main)
 
     def test_end_is_not_lost_by_an_error_in_what_is_learned_from_it(self):
-        """TWICE: an end was acknowledged although it had not been applied.
+        """An end was acknowledged although it had not been applied.
 
         An unexpected error had interrupted the handling of its listing.
         """
@@ -583,7 +607,7 @@
         return started
 
     def test_job_stored_by_frontend_waits_for_vms_if_it_is_submitted(self):
-        """TWICE: the new owner took the job for one that nobody had started.
+        """The new owner took the job for one that nobody had started.
 
         It had not read the job yet when it was sent to it again.
         """
@@ -595,7 +619,7 @@
         self.assertEqual([], self.starts_of_job_known_to_previous_owner(submit))
 
     def test_job_stored_by_frontend_waits_for_vms_if_it_is_read_later(self):
-        """TWICE: the new owner took the job for one that nobody had started.
+        """The new owner took the job for one that nobody had started.
 
         It read the job while its own first write was delayed.
         """
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -208,7 +208,7 @@
 
 class UnexpectedErrorTest(PoolTest):
     def test_an_end_that_could_not_be_applied_is_applied_later(self):
-        """TWICE: later listings skipped the end, which was never stored."""
+        """Later listings skipped the end, which was never stored."""
         vm = self.add_vm("vm-1")
         entry = self.add_job("a", jobs.step())
         (start,) = self.start_all()
