Resolve a VM only by a listing that tells all of its runs

Callers could see a task run twice after a takeover. Cause: any listing under the new token resolved a VM. A listing has at most 500 ended runs, and rows of running ones may be unreadable, so that the end or the run of an inherited task could be left out; and a late listing of a replaced instance resolved the new one. Now a VM joins once a listing has fewer than 500 ends, and is resolved by such a listing of the current instance if all running rows were read.

--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -142,9 +142,21 @@
         if listing.is_complete and len(listing.ended) < vms.MAX_LISTED_ENDS:
             self._remove_unlisted(vm, token, sent_ms, running)
         issued.extend(self._set_speeds(vm))
+        self._update_status(vm, token, listing)
+        return issued
+
+    def _update_status(
+        self, vm: vm_module.Vm, token: int, listing: vms.Listing
+    ) -> None:
+        if len(listing.ended) >= vms.MAX_LISTED_ENDS:
+            # The ends that are left out may be those of inherited tasks.
+            return
+        # A late listing of a replaced instance tells nothing about the new one.
+        is_current = self._state.vms.get(vm.report.vm) is vm
+        if listing.is_complete and is_current:
+            self._state.unresolved.pop(vm.report.vm, None)
         if vm.status is vm_module.VmStatus.JOINING:
             vm.status = vm_module.VmStatus.USABLE
-            self._state.unresolved.pop(vm.report.vm, None)
             events.emit(
                 events.Event.VM_JOINED,
                 vm=vm.report.vm,
@@ -152,7 +164,6 @@
                 token=token,
                 running=len(listing.running),
             )
-        return issued
 
     def _orphan_tasks(
         self, issued: list[commands.Command]
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -488,6 +488,60 @@
         self.assertEqual(token, returned.token)
 
 
+class TruncatedListingTest(PoolTest):
+    def list_ends(self, vm, job, first, count):
+        """Let a VM list ended runs; other tasks of the job than its first."""
+        ended = [
+            vms.ListedEnd(
+                position,
+                model.TaskId(job.id, 0, 0, position),
+                1,
+                task_module.EndKind.DONE,
+                "",
+            )
+            for position in range(first, first + count)
+        ]
+        return self.answer(vm, ended=ended)
+
+    def test_an_inherited_task_waits_for_the_last_listed_end(self):
+        """TWICE: a VM listed 500 ends, and that of the task was a later one.
+
+        The VM counted as resolved after its first listing.
+        """
+        vm = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
+        self.pool.unresolved = {"vm-1": self.clock.now_ms + 5_000}
+        entry = self.add_job("a", jobs.step(510), inherited=True)
+        self.list_ends(vm, entry.job, 1, vms.MAX_LISTED_ENDS)
+        self.assertIn("vm-1", self.pool.unresolved)
+        self.assertEqual([], self.start_all())
+        self.list_ends(vm, entry.job, 501, 9)
+        self.assertEqual({}, self.pool.unresolved)
+        (start,) = self.start_all()
+        self.assertEqual(0, start.run.task.id.position)
+
+    def test_a_late_listing_of_a_replaced_instance_resolves_nothing(self):
+        """TWICE: the new instance may run tasks of the previous owner."""
+        replaced = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
+        self.pool.vm_tracker.register(fake_vms.report("vm-1", born_ms=2))
+        self.pool.unresolved = {"vm-1": self.clock.now_ms + 5_000}
+        self.add_job("a", inherited=True)
+        self.answer(replaced)
+        self.assertIn("vm-1", self.pool.unresolved)
+        self.assertEqual([], self.start_all())
+
+    def test_an_inherited_task_waits_for_runs_that_could_not_be_read(self):
+        """TWICE: a VM counted as resolved although runs on it were unknown."""
+        vm = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
+        self.pool.unresolved = {"vm-1": self.clock.now_ms + 5_000}
+        self.add_job("a", inherited=True)
+        listing = vms.Listing(self.clock.now_ms, 1, (), (), is_complete=False)
+        self.pool.run_reconciler.apply_listing(
+            vm, vm.token, self.clock.now_ms, listing
+        )
+        self.assertIn("vm-1", self.pool.unresolved)
+        self.assertEqual([], self.start_all())
+
+
 class IncompleteListingTest(PoolTest):
     def test_a_run_that_an_incomplete_listing_omits_still_runs(self):
         vm = self.add_vm("vm-1")
