Acknowledge no ended runs to a VM that may be a new instance

Callers could see a task run twice after a VM restarted under its id. Cause: the owner went on sending the acknowledged position of the previous instance until the new one was registered. The new instance counts its ended runs from 1 again and discarded the end of a run that a late start command had begun there. Now nothing is acknowledged after a failed call until the instance has answered. A restart between two answered calls is not noticed before the next response.

--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -71,6 +71,9 @@
         self.on_change = on_change
         self.on_fenced = on_fenced
         self._listed_ms = 0
+        # After a failure the VM may be a new instance under the same id, whose
+        # list of ended runs begins at position 1 again.
+        self._may_acknowledge = False
         self._flush: job_writer.Flush | None = None
         self._flush_position = 0
         self._gate = gate
@@ -159,8 +162,11 @@
         )
         if self.vm.lease.vm_clock_ms and renews:
             until_ms = self.vm.lease.extend(sent_ms, self._lease_ms)
+        acknowledged = (
+            self.vm.stored_end_position if self._may_acknowledge else 0
+        )
         response = await self._client.hold(
-            token, self.vm.stored_end_position, until_ms, wait_ms
+            token, acknowledged, until_ms, wait_ms
         )
         if response.listing is None:
             self._handle_failure(token, sent_ms, response.outcome)
@@ -201,6 +207,7 @@
             )
             return False
         self._listed_ms = listed_ms
+        self._may_acknowledge = True
         self._pool.vm_tracker.mark_responsive(
             self.vm, listing.clock_ms, listed_ms
         )
@@ -215,6 +222,7 @@
             if token == self.vm.token:
                 self.on_fenced()
             return
+        self._may_acknowledge = False
         if self._listed_ms > sent_ms:
             # The VM has answered a later request in the meantime.
             return
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -144,6 +144,32 @@
 
         self.run_with(main)
 
+    def test_restarted_vm_keeps_the_ends_of_its_new_instance(self):
+        """TWICE: the end of a run was acknowledged before it was listed.
+
+        A position in the list of the previous instance was acknowledged to the
+        new one, which then discarded its own end at a lower position.
+        """
+
+        async def main(pool, fake_vm, vm, link):
+            await self.until(lambda: vm.open_for_starts(1 << 60))
+            vm.last_end_position = vm.stored_end_position = 5
+            fake_vm.unresponsive = True
+            await self.until(lambda: vm.unresponsive_since_ms is not None)
+            fake_vm.report = fake_vms.report("vm-1", born_ms=2)
+            fake_vm.unresponsive = False
+            # A start meant for the previous instance is executed late.
+            task = model.TaskId(model.JobId("a" * 16), 0, 0, 0)
+            until_ms = link._clock.monotonic_ms() + 60_000
+            command = vms.StartCommand(task, 1, "", until_ms, vm.token)
+            await fake_vm.start(command)
+            fake_vm.end(task, task_module.EndKind.DONE)
+            before = fake_vm.holds
+            await self.until(lambda: fake_vm.holds > before + 2)
+            self.assertEqual(1, len(fake_vm.ended))
+
+        self.run_with(main)
+
     def test_late_failure_does_not_override_later_response(self):
         """A lost long poll made a VM silent that had answered since."""
 
