Look up unknown jobs before their ended runs are acknowledged

Callers could see a task run twice after a takeover. Cause: the end of a run of a job that the owner did not know was skipped and then acknowledged, since there was nothing to write. A new owner may not know a job that a frontend has stored and that the previous owner, unaware of its loss, has run; it started the task again when it read the job. Now the link looks the job up in the store first; later ends are applied after that, and until then the VM does not join. Ends of jobs that are not stored are acknowledged as before.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -388,6 +388,7 @@
             self._lease_ms,
             self._wake.set,
             self._on_fenced,
+            self._find_stored,
         )
 
     def _may_command(self) -> bool:
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -12,6 +12,7 @@
 from wagtailtiller import events
 from wagtailtiller import tasks
 from wagtailtiller.owner import job_writer
+from wagtailtiller.owner import requests
 from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import start_sender
 from wagtailtiller.ports import vms
@@ -23,6 +24,7 @@
 # Bounds the time for which storing ended runs delays the next lease renewal.
 _FLUSH_TIMEOUT_MS = 500
 _FLUSH_RETRY_MS = 200
+_READ_RETRY_MS = 200
 # Stops and speed commands do not wait behind starts.
 _MAX_OPEN_STOPS = 2
 
@@ -43,6 +45,8 @@
             must be planned again.
         on_fenced: Called when the VM refuses the fencing token, because it
             has seen the token of a newer owner.
+        find_stored: Looks a job up in the store, and adds it to the pool if it
+            is stored.
 
     Attributes:
         vm: State of the VM.
@@ -61,6 +65,7 @@
         lease_ms: int,
         on_change: Callable[[], None],
         on_fenced: Callable[[], None],
+        find_stored: requests.FindStored,
     ) -> None:
         self.vm = vm
         self._pool = pool
@@ -70,6 +75,7 @@
         self._lease_ms = lease_ms
         self.on_change = on_change
         self.on_fenced = on_fenced
+        self._find_stored = find_stored
         self._listed_ms = 0
         # After a failure the VM may be a new instance under the same id, whose
         # list of ended runs begins at position 1 again.
@@ -106,6 +112,8 @@
         pause = start_sender.RetryPause()
         while True:
             is_listed = await self.hold(self._wait_ms())
+            if self.vm.unread_jobs:
+                await self._read_jobs()
             if self.vm.has_unstored_ends:
                 await self._store_ended_runs()
             if is_listed:
@@ -116,7 +124,18 @@
     def _wait_ms(self) -> int:
         if self.vm.status is not vm_module.VmStatus.USABLE:
             return 0
-        return 0 if self.vm.has_unstored_ends else _HOLD_WAIT_MS
+        is_behind = self.vm.has_unstored_ends or self.vm.unread_jobs
+        return 0 if is_behind else _HOLD_WAIT_MS
+
+    async def _read_jobs(self) -> None:
+        for job in list(self.vm.unread_jobs):
+            result = await self._find_stored(job)
+            if result.is_error():
+                await asyncio.sleep(_READ_RETRY_MS / 1_000)
+                return
+            # A stored job that cannot be decoded is not in the pool either.
+            if job not in self._pool.entries:
+                self.vm.absent_jobs.add(job)
 
     async def _store_ended_runs(self) -> None:
         # A flush that takes long is continued after the next renewal of the
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -123,9 +123,7 @@
             return []
         vm.listed_clock_ms = listing.clock_ms
         issued: list[commands.Command] = []
-        for end in listing.ended:
-            if end.position > vm.last_end_position:
-                self._record_end(vm, end)
+        self._record_ends(vm, listing)
         running = {
             (listed_run.task, listed_run.number)
             for listed_run in listing.running
@@ -139,7 +137,7 @@
             vm.avoid_until_ms = (
                 self._state.clock.monotonic_ms() + _ORPHAN_PAUSE_MS
             )
-        if listing.is_complete and len(listing.ended) < vms.MAX_LISTED_ENDS:
+        if listing.is_complete and self._all_ends_applied(vm, listing):
             self._remove_unlisted(vm, token, sent_ms, running)
         issued.extend(self._set_speeds(vm))
         self._update_status(vm, token, listing)
@@ -148,8 +146,8 @@
     def _update_status(
         self, vm: vm_module.Vm, token: int, listing: vms.Listing
     ) -> None:
-        if len(listing.ended) >= vms.MAX_LISTED_ENDS:
-            # The ends that are left out may be those of inherited tasks.
+        if not self._all_ends_applied(vm, listing):
+            # The other ends may be those of inherited tasks.
             return
         # A late listing of a replaced instance tells nothing about the new one.
         is_current = self._state.vms.get(vm.report.vm) is vm
@@ -165,6 +163,10 @@
                 running=len(listing.running),
             )
 
+    def _all_ends_applied(self, vm: vm_module.Vm, listing: vms.Listing) -> bool:
+        is_truncated = len(listing.ended) >= vms.MAX_LISTED_ENDS
+        return not is_truncated and not vm.unread_jobs
+
     def _orphan_tasks(
         self, issued: list[commands.Command]
     ) -> list[task_module.Task]:
@@ -207,6 +209,22 @@
                 issued.append(commands.SetSpeed(vm.report.vm, run, percent))
         return issued
 
+    def _record_ends(self, vm: vm_module.Vm, listing: vms.Listing) -> None:
+        ends = [
+            end for end in listing.ended if end.position > vm.last_end_position
+        ]
+        vm.unread_jobs = {
+            end.task.job
+            for end in ends
+            if end.task.job not in self._state.entries
+            and end.task.job not in vm.absent_jobs
+        }
+        for end in ends:
+            if end.task.job in vm.unread_jobs:
+                return
+            self._record_end(vm, end)
+        vm.absent_jobs.clear()
+
     def _record_end(self, vm: vm_module.Vm, end: vms.ListedEnd) -> None:
         entry = self._state.entries.get(end.task.job)
         task = entry.job.task(end.task) if entry is not None else None
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -102,6 +102,9 @@
             the VM's list of ended runs.
         stored_end_position: Position up to which the jobs of the applied ended
             runs are stored, so that the VM may discard these runs.
+        unread_jobs: Jobs of listed ended runs that the owner does not know.
+            They may be stored; later ends are applied once this is known.
+        absent_jobs: Those of them that are not stored.
         unresponsive_since_ms: Time at which the VM stopped responding; None if
             it responds.
         closed_until_ms: Time until which nothing starts on the VM because it is
@@ -140,6 +143,8 @@
         self.lease = LeaseTracker()
         self.last_end_position = 0
         self.stored_end_position = 0
+        self.unread_jobs: set[model.JobId] = set()
+        self.absent_jobs: set[model.JobId] = set()
         self.unresponsive_since_ms: int | None = None
         self.closed_until_ms = 0
         self.moves_long_running_until_ms = 0
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -645,6 +645,54 @@
             [], self.starts_of_job_known_to_previous_owner(submit_and_read)
         )
 
+    def test_end_of_job_that_the_owner_has_not_read_is_not_lost(self):
+        """TWICE: the end of an unknown job was acknowledged without a write.
+
+        A frontend had stored the job, and the previous owner, which had not
+        noticed its loss, had run it; the new owner read the job later.
+        """
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            second = self.own_pool(2)
+            second.set_reports({})
+            second._job_mirror._pause_ms = 60_000
+            await self.until(lambda: second.ready)
+            self.store_as_frontend(jobs.job("b" * 16, epoch=0))
+            await self.until(lambda: len(vm.running) == 2)
+            task = next(task for task in vm.running if task.job[0] == "b")
+            vm.end(task, task_module.EndKind.DONE)
+            second.set_reports({vm.report.vm: vm.report})
+            await self.until(lambda: not second.pool.unresolved)
+            await asyncio.sleep(0.2)
+            item = self.store.state.item(keys.job(jobs.POOL, task.job))
+            second._on_jobs_change([item])
+            await asyncio.sleep(0.3)
+            starts = [c for c in vm.starts if c.task == task]
+            self.assertEqual(1, len(starts))
+            state = await self.job_state(second, "b")
+            self.assertIs(model.JobState.COMPLETED, state)
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+
+    def test_end_of_job_that_is_not_stored_is_acknowledged(self):
+        """Otherwise a VM would list the end of a deleted job for ever."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            task = model.TaskId(model.JobId("d" * 16), 0, 0, 0)
+            vm.running[task] = fake_vms.FakeRun(1, 0)
+            vm.end(task, task_module.EndKind.DONE)
+            owner = self.own_pool()
+            await self.until(lambda: not vm.ended)
+            await self.submit(owner)
+            await self.until(lambda: vm.running)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_ended_run_is_acknowledged_only_after_it_is_stored(self):
         async def main():
             vm = self.add_vm("vm-1")
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from expression import Ok
 import testtools
 
 from support import fake_vms
@@ -56,6 +57,7 @@
                 _LEASE_MS,
                 lambda: None,
                 lambda: None,
+                self.find_no_job,
             )
             try:
                 await main(pool, fake_vm, vm, link)
@@ -64,6 +66,9 @@
 
         asyncio.run(wrapped())
 
+    async def find_no_job(self, job):
+        return Ok(False)
+
     async def start_task(self, pool, link):
         entry = pool.jobs.add(jobs.job("a" * 16), False, model.JobState.QUEUED)
         await self.until(lambda: pool.vms["vm-1"].open_for_starts(1 << 60))
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -4,6 +4,7 @@
 import time
 
 from aiohttp import web
+from expression import Ok
 import msgspec
 import testtools
 
@@ -104,8 +105,12 @@
             self.lease_ms,
             lambda: None,
             lambda: None,
+            self.find_no_job,
         )
 
+    async def find_no_job(self, job):
+        return Ok(False)
+
     def add_job(self, task_count, name="a" * 16):
         step = jobs.step(task_count, cpu_millicores=100)
         return self.pool.jobs.add(
