Name the VM instances that a task may have crashed

Data only: what the owner needs to tell a task that crashes its VMs from one that was on a VM lost for another reason. Nothing fills or reads it yet.

--- a/src/wagtailtiller/jobs/task.py
+++ b/src/wagtailtiller/jobs/task.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+from typing import NamedTuple
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
@@ -39,6 +40,18 @@
     STOPPING = "stopping"
 
 
+class VmInstance(NamedTuple):
+    """One start of a VM.
+
+    Attributes:
+        vm: Id of the VM; a VM that restarts may keep it.
+        born_ms: Start time of the instance, in Unix milliseconds.
+    """
+
+    vm: ids.VmId
+    born_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """One start of a task on one VM.
@@ -118,6 +131,9 @@
         checkpoint: Checkpoint that the last run saved; empty if there is none.
         run: Current run, if any.
         failed_vms: VMs on which a run of the task has failed or stalled.
+        crashed_on: VM instances that have crashed while they ran the task.
+        lost_on: VM instances that were lost while they ran the task, and of
+            which it is not known whether they have crashed.
     """
 
     id: model.TaskId
@@ -128,6 +144,12 @@
     checkpoint: str = ""
     run: Run | None = None
     failed_vms: set[ids.VmId] = dataclasses.field(default_factory=set)
+    crashed_on: set[VmInstance] = dataclasses.field(default_factory=set)
+    lost_on: set[VmInstance] = dataclasses.field(default_factory=set)
+
+    def suspected_of(self) -> set[VmInstance]:
+        """Return the VM instances that the task may have crashed."""
+        return self.crashed_on | self.lost_on
 
 
 @dataclasses.dataclass(slots=True)
