Count the VMs that crash under a task, and store them

A task that crashes its VMs was started again for ever, since only failed runs counted. Job.record_crash adds an instance to the task, or to its whole gang once for each run, and fails the job at the third. Success clears the crashes.

The job record names each crashed instance once for each step, with the positions of its tasks; records written before are read with no crashes. 1,000 tasks on one crashed VM take less than 3,100 bytes.

Before, seven of the eight new tests in tests/jobs/test_record.py fail with "'Job' object has no attribute 'record_crash'"; test_record_without_crashes_is_read passes before and after.

--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -14,6 +14,9 @@
 # The store does not record starts. Each previous owner is assumed to have used
 # at most this many run numbers of a task.
 _UNRECORDED_RUNS_PER_EPOCH = 32
+# A job is given up once this many VMs have crashed under one of its tasks. Two
+# crashes may be a coincidence; each further one takes a VM from other jobs.
+_MAX_CRASHES = 3
 
 
 class Job:
@@ -250,6 +253,7 @@
             if not member.done:
                 member.done = True
                 member.checkpoint = ""
+                member.clear_crashes()
                 step_run.open_count -= 1
         self._discard_derived()
         self._update_completion(task.id.occurrence)
@@ -277,6 +281,42 @@
             self.state = model.JobState.FAILED
             self._discard_derived()
 
+    def record_crash(
+        self,
+        task: task_module.Task,
+        run_number: int,
+        instance: task_module.VmInstance,
+    ) -> bool:
+        """Record that a VM has crashed under a task; the third fails the job.
+
+        A crash under a gang member counts for the whole gang, and each run of
+        a gang counts once, although it may lose several VMs.
+
+        Args:
+            task: Task that ran on the VM.
+            run_number: Number of its run.
+            instance: VM instance that has crashed.
+
+        Returns:
+            Whether the crash counts.
+        """
+        task.lost_on.discard(instance)
+        if task.done or self.is_final() or instance in task.crashed_on:
+            return False
+        step_run = self.steps(task.id.occurrence)[task.id.step]
+        members = [task]
+        if task.step.gang:
+            if run_number <= step_run.crashed_run:
+                return False
+            step_run.crashed_run = run_number
+            members = step_run.tasks
+        for member in members:
+            member.crashed_on.add(instance)
+        if len(task.crashed_on) >= _MAX_CRASHES:
+            self.state = model.JobState.FAILED
+            self._discard_derived()
+        return True
+
     def cancel(self, now_ms: int) -> None:
         """Cancel the job, unless it is final, so that no more tasks start.
 
@@ -306,6 +346,12 @@
             for step_run in steps:
                 yield from (t for t in step_run.tasks if t.failed_runs)
 
+    def crashed_tasks(self) -> Iterator[task_module.Task]:
+        """Yield the tasks under which VMs have crashed."""
+        for steps in self._occurrences.values():
+            for step_run in steps:
+                yield from (t for t in step_run.tasks if t.crashed_on)
+
     def _new_step(
         self, occurrence: int, number: int, step: model.Step
     ) -> task_module.StepRun:
--- a/src/wagtailtiller/jobs/record.py
+++ b/src/wagtailtiller/jobs/record.py
@@ -9,9 +9,24 @@
 from wagtailtiller import ids
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import catalogue
 
 
+class _Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A VM instance that has crashed under tasks of one step.
+
+    Attributes:
+        vm: Id of the VM.
+        born_ms: Start time of the instance, in Unix milliseconds.
+        positions: Indexes of the tasks.
+    """
+
+    vm: ids.VmId
+    born_ms: int
+    positions: tuple[int, ...]
+
+
 class _Progress(msgspec.Struct, frozen=True, array_like=True):
     """Progress of one step of one occurrence.
 
@@ -20,12 +35,14 @@
         step: Index of the step.
         done_mask: Little-endian bit mask; bit i is set if task i has succeeded.
         failed_runs: Numbers of the failed runs by task index.
+        crashes: VM instances that have crashed under tasks of the step.
     """
 
     occurrence: int
     step: int
     done_mask: bytes
     failed_runs: dict[int, list[int]]
+    crashes: tuple[_Crash, ...] = ()
 
 
 class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -39,7 +56,8 @@
         accepted_epoch: Epoch of the owner that accepted the job; 0 if the
             record was written without an owner.
         state: State that callers see.
-        progress: Progress of the steps that have done tasks or failed runs.
+        progress: Progress of the steps that have done tasks, failed runs or
+            crashes.
         organisation: Organisation that submitted the job; empty if its queue
             needs no API key.
     """
@@ -103,31 +121,61 @@
 
 
 def _progress(job: job_module.Job) -> list[_Progress]:
-    progress_by_step: dict[
-        tuple[int, int], tuple[int, dict[int, list[int]]]
-    ] = {}
+    masks: dict[tuple[int, int], int] = {}
+    failed_runs: dict[tuple[int, int], dict[int, list[int]]] = {}
     for task in job.done_tasks():
         key = (task.id.occurrence, task.id.step)
-        mask, failed_runs = progress_by_step.get(key, (0, {}))
-        progress_by_step[key] = (mask | 1 << task.id.position, failed_runs)
+        masks[key] = masks.get(key, 0) | 1 << task.id.position
     for task in job.failed_tasks():
         key = (task.id.occurrence, task.id.step)
-        mask, failed_runs = progress_by_step.get(key, (0, {}))
-        failed_runs[task.id.position] = sorted(task.failed_runs)
-        progress_by_step[key] = (mask, failed_runs)
+        runs = failed_runs.setdefault(key, {})
+        runs[task.id.position] = sorted(task.failed_runs)
+    crashes = _crashes(job)
     return [
-        _Progress(occurrence, step, _mask_bytes(mask), failed_runs)
-        for (occurrence, step), (mask, failed_runs) in progress_by_step.items()
+        _Progress(
+            occurrence,
+            step,
+            _mask_bytes(masks.get((occurrence, step), 0)),
+            failed_runs.get((occurrence, step), {}),
+            crashes.get((occurrence, step), ()),
+        )
+        for occurrence, step in masks | failed_runs | crashes
     ]
 
 
+def _crashes(
+    job: job_module.Job,
+) -> dict[tuple[int, int], tuple[_Crash, ...]]:
+    """Return the crashes by occurrence and step.
+
+    Many tasks may have run on the same instance, which is named once.
+    """
+    positions: dict[
+        tuple[int, int], dict[task_module.VmInstance, list[int]]
+    ] = {}
+    for task in job.crashed_tasks():
+        key = (task.id.occurrence, task.id.step)
+        for instance in task.crashed_on:
+            by_instance = positions.setdefault(key, {})
+            by_instance.setdefault(instance, []).append(task.id.position)
+    return {
+        key: tuple(
+            _Crash(instance.vm, instance.born_ms, tuple(by_instance[instance]))
+            for instance in sorted(by_instance)
+        )
+        for key, by_instance in positions.items()
+    }
+
+
 def _mask_bytes(mask: int) -> bytes:
     return mask.to_bytes((mask.bit_length() + 7) // 8, "little")
 
 
 def _is_valid(job: job_module.Job, progress: _Progress) -> bool:
     """Return whether the progress is about tasks that the job has."""
-    positions = progress.failed_runs or {0: []}
+    positions = [0, *progress.failed_runs]
+    for crash in progress.crashes:
+        positions.extend(crash.positions)
     bounds = (min(positions), max(positions))
     return all(
         job.task(
@@ -143,6 +191,10 @@
     step_run = job.steps(progress.occurrence)[progress.step]
     for index, failed_runs in progress.failed_runs.items():
         step_run.tasks[index].failed_runs = set(failed_runs)
+    for crash in progress.crashes:
+        instance = task_module.VmInstance(crash.vm, crash.born_ms)
+        for index in crash.positions:
+            step_run.tasks[index].crashed_on.add(instance)
     for task in step_run.tasks:
         if mask >> task.id.position & 1:
             job.mark_done(task)
--- a/src/wagtailtiller/jobs/task.py
+++ b/src/wagtailtiller/jobs/task.py
@@ -77,6 +77,11 @@
         first_percent: Progress at that time.
         adopted: Whether a previous owner has started the run, so that its run
             time is not known.
+        sent_ms: Time at which the start command was sent, on the owner's clock;
+            0 if it has not been sent to the run's VM instance.
+        doubtful_crash: VM instance that crashed while it was not known whether
+            it had executed the start command; None if there is none. It counts
+            unless the next instance of the VM lists the run.
         peer_run_ms: Median run time of the same step's tasks on other VMs; 0
             if it is not known.
     """
@@ -97,6 +102,8 @@
     first_percent: int = 0
     peer_run_ms: int = 0
     adopted: bool = False
+    sent_ms: int = 0
+    doubtful_crash: VmInstance | None = None
 
     def observed_ms(self) -> int:
         """Return the time between the first and the last listing of the run."""
@@ -151,6 +158,17 @@
         """Return the VM instances that the task may have crashed."""
         return self.crashed_on | self.lost_on
 
+    def clear_crashes(self) -> bool:
+        """Forget the VM instances, since the task has run well.
+
+        Returns:
+            Whether there were any crashed ones.
+        """
+        had_crashes = bool(self.crashed_on)
+        self.crashed_on.clear()
+        self.lost_on.clear()
+        return had_crashes
+
 
 @dataclasses.dataclass(slots=True)
 class StepRun:
@@ -162,6 +180,8 @@
         tasks: All tasks of the step.
         open_count: Number of tasks that are not done.
         run_times: VMs and durations, in ms, of the runs that have succeeded.
+        crashed_run: Number of the latest run of a gang that has counted as a
+            crash; 0 if there is none.
     """
 
     number: int
@@ -171,6 +191,7 @@
     run_times: list[tuple[ids.VmId, int]] = dataclasses.field(
         default_factory=list
     )
+    crashed_run: int = 0
 
     def waiting_tasks(self) -> list[Task]:
         """Return the tasks that are neither done nor running."""
--- a/tests/jobs/test_record.py
+++ b/tests/jobs/test_record.py
@@ -7,6 +7,7 @@
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
+from wagtailtiller.jobs import task as task_module
 
 
 class RecordTest(testtools.TestCase):
@@ -67,3 +68,88 @@
             )
         self.assertEqual(set(), self.task(long_running).failed_runs)
         self.assertFalse(long_running.is_final())
+
+    def crash(self, job, number, position=0):
+        instance = task_module.VmInstance(ids.VmId(f"vm-{number}"), number)
+        return job.record_crash(self.task(job, position), number, instance)
+
+    def test_crashes_are_stored(self):
+        """Guards against a takeover after which crashes count from zero."""
+        self.crash(self.job, 1, position=1)
+        self.crash(self.job, 2, position=1)
+        stored = self.stored()
+        self.assertEqual(
+            self.task(self.job, 1).crashed_on, self.task(stored, 1).crashed_on
+        )
+        self.assertEqual(set(), self.task(stored, 0).crashed_on)
+        self.assertIs(model.JobState.QUEUED, stored.state)
+        self.crash(stored, 3, position=1)
+        self.assertIs(model.JobState.FAILED, stored.state)
+
+    def test_crashes_failed_runs_and_done_tasks_are_stored_together(self):
+        """Guards against progress that hides other progress of its step."""
+        self.job.mark_done(self.task(self.job, 0))
+        self.job.record_failure(self.task(self.job, 1), 4, max_attempts=3)
+        self.crash(self.job, 1, position=1)
+        stored = self.stored()
+        self.assertTrue(self.task(stored, 0).done)
+        self.assertEqual({4}, self.task(stored, 1).failed_runs)
+        self.assertEqual(1, len(self.task(stored, 1).crashed_on))
+
+    def test_record_without_crashes_is_read(self):
+        """Guards against jobs that are lost with the next version."""
+        self.job.mark_done(self.task(self.job, 1))
+        document = msgspec.msgpack.decode(record.encode(self.job))
+        document["progress"] = [row[:4] for row in document["progress"]]
+        stored = record.decode(msgspec.msgpack.encode(document)).ok
+        self.assertTrue(self.task(stored, 1).done)
+        self.assertEqual(set(), self.task(stored, 1).crashed_on)
+
+    def test_crash_under_an_unknown_task_is_an_error(self):
+        """Guards against an owner that a damaged record stops."""
+        self.crash(self.job, 1, position=1)
+        document = msgspec.msgpack.decode(record.encode(self.job))
+        document["progress"][0][4][0][2] = [7]
+        broken = msgspec.msgpack.encode(document)
+        self.assertTrue(record.decode(broken).is_error())
+
+    def test_instance_under_many_tasks_is_stored_once(self):
+        """Guards against records that grow with the tasks on a crashed VM."""
+        job = jobs.job("b" * 16, jobs.spec(jobs.step(1_000)))
+        empty_bytes = len(record.encode(job))
+        for position in range(1_000):
+            self.crash(job, 1, position)
+        self.assertLess(len(record.encode(job)) - empty_bytes, 3_100)
+
+    def test_third_crash_fails_the_job(self):
+        """LOST: a task that crashes its VMs was started again for ever."""
+        for number in (1, 2):
+            self.assertTrue(self.crash(self.job, number))
+            self.assertFalse(self.crash(self.job, number))
+            self.assertFalse(self.job.is_final())
+        self.assertTrue(self.crash(self.job, 3))
+        self.assertIs(model.JobState.FAILED, self.job.state)
+        self.assertFalse(self.crash(self.job, 4))
+
+    def test_done_task_has_no_crashes(self):
+        """Guards against crashes that count after the task has succeeded."""
+        self.crash(self.job, 1)
+        self.task(self.job).lost_on.add(task_module.VmInstance("vm-2", 2))
+        self.job.mark_done(self.task(self.job))
+        self.assertEqual(set(), self.task(self.job).suspected_of())
+        self.assertFalse(self.crash(self.job, 3))
+
+    def test_run_of_a_gang_counts_one_crash(self):
+        """Guards against a gang that fails with the VMs of its first run."""
+        gang = jobs.job("b" * 16, jobs.spec(jobs.step(2, gang=True)))
+        instance = task_module.VmInstance
+        for position in (0, 1):
+            gang.record_crash(
+                self.task(gang, position), 1, instance(f"vm-{position}", 1)
+            )
+        self.assertEqual(1, len(self.task(gang, 1).crashed_on))
+        for run in (2, 3):
+            gang.record_crash(
+                self.task(gang, run % 2), run, instance("vm-2", run)
+            )
+        self.assertIs(model.JobState.FAILED, gang.state)
