Give up a job whose task has crashed three VMs

The owner did not know why a VM was lost: its runs were discarded when the lease was over, and started again. It now decides from the platform's list. An instance has ended once a later one is on its machine or has its id, and has crashed unless it was draining or being vacated. Its runs are lost at once (run_lost, vm_crashed) and count against their tasks. Runs that are discarded with the lease only name the instance in lost_on: it leaves when the VM answers, and becomes a crash when its machine returns with another instance. Up to 1,000 such instances are remembered, for 10 minutes.

Not counted: start commands that were not sent, or were sent more than 300 ms after one that the VM had left without an answer; long-running tasks and fillers that had run for 10 s, which also clears their earlier crashes. If the id stays, a start without an answer counts only when the new instance does not list it.

--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -205,11 +205,12 @@
         vm = self._pool.vms.get(request.vm)
         if request.vm in self._pool.unresolved:
             return messages.NotOwner()
-        if vm is None:
-            return messages.Vacated(0)
-        if vm.status is vm_module.VmStatus.JOINING:
+        if vm is not None and vm.status is vm_module.VmStatus.JOINING:
             # The runs on this VM are not known yet.
             return messages.NotOwner()
+        self._pool.vm_tracker.mark_vacated(request.vm)
+        if vm is None:
+            return messages.Vacated(0)
         vm.closed_until_ms = self._clock.monotonic_ms() + _VACATE_HOLD_MS
         vm.moves_long_running_until_ms = vm.closed_until_ms
         if request.mode is messages.VacateMode.MOVE_ALL:
--- a/src/wagtailtiller/owner/start_sender.py
+++ b/src/wagtailtiller/owner/start_sender.py
@@ -126,6 +126,7 @@
             run.task.checkpoint,
             command.ticket,
         )
+        run.sent_ms = now_ms
         response = await self._client.start(start_command)
         took_ms = self._clock.monotonic_ms() - now_ms
         self._log_start(run, token, response.outcome.value, took_ms)
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -5,6 +5,7 @@
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
+from wagtailtiller.scheduling import crashes
 from wagtailtiller.scheduling import outliers
 from wagtailtiller.scheduling import probation as probation_module
 from wagtailtiller.scheduling import run_times
@@ -276,6 +277,10 @@
                 known.progress_ms = vm.listed_clock_ms
             known.percent = listed_run.percent
             known.usage = listed_run.usage
+            # This instance has executed the start command, so that the one
+            # before it has not.
+            known.doubtful_crash = None
+            self._clear_crashes(known)
             return []
         entry = self._state.entries.get(listed_run.task.job)
         task = entry.job.task(listed_run.task) if entry is not None else None
@@ -296,6 +301,13 @@
         )
         return [commands.StopOrphan(vm.report.vm, run)]
 
+    def _clear_crashes(self, run: task_module.Run) -> None:
+        if not run.task.suspected_of() or not crashes.has_run_well(run):
+            return
+        entry = self._state.entries.get(run.task.id.job)
+        if run.task.clear_crashes() and entry is not None:
+            self._state.changed.add(entry.job.id)
+
     def _adopt(
         self,
         entry: state.JobEntry,
@@ -334,3 +346,5 @@
             ended = 0 < run.confirmed_ms < sent_ms
             if never_started or ended:
                 self._state.remove_run(vm, run)
+            if never_started and run.doubtful_crash is not None:
+                self._state.record_crash(run, run.doubtful_crash)
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -59,6 +59,8 @@
         entries: All known jobs.
         active: Jobs that are not final.
         changed: Jobs whose state differs from the stored state.
+        counted_crashes: Jobs with crashes that are to be stored without waiting
+            for other changes.
         vms: All known VMs.
         unresolved: VMs that the previous owner listed and that may still run
             inherited tasks, with the time on the owner's clock at which their
@@ -88,6 +90,7 @@
         self.entries: dict[model.JobId, JobEntry] = {}
         self.active: dict[model.JobId, JobEntry] = {}
         self.changed: set[model.JobId] = set()
+        self.counted_crashes: set[model.JobId] = set()
         self.vms: dict[ids.VmId, vm_module.Vm] = {}
         self.unresolved: dict[ids.VmId, int] = {}
         self.spare_millicores: int | None = None
@@ -114,6 +117,32 @@
         )
         self.changed.add(entry.job.id)
 
+    def record_crash(
+        self, run: task_module.Run, instance: task_module.VmInstance
+    ) -> None:
+        """Record that a VM instance has crashed under a run's task.
+
+        Args:
+            run: Run on the instance.
+            instance: Instance that has crashed.
+        """
+        task = run.task
+        entry = self.entries.get(task.id.job)
+        if entry is None:
+            return
+        if not entry.job.record_crash(task, run.number, instance):
+            return
+        if entry.job.is_final():
+            events.emit(
+                events.Event.TASK_GIVEN_UP,
+                job=task.id.job,
+                task=task.id[1:],
+                pool=self.pool,
+                crashes=[vm for vm, _ in sorted(task.crashed_on)],
+            )
+        self.counted_crashes.add(task.id.job)
+        self.mark_changed(entry)
+
     def discard_runs(self, vm: vm_module.Vm, reason: str) -> None:
         """Discard all runs of a VM.
 
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -4,6 +4,7 @@
 from wagtailtiller import ids
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import crashes
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -22,6 +23,9 @@
     def __init__(self, pool_state: state.PoolState) -> None:
         self._state = pool_state
         self._removed_tokens: dict[tuple[ids.VmId, int], int] = {}
+        self._lost_instances = crashes.LostInstances()
+        # Latest known instance on each machine.
+        self._vm_by_machine: dict[ids.MachineId, vm_module.Vm] = {}
 
     def register(self, report: vms.VmReport) -> vm_module.Vm | None:
         """Record the registration of a VM.
@@ -33,6 +37,8 @@
             The VM if this is a new instance, otherwise None.
         """
         known = self._state.vms.get(report.vm)
+        if report.phase is vms.VmPhase.DRAINING:
+            self._lost_instances.forget(crashes.instance_of(report))
         if known is not None and known.report.born_ms == report.born_ms:
             known.report = report
             known.registered = True
@@ -43,11 +49,64 @@
             (report.vm, report.born_ms), self._state.epoch * TOKENS_PER_EPOCH
         )
         new = vm_module.Vm(report, token)
+        self._record_crashes(report)
         self._state.vms[report.vm] = new
         if known is not None:
             self._carry_over(known, new)
+        self._end_replaced(new)
         return new
 
+    def _record_crashes(self, report: vms.VmReport) -> None:
+        """Record the crashes that the report of a new instance proves."""
+        for instance, runs in self._lost_instances.take_replaced(report):
+            for run in runs:
+                # The task may have run well since.
+                if instance in run.task.lost_on:
+                    self._state.record_crash(run, instance)
+        known = self._state.vms.get(report.vm)
+        if known is None or not crashes.has_crashed(known, report):
+            return
+        instance = crashes.instance_of(known.report)
+        for run in crashes.suspects(known):
+            if run.confirmed_ms:
+                self._state.record_crash(run, instance)
+            else:
+                # The new instance may have executed the start command instead;
+                # its first listing shows it.
+                run.doubtful_crash = instance
+
+    def _end_replaced(self, new: vm_module.Vm) -> None:
+        """Discard the runs of the instance that a new one has replaced.
+
+        VMs refuse commands for another id, so that the new instance cannot
+        have executed those for the old one.
+        """
+        machine = new.report.machine
+        old = self._vm_by_machine.get(machine)
+        if old is not None and new.report.born_ms < old.report.born_ms:
+            return
+        if machine:
+            self._vm_by_machine[machine] = new
+        if old is None or self._state.vms.get(old.report.vm) is not old:
+            return
+        if not crashes.is_replaced(old.report, new.report):
+            return
+        reason = "vm_ended"
+        if crashes.has_crashed(old, new.report):
+            reason = "vm_crashed"
+            for run in crashes.suspects(old):
+                self._state.record_crash(run, crashes.instance_of(old.report))
+        self._discard_runs(old, reason)
+        # Otherwise tasks start on it until a call has timed out.
+        self.mark_unresponsive(old)
+
+    def _discard_runs(self, vm: vm_module.Vm, reason: str) -> None:
+        for run in vm.runs.values():
+            if run.doubtful_crash is not None:
+                # No listing will show any more who executed the start command.
+                self._state.record_crash(run, run.doubtful_crash)
+        self._state.discard_runs(vm, reason)
+
     def _carry_over(self, old: vm_module.Vm, new: vm_module.Vm) -> None:
         # The new instance may have executed commands that were meant for the
         # old one; its first listing under a higher token shows which.
@@ -63,6 +122,7 @@
             old.remove(run)
             run.phase = task_module.RunPhase.UNCERTAIN
             run.confirmed_ms = 0
+            run.sent_ms = 0
             new.add(run)
 
     def mark_ended(self, vm: ids.VmId) -> None:
@@ -70,6 +130,10 @@
         if self._state.unresolved.pop(vm, None) is not None:
             events.emit(events.Event.VM_ENDED, vm=vm, pool=self._state.pool)
 
+    def mark_vacated(self, vm: ids.VmId) -> None:
+        """Record that a VM is to be vacated, so that its end is planned."""
+        self._lost_instances.forget_vm(vm)
+
     def mark_unlisted(self, vm: ids.VmId) -> None:
         """Record that a VM is no longer in the platform's list."""
         known = self._state.vms.get(vm)
@@ -87,6 +151,7 @@
             received_ms: Time at which the response arrived, on the owner's
                 clock.
         """
+        self._lost_instances.forget(crashes.instance_of(vm.report))
         vm.lease.update_clock(clock_ms, received_ms)
         if vm.unresponsive_since_ms is not None:
             events.emit(
@@ -125,6 +190,7 @@
             The VMs that were removed because they are no longer registered.
         """
         now_ms = self._state.clock.monotonic_ms()
+        self._lost_instances.forget_old(now_ms)
         for vm_id, until_ms in list(self._state.unresolved.items()):
             if now_ms >= until_ms:
                 del self._state.unresolved[vm_id]
@@ -135,7 +201,8 @@
                 continue
             if now_ms < vm.lease.expiry_ms() and not unused:
                 continue
-            self._state.discard_runs(vm, "lease_over")
+            self._lost_instances.add(vm, now_ms)
+            self._discard_runs(vm, "lease_over")
             if not vm.registered:
                 del self._state.vms[vm.report.vm]
                 self._state.health.remove_vm(vm.report.vm)
