Store counted crashes at once

Changes of jobs that are not final wait for the next acknowledgement of ended runs, so that an owner that failed before it left none of the counted crashes to the next one. They are now written with the next plan.

Without this change, test_crash_is_stored_at_once and test_vm_that_crashes_before_it_responds_counts fail with "not in time".

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -415,12 +415,17 @@
         for decision in self.pool.plan(self._members.stored):
             self._dispatch(decision)
         self._allocations.schedule_update()
+        self._write_urgent_changes()
+        await asyncio.sleep(_PLAN_PAUSE_MS / 1_000)
+
+    def _write_urgent_changes(self) -> None:
+        # The next owner must not count the crashes of a task from the start.
+        counted, self.pool.counted_crashes = self.pool.counted_crashes, set()
         for job in list(self.pool.changed):
             entry = self.pool.entries.get(job)
-            if entry is not None and entry.job.is_final():
+            if entry is not None and (entry.job.is_final() or job in counted):
                 self.pool.changed.discard(job)
                 self._job_writer.write(job)
-        await asyncio.sleep(_PLAN_PAUSE_MS / 1_000)
 
     def _schedule_wake_up(self) -> None:
         due_ms = self.pool.jobs.next_due_in_ms()
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -4,6 +4,7 @@
 import random
 
 from expression import Error
+import msgspec
 import testtools
 
 from support import fake_vms
@@ -617,3 +618,95 @@
             await second.stop()
 
         self.run_with(main)
+
+    def replace_vm(self, owner, name):
+        """Crash the VM on the machine and boot another one there."""
+        for vm in self.vms.values():
+            vm.unresponsive = True
+        report = fake_vms.report(name, born_ms=len(self.vms) + 1)
+        report = msgspec.structs.replace(report, machine="m-1")
+        vm = fake_vms.FakeVm(report, self.clock)
+        self.vms[report.vm] = vm
+        owner.set_reports({report.vm: report})
+        return vm
+
+    def stored_job(self, name="a"):
+        item = self.store.state.item(keys.job(jobs.POOL, name * 16))
+        return record.decode(item.value).ok
+
+    def test_job_that_crashes_its_vms_is_given_up(self):
+        """LOST: a task that crashes its VMs was started again for ever."""
+
+        async def main():
+            owner = self.own_pool()
+            await self.submit(owner)
+            for number in range(3):
+                vm = self.replace_vm(owner, f"vm-{number}")
+                await self.until(lambda vm=vm: vm.running)
+            vm = self.replace_vm(owner, "vm-3")
+            await self.until(
+                lambda: self.stored_job().state is model.JobState.FAILED
+            )
+            await self.until(lambda: vm.holds)
+            await asyncio.sleep(0.3)
+            self.assertEqual([], vm.starts)
+            state = await self.job_state(owner)
+            self.assertIs(model.JobState.FAILED, state)
+            await owner.stop()
+
+        self.run_with(main)
+
+    def test_crash_is_stored_at_once(self):
+        """Guards against a next owner that counts the crashes from zero."""
+
+        async def main():
+            owner = self.own_pool()
+            await self.submit(owner)
+            vm = self.replace_vm(owner, "vm-1")
+            await self.until(lambda: vm.running)
+            self.replace_vm(owner, "vm-2")
+            await self.until(lambda: list(self.stored_job().crashed_tasks()))
+            await owner.stop()
+
+        self.run_with(main)
+
+    def test_vm_that_crashes_before_it_responds_counts(self):
+        """Guards against a task that crashes each VM at its start."""
+
+        async def main():
+            owner = self.own_pool()
+            await self.submit(owner, spec=jobs.spec(jobs.step(2)))
+            vm = self.replace_vm(owner, "vm-1")
+            vm.delay_starts = True
+            await self.until(lambda: len(vm.delayed_starts) == 2)
+            self.replace_vm(owner, "vm-2")
+            await self.until(
+                lambda: len(list(self.stored_job().crashed_tasks())) == 2
+            )
+            await owner.stop()
+
+        self.run_with(main)
+
+    def test_lost_vm_that_is_vacated_has_not_crashed(self):
+        """Guards against a maintained VM that was cut off from its owner."""
+
+        async def main():
+            owner = self.own_pool()
+            await self.submit(owner)
+            vm = self.replace_vm(owner, "vm-1")
+            await self.until(lambda: vm.running)
+            task = owner.pool.entries["a" * 16].job.steps(0)[0].tasks[0]
+            vm.unresponsive = True
+            owner.set_reports({})
+            await self.until(lambda: task.lost_on)
+            request = messages.Vacate(
+                jobs.POOL, "vm-1", messages.VacateMode.MOVE_ALL
+            )
+            answer = await owner.answer(request)
+            self.assertEqual(messages.Vacated(0), answer)
+            vm = self.replace_vm(owner, "vm-2")
+            await self.until(lambda: vm.running)
+            self.assertEqual(set(), task.suspected_of())
+            await owner.stop()
+
+        self.run_with(main)
