--- a/src/wagtailtiller/jobs/task.py
+++ b/src/wagtailtiller/jobs/task.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+from typing import NamedTuple
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
@@ -39,6 +40,18 @@
     STOPPING = "stopping"
 
 
+class VmInstance(NamedTuple):
+    """One start of a VM.
+
+    Attributes:
+        vm: Id of the VM; a VM that restarts may keep it.
+        born_ms: Start time of the instance, in Unix milliseconds.
+    """
+
+    vm: ids.VmId
+    born_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """One start of a task on one VM.
@@ -64,6 +77,11 @@
         first_percent: Progress at that time.
         adopted: Whether a previous owner has started the run, so that its run
             time is not known.
+        sent_ms: Time at which the start command was sent, on the owner's clock;
+            0 if it has not been sent to the run's VM instance.
+        doubtful_crash: VM instance that crashed while it was not known whether
+            it had executed the start command; None if there is none. It counts
+            unless the next instance of the VM lists the run.
         peer_run_ms: Median run time of the same step's tasks on other VMs; 0
             if it is not known.
     """
@@ -84,6 +102,8 @@
     first_percent: int = 0
     peer_run_ms: int = 0
     adopted: bool = False
+    sent_ms: int = 0
+    doubtful_crash: VmInstance | None = None
 
     def observed_ms(self) -> int:
         """Return the time between the first and the last listing of the run."""
@@ -118,6 +138,9 @@
         checkpoint: Checkpoint that the last run saved; empty if there is none.
         run: Current run, if any.
         failed_vms: VMs on which a run of the task has failed or stalled.
+        crashed_on: VM instances that have crashed while they ran the task.
+        lost_on: VM instances that were lost while they ran the task, and of
+            which it is not known whether they have crashed.
     """
 
     id: model.TaskId
@@ -128,6 +151,23 @@
     checkpoint: str = ""
     run: Run | None = None
     failed_vms: set[ids.VmId] = dataclasses.field(default_factory=set)
+    crashed_on: set[VmInstance] = dataclasses.field(default_factory=set)
+    lost_on: set[VmInstance] = dataclasses.field(default_factory=set)
+
+    def suspected_of(self) -> set[VmInstance]:
+        """Return the VM instances that the task may have crashed."""
+        return self.crashed_on | self.lost_on
+
+    def clear_crashes(self) -> bool:
+        """Forget the VM instances, since the task has run well.
+
+        Returns:
+            Whether there were any crashed ones.
+        """
+        had_crashes = bool(self.crashed_on)
+        self.crashed_on.clear()
+        self.lost_on.clear()
+        return had_crashes
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,6 +180,8 @@
         tasks: All tasks of the step.
         open_count: Number of tasks that are not done.
         run_times: VMs and durations, in ms, of the runs that have succeeded.
+        crashed_run: Number of the latest run of a gang that has counted as a
+            crash; 0 if there is none.
     """
 
     number: int
@@ -149,6 +191,7 @@
     run_times: list[tuple[ids.VmId, int]] = dataclasses.field(
         default_factory=list
     )
+    crashed_run: int = 0
 
     def waiting_tasks(self) -> list[Task]:
         """Return the tasks that are neither done nor running."""
