Let a VM be kept for one task

Cause: a task that may crash its VM is to run alone, so a VM must be able to say for whom it is kept, how much room it has once its short runs have ended, and for which tasks it holds room. Change: Vm.isolates, room_beside and reserved_tasks. A VM that is kept counts as no room for the jobs that admission checks. Nothing sets isolates yet.

--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -1,5 +1,7 @@
 """State of a VM as its owner tracks it: capacity, runs and lease."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import enum
 
@@ -128,6 +130,8 @@
         throttle: Throttle of the fillers on the VM.
         registered: Whether the VM is in the platform's list.
         orphan_tasks: Tasks of the orphan runs in the latest listing.
+        isolates: Task, or first task of the gang, that runs alone on the VM or
+            for which it is kept free; None if the VM is used as others are.
     """
 
     def __init__(self, report: vms.VmReport, token: int) -> None:
@@ -155,6 +159,7 @@
         self.throttle = throttling.FillerThrottle()
         self.registered = True
         self.orphan_tasks: list[task_module.Task] = []
+        self.isolates: model.TaskId | None = None
         self._held_since_ms = 0
         self._held_until_ms = 0
         self._reservations: dict[model.TaskId, _Reservation] = {}
@@ -253,10 +258,43 @@
     def room(self, step: model.Step, limit: int) -> int:
         """Return how many tasks of a step fit beside the current runs.
 
+        A VM that is kept for one task has no room for others.
+
+        Args:
+            step: Step of the tasks.
+            limit: Largest number that is of interest.
+        """
+        if self.isolates is not None:
+            return 0
+        return self._room(
+            step, limit, self._cpu_used, self._memory_used_mb, self._gpu_used
+        )
+
+    def room_beside(
+        self, step: model.Step, limit: int, others: Iterable[model.Step]
+    ) -> int:
+        """Return how many tasks of a step fit beside some runs only.
+
         Args:
             step: Step of the tasks.
             limit: Largest number that is of interest.
+            others: Step of each of these runs.
         """
+        cpu_used = memory_used_mb = gpu_used = 0
+        for other in others:
+            cpu_used += 0 if other.filler else other.cpu_millicores
+            memory_used_mb += other.memory_mb
+            gpu_used += other.gpu_count
+        return self._room(step, limit, cpu_used, memory_used_mb, gpu_used)
+
+    def _room(
+        self,
+        step: model.Step,
+        limit: int,
+        cpu_used: int,
+        memory_used_mb: int,
+        gpu_used: int,
+    ) -> int:
         if not self._has_label(step):
             return 0
         if step.max_per_vm:
@@ -265,10 +303,10 @@
         needs = (
             (
                 0 if step.filler else step.cpu_millicores,
-                capacity.cpu_millicores - self._cpu_used,
+                capacity.cpu_millicores - cpu_used,
             ),
-            (step.memory_mb, capacity.memory_mb - self._memory_used_mb),
-            (step.gpu_count, capacity.gpu_count - self._gpu_used),
+            (step.memory_mb, capacity.memory_mb - memory_used_mb),
+            (step.gpu_count, capacity.gpu_count - gpu_used),
         )
         for need, free in needs:
             if need:
@@ -297,6 +335,11 @@
             self._adjust_usage(task.step, 1)
         self._reservations[task.id] = _Reservation(task, until_ms)
 
+    def reserved_tasks(self) -> Iterator[task_module.Task]:
+        """Yield the tasks for which room is kept."""
+        for reservation in self._reservations.values():
+            yield reservation.task
+
     def release_reservations(self, now_ms: int) -> None:
         """Release the room of tasks that have stopped, or not stopped in time.
 
