Separate tasks that may have crashed a VM, and isolate repeated ones

Cause: a task that crashes its VMs was started again beside a dozen runs of other jobs, and tasks that were lost with one VM went to the next one together, so that no crash told them apart and each took more runs with it. Change: scheduling/suspects.py. accepts() is the only check of both rules, used by placement, gangs, policy queries and moves. Isolation keeps a VM for a task with two or more suspicions until its short runs have ended: one VM, or a quarter of the open ones, oldest job first. Without suspects it looks at the tasks at most once in 25 ms, or when the open VMs change.

--- a/src/wagtailtiller/scheduling/candidates.py
+++ b/src/wagtailtiller/scheduling/candidates.py
@@ -15,6 +15,7 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.scheduling import placement
+from wagtailtiller.scheduling import suspects
 from wagtailtiller.scheduling import vm as vm_module
 
 # Limits the time that each lookup spends on remembered requirements.
@@ -86,7 +87,8 @@
                 of VMs that are equal otherwise.
         """
         step = task.step
-        if self.is_misfit(step):
+        # The VM that is kept for an isolated task has no room for others.
+        if self.is_misfit(step) and not suspects.needs_isolation(task):
             return None
         vms = self._with_room(step)
         is_excluding = (
@@ -95,7 +97,12 @@
         if is_excluding:
             vms = (vm for vm in vms if vm is not excluded)
         chosen = placement.choose(task, vms, spread)
-        if chosen is None and not is_excluding and self._is_general(step):
+        if (
+            chosen is None
+            and not is_excluding
+            and not suspects.is_suspect(task)
+            and self._is_general(step)
+        ):
             self._remember_misfit(step)
         return chosen
 
@@ -135,7 +142,11 @@
         for number in range(len(self._by_free_cpu) - 1, -1, -1):
             position = self._by_free_cpu[number][-1]
             vm = self.vms[position]
-            if vm.fits_when_empty(step) and not vm.on_probation:
+            if (
+                vm.fits_when_empty(step)
+                and not vm.on_probation
+                and vm.isolates is None
+            ):
                 del self._by_free_cpu[number]
                 self._kept.add(position)
                 return True
--- a/src/wagtailtiller/scheduling/placement.py
+++ b/src/wagtailtiller/scheduling/placement.py
@@ -7,6 +7,7 @@
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import task as task_module
+from wagtailtiller.scheduling import suspects
 from wagtailtiller.scheduling import vm as vm_module
 
 _BEST_RANK = (False, False)
@@ -100,7 +101,11 @@
                 continue
             if not _is_less_used(spread, candidate, best):
                 continue
-        if candidate.fits(task.step) and _below_vm_limit(task, candidate):
+        if (
+            candidate.fits(task.step)
+            and _below_vm_limit(task, candidate)
+            and suspects.accepts(candidate, task)
+        ):
             best, best_rank = candidate, rank
     return best
 
@@ -163,7 +168,10 @@
         candidates,
         key=lambda vm: (_off_preferred_rack(tasks[0], vm), -vm.free_cpu),
     )
+    has_suspects = any(suspects.is_suspect(task) for task in tasks)
     for candidate in ordered:
+        if not suspects.accepts_gang(candidate, tasks, has_suspects):
+            continue
         count = 0
         limit = step.max_per_vm or len(tasks)
         while waiting and count < limit and candidate.fits(step, count + 1):
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -9,6 +9,7 @@
 from wagtailtiller.scheduling import placement
 from wagtailtiller.scheduling import ranking
 from wagtailtiller.scheduling import state
+from wagtailtiller.scheduling import suspects
 from wagtailtiller.scheduling import vm as vm_module
 
 # Limits the VMs in one policy query, because the service needs time for each.
@@ -34,6 +35,7 @@
         self._state = pool_state
         self._allocations = allocations
         self._cost_order = cost_order
+        self._isolation = suspects.Isolation()
 
     def plan(
         self, open_vms: list[vm_module.Vm], now_ms: int
@@ -48,9 +50,11 @@
             Start commands and policy queries, in the order of the job ranks.
         """
         ranked = self._startable_by_rank(now_ms)
+        self._allocations.begin_plan()
+        if self._isolation.is_due(open_vms, now_ms):
+            self._update_isolation(ranked, open_vms, now_ms)
         if not ranked:
             return []
-        self._allocations.begin_plan()
         decisions: list[commands.Decision] = []
         open_candidates = candidates.Candidates(open_vms)
         overdue = self._cost_order.overdue([entry for entry, _ in ranked])
@@ -59,7 +63,9 @@
         for number, (entry, step_runs) in enumerate(ranked):
             is_overdue = overdue is not None and number == 0
             for step_run in step_runs:
-                if not open_candidates.is_misfit(step_run.step):
+                if self._isolation.has_kept_vm(
+                    step_run
+                ) or not open_candidates.is_misfit(step_run.step):
                     decisions.extend(
                         self._start_step(entry, step_run, open_candidates)
                     )
@@ -67,6 +73,28 @@
                 self._keep_room(entry, step_runs, open_candidates)
         return decisions
 
+    def _update_isolation(
+        self,
+        ranked: list[tuple[state.JobEntry, list[task_module.StepRun]]],
+        open_vms: list[vm_module.Vm],
+        now_ms: int,
+    ) -> None:
+        # A VM is of no use to tasks that a limit of their organisation blocks.
+        units = [
+            (entry.accepted_ms, tasks)
+            for entry, step_runs in ranked
+            for step_run in step_runs
+            for tasks in suspects.waiting_units(step_run)
+            if self._is_within_allocation(entry, step_run)
+        ]
+        units.sort(key=lambda row: (row[0], row[1][0].id))
+        self._isolation.update(
+            [tasks for _, tasks in units],
+            self._state.vms.values(),
+            open_vms,
+            now_ms,
+        )
+
     def _keep_room(
         self,
         entry: state.JobEntry,
@@ -78,7 +106,15 @@
         Otherwise smaller tasks of other jobs would take each part of a VM that
         becomes free, and a task that needs most of a VM would never start.
         """
-        waiting = [s for s in step_runs if s.waiting_tasks()]
+        # Isolation keeps a VM for each of its tasks in their turn.
+        waiting = [
+            step_run
+            for step_run in step_runs
+            if not all(
+                suspects.needs_isolation(task)
+                for task in step_run.waiting_tasks()
+            )
+        ]
         if not waiting:
             self._cost_order.mark_overdue_started()
             return
@@ -140,17 +176,18 @@
         if not self._is_within_allocation(entry, step_run):
             return []
         waiting = step_run.waiting_tasks()
+        if self._isolation.has_kept_vm(step_run):
+            waiting.sort(key=lambda task: not suspects.needs_isolation(task))
         queue = self._state.queues.get(entry.job.queue)
         policy = queue.policy if queue is not None else None
         if policy is None:
             return list(
                 self._place_step(entry, step_run, waiting, open_candidates)
             )
-        query = self._policy_query(
-            waiting[0], policy, open_candidates.available
-        )
-        if query is not None:
-            return [query]
+        for tasks in self._asked_apart(step_run, waiting):
+            query = self._policy_query(tasks, policy, open_candidates.available)
+            if query is not None:
+                return [query]
         allowed_vms = [
             vm
             for vm in open_candidates.available
@@ -163,6 +200,20 @@
             open_candidates.refresh()
         return list(started)
 
+    def _asked_apart(
+        self, step_run: task_module.StepRun, waiting: list[task_module.Task]
+    ) -> list[list[task_module.Task]]:
+        """Return groups of waiting tasks that need tickets of their own.
+
+        A ticket for the VM that is kept for an isolated task is of no use to
+        the others.
+        """
+        if step_run.step.gang or not self._isolation.has_kept_vm(step_run):
+            return [waiting]
+        isolated = [task for task in waiting if suspects.needs_isolation(task)]
+        others = waiting[len(isolated) :]
+        return [tasks for tasks in (isolated, others) if tasks]
+
     def _is_within_allocation(
         self, entry: state.JobEntry, step_run: task_module.StepRun
     ) -> bool:
@@ -186,6 +237,9 @@
                 break
             chosen = open_candidates.choose(task, spread=spread)
             if chosen is None:
+                if suspects.is_suspect(task):
+                    # Others have room where this one may not start.
+                    continue
                 break
             if spread is not None:
                 spread.add(chosen.rack)
@@ -248,11 +302,17 @@
 
     def _policy_query(
         self,
-        task: task_module.Task,
+        tasks: list[task_module.Task],
         policy: catalogue.PlacementPolicy,
         open_vms: list[vm_module.Vm],
     ) -> commands.PolicyQuery | None:
-        fitting = [vm for vm in open_vms if vm.fits(task.step)]
+        task = tasks[0]
+        fitting = [
+            vm
+            for vm in open_vms
+            if vm.fits(task.step)
+            and any(suspects.accepts(vm, other) for other in tasks)
+        ]
         if not fitting:
             return None
         if any(self._ticket(task, vm) is not None for vm in fitting):
--- a/src/wagtailtiller/scheduling/stop_planner.py
+++ b/src/wagtailtiller/scheduling/stop_planner.py
@@ -6,6 +6,7 @@
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import outliers
 from wagtailtiller.scheduling import state
+from wagtailtiller.scheduling import suspects
 from wagtailtiller.scheduling import vm as vm_module
 
 # Interval at which the stop command for a run that has not ended is repeated.
@@ -80,6 +81,7 @@
         other = self._find_other_vm(vm, task, now_ms)
         if other is not None and self._open_candidates is not None:
             other.reserve(task, now_ms + _RESERVATION_MS)
+            suspects.mark_reserved(other, task)
             self._open_candidates.refresh()
 
     def _stop_reason(
--- /dev/null
+++ b/src/wagtailtiller/scheduling/suspects.py
@@ -0,0 +1,384 @@
+"""Where a task that may have crashed its VM starts again.
+
+Two rules hold for such a task, which is called a suspect. Tasks that were lost
+with the same VM do not share a VM again, so that the next crash tells them
+apart. A task with several suspicions is isolated: it starts on a VM that was
+kept free for it and runs there alone, so that one more crash takes nothing with
+it. ``accepts`` is the only check of both rules; ``Isolation`` decides which VMs
+are kept. The module does no I/O and reads no clock.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+
+from wagtailtiller import ids
+from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
+from wagtailtiller.scheduling import vm as vm_module
+
+# One suspicion is shared by all tasks that were lost with a VM, nearly all of
+# which are innocent.
+_ISOLATED_FROM = 2
+# A long-running task has no end that shows that it is innocent. A task that
+# crashes its VM does so within seconds of its start.
+_SETTLED_MS = 10_000
+_KEPT_DIVISOR = 4
+# The search for suspects looks at all waiting and running tasks. While it finds
+# none, it is repeated after this time, or when the open VMs change.
+_SEARCH_MS = 25
+# A task that does not start on a VM that is free for it will not do so soon: a
+# placement policy may have denied the VM.
+_MAX_FREE_MS = 3_000
+_RETRY_MS = 5_000
+
+
+def is_suspect(task: task_module.Task) -> bool:
+    """Return whether a task may have crashed a VM."""
+    return bool(task.crashed_on or task.lost_on)
+
+
+def needs_isolation(task: task_module.Task) -> bool:
+    """Return whether a task may have crashed so many VMs that it runs alone."""
+    return is_suspect(task) and len(task.suspected_of()) >= _ISOLATED_FROM
+
+
+def accepts(vm: vm_module.Vm, task: task_module.Task) -> bool:
+    """Return whether a task may start on a VM, as far as suspects matter.
+
+    Args:
+        vm: VM that has room for the task.
+        task: Task to start there, or to move there if it runs elsewhere.
+    """
+    if vm.isolates is None and not is_suspect(task):
+        return True
+    unit = isolated_unit(task)
+    is_moving = task.run is not None
+    if vm.isolates is not None:
+        if vm.isolates != unit:
+            return False
+    elif needs_isolation(task):
+        # No VM is kept for a task that runs. One that is moved starts on a VM
+        # that is free already.
+        if not is_moving:
+            return False
+    else:
+        return _is_apart(vm, task, unit)
+    return not _blockers(vm, unit)
+
+
+def accepts_gang(
+    vm: vm_module.Vm, tasks: Sequence[task_module.Task], has_suspects: bool
+) -> bool:
+    """Return whether the tasks of a gang may start on a VM.
+
+    Args:
+        vm: VM that has room for a task of the gang.
+        tasks: All tasks of the gang.
+        has_suspects: Whether any of them is a suspect.
+    """
+    if not has_suspects:
+        return accepts(vm, tasks[0])
+    return all(accepts(vm, task) for task in tasks)
+
+
+def mark_reserved(vm: vm_module.Vm, task: task_module.Task) -> None:
+    """Keep a VM free for an isolated task that is being moved to it."""
+    if needs_isolation(task):
+        vm.isolates = isolated_unit(task)
+
+
+def isolated_unit(task: task_module.Task) -> model.TaskId:
+    """Return the id under which a task is isolated.
+
+    The tasks of a gang share that of the first one.
+    """
+    return task.id._replace(position=0) if task.step.gang else task.id
+
+
+def waiting_units(
+    step_run: task_module.StepRun,
+) -> Iterator[list[task_module.Task]]:
+    """Yield the waiting tasks of a step that need isolation.
+
+    Each is a list of its own; the tasks of a gang are yielded together, once
+    all of them wait.
+    """
+    tasks = [
+        task
+        for task in step_run.tasks
+        if (task.crashed_on or task.lost_on)
+        and task.run is None
+        and not task.done
+        and needs_isolation(task)
+    ]
+    if not step_run.step.gang:
+        yield from ([task] for task in tasks)
+    elif tasks and len(step_run.waiting_tasks()) == len(step_run.tasks):
+        yield step_run.tasks
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """Attempts to start one unit.
+
+    Attributes:
+        free_since_ms: Time from which the kept VMs have been free for it; None
+            if they are not.
+        retry_ms: Time until which no VM is kept for it.
+        tried: VMs on which it did not start although they were free.
+    """
+
+    free_since_ms: int | None = None
+    retry_ms: int = 0
+    tried: set[ids.VmId] = dataclasses.field(default_factory=set)
+
+
+class Isolation:
+    """Decides which VMs of one pool are kept for tasks that run alone.
+
+    The decision is stored in ``Vm.isolates``. It is soft state: a new owner
+    makes it again from the suspicions of its tasks and the runs on its VMs.
+    """
+
+    def __init__(self) -> None:
+        self._is_active = False
+        self._searched_ms: int | None = None
+        self._open_vms: list[vm_module.Vm] = []
+        self._kept_steps: set[tuple[model.JobId, int, int]] = set()
+        self._attempts: dict[model.TaskId, _Attempt] = {}
+
+    def is_due(self, open_vms: list[vm_module.Vm], now_ms: int) -> bool:
+        """Return whether this plan has to look for suspects.
+
+        Args:
+            open_vms: VMs that accept new tasks.
+            now_ms: Current time, on the owner's clock.
+        """
+        return (
+            self._is_active
+            or self._searched_ms is None
+            or now_ms - self._searched_ms >= _SEARCH_MS
+            or open_vms != self._open_vms
+        )
+
+    def has_kept_vm(self, step_run: task_module.StepRun) -> bool:
+        """Return whether a VM is kept for a waiting task of a step."""
+        return bool(self._kept_steps) and (
+            step_run.tasks[0].id[:3] in self._kept_steps
+        )
+
+    def update(
+        self,
+        waiting: list[list[task_module.Task]],
+        vms: Collection[vm_module.Vm],
+        open_vms: list[vm_module.Vm],
+        now_ms: int,
+    ) -> None:
+        """Decide again which VMs are kept.
+
+        Args:
+            waiting: Units from ``waiting_units`` that may start, those of the
+                oldest job first.
+            vms: All VMs of the pool.
+            open_vms: VMs that accept new tasks.
+            now_ms: Current time, on the owner's clock.
+        """
+        self._searched_ms = now_ms
+        self._open_vms = open_vms
+        units = {isolated_unit(tasks[0]): tasks for tasks in waiting}
+        self._release(units, vms, open_vms)
+        self._attempts = {
+            unit: self._attempts.get(unit) or _Attempt() for unit in units
+        }
+        limit = max(1, len(open_vms) // _KEPT_DIVISOR)
+        for unit, tasks in units.items():
+            if now_ms < self._attempts[unit].retry_ms:
+                continue
+            used = sum(_is_used(vm) and vm.isolates != unit for vm in vms)
+            self._keep(unit, tasks, open_vms, limit - used, not used, now_ms)
+        kept = {vm.isolates for vm in vms if vm.isolates is not None}
+        self._kept_steps = {unit[:3] for unit in kept & units.keys()}
+        self._is_active = bool(kept or units)
+
+    def _release(
+        self,
+        units: Collection[model.TaskId],
+        vms: Collection[vm_module.Vm],
+        open_vms: list[vm_module.Vm],
+    ) -> None:
+        """Release VMs whose task has ended; mark VMs that run one unmarked."""
+        open_ids = {vm.report.vm for vm in open_vms}
+        for vm in vms:
+            if vm.isolates is not None:
+                is_waiting = vm.isolates in units and vm.report.vm in open_ids
+                if is_waiting or any(
+                    isolated_unit(task) == vm.isolates
+                    for task in _unsettled(vm)
+                ):
+                    continue
+                vm.isolates = None
+            for task in _unsettled(vm):
+                if needs_isolation(task):
+                    vm.isolates = isolated_unit(task)
+                    break
+
+    def _keep(
+        self,
+        unit: model.TaskId,
+        tasks: list[task_module.Task],
+        open_vms: list[vm_module.Vm],
+        limit: int,
+        is_first: bool,
+        now_ms: int,
+    ) -> None:
+        """Keep VMs for one unit, those that are kept for it already first.
+
+        Args:
+            unit: Unit that waits.
+            tasks: Its tasks.
+            open_vms: VMs that accept new tasks.
+            limit: Number of VMs that may be kept for it.
+            is_first: Whether no VM is kept for another unit. A gang that needs
+                more VMs than the limit would otherwise never start.
+            now_ms: Current time, on the owner's clock.
+        """
+        own = [vm for vm in open_vms if vm.isolates == unit]
+        chosen = self._choose(unit, tasks, own, open_vms, now_ms)
+        if len(chosen) > limit and not (is_first and chosen):
+            chosen = []
+        for vm in own:
+            if vm not in chosen:
+                vm.isolates = None
+        for vm in chosen:
+            vm.isolates = unit
+        attempt = self._attempts[unit]
+        if not chosen or any(_blockers(vm, unit) for vm in chosen):
+            attempt.free_since_ms = None
+        elif attempt.free_since_ms is None:
+            attempt.free_since_ms = now_ms
+        elif now_ms - attempt.free_since_ms >= _MAX_FREE_MS:
+            attempt.free_since_ms = None
+            attempt.retry_ms = now_ms + _RETRY_MS
+            for vm in chosen:
+                vm.isolates = None
+                attempt.tried.add(vm.report.vm)
+
+    def _choose(
+        self,
+        unit: model.TaskId,
+        tasks: list[task_module.Task],
+        own: list[vm_module.Vm],
+        open_vms: list[vm_module.Vm],
+        now_ms: int,
+    ) -> list[vm_module.Vm]:
+        """Return VMs that together have room for a unit; empty if none have."""
+        tried = self._attempts[unit].tried
+        others = sorted(
+            (vm for vm in open_vms if vm.isolates is None),
+            key=lambda vm: (
+                vm.report.vm in tried,
+                vm.on_probation,
+                vm.report.vm in tasks[0].failed_vms,
+                _staying_count(vm),
+                _free_ms(vm, unit, now_ms),
+            ),
+        )
+        chosen: list[vm_module.Vm] = []
+        missing = len(tasks)
+        for vm in (*own, *others):
+            room = _room_alone(vm, tasks[0], missing)
+            if room:
+                chosen.append(vm)
+                missing -= room
+            if not missing:
+                return chosen
+        return []
+
+
+def _stays(step: model.Step) -> bool:
+    """Return whether tasks of a step are not waited for to end."""
+    return step.long_running or step.filler
+
+
+def _staying_count(vm: vm_module.Vm) -> int:
+    staying = sum(_stays(run.task.step) for run in vm.runs.values())
+    return staying + sum(1 for _ in vm.reserved_tasks())
+
+
+def _is_used(vm: vm_module.Vm) -> bool:
+    """Return whether isolation takes a VM that others could use.
+
+    The runs of a VM that has crashed are known until their leases expire.
+    """
+    return (
+        vm.isolates is not None
+        and vm.status is not vm_module.VmStatus.UNRESPONSIVE
+    )
+
+
+def _is_settled(run: task_module.Run) -> bool:
+    return run.task.step.long_running and run.observed_ms() >= _SETTLED_MS
+
+
+def _unsettled(vm: vm_module.Vm) -> Iterator[task_module.Task]:
+    """Yield the tasks that run or have room on a VM and may yet crash it."""
+    for run in vm.runs.values():
+        if not _is_settled(run):
+            yield run.task
+    yield from vm.reserved_tasks()
+
+
+def _is_apart(
+    vm: vm_module.Vm, task: task_module.Task, unit: model.TaskId
+) -> bool:
+    """Return whether no task on a VM was lost with the same VM as this one."""
+    suspected_of = task.suspected_of()
+    return not any(
+        is_suspect(other)
+        and isolated_unit(other) != unit
+        and not suspected_of.isdisjoint(other.suspected_of())
+        for other in _unsettled(vm)
+    )
+
+
+def _blockers(vm: vm_module.Vm, unit: model.TaskId) -> list[task_module.Task]:
+    """Return the tasks on a VM beside which a unit does not start."""
+    return [
+        task
+        for task in _unsettled(vm)
+        if (not _stays(task.step) or is_suspect(task))
+        and isolated_unit(task) != unit
+    ]
+
+
+def _free_ms(vm: vm_module.Vm, unit: model.TaskId, now_ms: int) -> int:
+    """Return when a VM is expected to be free for a unit."""
+    free_ms = now_ms
+    for task in _blockers(vm, unit):
+        run = vm.runs.get(task.id)
+        started_ms = now_ms if run is None else run.started_ms
+        duration_ms = task.step.estimate_ms
+        if task.step.long_running:
+            duration_ms = _SETTLED_MS
+        free_ms = max(free_ms, started_ms + duration_ms)
+    return free_ms
+
+
+def _room_alone(vm: vm_module.Vm, task: task_module.Task, limit: int) -> int:
+    """Return how many tasks of a step fit beside the runs that stay on a VM.
+
+    Args:
+        vm: VM that is to be kept free.
+        task: Any of the tasks.
+        limit: Largest number that is of interest.
+    """
+    step = task.step
+    if vm.on_probation and not vm_module.is_short(step):
+        return 0
+    staying = [run for run in vm.runs.values() if _stays(run.task.step)]
+    if step.max_per_vm:
+        same = sum(run.task.id[:3] == task.id[:3] for run in staying)
+        limit = min(limit, max(0, step.max_per_vm - same))
+    return vm.room_beside(step, limit, (run.task.step for run in staying))
