Wait for a VM that has more ended runs to list

Callers saw a task run again after it had ended. A new owner stopped waiting for a VM when the leases of its predecessor were over, although the VM answered and the owner itself renewed the lease of its runs. The list of ended runs was not read to its end: it was truncated, or the jobs of some ends were unknown.

The test failed before: a start on vm-2 instead of [].

--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -125,6 +125,8 @@
         vm.listed_clock_ms = listing.clock_ms
         issued: list[commands.Command] = []
         self._record_ends(vm, listing)
+        is_truncated = len(listing.ended) >= vms.MAX_LISTED_ENDS
+        vm.has_more_ends = is_truncated or bool(vm.unread_jobs)
         running = {
             (listed_run.task, listed_run.number)
             for listed_run in listing.running
@@ -138,7 +140,7 @@
             vm.avoid_until_ms = (
                 self._state.clock.monotonic_ms() + _ORPHAN_PAUSE_MS
             )
-        if listing.is_complete and self._all_ends_applied(vm, listing):
+        if listing.is_complete and not vm.has_more_ends:
             self._remove_unlisted(vm, token, sent_ms, running)
         issued.extend(self._set_speeds(vm))
         self._update_status(vm, token, listing)
@@ -147,7 +149,7 @@
     def _update_status(
         self, vm: vm_module.Vm, token: int, listing: vms.Listing
     ) -> None:
-        if not self._all_ends_applied(vm, listing):
+        if vm.has_more_ends:
             # The other ends may be those of inherited tasks.
             return
         # A late listing of a replaced instance tells nothing about the new one.
@@ -164,10 +166,6 @@
                 running=len(listing.running),
             )
 
-    def _all_ends_applied(self, vm: vm_module.Vm, listing: vms.Listing) -> bool:
-        is_truncated = len(listing.ended) >= vms.MAX_LISTED_ENDS
-        return not is_truncated and not vm.unread_jobs
-
     def _orphan_tasks(
         self, issued: list[commands.Command]
     ) -> list[task_module.Task]:
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -107,6 +107,8 @@
         unread_jobs: Jobs of listed ended runs that the owner does not know.
             They may be stored; later ends are applied once this is known.
         absent_jobs: Those of them that are not stored.
+        has_more_ends: Whether ended runs of the latest listing were not
+            applied, or others are to be listed after these.
         unresponsive_since_ms: Time at which the VM stopped responding; None if
             it responds.
         closed_until_ms: Time until which nothing starts on the VM because it is
@@ -149,6 +151,7 @@
         self.stored_end_position = 0
         self.unread_jobs: set[model.JobId] = set()
         self.absent_jobs: set[model.JobId] = set()
+        self.has_more_ends = False
         self.unresponsive_since_ms: int | None = None
         self.closed_until_ms = 0
         self.moves_long_running_until_ms = 0
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -192,8 +192,9 @@
         now_ms = self._state.clock.monotonic_ms()
         self._lost_instances.forget_old(now_ms)
         for vm_id, until_ms in list(self._state.unresolved.items()):
-            if now_ms >= until_ms:
-                self._end_wait(vm_id)
+            if now_ms < until_ms or self._may_list_more_ends(vm_id, now_ms):
+                continue
+            self._end_wait(vm_id)
         removed = []
         for vm in list(self._state.vms.values()):
             removable = not vm.registered and not vm.has_unstored_ends
@@ -212,6 +213,18 @@
                 removed.append(vm)
         return removed
 
+    def _may_list_more_ends(self, vm_id: ids.VmId, now_ms: int) -> bool:
+        """Return whether a VM is expected to list further ended runs.
+
+        Their tasks must not start again. The VM has its lease from this owner,
+        so that it may outlast those from the previous one.
+        """
+        vm = self._state.vms.get(vm_id)
+        if vm is None or not vm.has_more_ends:
+            return False
+        is_responsive = vm.unresponsive_since_ms is None
+        return is_responsive or now_ms < vm.lease.expiry_ms()
+
     def _end_wait(self, vm_id: ids.VmId) -> None:
         """Stop waiting for an unresolved VM whose leases have expired."""
         del self._state.unresolved[vm_id]
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -519,6 +519,23 @@
         (start,) = self.start_all()
         self.assertEqual(0, start.run.task.id.position)
 
+    def test_an_inherited_task_waits_for_all_ends_beyond_the_leases(self):
+        """TWICE: the wait for a VM that listed its ends in parts timed out.
+
+        The leases were over, but the end of the task was still to be listed.
+        """
+        vm = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
+        self.pool.unresolved = {"vm-1": self.clock.now_ms + 5_000}
+        entry = self.add_job("a", jobs.step(510), inherited=True)
+        self.add_vm("vm-2")
+        self.list_ends(vm, entry.job, 1, vms.MAX_LISTED_ENDS)
+        self.clock.advance(5_000)
+        self.pool.vm_tracker.expire_leases()
+        self.assertEqual([], self.start_all())
+        self.pool.vm_tracker.mark_unresponsive(vm)
+        self.pool.vm_tracker.expire_leases()
+        self.assertEqual({}, self.pool.unresolved)
+
     def test_a_late_listing_of_a_replaced_instance_resolves_nothing(self):
         """TWICE: the new instance may run tasks of the previous owner."""
         replaced = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
