Renew leases while the jobs of ended runs are looked up

Callers saw all runs of a VM end and start again. The VM had listed the end of a run whose job the owner did not know, and the loop that renews the lease waited for each read of the store. A lookup now delays a renewal by at most 200 ms and goes on in the background.

The test failed before: "not in time", no further hold was sent.

--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -24,6 +24,8 @@
 # Bounds the time for which storing ended runs delays the next lease renewal.
 _FLUSH_TIMEOUT_MS = 500
 _FLUSH_RETRY_MS = 200
+# Bounds the time for which a lookup of jobs delays the next lease renewal.
+_READ_TIMEOUT_MS = 200
 _READ_RETRY_MS = 200
 # Stops and speed commands do not wait behind starts.
 _MAX_OPEN_STOPS = 2
@@ -82,6 +84,7 @@
         self._may_acknowledge = False
         self._flush: job_writer.Flush | None = None
         self._flush_position = 0
+        self._lookup: asyncio.Task[None] | None = None
         self._gate = gate
         self._start_sender = start_sender.StartSender(
             pool, vm, client, clock, gate, lease_ms, self
@@ -128,13 +131,20 @@
         return 0 if is_behind else _HOLD_WAIT_MS
 
     async def _read_jobs(self) -> None:
+        # A lookup that takes long is continued after the next renewal of the
+        # lease.
+        if self._lookup is None or self._lookup.done():
+            self._lookup = self._command_tasks.spawn(self._look_up_jobs())
+        await asyncio.wait({self._lookup}, timeout=_READ_TIMEOUT_MS / 1_000)
+
+    async def _look_up_jobs(self) -> None:
         for job in list(self.vm.unread_jobs):
             result = await self._find_stored(job)
             if result.is_error():
                 await asyncio.sleep(_READ_RETRY_MS / 1_000)
                 return
             # A stored job that cannot be decoded is not in the pool either.
-            if job not in self._pool.entries:
+            if job in self.vm.unread_jobs and job not in self._pool.entries:
                 self.vm.absent_jobs.add(job)
 
     async def _store_ended_runs(self) -> None:
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -175,6 +175,27 @@
 
         self.run_with(main)
 
+    def test_lease_is_renewed_while_a_job_is_looked_up(self):
+        """Runs lost their lease while the store did not answer a read."""
+
+        async def main(pool, fake_vm, vm, link):
+            task = await self.start_task(pool, link)
+
+            async def find_slowly(job):
+                await asyncio.sleep(60)
+                return Ok(False)
+
+            link._find_stored = find_slowly
+            unknown = model.TaskId(model.JobId("d" * 16), 0, 0, 0)
+            fake_vm.running[unknown] = fake_vms.FakeRun(1, 0)
+            fake_vm.end(unknown, task_module.EndKind.DONE)
+            await self.until(lambda: vm.unread_jobs)
+            before = fake_vm.holds
+            await self.until(lambda: fake_vm.holds > before + 1)
+            self.assertIn(task.id, fake_vm.running)
+
+        self.run_with(main)
+
     def test_late_failure_does_not_override_later_response(self):
         """A lost long poll made a VM silent that had answered since."""
 
