Look up the jobs of runs that a VM lists when it joins

Callers saw a task run twice at a time. A predecessor had started a job that a frontend had just stored, and the new owner had not read it. It counted the VM as resolved, and started the task elsewhere once it read the job, while the command to stop the first run was still open. The run's end, if it was done in the meantime, was read too late as well. Such runs are now left alone until the job is looked up, and then adopted or stopped.

The test that demanded the stop at the first listing is replaced by one that demands it, at each listing, once it is known that the job is not stored.

--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -1,5 +1,7 @@
 """Reconciliation of the runs that the owner tracks with what VMs report."""
 
+from collections.abc import Iterable
+
 from wagtailtiller import events
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
@@ -212,17 +214,26 @@
         ends = [
             end for end in listing.ended if end.position > vm.last_end_position
         ]
-        vm.unread_jobs = {
-            end.task.job
-            for end in ends
-            if end.task.job not in self._state.entries
-            and end.task.job not in vm.absent_jobs
-        }
+        vm.unread_jobs = self._find_unread_jobs(vm, ends, listing.running)
         for end in ends:
             if end.task.job in vm.unread_jobs:
                 return
             self._record_end(vm, end)
-        vm.absent_jobs.clear()
+        if not vm.unread_jobs:
+            vm.absent_jobs.clear()
+
+    def _find_unread_jobs(
+        self,
+        vm: vm_module.Vm,
+        ends: Iterable[vms.ListedEnd],
+        running: Iterable[vms.ListedRun],
+    ) -> set[model.JobId]:
+        listed = {end.task.job for end in ends}
+        if vm.status is vm_module.VmStatus.JOINING:
+            # A previous owner may have read a job that this one has not. Once
+            # the VM has joined, only this owner starts runs there.
+            listed.update(run.task.job for run in running)
+        return listed - self._state.entries.keys() - vm.absent_jobs
 
     def _record_end(self, vm: vm_module.Vm, end: vms.ListedEnd) -> None:
         entry = self._state.entries.get(end.task.job)
@@ -340,6 +351,8 @@
             known.doubtful_crash = None
             self._clear_crashes(known)
             return []
+        if listed_run.task.job in vm.unread_jobs:
+            return []
         entry = self._state.entries.get(listed_run.task.job)
         task = entry.job.task(listed_run.task) if entry is not None else None
         if entry is not None and task is not None:
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -104,11 +104,13 @@
             the VM's list of ended runs.
         stored_end_position: Position up to which the jobs of the applied ended
             runs are stored, so that the VM may discard these runs.
-        unread_jobs: Jobs of listed ended runs that the owner does not know.
-            They may be stored; later ends are applied once this is known.
+        unread_jobs: Jobs of listed ended runs, and of runs that a VM lists
+            when it joins, that the owner does not know. They may be stored;
+            later ends are applied, and the runs adopted or stopped, once this
+            is known.
         absent_jobs: Those of them that are not stored.
-        has_more_ends: Whether ended runs of the latest listing were not
-            applied, or others are to be listed after these.
+        has_more_ends: Whether listed runs belong to unread jobs, or further
+            ended runs are to be listed.
         unresponsive_since_ms: Time at which the VM stopped responding; None if
             it responds.
         closed_until_ms: Time until which nothing starts on the VM because it is
