Release the VM of a suspected filler after ten seconds

Callers saw tasks wait for as long as a filler ran. A VM that was kept for a filler under which two VMs had crashed was kept until the filler ended, also once it was no longer suspected, and counted in the limit of kept VMs, so that the next suspect waited. Only long-running tasks were released by time.

The test failed before: "None matches Is(None)" for the run of the next suspect.

--- a/src/wagtailtiller/scheduling/suspects.py
+++ b/src/wagtailtiller/scheduling/suspects.py
@@ -21,8 +21,8 @@
 # One suspicion is shared by all tasks that were lost with a VM, nearly all of
 # which are innocent.
 _ISOLATED_FROM = 2
-# A long-running task has no end that shows that it is innocent. A task that
-# crashes its VM does so within seconds of its start.
+# A long-running task or a filler may have no end that shows its innocence. A
+# task that crashes its VM does so within seconds of its start.
 _SETTLED_MS = 10_000
 _KEPT_DIVISOR = 4
 # The search for suspects looks at all waiting and running tasks. While it finds
@@ -337,7 +337,7 @@
 
 
 def _is_settled(run: task_module.Run) -> bool:
-    return run.task.step.long_running and run.observed_ms() >= _SETTLED_MS
+    return _stays(run.task.step) and run.observed_ms() >= _SETTLED_MS
 
 
 def _unsettled(vm: vm_module.Vm) -> Iterator[task_module.Task]:
@@ -378,7 +378,7 @@
         run = vm.runs.get(task.id)
         started_ms = now_ms if run is None else run.started_ms
         duration_ms = task.step.estimate_ms
-        if task.step.long_running:
+        if _stays(task.step):
             duration_ms = _SETTLED_MS
         free_ms = max(free_ms, started_ms + duration_ms)
     return free_ms
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -419,6 +419,22 @@
         self.assertEqual({vm.report.vm: [other]}, started)
         self.assertEqual([3], [len(t) for t in self.next_round().values()])
 
+    def test_filler_suspect_blocks_its_vm_for_ten_seconds(self):
+        """Guards against a VM that is kept for as long as a filler runs.
+
+        The next suspect waited until then as well.
+        """
+        (vm,) = self.add_vms(1)
+        suspect = self.add_suspect("a", "gone-1", "gone-2", filler=True)
+        self.assertEqual({vm.report.vm: [suspect]}, self.started())
+        other = self.add_suspect("b", "gone-1", "gone-2")
+        for _ in range(22):
+            self.clock.advance(500)
+            self.answer(vm, percent=1)
+            self.started()
+        self.assertIsNotNone(suspect.run)
+        self.assertIsNotNone(other.run)
+
     def test_long_running_suspect_starts_beside_no_short_task(self):
         """It crashes its VM when it starts, with the runs under way there."""
         self.add_vms(2)
