End no VM that has registered during the reading of the machines

Callers could see a task run twice after a takeover. Cause: the machine list was applied to all unresolved VMs when its response arrived, also to one that had registered after the list was read; the new owner then did not wait for it.

--- a/src/wagtailtiller/owner/unresolved_vms.py
+++ b/src/wagtailtiller/owner/unresolved_vms.py
@@ -47,6 +47,7 @@
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
     async def _check(self) -> None:
+        before = dict(self._pool.unresolved)
         result = await self._machine_service.list()
         if result.is_error():
             events.emit(
@@ -54,7 +55,10 @@
             )
             return
         machine_by_id = {machine.machine: machine for machine in result.ok}
-        for vm in list(self._pool.unresolved):
+        for vm, until_ms in list(self._pool.unresolved.items()):
+            if before.get(vm) != until_ms:
+                # The VM has registered since; the list may be older than that.
+                continue
             machine = machine_by_id.get(self._members.machine_by_vm[vm])
             if machine is None:
                 continue
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -393,6 +393,44 @@
             self.starts_elsewhere_after_takeover({"m-vm-1": "vm-7"})
         )
 
+    def test_new_owner_waits_for_vm_that_registers_during_the_reading(self):
+        """TWICE: a machine list read before the VM had joined ended it."""
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            vm.unresponsive = True
+            other_vm = self.add_vm("vm-2")
+            self.machines = fakes.FakeMachines({"m-vm-1": "vm-7"})
+            list_machines = self.machines.list
+            reading = asyncio.Event()
+            registered = asyncio.Event()
+
+            async def list_slowly():
+                listed = await list_machines()
+                reading.set()
+                await registered.wait()
+                self.machines.list = list_current
+                return listed
+
+            async def list_current():
+                return await fakes.FakeMachines({"m-vm-1": "vm-1"}).list()
+
+            self.machines.list = list_slowly
+            second = self.own_pool(2)
+            second.set_reports({other_vm.report.vm: other_vm.report})
+            await reading.wait()
+            second.set_reports(
+                {v.report.vm: v.report for v in self.vms.values()}
+            )
+            await self.until(lambda: "vm-1" in second.pool.vms)
+            registered.set()
+            await asyncio.sleep(0.5)
+            self.assertEqual({}, other_vm.running)
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+
     def test_new_owner_waits_for_vm_with_unlisted_machine(self):
         self.assertFalse(self.starts_elsewhere_after_takeover({}))
 
