Stop no run of a job that may be stored but is not read yet

Callers could see two runs of a task at once after a takeover. Cause: a new owner told the VM to stop a listed run of a job that it did not know, and counted the VM as resolved. If it read the job before the stop took effect, it started the task elsewhere.

--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -214,17 +214,18 @@
         ends = [
             end for end in listing.ended if end.position > vm.last_end_position
         ]
+        listed_jobs = {end.task.job for end in ends}
+        listed_jobs.update(run.task.job for run in listing.running)
+        vm.absent_jobs &= listed_jobs
         vm.unread_jobs = {
-            end.task.job
-            for end in ends
-            if end.task.job not in self._state.entries
-            and end.task.job not in vm.absent_jobs
+            job
+            for job in listed_jobs
+            if job not in self._state.entries and job not in vm.absent_jobs
         }
         for end in ends:
             if end.task.job in vm.unread_jobs:
                 return
             self._record_end(vm, end)
-        vm.absent_jobs.clear()
 
     def _record_end(self, vm: vm_module.Vm, end: vms.ListedEnd) -> None:
         entry = self._state.entries.get(end.task.job)
@@ -342,6 +343,8 @@
             known.doubtful_crash = None
             self._clear_crashes(known)
             return []
+        if listed_run.task.job in vm.unread_jobs:
+            return []
         entry = self._state.entries.get(listed_run.task.job)
         task = entry.job.task(listed_run.task) if entry is not None else None
         if entry is not None and task is not None:
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -104,8 +104,9 @@
             the VM's list of ended runs.
         stored_end_position: Position up to which the jobs of the applied ended
             runs are stored, so that the VM may discard these runs.
-        unread_jobs: Jobs of listed ended runs that the owner does not know.
-            They may be stored; later ends are applied once this is known.
+        unread_jobs: Jobs of listed runs that the owner does not know. They may
+            be stored; later ends are applied, and runs stopped, once this is
+            known.
         absent_jobs: Those of them that are not stored.
         unresponsive_since_ms: Time at which the VM stopped responding; None if
             it responds.
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -21,6 +21,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.ownership import claims
+from wagtailtiller.ports import vms
 
 _SHARD = ids.ShardId(jobs.POOL)
 _SETTINGS = pool_owner.OwnerSettings(2_000, 60_000)
@@ -716,6 +717,40 @@
 
         self.run_with(main)
 
+    def test_run_of_job_that_the_owner_has_not_read_is_adopted(self):
+        """TWICE: the run was to be stopped, and the job was then read.
+
+        The task started on another VM although the stop was not answered.
+        """
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            other_vm = self.add_vm("vm-2")
+            second = self.own_pool(2)
+            second.set_reports({})
+            second._job_mirror._pause_ms = 60_000
+            await self.until(lambda: second.ready)
+            self.store_as_frontend(jobs.job("b" * 16, epoch=0))
+            await self.until(lambda: len(vm.running) == 2)
+
+            async def lose_stop(task, number, token):
+                return vms.CommandResponse(vms.CommandOutcome.UNANSWERED)
+
+            vm.stop = lose_stop
+            second.set_reports(
+                {v.report.vm: v.report for v in self.vms.values()}
+            )
+            await self.until(lambda: not second.pool.unresolved)
+            item = self.store.state.item(keys.job(jobs.POOL, "b" * 16))
+            second._on_jobs_change([item])
+            await asyncio.sleep(0.5)
+            self.assertEqual({}, other_vm.running)
+            self.assertEqual(2, len(second.pool.vms["vm-1"].runs))
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+
     def test_end_of_job_that_is_not_stored_is_acknowledged(self):
         """Otherwise a VM would list the end of a deleted job for ever."""
 
