--- a/support/sim/process.py
+++ b/support/sim/process.py
@@ -47,6 +47,9 @@
             request: Request to send.
         """
         await asyncio.sleep(_ONE_WAY_DELAY_MS / 1_000)
+        if address not in self.handlers:
+            # The receiver has ended while the request was under way.
+            await loop_module.wait_forever()
         receiver, handle = self.handlers[address]
         if sender in self.partitioned or receiver in self.partitioned:
             await loop_module.wait_forever()
