Play tasks that crash their VMs, and bound their starts

No simulated task ended the VM that ran it.

The oracle's rule BUDGET allows two more starts of such a task after three VMs have crashed under it. Its job is owed nothing, and may fail once two VMs have crashed under one of its crashing tasks, not before. All other jobs are owed what they were. A fault kills the owner of the first pool.

--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -113,6 +113,11 @@
     return [Fault("store-revokes-split", 3_000, 4_500)]
 
 
+def owner_loss() -> list[Fault]:
+    """Return a plan that kills the first pool's owner after 5 s."""
+    return [Fault("kill-owner", 5_000, 1_000)]
+
+
 async def _inject(world: World, fault: Fault) -> None:
     await asyncio.sleep(fault.at_ms / 1_000)
     await _INJECTORS[fault.kind](world, fault.for_ms / 1_000)
@@ -131,6 +136,17 @@
     await world.start_process(process.name)
 
 
+async def _kill_owner(world: World, duration_s: float) -> None:
+    """Kill the owner of the first pool."""
+    pool = next(iter(world.scenario.machines))
+    for process in world.live_processes():
+        if pool in process.node.owned_shards():
+            process.kill()
+            await asyncio.sleep(duration_s)
+            await world.start_process(process.name)
+            return
+
+
 async def _kill_all(world: World, duration_s: float) -> None:
     killed = world.live_processes()
     for process in killed:
@@ -427,6 +443,7 @@
 
 _INJECTORS: dict[str, Callable[[World, float], Awaitable[None]]] = {
     "kill": _kill,
+    "kill-owner": _kill_owner,
     "kill-all": _kill_all,
     "freeze": _pause,
     "roll": _restart_all,
--- a/support/sim/fleet.py
+++ b/support/sim/fleet.py
@@ -29,6 +29,8 @@
 # Commands under different epochs must not reach a machine within this time.
 LEASE_MS = 3_000
 _HEARTBEAT_TIMEOUT_MS = 2_300
+# Time after which a machine is back whose VM a task has crashed.
+_CRASH_RETURN_MS = 3_000
 
 
 @dataclasses.dataclass
@@ -239,7 +241,13 @@
             machine.rack,
             self._capacity,
         )
-        vm = vms_module.SimVm(report, self._clock, self._jobs, self._oracle)
+        vm = vms_module.SimVm(
+            report,
+            self._clock,
+            self._jobs,
+            self._oracle,
+            lambda vm: self.crash(vm, _CRASH_RETURN_MS),
+        )
         machine.vm = vm
         self._vms_by_id[report.vm] = vm
         self.registered[report.vm] = report
@@ -251,7 +259,9 @@
         machine.vm = None
         if vm is None:
             return
-        if machine.state is not machines.MachineState.DOWN:
+        if machine.state is machines.MachineState.DOWN:
+            self._oracle.record_crash(vm)
+        else:
             self._oracle.record_shutdown(vm)
         vm.power_off()
         loop_module.spawn(self._deregister(vm.report.vm, deregister_after_ms))
--- a/support/sim/load.py
+++ b/support/sim/load.py
@@ -60,6 +60,8 @@
             of a step's tasks differ.
         estimate_sigma: Sigma of the log-normal error of callers' estimates.
         failing_share: Share of jobs that fail on every VM.
+        crashing_share: Share of jobs of which one task crashes each VM that
+            starts it.
         checkpointing_share: Share of jobs whose tasks write checkpoints.
         max_attempts: Number of failed runs of a task after which its job fails.
         priority: Priority of the queue; 0 goes first.
@@ -87,6 +89,7 @@
     run_ms_sigma: float = 0.3
     estimate_sigma: float = 0.2
     failing_share: float = 0.0
+    crashing_share: float = 0.0
     checkpointing_share: float = 0.0
     max_attempts: int = 3
     priority: int = 0
@@ -227,4 +230,15 @@
         lifetime_ms=int(kind.lifetime_ms.sample(rng))
         if kind.lifetime_ms
         else 0,
+        crashing=_draw_crashing_tasks(kind, run_ms, rng),
     )
+
+
+def _draw_crashing_tasks(
+    kind: JobKind, run_ms: list[list[int]], rng: random.Random
+) -> frozenset[tuple[int, int]]:
+    # Other kinds draw nothing, so that their days stay the same.
+    if not kind.crashing_share or rng.random() >= kind.crashing_share:
+        return frozenset()
+    step = rng.randrange(len(run_ms))
+    return frozenset({(step, rng.randrange(len(run_ms[step])))})
--- a/support/sim/oracle.py
+++ b/support/sim/oracle.py
@@ -26,6 +26,12 @@
 _UNAVAILABLE_AFTER_MS = 4_500
 # Longest time without a run while a long-running task moves to another VM.
 _MAX_PAUSE_MS = 6_000
+# A crashing task may be started this many times more after so many VMs have
+# crashed under it.
+_CRASHES_BEFORE_LIMIT = 3
+_STARTS_AFTER_CRASHES = 2
+# A job with a crashing task may fail once so many VMs have crashed under it.
+_CRASHES_BEFORE_FAILURE = 2
 
 
 class VmView(Protocol):
@@ -53,6 +59,7 @@
         started_ms: When the run started.
         ended_ms: When the run ended; None while it is under way.
         kind: How the run ended; None while it is under way.
+        crashed_ms: When the VM crashed under the run; None if it has not.
         acknowledged: Whether the product has acknowledged the end, and the
             lease did not expire between the end and the acknowledgement.
     """
@@ -63,6 +70,7 @@
     started_ms: int
     ended_ms: int | None = None
     kind: task_module.EndKind | None = None
+    crashed_ms: int | None = None
     acknowledged: bool = False
 
 
@@ -154,6 +162,13 @@
                     self._check_availability(run)
                     self._mark_stopped_by_command(run.task)
 
+    def record_crash(self, vm: VmView) -> None:
+        """Record that a VM is about to end without a command."""
+        for runs in self._runs.values():
+            for run in runs:
+                if run.vm is vm and run.ended_ms is None:
+                    run.crashed_ms = self._now_ms()
+
     def record_acknowledgement(self, vm: VmView, end: vms.ListedEnd) -> None:
         """Record that the product has acknowledged the end of a run."""
         for run in self._runs[end.task]:
@@ -225,10 +240,34 @@
                 run,
                 f"starts {late_ms} ms after the cancellation grace period",
             )
+        self._check_crashes(run, earlier_runs, sim_job)
         if earlier_runs:
             all_runs = [*earlier_runs, run]
             self._check_run_sequence(run.task, all_runs)
 
+    def _check_crashes(
+        self, run: Run, earlier_runs: list[Run], sim_job: truth_module.SimJob
+    ) -> None:
+        if (run.task.step, run.task.position) not in sim_job.crashing:
+            return
+        crashes_ms = [
+            earlier.crashed_ms
+            for earlier in earlier_runs
+            if earlier.crashed_ms is not None
+        ]
+        if len(crashes_ms) < _CRASHES_BEFORE_LIMIT:
+            return
+        limited_from_ms = sorted(crashes_ms)[_CRASHES_BEFORE_LIMIT - 1]
+        starts = 1 + sum(
+            earlier.started_ms >= limited_from_ms for earlier in earlier_runs
+        )
+        if starts > _STARTS_AFTER_CRASHES:
+            self._record_violation(
+                "BUDGET",
+                run,
+                f"start {starts} after {_CRASHES_BEFORE_LIMIT} crashed VMs",
+            )
+
     def _check_step_order(self, run: Run, sim_job: truth_module.SimJob) -> None:
         step = sim_job.spec.steps[run.task.step]
         for required_step in step.after:
@@ -371,6 +410,18 @@
             )
             >= sim_job.queue.max_attempts
             for task in self._tasks(sim_job)
+        ) or any(
+            self._crash_count(sim_job, step, position)
+            >= _CRASHES_BEFORE_FAILURE
+            for step, position in sim_job.crashing
+        )
+
+    def _crash_count(
+        self, sim_job: truth_module.SimJob, step: int, position: int
+    ) -> int:
+        task = model.TaskId(sim_job.job, 0, step, position)
+        return sum(
+            run.crashed_ms is not None for run in self._runs.get(task, [])
         )
 
     def _record_violation(self, rule: str, run: Run, detail: str) -> None:
--- a/support/sim/scenarios.py
+++ b/support/sim/scenarios.py
@@ -10,6 +10,7 @@
 _POOL_NAMES = ("proofs", "colours", "letters", "covers")
 _POOLS = [ids.PoolId(name) for name in _POOL_NAMES]
 _PEAK_FACTOR = 4.0
+_SMALL_QUEUE = "proof-page"
 
 _SMALL = load.JobKind(
     "",
@@ -146,6 +147,26 @@
     return dataclasses.replace(small(seed), strong_processes=1)
 
 
+def crashing(seed: int = 1) -> world.Scenario:
+    """Return the small day, for 10 s, with tasks that crash their VMs.
+
+    One task of a tenth of the small jobs crashes each VM that starts it.
+
+    Args:
+        seed: Seed of all random numbers.
+    """
+    scenario = small(seed, length_ms=10_000)
+    return dataclasses.replace(
+        scenario,
+        kinds=[
+            dataclasses.replace(kind, crashing_share=0.1)
+            if kind.name == _SMALL_QUEUE
+            else kind
+            for kind in scenario.kinds
+        ],
+    )
+
+
 def small(seed: int = 1, length_ms: int = 8_000) -> world.Scenario:
     """Return a day of two pools under light load, for tests with faults.
 
@@ -165,7 +186,7 @@
     kinds = [
         _make_kind(
             dataclasses.replace(_SMALL, failing_share=0.05),
-            "proof-page",
+            _SMALL_QUEUE,
             0,
             2.0,
         ),
--- a/support/sim/truth.py
+++ b/support/sim/truth.py
@@ -21,6 +21,8 @@
         worth: Value of a job of mean size that is on time.
         run_ms: Actual run time of each task, by step and position.
         fails: Whether every run of the job fails.
+        crashing: Steps and positions of the tasks that crash each VM that
+            starts them.
         sent_ms: When the job was first sent.
         lifetime_ms: Time from acceptance to cancellation of a long-running
             job; 0 for other jobs.
@@ -41,6 +43,7 @@
     worth: float
     run_ms: list[list[int]]
     fails: bool = False
+    crashing: frozenset[tuple[int, int]] = frozenset()
     sent_ms: int = 0
     lifetime_ms: int = 0
     accepted_ms: int = 0
@@ -59,11 +62,13 @@
     def is_open(self) -> bool:
         """Return whether the job was accepted and has not ended yet.
 
-        Long-running jobs never count as open.
+        Long-running jobs never count as open, nor do jobs with crashing tasks,
+        which are owed nothing.
         """
         return (
             bool(self.accepted_ms)
             and not self.long_running
+            and not self.crashing
             and not self.final_state
         )
 
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -28,6 +28,8 @@
 _CHECKPOINT_INTERVAL_MS = 500
 _RESTORE_MS = 100
 _LATE_DELAY_MS = (2_000, 12_000)
+# Time after which a crashing task ends its VM.
+_CRASH_DELAY_S = 0.01
 
 
 class Health(enum.Enum):
@@ -54,6 +56,7 @@
         clock: Clock of the VM.
         jobs: Jobs with their actual behaviour.
         oracle: Oracle that records all starts and ends.
+        crash: Crashes the VM; called when it has started a crashing task.
 
     Attributes:
         health: Whether tasks end normally, fail or hang.
@@ -70,8 +73,10 @@
         clock: clock_module.Clock,
         jobs: truth_module.Jobs,
         oracle: "oracle_module.Oracle",
+        crash: Callable[["SimVm"], None],
     ) -> None:
         super().__init__(vm_report, clock)
+        self._crash = crash
         self.health = Health.HEALTHY
         self.slowdown_factor = 1.0
         self.partitioned: set[str] = set()
@@ -169,6 +174,14 @@
         checkpoint_ms = int(command.checkpoint) if command.checkpoint else 0
         execution = _Execution(now_ms, checkpoint_ms, total_ms, None)
         self._executions[task] = execution
+        if (task.step, task.position) in sim_job.crashing:
+            execution.timer = asyncio.get_running_loop().call_later(
+                _CRASH_DELAY_S,
+                self._crash,
+                self,
+                context=loop_module.context(""),
+            )
+            return
         if step.long_running or self.health is Health.HANGS:
             return
         kind = task_module.EndKind.DONE
