--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -6,12 +6,16 @@
 import argparse
 import asyncio
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 from typing import Any
 from unittest import mock
 
+from support.sim import faults
+from support.sim import scenarios
 from support.sim import soak
+from support.sim import world as world_module
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import node
 from wagtailtiller.jobs import job
@@ -24,8 +28,10 @@
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.owner import requests
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import session
 from wagtailtiller.scheduling import reconciler
 from wagtailtiller.scheduling import stop_planner
+from wagtailtiller.scheduling import vm as vm_module
 from wagtailtiller.scheduling import vm_tracker
 
 
@@ -96,6 +102,23 @@
     """Discard the runs of a VM's previous instance."""
 
 
+def _count_from_expiry(self: pool_owner.PoolOwner) -> int:
+    """Assume that the previous owner's lease has expired by itself."""
+    time_left_ms = pool_owner.LEASE_RENEWAL_TIMEOUT_MS - session.LEASE_TTL_MS
+    lease_ms = int(self._lease_ms / vm_module.MIN_CLOCK_RATE)
+    return self._clock.monotonic_ms() + time_left_ms + lease_ms
+
+
+def _play_random_faults(seed: int) -> world_module.World:
+    return soak.simulate(seed)[1]
+
+
+def _play_revocation(seed: int) -> world_module.World:
+    return world_module.simulate(
+        scenarios.small(seed), faults.schedule(faults.revocation())
+    )
+
+
 _MUTANTS: dict[str, list[tuple[object, str, object]]] = {
     "jobs are accepted before they are stored": [
         (requests.RequestHandler, "_submit", _accept_before_commit)
@@ -116,6 +139,9 @@
             lambda self: self._clock.monotonic_ms(),
         )
     ],
+    "a new owner takes a revoked lease for an expired one": [
+        (pool_owner.PoolOwner, "_previous_lease_end_ms", _count_from_expiry)
+    ],
     "tokens are never raised": [
         (vm_tracker.VmTracker, "raise_token", lambda self, vm: vm.token)
     ],
@@ -196,6 +222,12 @@
 }
 
 
+# Days of the mutants that random faults would seldom detect.
+_DAYS: dict[str, Callable[[int], world_module.World]] = {
+    "a new owner takes a revoked lease for an expired one": _play_revocation,
+}
+
+
 @contextlib.contextmanager
 def mutated(name: str) -> Iterator[None]:
     """Apply a mutant within a context.
@@ -221,9 +253,10 @@
         Number of days run and the names of the violated rules; 0 and an empty
         text if no day violated a guarantee.
     """
+    play = _DAYS.get(name, _play_random_faults)
     with mutated(name):
         for number in range(days):
-            _, world = soak.simulate(first_seed + number)
+            world = play(first_seed + number)
             rules = collections.Counter(
                 line.partition(" ")[0] for line in world.oracle.violations
             )
--- a/tests/sim/test_revocation.py
+++ b/tests/sim/test_revocation.py
@@ -3,6 +3,7 @@
 import testtools
 
 from support.sim import faults
+from support.sim import mutants
 from support.sim import scenarios
 from support.sim import world
 
@@ -22,3 +23,12 @@
                 scenarios.small(seed), faults.schedule(faults.revocation())
             )
             self.assertEqual([], simulated.oracle.violations, f"seed {seed}")
+
+    def test_a_wait_that_counts_from_an_expiry_is_detected(self):
+        """Guards against an oracle that misses runs at the same time."""
+        _, rules = mutants.find_violation(
+            "a new owner takes a revoked lease for an expired one",
+            days=2,
+            first_seed=_SEEDS[0],
+        )
+        self.assertEqual("TWICE", rules)
