Excuse no start before the lease of an ended run is over

A task may be started again if its VM's lease expires between the end of a run and the acknowledgement. The oracle excused each start after such an end, also one before the lease had expired: it only kept that the lease was over at the acknowledgement, on a VM with or without runs.

An acknowledgement checks all later starts, not only the last one.

--- a/support/sim/oracle.py
+++ b/support/sim/oracle.py
@@ -40,12 +40,10 @@
     Attributes:
         report: Registration of the VM.
         dead: Whether the VM instance has ended.
-        lease_expired_ms: When the lease was last found expired.
     """
 
     report: vms.VmReport
     dead: bool
-    lease_expired_ms: int
 
 
 @dataclasses.dataclass
@@ -60,8 +58,10 @@
         ended_ms: When the run ended; None while it is under way.
         kind: How the run ended; None while it is under way.
         crashed_ms: When the VM crashed under the run; None if it has not.
-        acknowledged: Whether the product has acknowledged the end, and the
-            lease did not expire between the end and the acknowledgement.
+        acknowledged_ms: When the product acknowledged the end; None if it has
+            not.
+        lapsed_ms: When the VM's lease expired after the end and before its
+            acknowledgement; None if it has not.
     """
 
     task: model.TaskId
@@ -71,7 +71,26 @@
     ended_ms: int | None = None
     kind: task_module.EndKind | None = None
     crashed_ms: int | None = None
-    acknowledged: bool = False
+    acknowledged_ms: int | None = None
+    lapsed_ms: int | None = None
+
+    def counts_for(self, later: "Run") -> bool:
+        """Return whether the product had to know this end at a later start.
+
+        The task may be started again if the lease expires between the end of
+        the run and the acknowledgement. VMs may execute such a start late.
+        """
+        if self.acknowledged_ms is None or self.ended_ms is None:
+            return False
+        if self.ended_ms >= later.started_ms:
+            return False
+        excused = (
+            self.lapsed_ms is not None
+            and self.lapsed_ms
+            <= later.started_ms
+            <= self.acknowledged_ms + _MAX_COMMAND_DELAY_MS
+        )
+        return not excused
 
 
 @dataclasses.dataclass
@@ -173,11 +192,21 @@
         """Record that the product has acknowledged the end of a run."""
         for run in self._runs[end.task]:
             if run.vm is vm and run.number == end.number:
-                # The task may be started again if the lease expires between
-                # the end of the run and the acknowledgement.
-                lease_expired = vm.lease_expired_ms > (run.ended_ms or 0)
-                run.acknowledged = not lease_expired
-                self._check_later_starts(end.task)
+                run.acknowledged_ms = self._now_ms()
+                self._check_later_starts(run)
+
+    def record_lapse(self, vm: VmView, lapsed_ms: int) -> None:
+        """Record that the lease of a VM has expired.
+
+        Args:
+            vm: VM whose lease has expired, with or without runs.
+            lapsed_ms: When it expired.
+        """
+        for runs in self._runs.values():
+            for run in runs:
+                open_end = run.ended_ms is not None and not run.acknowledged_ms
+                if run.vm is vm and open_end and run.lapsed_ms is None:
+                    run.lapsed_ms = lapsed_ms
 
     def record_final_state(
         self, sim_job: truth_module.SimJob, state: model.JobState
@@ -276,8 +305,11 @@
                 if not self._is_done(task):
                     self._record_violation("ORDER", run, f"{task} is not done")
 
-    def _check_later_starts(self, task: model.TaskId) -> None:
-        self._check_run_sequence(task, self._runs[task])
+    def _check_later_starts(self, ended: Run) -> None:
+        runs = self._runs[ended.task]
+        for index, run in enumerate(runs):
+            if run.started_ms > (ended.ended_ms or 0):
+                self._check_run_sequence(ended.task, runs[: index + 1])
 
     def _check_run_sequence(self, task: model.TaskId, runs: list[Run]) -> None:
         sim_job = self._jobs.get(task.job)
@@ -285,12 +317,7 @@
             return
         latest = runs[-1]
         ended_runs = [
-            run
-            for run in runs
-            if run is not latest
-            and run.acknowledged
-            and run.ended_ms is not None
-            and run.ended_ms < latest.started_ms
+            run for run in runs if run is not latest and run.counts_for(latest)
         ]
         if any(run.kind is task_module.EndKind.DONE for run in ended_runs):
             self._record_violation(
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -64,7 +64,6 @@
         partitioned: Processes that cannot reach the VM.
         late_share: Share of commands that are delayed.
         dead: Whether the instance has ended.
-        lease_expired_ms: When the lease was last found expired.
     """
 
     def __init__(
@@ -82,7 +81,7 @@
         self.partitioned: set[str] = set()
         self.late_share = 0.0
         self.dead = False
-        self.lease_expired_ms = 0
+        self._lapsed_lease_ms = 0
         self._jobs = jobs
         self._oracle = oracle
         self._executions: dict[model.TaskId, _Execution] = {}
@@ -96,8 +95,11 @@
 
     def expire(self) -> None:
         """End all runs if the lease has expired."""
-        if self._clock.monotonic_ms() >= self.lease_until_ms:
-            self.lease_expired_ms = self._clock.monotonic_ms()
+        lease_ms = self.lease_until_ms
+        lapsed = self._clock.monotonic_ms() >= lease_ms
+        if lapsed and lease_ms != self._lapsed_lease_ms:
+            self._lapsed_lease_ms = lease_ms
+            self._oracle.record_lapse(self, lease_ms)
         super().expire()
 
     def power_off(self) -> None:
--- a/tests/sim/test_revocation.py
+++ b/tests/sim/test_revocation.py
@@ -31,4 +31,18 @@
             days=2,
             first_seed=_SEEDS[0],
         )
+        self.assertIn("TWICE", rules)
+
+    def test_a_start_before_the_lease_of_an_ended_run_is_over_is_detected(self):
+        """Guards against an oracle that excuses starts before a lapse.
+
+        On this day, tasks are started again whose runs have ended on VMs out
+        of reach, before the leases on these VMs are over. None runs twice at
+        the same time.
+        """
+        _, rules = mutants.find_violation(
+            "a new owner takes a revoked lease for an expired one",
+            days=1,
+            first_seed=5,
+        )
         self.assertEqual("TWICE", rules)
