Let a large gang have its turn, and look at no VM for suspects that wait

Cause: a gang that needs more kept VMs than the limit waited until no other suspect had one, while younger ones took each VM that became free. Each suspect that waited for its turn was compared with all VMs in each plan. Change: once the oldest unit is held up by the limit, younger ones get no VM; those that wait for their turn are skipped before any VM is looked at.

--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -234,6 +234,8 @@
         started: list[commands.Start] = []
         spread = open_candidates.spread(step_run, self._state.vms)
         for task in waiting:
+            if self._isolation.waits_for_turn(task):
+                continue
             if not self._is_within_allocation(entry, step_run):
                 break
             chosen = open_candidates.choose(task, spread=spread)
--- a/src/wagtailtiller/scheduling/suspects.py
+++ b/src/wagtailtiller/scheduling/suspects.py
@@ -150,6 +150,7 @@
         self._is_active = False
         self._searched_ms: int | None = None
         self._open_vms: list[vm_module.Vm] = []
+        self._kept_units: set[model.TaskId] = set()
         self._kept_steps: set[tuple[model.JobId, int, int]] = set()
         self._attempts: dict[model.TaskId, _Attempt] = {}
 
@@ -182,6 +183,14 @@
             step_run.tasks[0].id[:3] in self._kept_steps
         )
 
+    def waits_for_turn(self, task: task_module.Task) -> bool:
+        """Return whether no VM is kept for a waiting task that needs one."""
+        return (
+            self._is_active
+            and needs_isolation(task)
+            and isolated_unit(task) not in self._kept_units
+        )
+
     def update(
         self,
         waiting: list[list[task_module.Task]],
@@ -205,15 +214,40 @@
         self._attempts = {
             unit: self._attempts.get(unit) or _Attempt() for unit in units
         }
+        self._keep_in_turn(units, vms, open_vms, now_ms)
+        kept = {vm.isolates for vm in vms if vm.isolates is not None}
+        self._kept_units = kept & units.keys()
+        self._kept_steps = {unit[:3] for unit in self._kept_units}
+        self._is_active = bool(kept or units)
+
+    def _keep_in_turn(
+        self,
+        units: dict[model.TaskId, list[task_module.Task]],
+        vms: Collection[vm_module.Vm],
+        open_vms: list[vm_module.Vm],
+        now_ms: int,
+    ) -> None:
         limit = max(1, len(open_vms) // _KEPT_DIVISOR)
+        used = {vm.report.vm: vm.isolates for vm in vms if _is_used(vm)}
+        has_turn = True
         for unit, tasks in units.items():
             if now_ms < self._attempts[unit].retry_ms:
                 continue
-            used = sum(_is_used(vm) and vm.isolates != unit for vm in vms)
-            self._keep(unit, tasks, open_vms, limit - used, not used, now_ms)
-        kept = {vm.isolates for vm in vms if vm.isolates is not None}
-        self._kept_steps = {unit[:3] for unit in kept & units.keys()}
-        self._is_active = bool(kept or units)
+            own = [vm for vm in open_vms if vm.isolates == unit]
+            if not own and not has_turn:
+                continue
+            others = sum(other != unit for other in used.values())
+            if not own and others >= limit:
+                has_turn = False
+                continue
+            chosen = self._choose(unit, tasks, own, open_vms, now_ms)
+            # A gang that needs more VMs than the limit starts once no other
+            # unit has one, and those after it wait until then.
+            if others and len(chosen) + others > limit:
+                chosen = []
+                has_turn = False
+            self._keep(unit, own, chosen, now_ms)
+            used = {vm.report.vm: vm.isolates for vm in vms if _is_used(vm)}
 
     def _release(
         self,
@@ -245,27 +279,15 @@
     def _keep(
         self,
         unit: model.TaskId,
-        tasks: list[task_module.Task],
-        open_vms: list[vm_module.Vm],
-        limit: int,
-        is_first: bool,
+        own: list[vm_module.Vm],
+        chosen: list[vm_module.Vm],
         now_ms: int,
     ) -> None:
-        """Keep VMs for one unit, those that are kept for it already first.
+        """Keep the chosen VMs for a unit instead of its own ones.
 
-        Args:
-            unit: Unit that waits.
-            tasks: Its tasks.
-            open_vms: VMs that accept new tasks.
-            limit: Number of VMs that may be kept for it.
-            is_first: Whether no VM is kept for another unit. A gang that needs
-                more VMs than the limit would otherwise never start.
-            now_ms: Current time, on the owner's clock.
+        They are released again if the unit does not start although they are
+        free.
         """
-        own = [vm for vm in open_vms if vm.isolates == unit]
-        chosen = self._choose(unit, tasks, own, open_vms, now_ms)
-        if len(chosen) > limit and not (is_first and chosen):
-            chosen = []
         for vm in own:
             if vm not in chosen:
                 vm.isolates = None
@@ -292,9 +314,22 @@
         now_ms: int,
     ) -> list[vm_module.Vm]:
         """Return VMs that together have room for a unit; empty if none have."""
+        chosen: list[vm_module.Vm] = []
+        missing = len(tasks)
+        for vm in own:
+            room = _room_alone(vm, tasks[0], missing)
+            if room and missing:
+                chosen.append(vm)
+                missing -= room
+        if not missing:
+            return chosen
         tried = self._attempts[unit].tried
         others = sorted(
-            (vm for vm in open_vms if vm.isolates is None),
+            (
+                vm
+                for vm in open_vms
+                if vm.isolates is None and _room_alone(vm, tasks[0], 1)
+            ),
             key=lambda vm: (
                 vm.report.vm in tried,
                 vm.on_probation,
@@ -303,13 +338,9 @@
                 _free_ms(vm, unit, now_ms),
             ),
         )
-        chosen: list[vm_module.Vm] = []
-        missing = len(tasks)
-        for vm in (*own, *others):
-            room = _room_alone(vm, tasks[0], missing)
-            if room:
-                chosen.append(vm)
-                missing -= room
+        for vm in others:
+            chosen.append(vm)
+            missing -= _room_alone(vm, tasks[0], missing)
             if not missing:
                 return chosen
         return []
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -361,6 +361,21 @@
         self.assertEqual({"vm-01": suspect}, started)
 
 
+class CostTest(SuspectsTest):
+    def test_suspects_that_wait_for_their_turn_look_at_no_vm(self):
+        """Load pattern: dozens of suspects on 60 VMs, planned every 8 ms."""
+        all_vms = self.add_vms(60)
+        for number in range(60):
+            self.add_suspect(f"{number:03}", "gone-1", "gone-2")
+        self.assertEqual(15, len(self.started()))
+        looked_at = []
+        vm_class = type(all_vms[0])
+        for name in ("fits", "room_beside"):
+            self.patch(vm_class, name, lambda *args: looked_at.append(args))
+        self.pool.plan()
+        self.assertEqual([], looked_at)
+
+
 class GangTest(SuspectsTest):
     def test_suspected_gang_shares_a_vm_with_no_other_short_task(self):
         """Its members crash VMs one after the other, or together."""
@@ -398,6 +413,24 @@
             for other in self.beside(member):
                 self.assertEqual(entry.job.id, other.id.job)
 
+    def test_large_gang_is_not_overtaken_for_ever(self):
+        """Single suspects that come one after the other kept its VMs."""
+        self.add_vms(8)
+        singles = [self.add_suspect(n, "gone-1", "gone-2") for n in "01"]
+        self.started()
+        self.clock.advance(1_000)
+        entry = self.add_job("a", jobs.step(12, gang=True))
+        members = entry.job.steps(0)[0].tasks
+        self.suspect(members[0], "gone-1", "gone-2")
+        for name in "bcdefg":
+            self.clock.advance(1_000)
+            self.add_suspect(name, "gone-1", "gone-2")
+        # The two isolated tasks end one after the other.
+        for single in singles[:2]:
+            self.end(self.pool.vms[single.run.vm], single.run, _DONE)
+            self.started()
+        self.assertNotIn(None, [member.run for member in members])
+
 
 class LongRunningTest(SuspectsTest):
     def test_long_running_suspect_blocks_its_vm_for_ten_seconds(self):
