Let no other write store the crashes that a test waits for

The tests of crashes that are stored at once passed as well if the end of a run had the job stored. The VM that comes back now stays silent, so that only the crash can cause the write.

--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -1058,7 +1058,8 @@
             await self.submit(owner)
             vm = self.replace_vm(owner, "vm-1")
             await self.until(lambda: vm.running)
-            self.replace_vm(owner, "vm-2")
+            # No run ends, which would have the job stored as well.
+            self.replace_vm(owner, "vm-2").unresponsive = True
             await self.until(lambda: list(self.stored_job().crashed_tasks()))
             await owner.stop()
 
@@ -1073,7 +1074,7 @@
             vm = self.replace_vm(owner, "vm-1")
             vm.delay_starts = True
             await self.until(lambda: len(vm.delayed_starts) == 2)
-            self.replace_vm(owner, "vm-2")
+            self.replace_vm(owner, "vm-2").unresponsive = True
             await self.until(
                 lambda: len(list(self.stored_job().crashed_tasks())) == 2
             )
