Start tasks that need none of an exceeded resource

Cause: Vm.fits compared a need of zero with the free amount, which is negative after the capacity has shrunk below what runs. A VM that lost its GPUs while they were in use got no tasks at all; Vm.room already skipped such needs. Change: a need of zero always fits.

--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -240,13 +240,22 @@
         """
         capacity = self.report.capacity
         cpu = 0 if step.filler else step.cpu_millicores
-        cpu_fits = cpu * count <= capacity.cpu_millicores - self._cpu_used
+        memory_mb = step.memory_mb
+        gpu_count = step.gpu_count
+        # The free amount is negative while the runs need more than a capacity
+        # that has shrunk; a task that needs none of it adds nothing to that.
         return (
-            (cpu_fits or not cpu)
+            (not cpu or cpu * count <= capacity.cpu_millicores - self._cpu_used)
             and (not self.on_probation or self._accepts_probe(step, count))
-            and step.memory_mb * count
-            <= capacity.memory_mb - self._memory_used_mb
-            and step.gpu_count * count <= capacity.gpu_count - self._gpu_used
+            and (
+                not memory_mb
+                or memory_mb * count
+                <= capacity.memory_mb - self._memory_used_mb
+            )
+            and (
+                not gpu_count
+                or gpu_count * count <= capacity.gpu_count - self._gpu_used
+            )
             and self._has_label(step)
         )
 
