Check waiting starts against the capacity of the moment

Cause: a start waits for its turn behind three others of its VM and 128 of the pool. StartSender._may_start asked for ownership, job and VM again, but not for room, so that starts planned before a report with less capacity were sent. Change: Vm.still_fits counts the runs whose start was sent or is unknown, and the run itself; it is asked right before the start is sent, without an await in between. Starts that still wait do not count. The turns follow the order of the plan, so the starts of the lowest rank give way, and a smaller start may use the room behind a larger one that gives way. A start that gives way was never sent, so its task waits again under the same run number.

--- a/src/wagtailtiller/jobs/task.py
+++ b/src/wagtailtiller/jobs/task.py
@@ -64,6 +64,7 @@
         first_percent: Progress at that time.
         adopted: Whether a previous owner has started the run, so that its run
             time is not known.
+        sent: Whether this owner has sent the start command.
         peer_run_ms: Median run time of the same step's tasks on other VMs; 0
             if it is not known.
     """
@@ -84,6 +85,7 @@
     first_percent: int = 0
     peer_run_ms: int = 0
     adopted: bool = False
+    sent: bool = False
 
     def observed_ms(self) -> int:
         """Return the time between the first and the last listing of the run."""
--- a/src/wagtailtiller/owner/start_sender.py
+++ b/src/wagtailtiller/owner/start_sender.py
@@ -126,6 +126,7 @@
             run.task.checkpoint,
             command.ticket,
         )
+        run.sent = True
         response = await self._client.start(start_command)
         took_ms = self._clock.monotonic_ms() - now_ms
         self._log_start(run, token, response.outcome.value, took_ms)
@@ -154,6 +155,7 @@
             and self._vm.runs.get(run.task.id) is run
             and self._vm.open_for_starts(now_ms)
             and not self._vm.is_held_back(now_ms)
+            and self._vm.still_fits(run)
         )
 
     def _log_start(
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -87,6 +87,10 @@
     return not (step.long_running or step.filler or step.gang)
 
 
+def _waits_for_start(run: task_module.Run) -> bool:
+    return run.phase is task_module.RunPhase.STARTING and not run.sent
+
+
 class Vm:
     """A VM instance, as the owner of its pool tracks it.
 
@@ -284,6 +288,39 @@
                 limit = min(limit, free // need)
         return max(0, limit)
 
+    def still_fits(self, run: task_module.Run) -> bool:
+        """Return whether a run that waits for its start fits at the moment.
+
+        The report may have changed since the run was planned. Other runs that
+        wait for their starts do not count, nor do reservations, so that starts
+        give way in the reverse order of their turns.
+
+        Args:
+            run: Run on the VM whose start command has not been sent.
+        """
+        capacity = self.report.capacity
+        if (
+            self._cpu_used <= capacity.cpu_millicores
+            and self._memory_used_mb <= capacity.memory_mb
+            and self._gpu_used <= capacity.gpu_count
+        ):
+            return True
+        steps = [
+            other.task.step
+            for other in self.runs.values()
+            if other is run or not _waits_for_start(other)
+        ]
+        step = run.task.step
+        cpu = sum(each.cpu_millicores for each in steps if not each.filler)
+        memory_mb = sum(each.memory_mb for each in steps)
+        gpu_count = sum(each.gpu_count for each in steps)
+        needs_cpu = step.cpu_millicores and not step.filler
+        return (
+            (not needs_cpu or cpu <= capacity.cpu_millicores)
+            and (not step.memory_mb or memory_mb <= capacity.memory_mb)
+            and (not step.gpu_count or gpu_count <= capacity.gpu_count)
+        )
+
     def add(self, run: task_module.Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task.id] = run
