Count orphan runs until a listing lacks them

Cause: no start went to a VM for 1.2 s after a listing with an orphan run, and then its room counted as free. A stop without an answer, or one that takes longer than the pause while listings are late (a listing may take 1.7 s), let a start exceed the capacity. Change: the orphan runs of the latest listing whose jobs are known count like runs, also on a new instance until its first listing, and until the lease of an unresponsive VM has expired. Beside runs of unknown jobs, whose needs are not known, nothing starts until a listing lacks them. The pause is gone: a VM keeps working beside an orphan run if there is room. New tests of cases that held before: runs of a previous owner, starts without an answer, runs that are being stopped, and listings that are not complete.

--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -14,8 +14,6 @@
 # Time for which nothing starts on a VM after it refused a start because it was
 # full or unhealthy.
 _REFUSAL_PAUSE_MS = 200
-# Time for which nothing starts on a VM after a command to stop an orphan run.
-_ORPHAN_PAUSE_MS = 1_200
 
 
 class RunReconciler:
@@ -133,13 +131,9 @@
         }
         for listed_run in listing.running:
             issued.extend(self._reconcile_run(vm, listed_run))
-        vm.orphan_tasks = self._orphan_tasks(issued)
-        if issued:
-            # An orphan run occupies capacity that no tracked run accounts for
-            # until it has stopped.
-            vm.avoid_until_ms = (
-                self._state.clock.monotonic_ms() + _ORPHAN_PAUSE_MS
-            )
+        orphan_tasks = self._orphan_tasks(issued)
+        # Each command so far stops one orphan run.
+        vm.set_orphans(orphan_tasks, len(orphan_tasks) < len(issued))
         if listing.is_complete and len(listing.ended) < vms.MAX_LISTED_ENDS:
             self._remove_unlisted(vm, token, sent_ms, running)
         issued.extend(self._set_speeds(vm))
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -121,7 +121,7 @@
             vm: VM whose runs are discarded.
             reason: Reason, as logged.
         """
-        vm.orphan_tasks = []
+        vm.set_orphans([], has_unknown=False)
         for run in list(vm.runs.values()):
             events.emit(
                 events.Event.RUN_LOST,
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -112,7 +112,7 @@
             moved to other VMs.
         moves_all_until_ms: Time until which all tasks are moved to other VMs.
         avoid_until_ms: Time until which nothing starts on the VM because it has
-            refused a start or runs an orphan run.
+            refused a start.
         slow_until_ms: Time until which the VM gets no tasks because it is slow.
         straggles_until_ms: Time until which runs on the VM count as stragglers,
             be it used or not.
@@ -131,7 +131,10 @@
             was applied.
         throttle: Throttle of the fillers on the VM.
         registered: Whether the VM is in the platform's list.
-        orphan_tasks: Tasks of the orphan runs in the latest listing.
+        orphan_tasks: Tasks of the orphan runs in the latest listing, which
+            count like runs.
+        has_unknown_runs: Whether the latest listing has runs of unknown jobs.
+            Nothing starts beside them, since their needs are not known.
     """
 
     def __init__(self, report: vms.VmReport, token: int) -> None:
@@ -159,6 +162,7 @@
         self.throttle = throttling.FillerThrottle()
         self.registered = True
         self.orphan_tasks: list[task_module.Task] = []
+        self.has_unknown_runs = False
         self._held_since_ms = 0
         self._held_until_ms = 0
         self._reservations: dict[model.TaskId, _Reservation] = {}
@@ -188,6 +192,7 @@
             self.status is VmStatus.USABLE
             and self.registered
             and not self.draining
+            and not self.has_unknown_runs
             and now_ms >= self.closed_until_ms
             and now_ms >= self.avoid_until_ms
         )
@@ -310,6 +315,7 @@
             for other in self.runs.values()
             if other is run or not _waits_for_start(other)
         ]
+        steps.extend(task.step for task in self.orphan_tasks)
         step = run.task.step
         cpu = sum(each.cpu_millicores for each in steps if not each.filler)
         memory_mb = sum(each.memory_mb for each in steps)
@@ -332,6 +338,22 @@
             del self.runs[run.task.id]
             self._adjust_usage(run.task.step, -1)
 
+    def set_orphans(
+        self, tasks: list[task_module.Task], has_unknown: bool
+    ) -> None:
+        """Replace the orphan runs that take room on the VM.
+
+        Args:
+            tasks: Tasks of the orphan runs whose jobs are known.
+            has_unknown: Whether there are runs of unknown jobs.
+        """
+        for task in self.orphan_tasks:
+            self._adjust_usage(task.step, -1)
+        for task in tasks:
+            self._adjust_usage(task.step, 1)
+        self.orphan_tasks = tasks
+        self.has_unknown_runs = has_unknown
+
     def reserve(self, task: task_module.Task, until_ms: int) -> None:
         """Keep room for a task that is being stopped on another VM.
 
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -53,7 +53,7 @@
         # old one; its first listing under a higher token shows which.
         new.token = old.token + 1
         new.lease.min_expiry_ms = old.lease.expiry_ms()
-        new.orphan_tasks = old.orphan_tasks
+        new.set_orphans(old.orphan_tasks, old.has_unknown_runs)
         new.on_probation = old.on_probation
         new.progress_ends_probation = old.progress_ends_probation
         new.probation_since_ms = old.probation_since_ms
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -11,6 +11,7 @@
 from support import fake_vms
 from support import jobs
 from wagtailtiller.jobs import model
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import pool as pool_module
@@ -120,3 +121,130 @@
         self.report(vm, 2_000, 8_000, 2)
         self.add_job("b", gang)
         self.assertEqual([], self.start_all())
+
+
+class OrphanRunsTest(CapacityTest):
+    """A stop can take longer than the pause after its command was sent."""
+
+    def orphan(self, name="a", **fields):
+        """Return a listed run of a cancelled job that is not tracked."""
+        entry = self.add_job(name, jobs.step(**fields))
+        self.pool.jobs.cancel(entry.job.id)
+        task = model.TaskId(entry.job.id, 0, 0, 0)
+        return vms.ListedRun(task, 1, "", 10, 0)
+
+    def wait(self):
+        self.clock.advance(1_300)
+
+    def test_orphan_run_counts_until_a_listing_lacks_it(self):
+        """Guards against starts beside an orphan run whose stop takes long."""
+        vm = self.add_vm()
+        (stop,) = self.list_runs(vm, self.orphan(cpu_millicores=6_000))
+        self.assertIsInstance(stop, commands.StopOrphan)
+        self.add_job("b", jobs.step(cpu_millicores=3_000))
+        self.wait()
+        self.assertEqual([], self.start_all())
+        self.list_runs(vm)
+        self.assertEqual(["b"], self.start_all())
+
+    def test_task_that_fits_beside_an_orphan_run_starts(self):
+        """Guards against a VM that is left idle while an orphan run stops."""
+        vm = self.add_vm()
+        self.list_runs(vm, self.orphan(cpu_millicores=6_000))
+        self.add_job("b", jobs.step(cpu_millicores=2_000))
+        self.assertEqual(["b"], self.start_all())
+
+    def test_nothing_starts_beside_a_run_of_an_unknown_job(self):
+        """Guards against starts beside a run whose needs are not known."""
+        vm = self.add_vm()
+        task = model.TaskId(model.JobId("x" * 16), 0, 0, 0)
+        self.list_runs(vm, vms.ListedRun(task, 1, "", 10, 0))
+        self.add_job("b", jobs.step())
+        self.wait()
+        self.assertEqual([], self.start_all())
+        self.list_runs(vm)
+        self.assertEqual(["b"], self.start_all())
+
+    def test_orphan_runs_of_the_previous_instance_count_on_the_new_one(self):
+        """Guards against a new instance that seems to be empty."""
+        old = self.add_vm()
+        self.list_runs(old, self.orphan(cpu_millicores=6_000))
+        new = self.pool.vm_tracker.register(
+            msgspec.structs.replace(old.report, born_ms=2)
+        )
+        self.assertEqual(2_000, new.free_cpu)
+        self.list_runs(new)
+        self.assertEqual(8_000, new.free_cpu)
+
+    def test_orphan_runs_do_not_count_after_their_lease(self):
+        """Guards against room that is lost with a VM that was cut off."""
+        vm = self.add_vm()
+        self.list_runs(vm, self.orphan(cpu_millicores=6_000))
+        self.pool.vm_tracker.mark_unresponsive(vm)
+        self.clock.advance(60_000)
+        self.pool.vm_tracker.expire_leases()
+        self.assertEqual(8_000, vm.free_cpu)
+
+    def test_runs_of_a_previous_owner_count_before_the_first_start(self):
+        """Guards against starts on a VM before its runs are known."""
+        report = fake_vms.report("vm-1", capacity=_FULL)
+        vm = self.pool.vm_tracker.register(report)
+        self.add_job("a", jobs.step(cpu_millicores=6_000))
+        self.add_job("b", jobs.step(cpu_millicores=3_000))
+        self.assertEqual([], self.start_all())
+        task = model.TaskId(model.JobId("a" * 16), 0, 0, 0)
+        self.list_runs(vm, vms.ListedRun(task, 1, "", 10, 0))
+        self.assertEqual([], self.start_all())
+        self.assertEqual(2_000, vm.free_cpu)
+
+
+class UnknownStartsTest(CapacityTest):
+    def test_start_without_answer_counts_until_a_later_listing(self):
+        """Guards against room that a late start takes after all."""
+        vm = self.add_vm()
+        self.add_job("a", jobs.step(cpu_millicores=6_000))
+        (start,) = self.pool.plan()
+        reconciler = self.pool.run_reconciler
+        reconciler.apply_start_outcome(
+            vm, start.run, vms.CommandOutcome.UNANSWERED
+        )
+        self.add_job("b", jobs.step(cpu_millicores=3_000))
+        old_token = vm.token
+        self.pool.vm_tracker.raise_token(vm)
+        listing = vms.Listing(self.clock.now_ms + 1, 1, (), ())
+        reconciler.apply_listing(vm, old_token, self.clock.now_ms, listing)
+        self.assertEqual([], self.start_all())
+        listing = vms.Listing(self.clock.now_ms + 2, 1, (), ())
+        reconciler.apply_listing(vm, vm.token, self.clock.now_ms, listing)
+        self.assertEqual(1, len(self.start_all()))
+
+    def test_run_that_is_being_stopped_counts_until_its_end_is_listed(self):
+        """Guards against starts in place of a run that has not ended."""
+        vm = self.add_vm()
+        entry = self.add_job("a", jobs.step(cpu_millicores=6_000))
+        self.start_all()
+        self.list_runs(vm)
+        self.pool.jobs.cancel(entry.job.id)
+        self.add_job("b", jobs.step(cpu_millicores=3_000))
+        self.assertEqual([], self.start_all())
+        self.list_runs(vm)
+        self.assertEqual([], self.start_all())
+        task = model.TaskId(entry.job.id, 0, 0, 0)
+        ended = vms.ListedEnd(1, task, 1, task_module.EndKind.STOPPED, "")
+        listing = vms.Listing(self.clock.now_ms + 1, 1, (), (ended,))
+        self.pool.run_reconciler.apply_listing(
+            vm, vm.token, self.clock.now_ms, listing
+        )
+        self.assertEqual(["b"], self.start_all())
+
+    def test_run_missing_in_an_incomplete_listing_counts(self):
+        """Guards against room of a run that only could not be decoded."""
+        vm = self.add_vm()
+        self.add_job("a", jobs.step(cpu_millicores=6_000))
+        self.start_all()
+        self.clock.advance(10)
+        listing = vms.Listing(self.clock.now_ms, 1, (), (), False)
+        self.pool.run_reconciler.apply_listing(
+            vm, vm.token, self.clock.now_ms, listing
+        )
+        self.assertEqual(2_000, vm.free_cpu)
