Apply less capacity at once, without a fresh session

Cause: reports were applied by the next plan, and only while the store session was renewed at most 1.3 s ago; starts go on until 6 s. In between, starts used capacity that the owner had read to be gone. Starts that waited for their turn saw a report after the next plan only. Change: PoolOwner.set_reports lowers the capacity of known VM instances at once, each resource on its own. Growth waits for a fresh session as before.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -262,6 +262,10 @@
         """
         for vm_id in self._reports.keys() - reports.keys():
             self.pool.vm_tracker.mark_unlisted(vm_id)
+        for report in reports.values():
+            # Less capacity counts at once, even if this process may not take
+            # new VMs now, and for starts that wait for their turn.
+            self.pool.vm_tracker.lower_capacity(report)
         self._reports = dict(reports)
         self._wake.set()
 
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -1,5 +1,7 @@
 """Tracking of a pool's VMs: registration, responses and leases."""
 
+import msgspec
+
 from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller.jobs import task as task_module
@@ -48,6 +50,26 @@
             self._carry_over(known, new)
         return new
 
+    def lower_capacity(self, report: vms.VmReport) -> None:
+        """Apply the part of a newer report that takes capacity from a VM.
+
+        Args:
+            report: Report of a VM instance; ignored if it is not known.
+        """
+        known = self._state.vms.get(report.vm)
+        if known is None or known.report.born_ms != report.born_ms:
+            return
+        before, reported = known.report.capacity, report.capacity
+        lowered = vms.Resources(
+            min(before.cpu_millicores, reported.cpu_millicores),
+            min(before.memory_mb, reported.memory_mb),
+            min(before.gpu_count, reported.gpu_count),
+        )
+        if lowered != before:
+            known.report = msgspec.structs.replace(
+                known.report, capacity=lowered
+            )
+
     def _carry_over(self, old: vm_module.Vm, new: vm_module.Vm) -> None:
         # The new instance may have executed commands that were meant for the
         # old one; its first listing under a higher token shows which.
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -4,6 +4,7 @@
 import random
 
 from expression import Error
+import msgspec
 import testtools
 
 from support import fake_vms
@@ -20,6 +21,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.ownership import claims
+from wagtailtiller.ports import vms as ports_vms
 
 _SHARD = ids.ShardId(jobs.POOL)
 _SETTINGS = pool_owner.OwnerSettings(2_000, 60_000)
@@ -158,6 +160,50 @@
 
         self.run_with(main)
 
+    def test_shrunken_capacity_counts_with_an_outdated_session(self):
+        """Guards against starts by an old report while the store is silent.
+
+        Starts are allowed until 6 s after the last renewal, reports were
+        taken for 1.3 s only.
+        """
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.submit(owner)
+            await self.until(lambda: vm.running)
+            self.lease_age_ms = 2_000
+            shrunken = msgspec.structs.replace(
+                vm.report, capacity=ports_vms.Resources(1_500, 131_072)
+            )
+            owner.set_reports({vm.report.vm: shrunken})
+            self.assertEqual(500, owner.pool.vms["vm-1"].free_cpu)
+            await self.submit(owner, "b")
+            await asyncio.sleep(0.2)
+            self.assertEqual(1, len(vm.running))
+            owner.set_reports({vm.report.vm: vm.report})
+            await asyncio.sleep(0.2)
+            self.assertEqual(1, len(vm.running))
+            self.lease_age_ms = 0
+            await self.until(lambda: len(vm.running) == 2)
+
+        self.run_with(main)
+
+    def test_shrunken_capacity_counts_before_the_next_plan(self):
+        """Guards against waiting starts that are sent by the old report."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: "vm-1" in owner.pool.vms)
+            shrunken = msgspec.structs.replace(
+                vm.report, capacity=ports_vms.Resources(4_000, 1_000, 0)
+            )
+            owner.set_reports({vm.report.vm: shrunken})
+            self.assertEqual(4_000, owner.pool.vms["vm-1"].free_cpu)
+
+        self.run_with(main)
+
     def test_stop_does_not_hang_on_simultaneous_wake_up(self):
         """A cancellation together with a wake-up must not be lost."""
 
