Let jobs wait that fit VMs at their full capacity

Cause: a job that fits no VM only because capacities are low at the moment was refused with a return in 10 s, longer than such a loss lasts. Change: an owner keeps the most of each resource that a VM instance has reported, and refuses a job only if it fits on no VM with that. Waiting was chosen over a refusal with a time to come back: the job starts with the first plan after the growth, without another call; its demand makes the machine manager add a machine, which a refused job's does not; and jobs accepted just before the loss wait as well. The refusal for a backlog, which sizes by the capacity of the moment, still holds. Measured: test_job_that_fits_the_full_capacity_waits failed before (a refusal instead of None) and passes now.

--- a/src/wagtailtiller/scheduling/admission.py
+++ b/src/wagtailtiller/scheduling/admission.py
@@ -172,6 +172,10 @@
 ) -> Refusal | None:
     """Refuse a job if one of its steps fits on no VM.
 
+    VMs count with their full capacity. While one has less, which lasts some
+    seconds, a job that waits starts as soon as it has grown, and its demand
+    brings another machine. A refused caller would return later than that.
+
     Args:
         spec: Definition of the job.
         vm_list: VMs of the pool; a job is not refused while there are none.
@@ -313,5 +317,6 @@
 
 def _fits_somewhere(spec: model.JobSpec, vm_list: list[vm_module.Vm]) -> bool:
     return all(
-        any(vm.fits_when_empty(step) for vm in vm_list) for step in spec.steps
+        any(vm.fits_at_full_capacity(step) for vm in vm_list)
+        for step in spec.steps
     )
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -97,7 +97,8 @@
     Times are on the owner's clock unless stated otherwise.
 
     Attributes:
-        report: Report with which the VM registered.
+        report: Latest report of the VM; its capacity may be less than before.
+        full_capacity: Most of each resource that this instance has reported.
         token: Fencing token of the commands sent to the VM.
         status: Whether the VM may be used.
         runs: Tracked runs on the VM by task.
@@ -139,6 +140,7 @@
 
     def __init__(self, report: vms.VmReport, token: int) -> None:
         self.report = report
+        self.full_capacity = report.capacity
         self.token = token
         self.status = VmStatus.JOINING
         self.runs: dict[model.TaskId, task_module.Run] = {}
@@ -181,11 +183,29 @@
         """Free processor capacity, in millicores."""
         return self.report.capacity.cpu_millicores - self._cpu_used
 
+    @property
+    def lost_millicores(self) -> int:
+        """Processor capacity that the VM has reported before, but not now."""
+        return (
+            self.full_capacity.cpu_millicores
+            - self.report.capacity.cpu_millicores
+        )
+
     @property
     def draining(self) -> bool:
         """Whether the VM has announced that it will leave."""
         return self.report.phase is vms.VmPhase.DRAINING
 
+    def update_report(self, report: vms.VmReport) -> None:
+        """Apply a newer report of this instance."""
+        self.report = report
+        known, reported = self.full_capacity, report.capacity
+        self.full_capacity = vms.Resources(
+            max(known.cpu_millicores, reported.cpu_millicores),
+            max(known.memory_mb, reported.memory_mb),
+            max(known.gpu_count, reported.gpu_count),
+        )
+
     def open_for_starts(self, now_ms: int) -> bool:
         """Return whether new runs may start on the VM."""
         return (
@@ -232,13 +252,11 @@
 
     def fits_when_empty(self, step: model.Step) -> bool:
         """Return whether a task of a step fits on the VM when it is empty."""
-        capacity = self.report.capacity
-        return (
-            (step.filler or step.cpu_millicores <= capacity.cpu_millicores)
-            and step.memory_mb <= capacity.memory_mb
-            and step.gpu_count <= capacity.gpu_count
-            and self._has_label(step)
-        )
+        return self._is_within(step, self.report.capacity)
+
+    def fits_at_full_capacity(self, step: model.Step) -> bool:
+        """Return whether a task fits on the VM empty, once it has grown."""
+        return self._is_within(step, self.full_capacity)
 
     def fits(self, step: model.Step, count: int = 1) -> bool:
         """Return whether tasks of a step fit beside the current runs.
@@ -401,6 +419,14 @@
             and not any(is_short(run.task.step) for run in self.runs.values())
         )
 
+    def _is_within(self, step: model.Step, capacity: vms.Resources) -> bool:
+        return (
+            (step.filler or step.cpu_millicores <= capacity.cpu_millicores)
+            and step.memory_mb <= capacity.memory_mb
+            and step.gpu_count <= capacity.gpu_count
+            and self._has_label(step)
+        )
+
     def _has_label(self, step: model.Step) -> bool:
         wanted = step.required_label
         return not wanted or wanted in self.report.labels
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -36,7 +36,7 @@
         """
         known = self._state.vms.get(report.vm)
         if known is not None and known.report.born_ms == report.born_ms:
-            known.report = report
+            known.update_report(report)
             known.registered = True
             return None
         self._state.unresolved.pop(report.vm, None)
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -13,6 +13,7 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import admission
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import pool as pool_module
 
@@ -248,3 +249,39 @@
             vm, vm.token, self.clock.now_ms, listing
         )
         self.assertEqual(2_000, vm.free_cpu)
+
+
+class AdmissionTest(CapacityTest):
+    def admit(self, **fields):
+        return self.pool.jobs.admit(
+            jobs.spec(jobs.step(**fields)), jobs.queue()
+        )
+
+    def test_job_that_fits_the_full_capacity_waits(self):
+        """Guards against callers who are sent away for a loss of seconds."""
+        vm = self.add_vm()
+        self.report(vm, 2_000, 8_000, 2)
+        self.assertIsNone(self.admit(cpu_millicores=6_000))
+        self.add_job("a", jobs.step(cpu_millicores=6_000))
+        self.assertEqual([], self.start_all())
+        waiting_millicores, _ = self.pool.jobs.demand()
+        self.assertGreater(waiting_millicores, 0)
+        self.report(vm, 8_000, 8_000, 2)
+        self.assertEqual(["a"], self.start_all())
+
+    def test_job_above_the_full_capacity_is_refused(self):
+        """Guards against jobs that wait for room that never comes."""
+        vm = self.add_vm()
+        self.report(vm, 2_000, 8_000, 2)
+        refusal = self.admit(cpu_millicores=9_000)
+        self.assertIs(admission.RefusalReason.FITS_NOWHERE, refusal.reason)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_instance_that_was_larger_does_not_count_for_the_next(self):
+        """Guards against jobs that wait for a VM that has been replaced."""
+        old = self.add_vm()
+        smaller = msgspec.structs.replace(
+            old.report, born_ms=2, capacity=vms.Resources(4_000, 8_000, 2)
+        )
+        self.pool.vm_tracker.register(smaller)
+        self.assertIsNotNone(self.admit(cpu_millicores=6_000))
