Simulate VMs that lose capacity and start whatever they are told to

The oracle adds up the needs of the runs that a VM executes at each start, runs that are being stopped included, and compares with the most of each resource that the VM has reported within the last 4.5 s (rule ROOM). VMs that guard their capacity now refuse fillers without memory as well.

--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -85,6 +85,27 @@
     return [Fault("vm-slow", 1_000 + 3_000 * n, 6_000) for n in range(9)]
 
 
+def shrinking_vms(seed: int, count: int, length_ms: int) -> list[Fault]:
+    """Draw a plan in which VMs lose capacity for 5.5 to 9 s.
+
+    A start counts against a shrunken capacity from 4.5 s after its report.
+
+    Args:
+        seed: Seed of the random numbers.
+        count: Number of faults.
+        length_ms: Time during which jobs are sent.
+    """
+    rng = random.Random(seed)
+    return [
+        Fault(
+            "vm-shrinks",
+            int(rng.uniform(0, length_ms)),
+            int(rng.uniform(5_500, 9_000)),
+        )
+        for _ in range(count)
+    ]
+
+
 def partition() -> list[Fault]:
     """Return a plan with a long network partition.
 
@@ -96,7 +117,8 @@
 
 async def _inject(world: World, fault: Fault) -> None:
     await asyncio.sleep(fault.at_ms / 1_000)
-    await _INJECTORS[fault.kind](world, fault.for_ms / 1_000)
+    injector = _INJECTORS.get(fault.kind) or _PLANNED_INJECTORS[fault.kind]
+    await injector(world, fault.for_ms / 1_000)
 
 
 # Entry processes.
@@ -253,6 +275,15 @@
     )
 
 
+async def _shrink_vms(world: World, duration_s: float) -> None:
+    shrunken = _random_vms(world)
+    for vm in shrunken:
+        world.fleet.report_capacity(vm, world.rng.choice((2, 4)))
+    await asyncio.sleep(duration_s)
+    for vm in shrunken:
+        world.fleet.report_capacity(vm)
+
+
 async def _fail_tasks(world: World, duration_s: float) -> None:
     await _make_unhealthy(world, vms_module.Health.FAILS, duration_s)
 
@@ -340,3 +371,8 @@
     "wave": _start_wave,
     "service-down": _stop_machine_service,
 }
+
+# Not drawn at random, so that the days of known seeds stay the same.
+_PLANNED_INJECTORS: dict[str, Callable[[World, float], Awaitable[None]]] = {
+    "vm-shrinks": _shrink_vms,
+}
--- a/support/sim/fleet.py
+++ b/support/sim/fleet.py
@@ -10,6 +10,7 @@
 from expression import Error
 from expression import Ok
 from expression import Result
+import msgspec
 
 from support.sim import loop as loop_module
 from support.sim import oracle as oracle_module
@@ -78,6 +79,7 @@
         down: Whether the machine service does not answer.
         moves: Number of machine moves.
         pooled_machine_ms: Machine time in pools other than standby.
+        guards_capacity: Whether new VMs refuse starts that do not fit.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self.down = False
         self.moves = 0
         self.pooled_machine_ms = 0
+        self.guards_capacity = True
         self._vms_by_id: dict[ids.VmId, vms_module.SimVm] = {}
         self._clock = clock
         self._jobs = jobs
@@ -139,6 +142,23 @@
         self._power_off(machine, _HEARTBEAT_TIMEOUT_MS)
         loop_module.spawn(self._power_on_after(machine, restart_after_ms))
 
+    def report_capacity(self, vm: vms_module.SimVm, divisor: int = 1) -> None:
+        """Let a VM report a part of its full capacity.
+
+        Args:
+            vm: VM that reports; nothing happens if it has ended.
+            divisor: Number by which the full capacity is divided.
+        """
+        if vm.dead or vm.report.vm not in self.registered:
+            return
+        capacity = vms.Resources(
+            self._capacity.cpu_millicores // divisor,
+            self._capacity.memory_mb // divisor,
+        )
+        vm.report = msgspec.structs.replace(vm.report, capacity=capacity)
+        self.registered[vm.report.vm] = vm.report
+        self._oracle.record_capacity(vm)
+
     async def list(self) -> list[machines.Machine]:
         """List the machines."""
         return [
@@ -240,6 +260,8 @@
             self._capacity,
         )
         vm = vms_module.SimVm(report, self._clock, self._jobs, self._oracle)
+        vm.guards_capacity = self.guards_capacity
+        self._oracle.record_capacity(vm)
         machine.vm = vm
         self._vms_by_id[report.vm] = vm
         self.registered[report.vm] = report
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -11,6 +11,8 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
+
 from support.sim import soak
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import node
@@ -72,6 +74,22 @@
     return messages.Accepted()
 
 
+def _keep_first_report(self: Any, report: Any) -> Any:
+    """Register a VM as before, but keep the capacity of its first report."""
+    known = self._state.vms.get(report.vm)
+    if known is not None and known.report.born_ms == report.born_ms:
+        report = msgspec.structs.replace(report, capacity=known.report.capacity)
+    return _original_register(self, report)
+
+
+_original_register = vm_tracker.VmTracker.register
+
+
+def _count_processor_only(self: Any, step: Any, sign: int) -> None:
+    if not step.filler:
+        self._cpu_used += sign * step.cpu_millicores
+
+
 def _ignore_listed_runs(self: Any, entry: Any, vm: Any, *rest: Any) -> None:
     """Adopt none of the listed runs."""
 
@@ -186,6 +204,13 @@
             _ignore_members(pool_owner.pool_module.Pool.plan),
         )
     ],
+    "capacity is read once": [
+        (vm_tracker.VmTracker, "register", _keep_first_report),
+        (vm_tracker.VmTracker, "lower_capacity", lambda self, report: None),
+    ],
+    "fits ignore memory": [
+        (vm_tracker.vm_module.Vm, "_adjust_usage", _count_processor_only)
+    ],
     "a request with an unknown outcome counts as not run": [
         (
             frontend._Submission,
@@ -196,6 +221,13 @@
 }
 
 
+# Scenarios of the mutants that the small day does not show.
+_SCENARIOS = {
+    "capacity is read once": "shrinking",
+    "fits ignore memory": "shrinking",
+}
+
+
 @contextlib.contextmanager
 def mutated(name: str) -> Iterator[None]:
     """Apply a mutant within a context.
@@ -223,7 +255,9 @@
     """
     with mutated(name):
         for number in range(days):
-            _, world = soak.simulate(first_seed + number)
+            _, world = soak.simulate(
+                first_seed + number, _SCENARIOS.get(name, "small")
+            )
             rules = collections.Counter(
                 line.partition(" ")[0] for line in world.oracle.violations
             )
--- a/support/sim/oracle.py
+++ b/support/sim/oracle.py
@@ -26,6 +26,9 @@
 _UNAVAILABLE_AFTER_MS = 4_500
 # Longest time without a run while a long-running task moves to another VM.
 _MAX_PAUSE_MS = 6_000
+# A capacity that has shrunk counts this long after its report: 3 s and one
+# report interval of 1.5 s.
+_SHRINK_GRACE_MS = 4_500
 
 
 class VmView(Protocol):
@@ -35,11 +38,13 @@
         report: Registration of the VM.
         dead: Whether the VM instance has ended.
         lease_expired_ms: When the lease was last found expired.
+        guards_capacity: Whether the VM refuses starts that do not fit.
     """
 
     report: vms.VmReport
     dead: bool
     lease_expired_ms: int
+    guards_capacity: bool
 
 
 @dataclasses.dataclass
@@ -103,11 +108,20 @@
             list
         )
         self._long_running: dict[model.TaskId, _Availability] = {}
+        # Reported capacities of each VM with the times of the reports.
+        self._capacities: dict[VmView, list[tuple[int, vms.Resources]]] = {}
+        self._running: dict[VmView, list[Run]] = collections.defaultdict(list)
 
     def runs(self, task: model.TaskId) -> list[Run]:
         """Return all runs of a task."""
         return self._runs.get(task, [])
 
+    def record_capacity(self, vm: VmView) -> None:
+        """Record that a VM has reported its present capacity."""
+        self._capacities.setdefault(vm, []).append(
+            (self._now_ms(), vm.report.capacity)
+        )
+
     def record_start(self, vm: VmView, command: vms.StartCommand) -> None:
         """Record and check that a VM has started a run."""
         task = command.task
@@ -122,6 +136,9 @@
         else:
             self._check_start(run, earlier_runs, sim_job)
         earlier_runs.append(run)
+        self._running[vm].append(run)
+        if not vm.guards_capacity:
+            self._check_capacity(run)
         if sim_job is not None and sim_job.spec.steps[task.step].long_running:
             self._long_running[task] = _Availability(None)
 
@@ -144,6 +161,7 @@
             if run.number == number and run.vm is vm and run.ended_ms is None:
                 run.ended_ms = self._now_ms()
                 run.kind = kind
+                self._running[vm].remove(run)
                 self._process_end(run)
 
     def record_shutdown(self, vm: VmView) -> None:
@@ -229,6 +247,42 @@
             all_runs = [*earlier_runs, run]
             self._check_run_sequence(run.task, all_runs)
 
+    def _check_capacity(self, run: Run) -> None:
+        """Check that a start does not bring its VM over its capacity."""
+        needs = [self._needs(other) for other in self._running[run.vm]]
+        limits = self._allowed_capacity(run.vm)
+        for number, resource in enumerate(("cpu", "memory", "GPUs")):
+            used = sum(need[number] for need in needs)
+            if self._needs(run)[number] and used > limits[number]:
+                self._record_violation(
+                    "ROOM", run, f"{resource} {used} of {limits[number]}"
+                )
+
+    def _needs(self, run: Run) -> tuple[int, int, int]:
+        sim_job = self._jobs.get(run.task.job)
+        if sim_job is None:
+            return 0, 0, 0
+        step = sim_job.spec.steps[run.task.step]
+        cpu_millicores = 0 if step.filler else step.cpu_millicores
+        return cpu_millicores, step.memory_mb, step.gpu_count
+
+    def _allowed_capacity(self, vm: VmView) -> tuple[int, int, int]:
+        """Return the most of each resource reported in the grace period."""
+        since_ms = self._now_ms() - _SHRINK_GRACE_MS
+        reports = self._capacities[vm]
+        # A report holds until the next one.
+        ends_ms = [at_ms for at_ms, _ in reports[1:]] + [self._now_ms()]
+        allowed = [
+            capacity
+            for (_, capacity), end_ms in zip(reports, ends_ms, strict=True)
+            if end_ms >= since_ms
+        ]
+        return (
+            max(capacity.cpu_millicores for capacity in allowed),
+            max(capacity.memory_mb for capacity in allowed),
+            max(capacity.gpu_count for capacity in allowed),
+        )
+
     def _check_step_order(self, run: Run, sim_job: truth_module.SimJob) -> None:
         step = sim_job.spec.steps[run.task.step]
         for required_step in step.after:
--- a/support/sim/scenarios.py
+++ b/support/sim/scenarios.py
@@ -146,6 +146,20 @@
     return dataclasses.replace(small(seed), strong_processes=1)
 
 
+def shrinking(seed: int = 1) -> world.Scenario:
+    """Return a busier small day whose VMs start whatever they are told to.
+
+    Args:
+        seed: Seed of all random numbers.
+    """
+    scenario = small(seed, length_ms=12_000)
+    kinds = [
+        dataclasses.replace(kind, per_s=3 * kind.per_s)
+        for kind in scenario.kinds
+    ]
+    return dataclasses.replace(scenario, kinds=kinds, guards_capacity=False)
+
+
 def small(seed: int = 1, length_ms: int = 8_000) -> world.Scenario:
     """Return a day of two pools under light load, for tests with faults.
 
--- a/support/sim/soak.py
+++ b/support/sim/soak.py
@@ -14,7 +14,12 @@
 _MAX_FAULTS = 6
 
 
-SCENARIOS = {"small": scenarios.small, "two-sizes": scenarios.two_sizes}
+SCENARIOS = {
+    "small": scenarios.small,
+    "two-sizes": scenarios.two_sizes,
+    "shrinking": scenarios.shrinking,
+}
+_SHRINKING_FAULTS = 8
 
 
 def simulate(
@@ -31,6 +36,10 @@
     """
     scenario = SCENARIOS[scenario_name](seed)
     drawn_faults = faults.draw(seed, 1 + seed % _MAX_FAULTS, scenario.length_ms)
+    if scenario_name == "shrinking":
+        drawn_faults += faults.shrinking_vms(
+            seed, _SHRINKING_FAULTS, scenario.length_ms
+        )
     return drawn_faults, world_module.simulate(
         scenario, faults.schedule(drawn_faults)
     )
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -62,6 +62,7 @@
         late_share: Share of commands that are delayed.
         dead: Whether the instance has ended.
         lease_expired_ms: When the lease was last found expired.
+        guards_capacity: Whether the VM refuses starts that do not fit.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         self.late_share = 0.0
         self.dead = False
         self.lease_expired_ms = 0
+        self.guards_capacity = True
         self._jobs = jobs
         self._oracle = oracle
         self._executions: dict[model.TaskId, _Execution] = {}
@@ -138,7 +140,7 @@
 
     def _has_room(self, command: vms.StartCommand) -> bool:
         step = self._jobs.step(command.task)
-        if step is None or step.filler:
+        if step is None or not self.guards_capacity:
             return True
         memory_mb = sum(
             other.memory_mb
@@ -146,9 +148,8 @@
             if other is not None
         )
         return (
-            step.cpu_millicores <= self.free_millicores()
-            and memory_mb + step.memory_mb <= self.report.capacity.memory_mb
-        )
+            step.filler or step.cpu_millicores <= self.free_millicores()
+        ) and memory_mb + step.memory_mb <= self.report.capacity.memory_mb
 
     def _start(self, command: vms.StartCommand) -> vms.CommandOutcome:
         already_running = command.task in self.running
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -51,6 +51,7 @@
         strong_processes: How many of them run on much stronger VMs.
         millicores: Processor capacity of each VM.
         memory_mb: Memory of each VM.
+        guards_capacity: Whether VMs refuse starts that do not fit.
         prices: Prices for the evaluation of the day.
         seed: Seed of all random numbers.
     """
@@ -63,6 +64,7 @@
     strong_processes: int = 0
     millicores: int = 32_000
     memory_mb: int = 131_072
+    guards_capacity: bool = True
     prices: credit.Prices = credit.Prices()
     seed: int = 1
 
@@ -114,6 +116,7 @@
             STANDBY,
             vms.Resources(scenario.millicores, scenario.memory_mb),
         )
+        self.fleet.guards_capacity = scenario.guards_capacity
         self.processes: dict[str, process_module.Process] = {}
         self.start_ms = 0
         self._instance_count = 0
@@ -312,7 +315,7 @@
 
 def _catalogue(scenario: Scenario) -> catalogue.Catalogue:
     pools = tuple(
-        catalogue.Pool(pool, True, pool == STANDBY)
+        catalogue.Pool(pool, scenario.guards_capacity, pool == STANDBY)
         for pool in scenario.machines
     )
     queues = tuple(kind.queue() for kind in scenario.kinds)
--- a/tests/sim/test_days.py
+++ b/tests/sim/test_days.py
@@ -26,6 +26,12 @@
             _, simulated = soak.simulate(seed, "two-sizes")
             self.assertEqual([], simulated.oracle.violations, f"seed {seed}")
 
+    def test_days_with_shrinking_vms_violate_no_guarantee(self):
+        """Guards against starts above the capacity of VMs that take all."""
+        for seed in range(1, 9):
+            _, simulated = soak.simulate(seed, "shrinking")
+            self.assertEqual([], simulated.oracle.violations, f"seed {seed}")
+
     def test_regression_seeds_violate_no_guarantee(self):
         for seed, cause in _REGRESSIONS.items():
             _, simulated = soak.simulate(seed)
@@ -69,3 +75,11 @@
 
     def test_incomplete_jobs_shown_as_completed(self):
         self.assert_detected("MIXED", "a job is complete after its first task")
+
+    def test_starts_above_a_shrunken_capacity(self):
+        """Guards against a check of the capacity that can't fail."""
+        self.assert_detected("ROOM", "capacity is read once")
+
+    def test_starts_above_the_memory(self):
+        """Guards against a check that looks at processors only."""
+        self.assert_detected("ROOM", "fits ignore memory")
