Count lost capacity in the demand of a pool

Cause: the machine manager sizes pools by the capacity in the machine list, which stays at its full size. A pool whose VMs report half of it seemed to have machines to spare. Silent VMs were replaced by their capacity of the moment. Change: the load that an owner reports includes what its usable VMs have lost since their largest report, next to the capacity of silent VMs, which count in full.

--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -185,9 +185,9 @@
     Attributes:
         waiting_core_ms: Processor work left in unfinished jobs, in core
             milliseconds.
-        idle_millicores: Processor demand of the tasks that could start now, and
-            the capacity of VMs that became unresponsive unplanned, in
-            thousandths of a core.
+        idle_millicores: Processor demand of the tasks that could start now, the
+            capacity of VMs that became unresponsive unplanned, and what usable
+            VMs have lost of their capacity, in thousandths of a core.
         arrived_core_ms: Processor work of the jobs admitted since the
             takeover, in core milliseconds.
         arrived_jobs: Number of the jobs that this work belongs to.
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -235,6 +235,7 @@
         startable_millicores += self._pool.rack_monitor.unresponsive_millicores(
             self._clock.monotonic_ms()
         )
+        startable_millicores += self._pool.lost_millicores()
         return messages.Load(
             self._pool.jobs.waiting_core_ms(),
             startable_millicores,
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -94,6 +94,20 @@
             decisions.extend(self._start_planner.plan(open_vms, now_ms))
         return decisions
 
+    def lost_millicores(self) -> int:
+        """Return the processor capacity that usable VMs have lost for now.
+
+        The machine manager knows the full capacity of machines only, so that
+        the pool's demand must include the loss.
+        """
+        return sum(
+            vm.lost_millicores
+            for vm in self.vms.values()
+            if vm.status is vm_module.VmStatus.USABLE
+            and vm.registered
+            and not vm.draining
+        )
+
     def _open_vms(
         self, members: set[ids.VmId] | None, now_ms: int
     ) -> list[vm_module.Vm]:
--- a/src/wagtailtiller/scheduling/racks.py
+++ b/src/wagtailtiller/scheduling/racks.py
@@ -130,7 +130,7 @@
             return 0
         if len(silent) > _MAX_REPLACED_SHARE * len(present):
             return 0
-        return sum(vm.report.capacity.cpu_millicores for vm in silent)
+        return sum(vm.full_capacity.cpu_millicores for vm in silent)
 
     def _record_plan(self, now_ms: int) -> None:
         if (
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -189,6 +189,24 @@
 
         self.run_with(main)
 
+    def test_load_has_the_capacity_that_a_vm_has_lost(self):
+        """Guards against machines taken from a pool that lost capacity."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: owner.pool.vms.get("vm-1"))
+            known = owner.pool.vms["vm-1"]
+            await self.until(lambda: known.open_for_starts(1 << 60))
+            shrunken = msgspec.structs.replace(
+                vm.report, capacity=ports_vms.Resources(20_000, 131_072)
+            )
+            owner.set_reports({vm.report.vm: shrunken})
+            load = await owner.answer(messages.AskLoad(jobs.POOL, 0))
+            self.assertEqual(12_000, load.idle_millicores)
+
+        self.run_with(main)
+
     def test_shrunken_capacity_counts_before_the_next_plan(self):
         """Guards against waiting starts that are sent by the old report."""
 
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -285,3 +285,15 @@
         )
         self.pool.vm_tracker.register(smaller)
         self.assertIsNotNone(self.admit(cpu_millicores=6_000))
+
+
+class DemandTest(CapacityTest):
+    def test_lost_capacity_of_usable_vms_counts_as_demand(self):
+        """Guards against machines taken from a pool that lost capacity."""
+        vm = self.add_vm()
+        silent = self.add_vm("vm-2")
+        self.assertEqual(0, self.pool.lost_millicores())
+        self.report(vm, 2_000, 8_000, 2)
+        self.report(silent, 3_000, 8_000, 2)
+        self.pool.vm_tracker.mark_unresponsive(silent)
+        self.assertEqual(6_000, self.pool.lost_millicores())
