Check plans against capacities that change

Change: a property test plans again and again while capacities shrink and grow, compares with the plain planner, and adds up what runs.

--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import testtools
 
 from support import clocks
@@ -88,6 +89,65 @@
         clock.advance(300)
         self._check_plan(pool, clock)
 
+    @hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+    @hypothesis.given(
+        vm_fields=strategies.lists(_vm_fields, min_size=1, max_size=6),
+        step_fields=strategies.lists(_step_fields, max_size=12),
+        shares=strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 5), strategies.integers(0, 4)
+            ),
+            max_size=8,
+        ),
+    )
+    def test_no_plan_starts_above_changing_capacities(
+        self, vm_fields, step_fields, shares
+    ):
+        """Guards against an index that is wrong below zero free capacity."""
+        clock = clocks.FakeClock()
+        pool = _pool(vm_fields, clock)
+        full = {vm: state.report.capacity for vm, state in pool.vms.items()}
+        for number, fields in enumerate(step_fields):
+            _add_job(pool, f"job-{number:02}", jobs.step(**fields))
+            position, quarters = (
+                shares[number % len(shares)]
+                if shares
+                else (
+                    0,
+                    4,
+                )
+            )
+            vm = pool.vms.get(f"vm-{position}")
+            if vm is not None:
+                capacity = vms.Resources(
+                    full[vm.report.vm].cpu_millicores * quarters // 4,
+                    full[vm.report.vm].memory_mb * quarters // 4,
+                )
+                pool.vm_tracker.register(
+                    msgspec.structs.replace(vm.report, capacity=capacity)
+                )
+            before = {vm: set(state.runs) for vm, state in pool.vms.items()}
+            clock.advance(300)
+            self._check_plan(pool, clock)
+            for vm in pool.vms.values():
+                self._check_new_runs(vm, before[vm.report.vm])
+
+    def _check_new_runs(self, vm, earlier):
+        """Check each resource that a new run needs against the capacity."""
+        steps = [run.task.step for run in vm.runs.values()]
+        new = [
+            run.task.step
+            for task, run in vm.runs.items()
+            if task not in earlier
+        ]
+        capacity = vm.report.capacity
+        if any(step.cpu_millicores and not step.filler for step in new):
+            used = sum(s.cpu_millicores for s in steps if not s.filler)
+            self.assertLessEqual(used, capacity.cpu_millicores)
+        if any(step.memory_mb for step in new):
+            used = sum(step.memory_mb for step in steps)
+            self.assertLessEqual(used, capacity.memory_mb)
+
     def _check_plan(self, pool, clock):
         expected = plain_planner.plan(pool, clock.now_ms)
         planned = [
