--- a/tests/scheduling/test_candidates.py
+++ b/tests/scheduling/test_candidates.py
@@ -100,6 +100,15 @@
             max_size=8,
         ),
     )
+    # A task that needs no memory starts on a VM whose memory is exceeded.
+    @hypothesis.example(
+        vm_fields=[(8, 8, "r1")],
+        step_fields=[
+            {"task_count": 1, "cpu_millicores": 1_000, "memory_mb": memory_mb}
+            for memory_mb in (5_000, 0)
+        ],
+        shares=[(0, 4), (0, 2)],
+    )
     def test_no_plan_starts_above_changing_capacities(
         self, vm_fields, step_fields, shares
     ):
