--- a/tests/entry/test_node.py
+++ b/tests/entry/test_node.py
@@ -24,7 +24,9 @@
 
 
 class _NodeCase(testtools.TestCase):
-    def run_world(self, main, processes=6, strong_processes=0):
+    def run_world(
+        self, main, processes=6, strong_processes=0, guards_capacity=True
+    ):
         async def wrapped():
             scenario = scenarios.small()
             scenario = scenario.__class__(
@@ -32,6 +34,7 @@
                     **vars(scenario),
                     "processes": processes,
                     "strong_processes": strong_processes,
+                    "guards_capacity": guards_capacity,
                 }
             )
             self.world = world_module.World(scenario)
@@ -237,3 +240,20 @@
             self.assertEqual({}, node._owners)
 
         self.run_world(main, processes=1)
+
+
+class DeclarationsTest(_NodeCase):
+    def test_owners_learn_whether_vms_guard_their_capacity(self):
+        """Guards against owners that trust VMs to refuse what doesn't fit."""
+        for guards_capacity in (False, True):
+
+            async def main(expected=guards_capacity):
+                learned = [
+                    owner._guards_capacity
+                    for process in self.world.live_processes()
+                    for owner in process.node._owners.values()
+                ]
+                self.assertEqual([expected] * len(learned), learned)
+                self.assertGreater(len(learned), 0)
+
+            self.run_world(main, processes=2, guards_capacity=guards_capacity)
