--- a/src/wagtailtiller/owner/start_sender.py
+++ b/src/wagtailtiller/owner/start_sender.py
@@ -148,13 +148,14 @@
         # The run was planned before the command waited for its turn.
         entry = self._pool.entries.get(run.task.id.job)
         return (
-            self._gate.may_command()
+            self._gate.may_start()
             and entry is not None
             and not entry.job.is_final()
             and not run.task.done
             and self._vm.runs.get(run.task.id) is run
             and self._vm.open_for_starts(now_ms)
             and not self._vm.is_held_back(now_ms)
+            and self._vm.still_fits(run)
         )
 
     def _log_start(
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -1,5 +1,7 @@
 """Tracking of a pool's VMs: registration, responses and leases."""
 
+import msgspec
+
 from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller.jobs import task as task_module
@@ -40,7 +42,7 @@
         if report.phase is vms.VmPhase.DRAINING:
             self._lost_instances.forget(crashes.instance_of(report))
         if known is not None and known.report.born_ms == report.born_ms:
-            known.report = report
+            known.update_report(report)
             known.registered = True
             return None
         self._state.unresolved.pop(report.vm, None)
@@ -107,12 +109,32 @@
                 self._state.record_crash(run, run.doubtful_crash)
         self._state.discard_runs(vm, reason)
 
+    def lower_capacity(self, report: vms.VmReport) -> None:
+        """Apply the part of a newer report that takes capacity from a VM.
+
+        Args:
+            report: Report of a VM instance; ignored if it is not known.
+        """
+        known = self._state.vms.get(report.vm)
+        if known is None or known.report.born_ms != report.born_ms:
+            return
+        before, reported = known.report.capacity, report.capacity
+        lowered = vms.Resources(
+            min(before.cpu_millicores, reported.cpu_millicores),
+            min(before.memory_mb, reported.memory_mb),
+            min(before.gpu_count, reported.gpu_count),
+        )
+        if lowered != before:
+            known.report = msgspec.structs.replace(
+                known.report, capacity=lowered
+            )
+
     def _carry_over(self, old: vm_module.Vm, new: vm_module.Vm) -> None:
         # The new instance may have executed commands that were meant for the
         # old one; its first listing under a higher token shows which.
         new.token = old.token + 1
         new.lease.min_expiry_ms = old.lease.expiry_ms()
-        new.orphan_tasks = old.orphan_tasks
+        new.set_orphans(old.orphan_tasks, old.has_unknown_runs)
         new.on_probation = old.on_probation
         new.progress_ends_probation = old.progress_ends_probation
         new.probation_since_ms = old.probation_since_ms
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -12,6 +12,8 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
+
 from support.sim import faults
 from support.sim import scenarios
 from support.sim import soak
@@ -78,6 +80,22 @@
     return messages.Accepted()
 
 
+def _keep_first_report(self: Any, report: Any) -> Any:
+    """Register a VM as before, but keep the capacity of its first report."""
+    known = self._state.vms.get(report.vm)
+    if known is not None and known.report.born_ms == report.born_ms:
+        report = msgspec.structs.replace(report, capacity=known.report.capacity)
+    return _original_register(self, report)
+
+
+_original_register = vm_tracker.VmTracker.register
+
+
+def _count_processor_only(self: Any, step: Any, sign: int) -> None:
+    if not step.filler:
+        self._cpu_used += sign * step.cpu_millicores
+
+
 def _ignore_listed_runs(self: Any, entry: Any, vm: Any, *rest: Any) -> None:
     """Adopt none of the listed runs."""
 
@@ -119,6 +137,10 @@
     )
 
 
+def _play_shrinking(seed: int) -> world_module.World:
+    return soak.simulate(seed, "shrinking")[1]
+
+
 _MUTANTS: dict[str, list[tuple[object, str, object]]] = {
     "jobs are accepted before they are stored": [
         (requests.RequestHandler, "_submit", _accept_before_commit)
@@ -212,6 +234,13 @@
             _ignore_members(pool_owner.pool_module.Pool.plan),
         )
     ],
+    "capacity is read once": [
+        (vm_tracker.VmTracker, "register", _keep_first_report),
+        (vm_tracker.VmTracker, "lower_capacity", lambda self, report: None),
+    ],
+    "fits ignore memory": [
+        (vm_tracker.vm_module.Vm, "_adjust_usage", _count_processor_only)
+    ],
     "a request with an unknown outcome counts as not run": [
         (
             frontend._Submission,
@@ -225,6 +254,8 @@
 # Days of the mutants that random faults would seldom detect.
 _DAYS: dict[str, Callable[[int], world_module.World]] = {
     "a new owner takes a revoked lease for an expired one": _play_revocation,
+    "capacity is read once": _play_shrinking,
+    "fits ignore memory": _play_shrinking,
 }
 
 
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -160,6 +160,103 @@
 
         self.run_with(main)
 
+    def test_shrunken_capacity_counts_with_an_outdated_session(self):
+        """Guards against starts by an old report while the store is silent.
+
+        Starts are allowed until 6 s after the last renewal, reports were
+        taken for 1.3 s only.
+        """
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.submit(owner)
+            await self.until(lambda: vm.running)
+            self.lease_age_ms = 2_000
+            shrunken = msgspec.structs.replace(
+                vm.report, capacity=vms.Resources(1_500, 131_072)
+            )
+            owner.set_reports({vm.report.vm: shrunken})
+            self.assertEqual(500, owner.pool.vms["vm-1"].free_cpu)
+            await self.submit(owner, "b")
+            await asyncio.sleep(0.2)
+            self.assertEqual(1, len(vm.running))
+            owner.set_reports({vm.report.vm: vm.report})
+            await asyncio.sleep(0.2)
+            self.assertEqual(1, len(vm.running))
+            self.lease_age_ms = 0
+            await self.until(lambda: len(vm.running) == 2)
+
+        self.run_with(main)
+
+    def test_start_needs_recent_reports_of_vms_that_take_all(self):
+        """Guards against starts by a report that may be 6 s old.
+
+        The VMs may still reach a store that this process cannot.
+        """
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            owner.set_guards_capacity(False)
+            await self.until(lambda: owner.pool.vms.get("vm-1"))
+            self.lease_age_ms = 4_000
+            await self.submit(owner)
+            await asyncio.sleep(0.3)
+            self.assertEqual({}, vm.running)
+            self.assertEqual(0, len(owner.pool.vms["vm-1"].runs))
+            self.lease_age_ms = 3_000
+            await self.until(lambda: vm.running)
+
+        self.run_with(main)
+
+    def test_starts_on_vms_that_guard_their_capacity_need_no_report(self):
+        """Guards against tasks that wait for the store without need."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            owner.set_guards_capacity(True)
+            await self.until(lambda: owner.pool.vms.get("vm-1"))
+            self.lease_age_ms = 5_000
+            await self.submit(owner)
+            await self.until(lambda: vm.running)
+
+        self.run_with(main)
+
+    def test_load_has_the_capacity_that_a_vm_has_lost(self):
+        """Guards against machines taken from a pool that lost capacity."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: owner.pool.vms.get("vm-1"))
+            known = owner.pool.vms["vm-1"]
+            await self.until(lambda: known.open_for_starts(1 << 60))
+            shrunken = msgspec.structs.replace(
+                vm.report, capacity=vms.Resources(20_000, 131_072)
+            )
+            owner.set_reports({vm.report.vm: shrunken})
+            load = await owner.answer(messages.AskLoad(jobs.POOL, 0))
+            self.assertEqual(12_000, load.idle_millicores)
+
+        self.run_with(main)
+
+    def test_shrunken_capacity_counts_before_the_next_plan(self):
+        """Guards against waiting starts that are sent by the old report."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: "vm-1" in owner.pool.vms)
+            shrunken = msgspec.structs.replace(
+                vm.report, capacity=vms.Resources(4_000, 1_000, 0)
+            )
+            owner.set_reports({vm.report.vm: shrunken})
+            self.assertEqual(4_000, owner.pool.vms["vm-1"].free_cpu)
+
+        self.run_with(main)
+
     def test_stop_does_not_hang_on_simultaneous_wake_up(self):
         """A cancellation together with a wake-up must not be lost."""
 
