Test the member list of unlisted VMs and look-ups that fail

Two branches of the mended takeover had no test: an unlisted VM whose end is not stored stays known, and the end of an unknown job is kept while the store does not answer.

--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -814,6 +814,33 @@
 
         self.run_with(main)
 
+    def test_end_of_unknown_job_waits_for_an_answer_of_the_store(self):
+        """TWICE: an end was lost if its job could not be looked up."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            task = model.TaskId(model.JobId("d" * 16), 0, 0, 0)
+            vm.running[task] = fake_vms.FakeRun(1, 0)
+            vm.end(task, task_module.EndKind.DONE)
+            owner = self.own_pool()
+            owner.set_reports({})
+            await self.until(lambda: owner.ready)
+            read_key = self.store.read_key
+
+            async def fail(key):
+                return Error(errors.StoreUnavailable("fault"))
+
+            self.store.read_key = fail
+            owner.set_reports({vm.report.vm: vm.report})
+            await asyncio.sleep(0.5)
+            self.assertEqual(1, len(vm.ended))
+            self.assertLess(vm.holds, 8)
+            self.store.read_key = read_key
+            await self.until(lambda: not vm.ended)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_run_of_job_that_the_owner_has_not_read_is_adopted(self):
         """TWICE: the run was to be stopped, and the job was then read.
 
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -374,6 +374,21 @@
         self.pool.vm_tracker.expire_leases()
         self.assertEqual(set(), self.pool.vm_tracker.members())
 
+    def test_an_unlisted_vm_is_a_member_until_its_end_is_stored(self):
+        """TWICE: a VM was forgotten whose ended run was stored nowhere."""
+        vm = self.add_vm("vm-1")
+        self.add_job("a")
+        (start,) = self.start_all()
+        self.end(vm, start.run, task_module.EndKind.DONE)
+        self.pool.vm_tracker.mark_unlisted("vm-1")
+        self.pool.vm_tracker.mark_unresponsive(vm)
+        self.clock.advance(60_000)
+        self.assertEqual([], self.pool.vm_tracker.expire_leases())
+        self.assertEqual({"vm-1"}, self.pool.vm_tracker.members())
+        vm.stored_end_position = vm.last_end_position
+        self.assertEqual([vm], self.pool.vm_tracker.expire_leases())
+        self.assertEqual(set(), self.pool.vm_tracker.members())
+
     def test_unresolved_vms_stay_members(self):
         self.pool.unresolved = {"vm-9": self.clock.now_ms + 5_000}
         self.assertEqual({"vm-9"}, self.pool.vm_tracker.members())
