Order no machine whose stored order a lost write may have removed

The machine manager orders a machine only once the store lists it, so that a successor leaves it alone for a while. When a write that shortened this list was carried out but not answered, the manager still took the removed machines for listed, and could order one of them without a new write; its successor could then order the same machine again at once. The machines that a write removes now count as not listed from before the write, as in the member list of a pool.

The same class as the second start of a task by the next owner: a successor relies on what its predecessor is only taken to have stored.

--- a/src/wagtailtiller/maintenance/manager_state.py
+++ b/src/wagtailtiller/maintenance/manager_state.py
@@ -135,6 +135,9 @@
         if planned <= self.saved_orders and not trim_due:
             return
         value = msgspec.msgpack.encode(_Orders(sorted(machines)))
+        # A write without a response may be applied, so the machines that it
+        # removes count as no longer stored.
+        self.saved_orders &= machines
         if await self._write(keys.MACHINE_ORDERS, value):
             self.saved_orders = machines
             self._orders_saved_ms = now_ms
