--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -1,7 +1,5 @@
 """Reconciliation of the runs that the owner tracks with what VMs report."""
 
-from collections.abc import Iterable
-
 from wagtailtiller import events
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
@@ -17,8 +15,6 @@
 # Time for which nothing starts on a VM after it refused a start because it was
 # full or unhealthy.
 _REFUSAL_PAUSE_MS = 200
-# Time for which nothing starts on a VM after a command to stop an orphan run.
-_ORPHAN_PAUSE_MS = 1_200
 
 
 class RunReconciler:
@@ -135,13 +131,13 @@
         }
         for listed_run in listing.running:
             issued.extend(self._reconcile_run(vm, listed_run))
-        vm.orphan_tasks = self._orphan_tasks(issued)
-        if issued:
-            # An orphan run occupies capacity that no tracked run accounts for
-            # until it has stopped.
-            vm.avoid_until_ms = (
-                self._state.clock.monotonic_ms() + _ORPHAN_PAUSE_MS
-            )
+        orphan_tasks = self._orphan_tasks(issued)
+        # Each command so far stops one orphan run.
+        has_unknown = len(orphan_tasks) < len(issued) or any(
+            listed_run.task.job in vm.unread_jobs
+            for listed_run in listing.running
+        )
+        vm.set_orphans(orphan_tasks, has_unknown)
         if listing.is_complete and not vm.has_more_ends:
             self._remove_unlisted(vm, token, sent_ms, running)
         issued.extend(self._set_speeds(vm))
@@ -214,26 +210,18 @@
         ends = [
             end for end in listing.ended if end.position > vm.last_end_position
         ]
-        vm.unread_jobs = self._find_unread_jobs(vm, ends, listing.running)
+        listed_jobs = {end.task.job for end in ends}
+        listed_jobs.update(run.task.job for run in listing.running)
+        vm.absent_jobs &= listed_jobs
+        vm.unread_jobs = {
+            job
+            for job in listed_jobs
+            if job not in self._state.entries and job not in vm.absent_jobs
+        }
         for end in ends:
             if end.task.job in vm.unread_jobs:
                 return
             self._record_end(vm, end)
-        if not vm.unread_jobs:
-            vm.absent_jobs.clear()
-
-    def _find_unread_jobs(
-        self,
-        vm: vm_module.Vm,
-        ends: Iterable[vms.ListedEnd],
-        running: Iterable[vms.ListedRun],
-    ) -> set[model.JobId]:
-        listed = {end.task.job for end in ends}
-        if vm.status is vm_module.VmStatus.JOINING:
-            # A previous owner may have read a job that this one has not. Once
-            # the VM has joined, only this owner starts runs there.
-            listed.update(run.task.job for run in running)
-        return listed - self._state.entries.keys() - vm.absent_jobs
 
     def _record_end(self, vm: vm_module.Vm, end: vms.ListedEnd) -> None:
         entry = self._state.entries.get(end.task.job)
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -89,13 +89,18 @@
     return not (step.long_running or step.filler or step.gang)
 
 
+def _waits_for_start(run: task_module.Run) -> bool:
+    return run.phase is task_module.RunPhase.STARTING and not run.sent_ms
+
+
 class Vm:
     """A VM instance, as the owner of its pool tracks it.
 
     Times are on the owner's clock unless stated otherwise.
 
     Attributes:
-        report: Report with which the VM registered.
+        report: Latest report of the VM; its capacity may be less than before.
+        full_capacity: Most of each resource that this instance has reported.
         token: Fencing token of the commands sent to the VM.
         status: Whether the VM may be used.
         runs: Tracked runs on the VM by task.
@@ -104,10 +109,9 @@
             the VM's list of ended runs.
         stored_end_position: Position up to which the jobs of the applied ended
             runs are stored, so that the VM may discard these runs.
-        unread_jobs: Jobs of listed ended runs, and of runs that a VM lists
-            when it joins, that the owner does not know. They may be stored;
-            later ends are applied, and the runs adopted or stopped, once this
-            is known.
+        unread_jobs: Jobs of listed runs that the owner does not know. They may
+            be stored; later ends are applied, and runs stopped, once this is
+            known.
         absent_jobs: Those of them that are not stored.
         has_more_ends: Whether listed runs belong to unread jobs, or further
             ended runs are to be listed.
@@ -119,7 +123,7 @@
             moved to other VMs.
         moves_all_until_ms: Time until which all tasks are moved to other VMs.
         avoid_until_ms: Time until which nothing starts on the VM because it has
-            refused a start or runs an orphan run.
+            refused a start.
         slow_until_ms: Time until which the VM gets no tasks because it is slow.
         straggles_until_ms: Time until which runs on the VM count as stragglers,
             be it used or not.
@@ -138,13 +142,17 @@
             was applied.
         throttle: Throttle of the fillers on the VM.
         registered: Whether the VM is in the platform's list.
-        orphan_tasks: Tasks of the orphan runs in the latest listing.
+        orphan_tasks: Tasks of the orphan runs in the latest listing, which
+            count like runs.
+        has_unknown_runs: Whether the latest listing has runs of unknown jobs.
+            Nothing starts beside them, since their needs are not known.
         isolates: Task, or first task of the gang, that runs alone on the VM or
             for which it is kept free; None if the VM is used as others are.
     """
 
     def __init__(self, report: vms.VmReport, token: int) -> None:
         self.report = report
+        self.full_capacity = report.capacity
         self.token = token
         self.status = VmStatus.JOINING
         self.runs: dict[model.TaskId, task_module.Run] = {}
@@ -173,6 +181,7 @@
         self.registered = True
         self.orphan_tasks: list[task_module.Task] = []
         self.isolates: model.TaskId | None = None
+        self.has_unknown_runs = False
         self._held_since_ms = 0
         self._held_until_ms = 0
         self._reservations: dict[model.TaskId, _Reservation] = {}
@@ -196,17 +205,36 @@
         """Whether ended runs were applied whose jobs are not stored yet."""
         return self.last_end_position > self.stored_end_position
 
+    @property
+    def lost_millicores(self) -> int:
+        """Processor capacity that the VM has reported before, but not now."""
+        return (
+            self.full_capacity.cpu_millicores
+            - self.report.capacity.cpu_millicores
+        )
+
     @property
     def draining(self) -> bool:
         """Whether the VM has announced that it will leave."""
         return self.report.phase is vms.VmPhase.DRAINING
 
+    def update_report(self, report: vms.VmReport) -> None:
+        """Apply a newer report of this instance."""
+        self.report = report
+        known, reported = self.full_capacity, report.capacity
+        self.full_capacity = vms.Resources(
+            max(known.cpu_millicores, reported.cpu_millicores),
+            max(known.memory_mb, reported.memory_mb),
+            max(known.gpu_count, reported.gpu_count),
+        )
+
     def open_for_starts(self, now_ms: int) -> bool:
         """Return whether new runs may start on the VM."""
         return (
             self.status is VmStatus.USABLE
             and self.registered
             and not self.draining
+            and not self.has_unknown_runs
             and now_ms >= self.closed_until_ms
             and now_ms >= self.avoid_until_ms
         )
@@ -246,13 +274,11 @@
 
     def fits_when_empty(self, step: model.Step) -> bool:
         """Return whether a task of a step fits on the VM when it is empty."""
-        capacity = self.report.capacity
-        return (
-            (step.filler or step.cpu_millicores <= capacity.cpu_millicores)
-            and step.memory_mb <= capacity.memory_mb
-            and step.gpu_count <= capacity.gpu_count
-            and self._has_label(step)
-        )
+        return self._is_within(step, self.report.capacity)
+
+    def fits_at_full_capacity(self, step: model.Step) -> bool:
+        """Return whether a task fits on the VM empty, once it has grown."""
+        return self._is_within(step, self.full_capacity)
 
     def fits(self, step: model.Step, count: int = 1) -> bool:
         """Return whether tasks of a step fit beside the current runs.
@@ -263,13 +289,22 @@
         """
         capacity = self.report.capacity
         cpu = 0 if step.filler else step.cpu_millicores
-        cpu_fits = cpu * count <= capacity.cpu_millicores - self._cpu_used
+        memory_mb = step.memory_mb
+        gpu_count = step.gpu_count
+        # The free amount is negative while the runs need more than a capacity
+        # that has shrunk; a task that needs none of it adds nothing to that.
         return (
-            (cpu_fits or not cpu)
+            (not cpu or cpu * count <= capacity.cpu_millicores - self._cpu_used)
             and (not self.on_probation or self._accepts_probe(step, count))
-            and step.memory_mb * count
-            <= capacity.memory_mb - self._memory_used_mb
-            and step.gpu_count * count <= capacity.gpu_count - self._gpu_used
+            and (
+                not memory_mb
+                or memory_mb * count
+                <= capacity.memory_mb - self._memory_used_mb
+            )
+            and (
+                not gpu_count
+                or gpu_count * count <= capacity.gpu_count - self._gpu_used
+            )
             and self._has_label(step)
         )
 
@@ -331,6 +366,40 @@
                 limit = min(limit, free // need)
         return max(0, limit)
 
+    def still_fits(self, run: task_module.Run) -> bool:
+        """Return whether a run that waits for its start fits at the moment.
+
+        The report may have changed since the run was planned. Other runs that
+        wait for their starts do not count, nor do reservations, so that starts
+        give way in the reverse order of their turns.
+
+        Args:
+            run: Run on the VM whose start command has not been sent.
+        """
+        capacity = self.report.capacity
+        if (
+            self._cpu_used <= capacity.cpu_millicores
+            and self._memory_used_mb <= capacity.memory_mb
+            and self._gpu_used <= capacity.gpu_count
+        ):
+            return True
+        steps = [
+            other.task.step
+            for other in self.runs.values()
+            if other is run or not _waits_for_start(other)
+        ]
+        steps.extend(task.step for task in self.orphan_tasks)
+        step = run.task.step
+        cpu = sum(each.cpu_millicores for each in steps if not each.filler)
+        memory_mb = sum(each.memory_mb for each in steps)
+        gpu_count = sum(each.gpu_count for each in steps)
+        needs_cpu = step.cpu_millicores and not step.filler
+        return (
+            (not needs_cpu or cpu <= capacity.cpu_millicores)
+            and (not step.memory_mb or memory_mb <= capacity.memory_mb)
+            and (not step.gpu_count or gpu_count <= capacity.gpu_count)
+        )
+
     def add(self, run: task_module.Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task.id] = run
@@ -342,6 +411,22 @@
             del self.runs[run.task.id]
             self._adjust_usage(run.task.step, -1)
 
+    def set_orphans(
+        self, tasks: list[task_module.Task], has_unknown: bool
+    ) -> None:
+        """Replace the orphan runs that take room on the VM.
+
+        Args:
+            tasks: Tasks of the orphan runs whose jobs are known.
+            has_unknown: Whether there are runs of unknown jobs.
+        """
+        for task in self.orphan_tasks:
+            self._adjust_usage(task.step, -1)
+        for task in tasks:
+            self._adjust_usage(task.step, 1)
+        self.orphan_tasks = tasks
+        self.has_unknown_runs = has_unknown
+
     def reserve(self, task: task_module.Task, until_ms: int) -> None:
         """Keep room for a task that is being stopped on another VM.
 
@@ -394,6 +479,14 @@
             and not any(is_short(run.task.step) for run in self.runs.values())
         )
 
+    def _is_within(self, step: model.Step, capacity: vms.Resources) -> bool:
+        return (
+            (step.filler or step.cpu_millicores <= capacity.cpu_millicores)
+            and step.memory_mb <= capacity.memory_mb
+            and step.gpu_count <= capacity.gpu_count
+            and self._has_label(step)
+        )
+
     def _has_label(self, step: model.Step) -> bool:
         wanted = step.required_label
         return not wanted or wanted in self.report.labels
--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -95,6 +95,27 @@
     return [Fault("vm-slow", 1_000 + 3_000 * n, 6_000) for n in range(9)]
 
 
+def shrinking_vms(seed: int, count: int, length_ms: int) -> list[Fault]:
+    """Draw a plan in which VMs lose capacity for 5.5 to 9 s.
+
+    A start counts against a shrunken capacity from 4.5 s after its report.
+
+    Args:
+        seed: Seed of the random numbers.
+        count: Number of faults.
+        length_ms: Time during which jobs are sent.
+    """
+    rng = random.Random(seed)
+    return [
+        Fault(
+            "vm-shrinks",
+            int(rng.uniform(0, length_ms)),
+            int(rng.uniform(5_500, 9_000)),
+        )
+        for _ in range(count)
+    ]
+
+
 def partition() -> list[Fault]:
     """Return a plan with a long network partition.
 
@@ -113,9 +134,15 @@
     return [Fault("store-revokes-split", 3_000, 4_500)]
 
 
+def owner_loss() -> list[Fault]:
+    """Return a plan that kills the first pool's owner after 5 s."""
+    return [Fault("kill-owner", 5_000, 1_000)]
+
+
 async def _inject(world: World, fault: Fault) -> None:
     await asyncio.sleep(fault.at_ms / 1_000)
-    await _INJECTORS[fault.kind](world, fault.for_ms / 1_000)
+    injector = _INJECTORS.get(fault.kind) or _PLANNED_INJECTORS[fault.kind]
+    await injector(world, fault.for_ms / 1_000)
 
 
 # Entry processes.
@@ -131,6 +158,17 @@
     await world.start_process(process.name)
 
 
+async def _kill_owner(world: World, duration_s: float) -> None:
+    """Kill the owner of the first pool."""
+    pool = next(iter(world.scenario.machines))
+    for process in world.live_processes():
+        if pool in process.node.owned_shards():
+            process.kill()
+            await asyncio.sleep(duration_s)
+            await world.start_process(process.name)
+            return
+
+
 async def _kill_all(world: World, duration_s: float) -> None:
     killed = world.live_processes()
     for process in killed:
@@ -362,6 +400,15 @@
     )
 
 
+async def _shrink_vms(world: World, duration_s: float) -> None:
+    shrunken = _random_vms(world)
+    for vm in shrunken:
+        world.fleet.report_capacity(vm, world.rng.choice((2, 4)))
+    await asyncio.sleep(duration_s)
+    for vm in shrunken:
+        world.fleet.report_capacity(vm)
+
+
 async def _fail_tasks(world: World, duration_s: float) -> None:
     await _make_unhealthy(world, vms_module.Health.FAILS, duration_s)
 
@@ -427,6 +474,7 @@
 
 _INJECTORS: dict[str, Callable[[World, float], Awaitable[None]]] = {
     "kill": _kill,
+    "kill-owner": _kill_owner,
     "kill-all": _kill_all,
     "freeze": _pause,
     "roll": _restart_all,
@@ -452,3 +500,8 @@
     "wave": _start_wave,
     "service-down": _stop_machine_service,
 }
+
+# Not drawn at random, so that the days of known seeds stay the same.
+_PLANNED_INJECTORS: dict[str, Callable[[World, float], Awaitable[None]]] = {
+    "vm-shrinks": _shrink_vms,
+}
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -6,12 +6,18 @@
 import argparse
 import asyncio
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 from typing import Any
 from unittest import mock
 
+import msgspec
+
+from support.sim import faults
+from support.sim import scenarios
 from support.sim import soak
+from support.sim import world as world_module
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import node
 from wagtailtiller.jobs import job
@@ -24,8 +30,10 @@
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.owner import requests
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import session
 from wagtailtiller.scheduling import reconciler
 from wagtailtiller.scheduling import stop_planner
+from wagtailtiller.scheduling import vm as vm_module
 from wagtailtiller.scheduling import vm_tracker
 
 
@@ -72,6 +80,22 @@
     return messages.Accepted()
 
 
+def _keep_first_report(self: Any, report: Any) -> Any:
+    """Register a VM as before, but keep the capacity of its first report."""
+    known = self._state.vms.get(report.vm)
+    if known is not None and known.report.born_ms == report.born_ms:
+        report = msgspec.structs.replace(report, capacity=known.report.capacity)
+    return _original_register(self, report)
+
+
+_original_register = vm_tracker.VmTracker.register
+
+
+def _count_processor_only(self: Any, step: Any, sign: int) -> None:
+    if not step.filler:
+        self._cpu_used += sign * step.cpu_millicores
+
+
 def _ignore_listed_runs(self: Any, entry: Any, vm: Any, *rest: Any) -> None:
     """Adopt none of the listed runs."""
 
@@ -96,6 +120,27 @@
     """Discard the runs of a VM's previous instance."""
 
 
+def _count_from_expiry(self: pool_owner.PoolOwner) -> int:
+    """Assume that the previous owner's lease has expired by itself."""
+    time_left_ms = pool_owner.LEASE_RENEWAL_TIMEOUT_MS - session.LEASE_TTL_MS
+    lease_ms = int(self._lease_ms / vm_module.MIN_CLOCK_RATE)
+    return self._clock.monotonic_ms() + time_left_ms + lease_ms
+
+
+def _play_random_faults(seed: int) -> world_module.World:
+    return soak.simulate(seed)[1]
+
+
+def _play_revocation(seed: int) -> world_module.World:
+    return world_module.simulate(
+        scenarios.small(seed), faults.schedule(faults.revocation())
+    )
+
+
+def _play_shrinking(seed: int) -> world_module.World:
+    return soak.simulate(seed, "shrinking")[1]
+
+
 _MUTANTS: dict[str, list[tuple[object, str, object]]] = {
     "jobs are accepted before they are stored": [
         (requests.RequestHandler, "_submit", _accept_before_commit)
@@ -116,6 +161,9 @@
             lambda self: self._clock.monotonic_ms(),
         )
     ],
+    "a new owner takes a revoked lease for an expired one": [
+        (pool_owner.PoolOwner, "_previous_lease_end_ms", _count_from_expiry)
+    ],
     "tokens are never raised": [
         (vm_tracker.VmTracker, "raise_token", lambda self, vm: vm.token)
     ],
@@ -186,6 +234,13 @@
             _ignore_members(pool_owner.pool_module.Pool.plan),
         )
     ],
+    "capacity is read once": [
+        (vm_tracker.VmTracker, "register", _keep_first_report),
+        (vm_tracker.VmTracker, "lower_capacity", lambda self, report: None),
+    ],
+    "fits ignore memory": [
+        (vm_tracker.vm_module.Vm, "_adjust_usage", _count_processor_only)
+    ],
     "a request with an unknown outcome counts as not run": [
         (
             frontend._Submission,
@@ -196,6 +251,14 @@
 }
 
 
+# Days of the mutants that random faults would seldom detect.
+_DAYS: dict[str, Callable[[int], world_module.World]] = {
+    "a new owner takes a revoked lease for an expired one": _play_revocation,
+    "capacity is read once": _play_shrinking,
+    "fits ignore memory": _play_shrinking,
+}
+
+
 @contextlib.contextmanager
 def mutated(name: str) -> Iterator[None]:
     """Apply a mutant within a context.
@@ -221,9 +284,10 @@
         Number of days run and the names of the violated rules; 0 and an empty
         text if no day violated a guarantee.
     """
+    play = _DAYS.get(name, _play_random_faults)
     with mutated(name):
         for number in range(days):
-            _, world = soak.simulate(first_seed + number)
+            world = play(first_seed + number)
             rules = collections.Counter(
                 line.partition(" ")[0] for line in world.oracle.violations
             )
--- a/support/sim/oracle.py
+++ b/support/sim/oracle.py
@@ -26,6 +26,15 @@
 _UNAVAILABLE_AFTER_MS = 4_500
 # Longest time without a run while a long-running task moves to another VM.
 _MAX_PAUSE_MS = 6_000
+# A crashing task may be started this many times more after so many VMs have
+# crashed under it.
+_CRASHES_BEFORE_LIMIT = 3
+_STARTS_AFTER_CRASHES = 2
+# A job with a crashing task may fail once so many VMs have crashed under it.
+_CRASHES_BEFORE_FAILURE = 2
+# A capacity that has shrunk counts this long after its report: 3 s and one
+# report interval of 1.5 s.
+_SHRINK_GRACE_MS = 4_500
 
 
 class VmView(Protocol):
@@ -34,12 +43,12 @@
     Attributes:
         report: Registration of the VM.
         dead: Whether the VM instance has ended.
-        lease_expired_ms: When the lease was last found expired.
+        guards_capacity: Whether the VM refuses starts that do not fit.
     """
 
     report: vms.VmReport
     dead: bool
-    lease_expired_ms: int
+    guards_capacity: bool
 
 
 @dataclasses.dataclass
@@ -53,8 +62,11 @@
         started_ms: When the run started.
         ended_ms: When the run ended; None while it is under way.
         kind: How the run ended; None while it is under way.
-        acknowledged: Whether the product has acknowledged the end, and the
-            lease did not expire between the end and the acknowledgement.
+        crashed_ms: When the VM crashed under the run; None if it has not.
+        acknowledged_ms: When the product acknowledged the end; None if it has
+            not.
+        lapsed_ms: When the VM's lease expired after the end and before its
+            acknowledgement; None if it has not.
     """
 
     task: model.TaskId
@@ -63,7 +75,27 @@
     started_ms: int
     ended_ms: int | None = None
     kind: task_module.EndKind | None = None
-    acknowledged: bool = False
+    crashed_ms: int | None = None
+    acknowledged_ms: int | None = None
+    lapsed_ms: int | None = None
+
+    def counts_for(self, later: "Run") -> bool:
+        """Return whether the product had to know this end at a later start.
+
+        The task may be started again if the lease expires between the end of
+        the run and the acknowledgement. VMs may execute such a start late.
+        """
+        if self.acknowledged_ms is None or self.ended_ms is None:
+            return False
+        if self.ended_ms >= later.started_ms:
+            return False
+        excused = (
+            self.lapsed_ms is not None
+            and self.lapsed_ms
+            <= later.started_ms
+            <= self.acknowledged_ms + _MAX_COMMAND_DELAY_MS
+        )
+        return not excused
 
 
 @dataclasses.dataclass
@@ -103,11 +135,20 @@
             list
         )
         self._long_running: dict[model.TaskId, _Availability] = {}
+        # Reported capacities of each VM with the times of the reports.
+        self._capacities: dict[VmView, list[tuple[int, vms.Resources]]] = {}
+        self._running: dict[VmView, list[Run]] = collections.defaultdict(list)
 
     def runs(self, task: model.TaskId) -> list[Run]:
         """Return all runs of a task."""
         return self._runs.get(task, [])
 
+    def record_capacity(self, vm: VmView) -> None:
+        """Record that a VM has reported its present capacity."""
+        self._capacities.setdefault(vm, []).append(
+            (self._now_ms(), vm.report.capacity)
+        )
+
     def record_start(self, vm: VmView, command: vms.StartCommand) -> None:
         """Record and check that a VM has started a run."""
         task = command.task
@@ -122,6 +163,9 @@
         else:
             self._check_start(run, earlier_runs, sim_job)
         earlier_runs.append(run)
+        self._running[vm].append(run)
+        if not vm.guards_capacity:
+            self._check_capacity(run)
         if sim_job is not None and sim_job.spec.steps[task.step].long_running:
             self._long_running[task] = _Availability(None)
 
@@ -144,6 +188,7 @@
             if run.number == number and run.vm is vm and run.ended_ms is None:
                 run.ended_ms = self._now_ms()
                 run.kind = kind
+                self._running[vm].remove(run)
                 self._process_end(run)
 
     def record_shutdown(self, vm: VmView) -> None:
@@ -154,15 +199,32 @@
                     self._check_availability(run)
                     self._mark_stopped_by_command(run.task)
 
+    def record_crash(self, vm: VmView) -> None:
+        """Record that a VM is about to end without a command."""
+        for runs in self._runs.values():
+            for run in runs:
+                if run.vm is vm and run.ended_ms is None:
+                    run.crashed_ms = self._now_ms()
+
     def record_acknowledgement(self, vm: VmView, end: vms.ListedEnd) -> None:
         """Record that the product has acknowledged the end of a run."""
         for run in self._runs[end.task]:
             if run.vm is vm and run.number == end.number:
-                # The task may be started again if the lease expires between
-                # the end of the run and the acknowledgement.
-                lease_expired = vm.lease_expired_ms > (run.ended_ms or 0)
-                run.acknowledged = not lease_expired
-                self._check_later_starts(end.task)
+                run.acknowledged_ms = self._now_ms()
+                self._check_later_starts(run)
+
+    def record_lapse(self, vm: VmView, lapsed_ms: int) -> None:
+        """Record that the lease of a VM has expired.
+
+        Args:
+            vm: VM whose lease has expired, with or without runs.
+            lapsed_ms: When it expired.
+        """
+        for runs in self._runs.values():
+            for run in runs:
+                open_end = run.ended_ms is not None and not run.acknowledged_ms
+                if run.vm is vm and open_end and run.lapsed_ms is None:
+                    run.lapsed_ms = lapsed_ms
 
     def record_final_state(
         self, sim_job: truth_module.SimJob, state: model.JobState
@@ -225,10 +287,70 @@
                 run,
                 f"starts {late_ms} ms after the cancellation grace period",
             )
+        self._check_crashes(run, earlier_runs, sim_job)
         if earlier_runs:
             all_runs = [*earlier_runs, run]
             self._check_run_sequence(run.task, all_runs)
 
+    def _check_crashes(
+        self, run: Run, earlier_runs: list[Run], sim_job: truth_module.SimJob
+    ) -> None:
+        if (run.task.step, run.task.position) not in sim_job.crashing:
+            return
+        crashes_ms = [
+            earlier.crashed_ms
+            for earlier in earlier_runs
+            if earlier.crashed_ms is not None
+        ]
+        if len(crashes_ms) < _CRASHES_BEFORE_LIMIT:
+            return
+        limited_from_ms = sorted(crashes_ms)[_CRASHES_BEFORE_LIMIT - 1]
+        starts = 1 + sum(
+            earlier.started_ms >= limited_from_ms for earlier in earlier_runs
+        )
+        if starts > _STARTS_AFTER_CRASHES:
+            self._record_violation(
+                "BUDGET",
+                run,
+                f"start {starts} after {_CRASHES_BEFORE_LIMIT} crashed VMs",
+            )
+
+    def _check_capacity(self, run: Run) -> None:
+        """Check that a start does not bring its VM over its capacity."""
+        needs = [self._needs(other) for other in self._running[run.vm]]
+        limits = self._allowed_capacity(run.vm)
+        for number, resource in enumerate(("cpu", "memory", "GPUs")):
+            used = sum(need[number] for need in needs)
+            if self._needs(run)[number] and used > limits[number]:
+                self._record_violation(
+                    "ROOM", run, f"{resource} {used} of {limits[number]}"
+                )
+
+    def _needs(self, run: Run) -> tuple[int, int, int]:
+        sim_job = self._jobs.get(run.task.job)
+        if sim_job is None:
+            return 0, 0, 0
+        step = sim_job.spec.steps[run.task.step]
+        cpu_millicores = 0 if step.filler else step.cpu_millicores
+        return cpu_millicores, step.memory_mb, step.gpu_count
+
+    def _allowed_capacity(self, vm: VmView) -> tuple[int, int, int]:
+        """Return the most of each resource reported in the grace period."""
+        since_ms = self._now_ms() - _SHRINK_GRACE_MS
+        reports = self._capacities[vm]
+        # A report holds until the next one.
+        ends_ms = [at_ms for at_ms, _ in reports[1:]] + [self._now_ms()]
+        allowed = [
+            capacity
+            for (_, capacity), end_ms in zip(reports, ends_ms, strict=True)
+            if end_ms >= since_ms
+        ]
+        return (
+            max(capacity.cpu_millicores for capacity in allowed),
+            max(capacity.memory_mb for capacity in allowed),
+            max(capacity.gpu_count for capacity in allowed),
+        )
+
     def _check_step_order(self, run: Run, sim_job: truth_module.SimJob) -> None:
         step = sim_job.spec.steps[run.task.step]
         for required_step in step.after:
@@ -237,8 +359,11 @@
                 if not self._is_done(task):
                     self._record_violation("ORDER", run, f"{task} is not done")
 
-    def _check_later_starts(self, task: model.TaskId) -> None:
-        self._check_run_sequence(task, self._runs[task])
+    def _check_later_starts(self, ended: Run) -> None:
+        runs = self._runs[ended.task]
+        for index, run in enumerate(runs):
+            if run.started_ms > (ended.ended_ms or 0):
+                self._check_run_sequence(ended.task, runs[: index + 1])
 
     def _check_run_sequence(self, task: model.TaskId, runs: list[Run]) -> None:
         sim_job = self._jobs.get(task.job)
@@ -246,12 +371,7 @@
             return
         latest = runs[-1]
         ended_runs = [
-            run
-            for run in runs
-            if run is not latest
-            and run.acknowledged
-            and run.ended_ms is not None
-            and run.ended_ms < latest.started_ms
+            run for run in runs if run is not latest and run.counts_for(latest)
         ]
         if any(run.kind is task_module.EndKind.DONE for run in ended_runs):
             self._record_violation(
@@ -371,6 +491,18 @@
             )
             >= sim_job.queue.max_attempts
             for task in self._tasks(sim_job)
+        ) or any(
+            self._crash_count(sim_job, step, position)
+            >= _CRASHES_BEFORE_FAILURE
+            for step, position in sim_job.crashing
+        )
+
+    def _crash_count(
+        self, sim_job: truth_module.SimJob, step: int, position: int
+    ) -> int:
+        task = model.TaskId(sim_job.job, 0, step, position)
+        return sum(
+            run.crashed_ms is not None for run in self._runs.get(task, [])
         )
 
     def _record_violation(self, rule: str, run: Run, detail: str) -> None:
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -28,6 +28,8 @@
 _CHECKPOINT_INTERVAL_MS = 500
 _RESTORE_MS = 100
 _LATE_DELAY_MS = (2_000, 12_000)
+# Time after which a crashing task ends its VM.
+_CRASH_DELAY_S = 0.01
 
 
 class Health(enum.Enum):
@@ -54,6 +56,7 @@
         clock: Clock of the VM.
         jobs: Jobs with their actual behaviour.
         oracle: Oracle that records all starts and ends.
+        crash: Crashes the VM; called when it has started a crashing task.
 
     Attributes:
         health: Whether tasks end normally, fail or hang.
@@ -61,7 +64,7 @@
         partitioned: Processes that cannot reach the VM.
         late_share: Share of commands that are delayed.
         dead: Whether the instance has ended.
-        lease_expired_ms: When the lease was last found expired.
+        guards_capacity: Whether the VM refuses starts that do not fit.
     """
 
     def __init__(
@@ -70,14 +73,17 @@
         clock: clock_module.Clock,
         jobs: truth_module.Jobs,
         oracle: "oracle_module.Oracle",
+        crash: Callable[["SimVm"], None],
     ) -> None:
         super().__init__(vm_report, clock)
+        self._crash = crash
         self.health = Health.HEALTHY
         self.slowdown_factor = 1.0
         self.partitioned: set[str] = set()
         self.late_share = 0.0
         self.dead = False
-        self.lease_expired_ms = 0
+        self._lapsed_lease_ms = 0
+        self.guards_capacity = True
         self._jobs = jobs
         self._oracle = oracle
         self._executions: dict[model.TaskId, _Execution] = {}
@@ -91,8 +97,11 @@
 
     def expire(self) -> None:
         """End all runs if the lease has expired."""
-        if self._clock.monotonic_ms() >= self.lease_until_ms:
-            self.lease_expired_ms = self._clock.monotonic_ms()
+        lease_ms = self.lease_until_ms
+        lapsed = self._clock.monotonic_ms() >= lease_ms
+        if lapsed and lease_ms != self._lapsed_lease_ms:
+            self._lapsed_lease_ms = lease_ms
+            self._oracle.record_lapse(self, lease_ms)
         super().expire()
 
     def power_off(self) -> None:
@@ -138,7 +147,7 @@
 
     def _has_room(self, command: vms.StartCommand) -> bool:
         step = self._jobs.step(command.task)
-        if step is None or step.filler:
+        if step is None or not self.guards_capacity:
             return True
         memory_mb = sum(
             other.memory_mb
@@ -146,9 +155,8 @@
             if other is not None
         )
         return (
-            step.cpu_millicores <= self.free_millicores()
-            and memory_mb + step.memory_mb <= self.report.capacity.memory_mb
-        )
+            step.filler or step.cpu_millicores <= self.free_millicores()
+        ) and memory_mb + step.memory_mb <= self.report.capacity.memory_mb
 
     def _start(self, command: vms.StartCommand) -> vms.CommandOutcome:
         already_running = command.task in self.running
@@ -169,6 +177,14 @@
         checkpoint_ms = int(command.checkpoint) if command.checkpoint else 0
         execution = _Execution(now_ms, checkpoint_ms, total_ms, None)
         self._executions[task] = execution
+        if (task.step, task.position) in sim_job.crashing:
+            execution.timer = asyncio.get_running_loop().call_later(
+                _CRASH_DELAY_S,
+                self._crash,
+                self,
+                context=loop_module.context(""),
+            )
+            return
         if step.long_running or self.health is Health.HANGS:
             return
         kind = task_module.EndKind.DONE
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -21,6 +21,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.ownership import claims
+from wagtailtiller.ports import vms
 
 _SHARD = ids.ShardId(jobs.POOL)
 _SETTINGS = pool_owner.OwnerSettings(2_000, 60_000)
@@ -159,6 +160,103 @@
 
         self.run_with(main)
 
+    def test_shrunken_capacity_counts_with_an_outdated_session(self):
+        """Guards against starts by an old report while the store is silent.
+
+        Starts are allowed until 6 s after the last renewal, reports were
+        taken for 1.3 s only.
+        """
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.submit(owner)
+            await self.until(lambda: vm.running)
+            self.lease_age_ms = 2_000
+            shrunken = msgspec.structs.replace(
+                vm.report, capacity=vms.Resources(1_500, 131_072)
+            )
+            owner.set_reports({vm.report.vm: shrunken})
+            self.assertEqual(500, owner.pool.vms["vm-1"].free_cpu)
+            await self.submit(owner, "b")
+            await asyncio.sleep(0.2)
+            self.assertEqual(1, len(vm.running))
+            owner.set_reports({vm.report.vm: vm.report})
+            await asyncio.sleep(0.2)
+            self.assertEqual(1, len(vm.running))
+            self.lease_age_ms = 0
+            await self.until(lambda: len(vm.running) == 2)
+
+        self.run_with(main)
+
+    def test_start_needs_recent_reports_of_vms_that_take_all(self):
+        """Guards against starts by a report that may be 6 s old.
+
+        The VMs may still reach a store that this process cannot.
+        """
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            owner.set_guards_capacity(False)
+            await self.until(lambda: owner.pool.vms.get("vm-1"))
+            self.lease_age_ms = 4_000
+            await self.submit(owner)
+            await asyncio.sleep(0.3)
+            self.assertEqual({}, vm.running)
+            self.assertEqual(0, len(owner.pool.vms["vm-1"].runs))
+            self.lease_age_ms = 3_000
+            await self.until(lambda: vm.running)
+
+        self.run_with(main)
+
+    def test_starts_on_vms_that_guard_their_capacity_need_no_report(self):
+        """Guards against tasks that wait for the store without need."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            owner.set_guards_capacity(True)
+            await self.until(lambda: owner.pool.vms.get("vm-1"))
+            self.lease_age_ms = 5_000
+            await self.submit(owner)
+            await self.until(lambda: vm.running)
+
+        self.run_with(main)
+
+    def test_load_has_the_capacity_that_a_vm_has_lost(self):
+        """Guards against machines taken from a pool that lost capacity."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: owner.pool.vms.get("vm-1"))
+            known = owner.pool.vms["vm-1"]
+            await self.until(lambda: known.open_for_starts(1 << 60))
+            shrunken = msgspec.structs.replace(
+                vm.report, capacity=vms.Resources(20_000, 131_072)
+            )
+            owner.set_reports({vm.report.vm: shrunken})
+            load = await owner.answer(messages.AskLoad(jobs.POOL, 0))
+            self.assertEqual(12_000, load.idle_millicores)
+
+        self.run_with(main)
+
+    def test_shrunken_capacity_counts_before_the_next_plan(self):
+        """Guards against waiting starts that are sent by the old report."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: "vm-1" in owner.pool.vms)
+            shrunken = msgspec.structs.replace(
+                vm.report, capacity=vms.Resources(4_000, 1_000, 0)
+            )
+            owner.set_reports({vm.report.vm: shrunken})
+            self.assertEqual(4_000, owner.pool.vms["vm-1"].free_cpu)
+
+        self.run_with(main)
+
     def test_stop_does_not_hang_on_simultaneous_wake_up(self):
         """A cancellation together with a wake-up must not be lost."""
 
@@ -393,6 +491,44 @@
             self.starts_elsewhere_after_takeover({"m-vm-1": "vm-7"})
         )
 
+    def test_new_owner_waits_for_vm_that_registers_during_the_reading(self):
+        """TWICE: a machine list read before the VM had joined ended it."""
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            vm.unresponsive = True
+            other_vm = self.add_vm("vm-2")
+            self.machines = fakes.FakeMachines({"m-vm-1": "vm-7"})
+            list_machines = self.machines.list
+            reading = asyncio.Event()
+            registered = asyncio.Event()
+
+            async def list_slowly():
+                listed = await list_machines()
+                reading.set()
+                await registered.wait()
+                self.machines.list = list_current
+                return listed
+
+            async def list_current():
+                return await fakes.FakeMachines({"m-vm-1": "vm-1"}).list()
+
+            self.machines.list = list_slowly
+            second = self.own_pool(2)
+            second.set_reports({other_vm.report.vm: other_vm.report})
+            await reading.wait()
+            second.set_reports(
+                {v.report.vm: v.report for v in self.vms.values()}
+            )
+            await self.until(lambda: "vm-1" in second.pool.vms)
+            registered.set()
+            await asyncio.sleep(0.5)
+            self.assertEqual({}, other_vm.running)
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+
     def test_new_owner_waits_for_vm_with_unlisted_machine(self):
         self.assertFalse(self.starts_elsewhere_after_takeover({}))
 
@@ -678,6 +814,67 @@
 
         self.run_with(main)
 
+    def test_end_of_unknown_job_waits_for_an_answer_of_the_store(self):
+        """TWICE: an end was lost if its job could not be looked up."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            task = model.TaskId(model.JobId("d" * 16), 0, 0, 0)
+            vm.running[task] = fake_vms.FakeRun(1, 0)
+            vm.end(task, task_module.EndKind.DONE)
+            owner = self.own_pool()
+            owner.set_reports({})
+            await self.until(lambda: owner.ready)
+            read_key = self.store.read_key
+
+            async def fail(key):
+                return Error(errors.StoreUnavailable("fault"))
+
+            self.store.read_key = fail
+            owner.set_reports({vm.report.vm: vm.report})
+            await asyncio.sleep(0.5)
+            self.assertEqual(1, len(vm.ended))
+            self.assertLess(vm.holds, 8)
+            self.store.read_key = read_key
+            await self.until(lambda: not vm.ended)
+            await owner.stop()
+
+        self.run_with(main)
+
+    def test_run_of_job_that_the_owner_has_not_read_is_adopted(self):
+        """TWICE: the run was to be stopped, and the job was then read.
+
+        The task started on another VM although the stop was not answered.
+        """
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            other_vm = self.add_vm("vm-2")
+            second = self.own_pool(2)
+            second.set_reports({})
+            second._job_mirror._pause_ms = 60_000
+            await self.until(lambda: second.ready)
+            self.store_as_frontend(jobs.job("b" * 16, epoch=0))
+            await self.until(lambda: len(vm.running) == 2)
+
+            async def lose_stop(task, number, token):
+                return vms.CommandResponse(vms.CommandOutcome.UNANSWERED)
+
+            vm.stop = lose_stop
+            second.set_reports(
+                {v.report.vm: v.report for v in self.vms.values()}
+            )
+            await self.until(lambda: not second.pool.unresolved)
+            item = self.store.state.item(keys.job(jobs.POOL, "b" * 16))
+            second._on_jobs_change([item])
+            await asyncio.sleep(0.5)
+            self.assertEqual({}, other_vm.running)
+            self.assertEqual(2, len(second.pool.vms["vm-1"].runs))
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+
     def test_end_of_job_that_is_not_stored_is_acknowledged(self):
         """Otherwise a VM would list the end of a deleted job for ever."""
 
@@ -985,7 +1182,8 @@
             await self.submit(owner)
             vm = self.replace_vm(owner, "vm-1")
             await self.until(lambda: vm.running)
-            self.replace_vm(owner, "vm-2")
+            # No run ends, which would have the job stored as well.
+            self.replace_vm(owner, "vm-2").unresponsive = True
             await self.until(lambda: list(self.stored_job().crashed_tasks()))
             await owner.stop()
 
@@ -1000,7 +1198,7 @@
             vm = self.replace_vm(owner, "vm-1")
             vm.delay_starts = True
             await self.until(lambda: len(vm.delayed_starts) == 2)
-            self.replace_vm(owner, "vm-2")
+            self.replace_vm(owner, "vm-2").unresponsive = True
             await self.until(
                 lambda: len(list(self.stored_job().crashed_tasks())) == 2
             )
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -286,6 +286,24 @@
         self.assertEqual([], self.start_all())
         self.assertEqual(7, entry.job.task(task).last_run)
 
+    def test_a_run_of_an_unknown_job_is_stopped(self):
+        vm = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
+        task = model.TaskId(model.JobId("f" * 16), 0, 0, 0)
+        listed_run = vms.ListedRun(task, 7, "", 10, 0)
+        listing = vms.Listing(self.clock.now_ms, 1, (listed_run,), ())
+
+        def apply_listing():
+            return self.pool.run_reconciler.apply_listing(
+                vm, vm.token, self.clock.now_ms, listing
+            )
+
+        self.assertEqual([], apply_listing())
+        self.assertEqual({task.job}, vm.unread_jobs)
+        vm.absent_jobs.add(task.job)
+        for _ in range(2):
+            (issued,) = apply_listing()
+            self.assertIsInstance(issued, commands.StopOrphan)
+
 
 class RestartedVmTest(PoolTest):
     def restart(self, vm):
@@ -357,6 +375,21 @@
         self.pool.vm_tracker.expire_leases()
         self.assertEqual(set(), self.pool.vm_tracker.members())
 
+    def test_an_unlisted_vm_is_a_member_until_its_end_is_stored(self):
+        """TWICE: a VM was forgotten whose ended run was stored nowhere."""
+        vm = self.add_vm("vm-1")
+        self.add_job("a")
+        (start,) = self.start_all()
+        self.end(vm, start.run, task_module.EndKind.DONE)
+        self.pool.vm_tracker.mark_unlisted("vm-1")
+        self.pool.vm_tracker.mark_unresponsive(vm)
+        self.clock.advance(60_000)
+        self.assertEqual([], self.pool.vm_tracker.expire_leases())
+        self.assertEqual({"vm-1"}, self.pool.vm_tracker.members())
+        vm.stored_end_position = vm.last_end_position
+        self.assertEqual([vm], self.pool.vm_tracker.expire_leases())
+        self.assertEqual(set(), self.pool.vm_tracker.members())
+
     def test_unresolved_vms_stay_members(self):
         self.pool.unresolved = {"vm-9": self.clock.now_ms + 5_000}
         self.assertEqual({"vm-9"}, self.pool.vm_tracker.members())
