--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -17,8 +17,6 @@
 # A job is given up once this many VMs have crashed under one of its tasks. Two
 # crashes may be a coincidence; each further one takes a VM from other jobs.
 _MAX_CRASHES = 3
-# So many of them must have crashed under the same task of a gang.
-_MIN_CRASHES_UNDER_ONE = 2
 
 
 class Job:
@@ -292,9 +290,7 @@
         """Record that a VM has crashed under a task; the third fails the job.
 
         A crash under a gang member counts for the whole gang, and each run of
-        a gang counts once, although it may lose several VMs. The job fails only
-        if one of the members ran on two of the VMs, since VMs that crash under
-        different members may have nothing to do with the gang.
+        a gang counts once, although it may lose several VMs.
 
         Args:
             task: Task that ran on the VM.
@@ -316,12 +312,7 @@
             members = step_run.tasks
         for member in members:
             member.crashed_on.add(instance)
-        task.crashed_under.add(instance)
-        most_under_one = max(len(member.crashed_under) for member in members)
-        if (
-            len(task.crashed_on) >= _MAX_CRASHES
-            and most_under_one >= _MIN_CRASHES_UNDER_ONE
-        ):
+        if len(task.crashed_on) >= _MAX_CRASHES:
             self.state = model.JobState.FAILED
             self._discard_derived()
         return True
--- a/src/wagtailtiller/jobs/record.py
+++ b/src/wagtailtiller/jobs/record.py
@@ -20,14 +20,11 @@
         vm: Id of the VM.
         born_ms: Start time of the instance, in Unix milliseconds.
         positions: Indexes of the tasks.
-        ran: Indexes of those of them that ran on the instance; None if all
-            did. The others belong to the gang of one that did.
     """
 
     vm: ids.VmId
     born_ms: int
     positions: tuple[int, ...]
-    ran: tuple[int, ...] | None = None
 
 
 class _Progress(msgspec.Struct, frozen=True, array_like=True):
@@ -153,39 +150,23 @@
 
     Many tasks may have run on the same instance, which is named once.
     """
-    tasks: dict[
-        tuple[int, int],
-        dict[task_module.VmInstance, list[task_module.Task]],
+    positions: dict[
+        tuple[int, int], dict[task_module.VmInstance, list[int]]
     ] = {}
     for task in job.crashed_tasks():
         key = (task.id.occurrence, task.id.step)
         for instance in task.crashed_on:
-            by_instance = tasks.setdefault(key, {})
-            by_instance.setdefault(instance, []).append(task)
+            by_instance = positions.setdefault(key, {})
+            by_instance.setdefault(instance, []).append(task.id.position)
     return {
         key: tuple(
-            _crash(instance, by_instance[instance])
+            _Crash(instance.vm, instance.born_ms, tuple(by_instance[instance]))
             for instance in sorted(by_instance)
         )
-        for key, by_instance in tasks.items()
+        for key, by_instance in positions.items()
     }
 
 
-def _crash(
-    instance: task_module.VmInstance, tasks: list[task_module.Task]
-) -> _Crash:
-    positions = tuple(task.id.position for task in tasks)
-    ran = tuple(
-        task.id.position for task in tasks if instance in task.crashed_under
-    )
-    return _Crash(
-        instance.vm,
-        instance.born_ms,
-        positions,
-        None if ran == positions else ran,
-    )
-
-
 def _mask_bytes(mask: int) -> bytes:
     return mask.to_bytes((mask.bit_length() + 7) // 8, "little")
 
@@ -194,7 +175,7 @@
     """Return whether the progress is about tasks that the job has."""
     positions = [0, *progress.failed_runs]
     for crash in progress.crashes:
-        positions.extend((*crash.positions, *(crash.ran or ())))
+        positions.extend(crash.positions)
     bounds = (min(positions), max(positions))
     return all(
         job.task(
@@ -214,9 +195,6 @@
         instance = task_module.VmInstance(crash.vm, crash.born_ms)
         for index in crash.positions:
             step_run.tasks[index].crashed_on.add(instance)
-        ran = crash.positions if crash.ran is None else crash.ran
-        for index in ran:
-            step_run.tasks[index].crashed_under.add(instance)
     for task in step_run.tasks:
         if mask >> task.id.position & 1:
             job.mark_done(task)
--- a/src/wagtailtiller/jobs/task.py
+++ b/src/wagtailtiller/jobs/task.py
@@ -138,9 +138,7 @@
         checkpoint: Checkpoint that the last run saved; empty if there is none.
         run: Current run, if any.
         failed_vms: VMs on which a run of the task has failed or stalled.
-        crashed_on: VM instances that have crashed while they ran the task or
-            another one of its gang.
-        crashed_under: Those of them that ran the task itself.
+        crashed_on: VM instances that have crashed while they ran the task.
         lost_on: VM instances that were lost while they ran the task, and of
             which it is not known whether they have crashed.
     """
@@ -154,7 +152,6 @@
     run: Run | None = None
     failed_vms: set[ids.VmId] = dataclasses.field(default_factory=set)
     crashed_on: set[VmInstance] = dataclasses.field(default_factory=set)
-    crashed_under: set[VmInstance] = dataclasses.field(default_factory=set)
     lost_on: set[VmInstance] = dataclasses.field(default_factory=set)
 
     def suspected_of(self) -> set[VmInstance]:
@@ -169,7 +166,6 @@
         """
         had_crashes = bool(self.crashed_on)
         self.crashed_on.clear()
-        self.crashed_under.clear()
         self.lost_on.clear()
         return had_crashes
 
--- a/tests/jobs/test_record.py
+++ b/tests/jobs/test_record.py
@@ -139,22 +139,6 @@
         self.assertEqual(set(), self.task(self.job).suspected_of())
         self.assertFalse(self.crash(self.job, 3))
 
-    def test_crashes_under_each_task_of_a_gang_are_restored(self):
-        """Guards against a takeover after which one crash counts as two."""
-        gang = jobs.job("b" * 16, jobs.spec(jobs.step(3, gang=True)))
-        for position in (0, 1):
-            instance = task_module.VmInstance("vm-1", position)
-            gang.record_crash(self.task(gang, position), position + 1, instance)
-        gang = record.decode(record.encode(gang)).ok
-        counts = [len(t.crashed_under) for t in gang.steps(0)[0].tasks]
-        self.assertEqual([1, 1, 0], counts)
-        instance = task_module.VmInstance("vm-1", 3)
-        gang.record_crash(self.task(gang, 2), 3, instance)
-        self.assertFalse(gang.is_final())
-        instance = task_module.VmInstance("vm-1", 4)
-        gang.record_crash(self.task(gang, 2), 4, instance)
-        self.assertIs(model.JobState.FAILED, gang.state)
-
     def test_run_of_a_gang_counts_one_crash(self):
         """Guards against a gang that fails with the VMs of its first run."""
         gang = jobs.job("b" * 16, jobs.spec(jobs.step(2, gang=True)))
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -165,32 +165,6 @@
         self.assertEqual([1, 1, 1], counts)
         self.assertEqual(3, len(self.start_all()))
 
-    def test_crashes_under_different_tasks_of_a_gang_do_not_add_up(self):
-        """Guards against a job that fails with one crash for each task.
-
-        Three unrelated VMs crashed, each under another task of the gang.
-        """
-        small = vms.Resources(1_000, 1_000)
-        names = [f"vm-{number}" for number in range(3)]
-        for name in names:
-            report = _report(name, 1, f"m-{name}", capacity=small)
-            self.answer(self.pool.vm_tracker.register(report))
-        entry = self.add_job("a", jobs.step(3, gang=True))
-        gang = entry.job.steps(0)[0].tasks
-        for lost in gang:
-            self.assertEqual(3, len(self.start_all()))
-            name = lost.run.vm
-            for task in gang:
-                if task is not lost:
-                    vm = self.pool.vms[task.run.vm]
-                    self.end(vm, task.run, task_module.EndKind.STOPPED)
-            report = _report(
-                name, self.clock.now_ms, f"m-{name}", capacity=small
-            )
-            self.answer(self.pool.vm_tracker.register(report))
-            self.list_nothing(self.pool.vms[name])
-        self.assertIs(model.JobState.RUNNING, entry.job.state)
-
 
 class EvidenceTest(CrashTest):
     def started_task(self, **fields):
