Report no VM empty while another process may own the pool

An owner that did not know yet that it had lost its pool answered that no runs were left on a VM, although the new owner may have started some there; the machine manager could then have the machine moved under them. Now it answers this only while its lease was renewed within 1.3 s, as for newly listed VMs.

Found by a review, by reading: the class of the second start by the next owner, a process that acts on what was true a while ago. test_no_vm_is_reported_empty_while_ownership_is_not_certain failed before with 'NotOwner() != Vacated(runs_left=0)'.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -49,8 +49,8 @@
 # Long enough for a new owner to renew the leases of running tasks. The runs of
 # a dead VM are discarded only after this time.
 _MAX_LEASE_MS = 5_000
-# Newly listed VMs are used only while this process's lease in the store was
-# renewed at most this long ago.
+# Newly listed VMs are used, and VMs reported empty, only while this process's
+# lease in the store was renewed at most this long ago.
 _MAX_SESSION_AGE_MS = 1_300
 # Runs start on VMs that take whatever they are told to only while the lease was
 # renewed at most this long ago, since reports may be as old. A capacity that
@@ -300,11 +300,14 @@
             request: Request about the pool.
 
         Returns:
-            The answer; ``NotOwner`` before the takeover has finished and
-            after ``stop``.
+            The answer; ``NotOwner`` before the takeover has finished, after
+            ``stop``, and to ``Vacate`` while another process may own the pool.
         """
         if not self.ready or self._stopped:
             return messages.NotOwner()
+        if isinstance(request, messages.Vacate) and not self._owns_surely():
+            # A new owner may have started runs on the VM.
+            return messages.NotOwner()
         return await self._request_handler.answer(request)
 
     async def _run(self) -> None:
@@ -379,7 +382,7 @@
     def _register_vms(self) -> None:
         # If this process was paused, another one may own the pool by now. The
         # new owner has fenced only the VMs that were listed at its takeover.
-        if self._store_contact.session_age_ms() > _MAX_SESSION_AGE_MS:
+        if not self._owns_surely():
             return
         for report in list(self._reports.values()):
             self._register_vm(report)
@@ -411,6 +414,9 @@
             self._find_stored,
         )
 
+    def _owns_surely(self) -> bool:
+        return self._store_contact.session_age_ms() <= _MAX_SESSION_AGE_MS
+
     def _may_command(self) -> bool:
         age_ms = self._store_contact.session_age_ms()
         return not self._stopped and age_ms <= LEASE_RENEWAL_TIMEOUT_MS
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -612,6 +612,26 @@
 
         self.run_with(main)
 
+    def test_no_vm_is_reported_empty_while_ownership_is_not_certain(self):
+        """Guards against machines moved under the runs of a new owner."""
+
+        async def main():
+            self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: "vm-1" in owner._members.stored)
+            request = messages.Vacate(
+                jobs.POOL, "vm-1", messages.VacateMode.MOVE_ALL
+            )
+            self.lease_age_ms = 2_100
+            answer = await owner.answer(request)
+            self.assertEqual(messages.NotOwner(), answer)
+            self.lease_age_ms = 0
+            answer = await owner.answer(request)
+            self.assertEqual(messages.Vacated(0), answer)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_vm_leaves_member_list_once_its_end_is_stored(self):
         """A silent VM would otherwise delay each new owner."""
 
