--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -139,6 +139,11 @@
     return [Fault("kill-owner", 5_000, 1_000)]
 
 
+def owner_losses() -> list[Fault]:
+    """Return a plan that kills the first pool's owner each 10 s, four times."""
+    return [Fault("kill-owner", 2_000 + 10_000 * n, 1_000) for n in range(4)]
+
+
 async def _inject(world: World, fault: Fault) -> None:
     await asyncio.sleep(fault.at_ms / 1_000)
     injector = _INJECTORS.get(fault.kind) or _PLANNED_INJECTORS[fault.kind]
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -21,6 +21,7 @@
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import node
 from wagtailtiller.jobs import job
+from wagtailtiller.jobs import record
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.maintenance import machine_fleet
 from wagtailtiller.maintenance import machine_manager
@@ -141,6 +142,12 @@
     return soak.simulate(seed, "shrinking")[1]
 
 
+def _play_crashing_tasks(seed: int) -> world_module.World:
+    return world_module.simulate(
+        scenarios.crashing(seed), faults.schedule(faults.owner_losses())
+    )
+
+
 _MUTANTS: dict[str, list[tuple[object, str, object]]] = {
     "jobs are accepted before they are stored": [
         (requests.RequestHandler, "_submit", _accept_before_commit)
@@ -181,6 +188,9 @@
             lambda self, task, number, max_attempts: None,
         )
     ],
+    "crashed VMs are not stored with the job": [
+        (record, "_crashes", lambda job: {})
+    ],
     "a job is complete after its first task": [
         (
             job.Job,
@@ -253,6 +263,7 @@
 
 # Days of the mutants that random faults would seldom detect.
 _DAYS: dict[str, Callable[[int], world_module.World]] = {
+    "crashed VMs are not stored with the job": _play_crashing_tasks,
     "a new owner takes a revoked lease for an expired one": _play_revocation,
     "capacity is read once": _play_shrinking,
     "fits ignore memory": _play_shrinking,
--- a/tests/sim/test_crashing_tasks.py
+++ b/tests/sim/test_crashing_tasks.py
@@ -3,6 +3,7 @@
 import testtools
 
 from support.sim import faults
+from support.sim import mutants
 from support.sim import scenarios
 from support.sim import world
 
@@ -32,6 +33,20 @@
         """
         self.assertEqual([], self.violations("BUDGET"))
 
+    def test_crashes_count_under_four_owners(self):
+        """Guards against crashes that the next owner does not know of."""
+        simulated = world.simulate(
+            scenarios.crashing(_SEED), faults.schedule(faults.owner_losses())
+        )
+        self.assertEqual([], simulated.oracle.violations)
+
+    def test_crashes_that_are_not_stored_are_detected(self):
+        """Guards against an oracle that misses starts under other owners."""
+        _, rules = mutants.find_violation(
+            "crashed VMs are not stored with the job", 1, _SEED
+        )
+        self.assertEqual("BUDGET", rules)
+
     def test_other_jobs_and_tasks_survive_crashing_ones(self):
         """Guards against jobs that are lost with VMs that others crash."""
         self.assertEqual([], self.violations("LOST", "TWICE", "MIXED", "EXIT"))
