Fail a job after three crashes only if two are certain

A start command without an answer may have found its VM ended. An instance that had not confirmed the start now counts as doubtful, also in the job record. A job fails at the third crash if two are certain, else at the fifth, two starts later.

--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -17,6 +17,11 @@
 # A job is given up once this many VMs have crashed under one of its tasks. Two
 # crashes may be a coincidence; each further one takes a VM from other jobs.
 _MAX_CRASHES = 3
+# At least so many of these must have confirmed the start of the task; the other
+# starts may have found the VM ended.
+_MIN_CERTAIN_CRASHES = 2
+# A task may also crash each VM before it confirms the start.
+_MAX_DOUBTFUL_CRASHES = 5
 
 
 class Job:
@@ -286,9 +291,12 @@
         task: task_module.Task,
         run_number: int,
         instance: task_module.VmInstance,
+        is_certain: bool = True,
     ) -> bool:
         """Record that a VM has crashed under a task; the third fails the job.
 
+        The job fails later if too few of the VMs have confirmed the start.
+
         A crash under a gang member counts for the whole gang, and each run of
         a gang counts once, although it may lose several VMs.
 
@@ -296,6 +304,7 @@
             task: Task that ran on the VM.
             run_number: Number of its run.
             instance: VM instance that has crashed.
+            is_certain: Whether the instance has confirmed the start.
 
         Returns:
             Whether the crash counts.
@@ -312,7 +321,9 @@
             members = step_run.tasks
         for member in members:
             member.crashed_on.add(instance)
-        if len(task.crashed_on) >= _MAX_CRASHES:
+            if not is_certain:
+                member.doubtful_on.add(instance)
+        if _crashes_too_often(task):
             self.state = model.JobState.FAILED
             self._discard_derived()
         return True
@@ -377,3 +388,11 @@
         finished = len(self._finished_occurrences)
         if finished == self.spec.occurrences() and not self.is_final():
             self.state = model.JobState.COMPLETED
+
+
+def _crashes_too_often(task: task_module.Task) -> bool:
+    count = len(task.crashed_on)
+    certain_count = count - len(task.doubtful_on)
+    if certain_count >= _MIN_CERTAIN_CRASHES:
+        return count >= _MAX_CRASHES
+    return count >= _MAX_DOUBTFUL_CRASHES
--- a/src/wagtailtiller/jobs/record.py
+++ b/src/wagtailtiller/jobs/record.py
@@ -20,11 +20,13 @@
         vm: Id of the VM.
         born_ms: Start time of the instance, in Unix milliseconds.
         positions: Indexes of the tasks.
+        doubtful: Indexes of those whose start it has not confirmed.
     """
 
     vm: ids.VmId
     born_ms: int
     positions: tuple[int, ...]
+    doubtful: tuple[int, ...] = ()
 
 
 class _Progress(msgspec.Struct, frozen=True, array_like=True):
@@ -150,23 +152,36 @@
 
     Many tasks may have run on the same instance, which is named once.
     """
-    positions: dict[
-        tuple[int, int], dict[task_module.VmInstance, list[int]]
+    tasks: dict[
+        tuple[int, int],
+        dict[task_module.VmInstance, list[task_module.Task]],
     ] = {}
     for task in job.crashed_tasks():
         key = (task.id.occurrence, task.id.step)
         for instance in task.crashed_on:
-            by_instance = positions.setdefault(key, {})
-            by_instance.setdefault(instance, []).append(task.id.position)
+            tasks.setdefault(key, {}).setdefault(instance, []).append(task)
     return {
         key: tuple(
-            _Crash(instance.vm, instance.born_ms, tuple(by_instance[instance]))
+            _crash(instance, by_instance[instance])
             for instance in sorted(by_instance)
         )
-        for key, by_instance in positions.items()
+        for key, by_instance in tasks.items()
     }
 
 
+def _crash(
+    instance: task_module.VmInstance, tasks: list[task_module.Task]
+) -> _Crash:
+    return _Crash(
+        instance.vm,
+        instance.born_ms,
+        tuple(task.id.position for task in tasks),
+        tuple(
+            task.id.position for task in tasks if instance in task.doubtful_on
+        ),
+    )
+
+
 def _mask_bytes(mask: int) -> bytes:
     return mask.to_bytes((mask.bit_length() + 7) // 8, "little")
 
@@ -175,7 +190,7 @@
     """Return whether the progress is about tasks that the job has."""
     positions = [0, *progress.failed_runs]
     for crash in progress.crashes:
-        positions.extend(crash.positions)
+        positions.extend((*crash.positions, *crash.doubtful))
     bounds = (min(positions), max(positions))
     return all(
         job.task(
@@ -195,6 +210,8 @@
         instance = task_module.VmInstance(crash.vm, crash.born_ms)
         for index in crash.positions:
             step_run.tasks[index].crashed_on.add(instance)
+        for index in crash.doubtful:
+            step_run.tasks[index].doubtful_on.add(instance)
     for task in step_run.tasks:
         if mask >> task.id.position & 1:
             job.mark_done(task)
--- a/src/wagtailtiller/jobs/task.py
+++ b/src/wagtailtiller/jobs/task.py
@@ -139,6 +139,8 @@
         run: Current run, if any.
         failed_vms: VMs on which a run of the task has failed or stalled.
         crashed_on: VM instances that have crashed while they ran the task.
+        doubtful_on: Those of ``crashed_on`` that have not confirmed the start,
+            so that they may have crashed before it.
         lost_on: VM instances that were lost while they ran the task, and of
             which it is not known whether they have crashed.
     """
@@ -152,6 +154,7 @@
     run: Run | None = None
     failed_vms: set[ids.VmId] = dataclasses.field(default_factory=set)
     crashed_on: set[VmInstance] = dataclasses.field(default_factory=set)
+    doubtful_on: set[VmInstance] = dataclasses.field(default_factory=set)
     lost_on: set[VmInstance] = dataclasses.field(default_factory=set)
 
     def suspected_of(self) -> set[VmInstance]:
@@ -166,6 +169,7 @@
         """
         had_crashes = bool(self.crashed_on)
         self.crashed_on.clear()
+        self.doubtful_on.clear()
         self.lost_on.clear()
         return had_crashes
 
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -130,7 +130,8 @@
         entry = self.entries.get(task.id.job)
         if entry is None:
             return
-        if not entry.job.record_crash(task, run.number, instance):
+        is_certain = run.confirmed_ms > 0
+        if not entry.job.record_crash(task, run.number, instance, is_certain):
             return
         if entry.job.is_final():
             events.emit(
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -331,6 +331,22 @@
         self.boot()
         self.assertEqual(1, len(start.run.task.crashed_on))
 
+    def test_starts_without_answers_fail_the_job_at_the_fifth_crash(self):
+        """Guards against a task that crashes each VM before it responds.
+
+        Three such crashes may have been there before the start commands.
+        """
+        entry = self.add_job("a")
+        for number in range(5):
+            self.boot()
+            self.assertEqual(1, len(self.start_unanswered()))
+            self.assertEqual(
+                number, len(entry.job.steps(0)[0].tasks[0].crashed_on)
+            )
+            self.clock.advance(2_000)
+        self.boot()
+        self.assertIs(model.JobState.FAILED, entry.job.state)
+
     def test_start_that_found_the_vm_ended_does_not_count(self):
         """Guards against tasks that are sent to a VM that has crashed."""
         self.boot()
