--- a/src/wagtailtiller/scheduling/suspects.py
+++ b/src/wagtailtiller/scheduling/suspects.py
@@ -128,12 +128,14 @@
     """Attempts to start one unit.
 
     Attributes:
+        last_run: Highest run number when the attempts began.
         free_since_ms: Time from which the kept VMs have been free for it; None
             if they are not.
         retry_ms: Time until which no VM is kept for it.
         tried: VMs on which it did not start although they were free.
     """
 
+    last_run: int
     free_since_ms: int | None = None
     retry_ms: int = 0
     tried: set[ids.VmId] = dataclasses.field(default_factory=set)
@@ -212,7 +214,8 @@
         units = {isolated_unit(tasks[0]): tasks for tasks in waiting}
         self._release(units, vms, open_vms)
         self._attempts = {
-            unit: self._attempts.get(unit) or _Attempt() for unit in units
+            unit: self._attempt(unit, tasks[0].last_run)
+            for unit, tasks in units.items()
         }
         self._keep_in_turn(units, vms, open_vms, now_ms)
         kept = {vm.isolates for vm in vms if vm.isolates is not None}
@@ -249,6 +252,13 @@
             self._keep(unit, own, chosen, now_ms)
             used = {vm.report.vm: vm.isolates for vm in vms if _is_used(vm)}
 
+    def _attempt(self, unit: model.TaskId, last_run: int) -> _Attempt:
+        """Return the attempts of a unit since its last start."""
+        known = self._attempts.get(unit)
+        if known is None or known.last_run != last_run:
+            return _Attempt(last_run)
+        return known
+
     def _release(
         self,
         units: Collection[model.TaskId],
