Count a crash under a gang for the members on the crashed VM only

Callers could see a gang fail although no task of it had two crashes: each crash under one member counted for all, so that three unrelated ones were enough. Now a crash counts for the tasks that ran on the VM. A member that crashes its VMs is on each of them, so it is still given up after the third.

test_run_of_a_gang_counts_one_crash demanded the old counting; the test in its place demands that one crash under each of three members fails nothing, and three under one member do.

--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -289,7 +289,6 @@
     def record_crash(
         self,
         task: task_module.Task,
-        run_number: int,
         instance: task_module.VmInstance,
         is_certain: bool = True,
     ) -> bool:
@@ -297,12 +296,8 @@
 
         The job fails later if too few of the VMs have confirmed the start.
 
-        A crash under a gang member counts for the whole gang, and each run of
-        a gang counts once, although it may lose several VMs.
-
         Args:
             task: Task that ran on the VM.
-            run_number: Number of its run.
             instance: VM instance that has crashed.
             is_certain: Whether the instance has confirmed the start.
 
@@ -312,17 +307,9 @@
         task.lost_on.discard(instance)
         if task.done or self.is_final() or instance in task.crashed_on:
             return False
-        step_run = self.steps(task.id.occurrence)[task.id.step]
-        members = [task]
-        if task.step.gang:
-            if run_number <= step_run.crashed_run:
-                return False
-            step_run.crashed_run = run_number
-            members = step_run.tasks
-        for member in members:
-            member.crashed_on.add(instance)
-            if not is_certain:
-                member.doubtful_on.add(instance)
+        task.crashed_on.add(instance)
+        if not is_certain:
+            task.doubtful_on.add(instance)
         if _crashes_too_often(task):
             self.state = model.JobState.FAILED
             self._discard_derived()
--- a/src/wagtailtiller/jobs/task.py
+++ b/src/wagtailtiller/jobs/task.py
@@ -184,8 +184,6 @@
         tasks: All tasks of the step.
         open_count: Number of tasks that are not done.
         run_times: VMs and durations, in ms, of the runs that have succeeded.
-        crashed_run: Number of the latest run of a gang that has counted as a
-            crash; 0 if there is none.
     """
 
     number: int
@@ -195,7 +193,6 @@
     run_times: list[tuple[ids.VmId, int]] = dataclasses.field(
         default_factory=list
     )
-    crashed_run: int = 0
 
     def waiting_tasks(self) -> list[Task]:
         """Return the tasks that are neither done nor running."""
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -131,7 +131,7 @@
         if entry is None:
             return
         is_certain = run.confirmed_ms > 0
-        if not entry.job.record_crash(task, run.number, instance, is_certain):
+        if not entry.job.record_crash(task, instance, is_certain):
             return
         if entry.job.is_final():
             events.emit(
