--- a/tests/jobs/test_record.py
+++ b/tests/jobs/test_record.py
@@ -122,7 +122,7 @@
         self.assertLess(len(record.encode(job)) - empty_bytes, 3_100)
 
     def test_third_crash_fails_the_job(self):
-        """LOST: a task that crashes its VMs was started again for ever."""
+        """A task that crashes its VMs was started again for ever."""
         for number in (1, 2):
             self.assertTrue(self.crash(self.job, number))
             self.assertFalse(self.crash(self.job, number))
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -289,7 +289,7 @@
         self.run_with(main)
 
     def test_job_stored_during_takeover_is_found(self):
-        """LOST: a frontend stored a job after the takeover's read was served.
+        """A frontend stored a job after the takeover's read was served.
 
         The owner's watch reported the job before the slow read had ended, and
         not again afterwards.
@@ -322,7 +322,7 @@
         self.run_with(main)
 
     def test_job_stored_by_frontend_during_first_write_is_not_dropped(self):
-        """LOST: the owner dropped a job that a frontend had stored.
+        """The owner dropped a job that a frontend had stored.
 
         The store refused the owner's own write, which had taken too long for
         the frontend.
@@ -492,7 +492,7 @@
         )
 
     def test_new_owner_waits_for_vm_that_registers_during_the_reading(self):
-        """TWICE: a machine list read before the VM had joined ended it."""
+        """A machine list read before the VM had joined ended it."""
 
         async def main():
             vm, first = await self.own_pool_with_run()
@@ -803,7 +803,7 @@
         )
 
     def test_end_of_job_that_the_owner_has_not_read_is_not_lost(self):
-        """TWICE: the end of an unknown job was acknowledged without a write.
+        """The end of an unknown job was acknowledged without a write.
 
         A frontend had stored the job, and the previous owner, which had not
         noticed its loss, had run it; the new owner read the job later.
@@ -835,7 +835,7 @@
         self.run_with(main)
 
     def test_end_of_unknown_job_waits_for_an_answer_of_the_store(self):
-        """TWICE: an end was lost if its job could not be looked up."""
+        """An end was lost if its job could not be looked up."""
 
         async def main():
             vm = self.add_vm("vm-1")
@@ -862,7 +862,7 @@
         self.run_with(main)
 
     def test_run_of_job_that_the_owner_has_not_read_is_adopted(self):
-        """TWICE: the run was to be stopped, and the job was then read.
+        """The run was to be stopped, and the job was then read.
 
         The task started on another VM although the stop was not answered.
         """
@@ -1173,7 +1173,7 @@
         return record.decode(item.value).ok
 
     def test_job_that_crashes_its_vms_is_given_up(self):
-        """LOST: a task that crashes its VMs was started again for ever."""
+        """A task that crashes its VMs was started again for ever."""
 
         async def main():
             owner = self.own_pool()
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -150,7 +150,7 @@
         self.run_with(main)
 
     def test_restarted_vm_keeps_the_ends_of_its_new_instance(self):
-        """TWICE: the end of a run was acknowledged before it was listed.
+        """The end of a run was acknowledged before it was listed.
 
         A position in the list of the previous instance was acknowledged to the
         new one, which then discarded its own end at a lower position.
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -142,7 +142,7 @@
 
 class LateOwnerTest(OwnerTestCase):
     def test_task_ended_while_owner_was_late_runs_once(self):
-        """TWICE: an owner that was late took a responsive VM for silent.
+        """An owner that was late took a responsive VM for silent.
 
         The end of the run lay unread in the owner's socket; after the lease
         the owner discarded the run and started the task on another VM.
@@ -170,7 +170,7 @@
         )
 
     def test_burst_of_starts_over_slow_link_leaves_vm_responsive(self):
-        """TWICE: starts that waited for a connection made their VM silent.
+        """Starts that waited for a connection made their VM silent.
 
         Their timeouts included the wait. Each then sent a hold that waited
         for the connection of the long poll and timed out there, so that a VM
@@ -199,7 +199,7 @@
     lease_ms = 5_000
 
     def test_task_ended_on_vm_with_late_answers_runs_once(self):
-        """TWICE: each answer of a VM came after its timeout.
+        """Each answer of a VM came after its timeout.
 
         The end of the run was in these answers; after the lease the owner
         discarded the run and started the task on another VM.
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -75,7 +75,7 @@
         return starts
 
     def test_third_crash_fails_the_job(self):
-        """LOST: a task that crashes its VMs was started again for ever."""
+        """A task that crashes its VMs was started again for ever."""
         entry = self.add_job("a")
         self.assertEqual(3, self.crash_three_times())
         self.assertIs(model.JobState.FAILED, entry.job.state)
@@ -83,7 +83,7 @@
         self.assertEqual([], self.start_all())
 
     def test_third_crash_under_the_same_id_fails_the_job(self):
-        """LOST: a VM that keeps its id was crashed for ever."""
+        """A VM that keeps its id was crashed for ever."""
         entry = self.add_job("a")
         for _ in range(3):
             vm = self.boot("vm-1")
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -376,7 +376,7 @@
         self.assertEqual(set(), self.pool.vm_tracker.members())
 
     def test_an_unlisted_vm_is_a_member_until_its_end_is_stored(self):
-        """TWICE: a VM was forgotten whose ended run was stored nowhere."""
+        """A VM was forgotten whose ended run was stored nowhere."""
         vm = self.add_vm("vm-1")
         self.add_job("a")
         (start,) = self.start_all()
@@ -528,7 +528,7 @@
         return self.answer(vm, ended=ended)
 
     def test_an_inherited_task_waits_for_the_last_listed_end(self):
-        """TWICE: a VM listed 500 ends, and that of the task was a later one.
+        """A VM listed 500 ends, and that of the task was a later one.
 
         The VM counted as resolved after its first listing.
         """
@@ -544,7 +544,7 @@
         self.assertEqual(0, start.run.task.id.position)
 
     def test_an_inherited_task_waits_for_all_ends_beyond_the_leases(self):
-        """TWICE: the wait for a VM that listed its ends in parts timed out.
+        """The wait for a VM that listed its ends in parts timed out.
 
         The leases were over, but the end of the task was still to be listed.
         """
@@ -561,7 +561,7 @@
         self.assertEqual({}, self.pool.unresolved)
 
     def test_a_late_listing_of_a_replaced_instance_resolves_nothing(self):
-        """TWICE: the new instance may run tasks of the previous owner."""
+        """The new instance may run tasks of the previous owner."""
         replaced = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
         self.pool.vm_tracker.register(fake_vms.report("vm-1", born_ms=2))
         self.pool.unresolved = {"vm-1": self.clock.now_ms + 5_000}
@@ -571,7 +571,7 @@
         self.assertEqual([], self.start_all())
 
     def test_an_inherited_task_waits_for_runs_that_could_not_be_read(self):
-        """TWICE: a VM counted as resolved although runs on it were unknown."""
+        """A VM counted as resolved although runs on it were unknown."""
         vm = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
         self.pool.unresolved = {"vm-1": self.clock.now_ms + 5_000}
         self.add_job("a", inherited=True)
@@ -597,7 +597,7 @@
         )
 
     def test_a_run_of_an_unknown_job_is_adopted_once_the_job_is_read(self):
-        """TWICE: the VM was resolved, so that the task started elsewhere."""
+        """The VM was resolved, so that the task started elsewhere."""
         vm = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
         self.pool.unresolved = {"vm-1": self.clock.now_ms + 5_000}
         self.add_vm("vm-2")
