Decide in one place whether a run proves its task good

The accounting of crashes and the isolation of suspects each had the same rule and the same 10 s, so that a VM could have been kept for a task that is cleared, or the other way round, once one of them changed. The isolation now asks the accounting.

--- a/src/wagtailtiller/scheduling/crashes.py
+++ b/src/wagtailtiller/scheduling/crashes.py
@@ -8,13 +8,14 @@
 import dataclasses
 
 from wagtailtiller import ids
+from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import vm as vm_module
 
 # A task that runs until it is stopped and has run this long is not the cause of
-# a crash.
-_PROVEN_MS = 10_000
+# a crash. A task that crashes its VM does so within seconds of its start.
+PROVEN_MS = 10_000
 # VMs answer a start command within this time. Commands that were sent later
 # than that after one without an answer have found the VM ended.
 _RESPONSE_MS = 300
@@ -65,7 +66,7 @@
     Only tasks that run until they are stopped prove it by running; the others
     by succeeding.
     """
-    return _is_lasting(run) and run.observed_ms() >= _PROVEN_MS
+    return is_lasting(run.task.step) and run.observed_ms() >= PROVEN_MS
 
 
 def suspects(vm: vm_module.Vm) -> list[task_module.Run]:
@@ -93,14 +94,15 @@
 
 def _was_proven(vm: vm_module.Vm, run: task_module.Run) -> bool:
     """Return whether a run was already proven when the VM last answered."""
-    if not _is_lasting(run):
+    if not is_lasting(run.task.step):
         return False
     # A previous owner may have started an adopted run long before.
-    return run.adopted or vm.answered_ms - run.started_ms >= _PROVEN_MS
+    return run.adopted or vm.answered_ms - run.started_ms >= PROVEN_MS
 
 
-def _is_lasting(run: task_module.Run) -> bool:
-    return run.task.step.long_running or run.task.step.filler
+def is_lasting(step: model.Step) -> bool:
+    """Return whether tasks of a step may have no end that proves them good."""
+    return step.long_running or step.filler
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wagtailtiller/scheduling/suspects.py
+++ b/src/wagtailtiller/scheduling/suspects.py
@@ -16,14 +16,12 @@
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
+from wagtailtiller.scheduling import crashes
 from wagtailtiller.scheduling import vm as vm_module
 
 # One suspicion is shared by all tasks that were lost with a VM, nearly all of
 # which are innocent.
 _ISOLATED_FROM = 2
-# A long-running task or a filler may have no end that shows its innocence. A
-# task that crashes its VM does so within seconds of its start.
-_SETTLED_MS = 10_000
 _KEPT_DIVISOR = 4
 # The search for suspects looks at all waiting and running tasks. While it finds
 # none, it is repeated after this time, or after so much for each waiting job,
@@ -282,7 +280,7 @@
                 if run.task.crashed_on or run.task.lost_on
             ]
             for run in suspects:
-                if needs_isolation(run.task) and not _is_settled(run):
+                if needs_isolation(run.task) and not crashes.has_run_well(run):
                     vm.isolates = isolated_unit(run.task)
                     break
 
@@ -356,13 +354,8 @@
         return []
 
 
-def _stays(step: model.Step) -> bool:
-    """Return whether tasks of a step are not waited for to end."""
-    return step.long_running or step.filler
-
-
 def _staying_count(vm: vm_module.Vm) -> int:
-    staying = sum(_stays(run.task.step) for run in vm.runs.values())
+    staying = sum(crashes.is_lasting(run.task.step) for run in vm.runs.values())
     return staying + sum(1 for _ in vm.reserved_tasks())
 
 
@@ -377,14 +370,10 @@
     )
 
 
-def _is_settled(run: task_module.Run) -> bool:
-    return _stays(run.task.step) and run.observed_ms() >= _SETTLED_MS
-
-
 def _unsettled(vm: vm_module.Vm) -> Iterator[task_module.Task]:
     """Yield the tasks that run or have room on a VM and may yet crash it."""
     for run in vm.runs.values():
-        if not _is_settled(run):
+        if not crashes.has_run_well(run):
             yield run.task
     yield from vm.reserved_tasks()
 
@@ -407,7 +396,7 @@
     return [
         task
         for task in _unsettled(vm)
-        if (not _stays(task.step) or is_suspect(task))
+        if (not crashes.is_lasting(task.step) or is_suspect(task))
         and isolated_unit(task) != unit
     ]
 
@@ -419,8 +408,8 @@
         run = vm.runs.get(task.id)
         started_ms = now_ms if run is None else run.started_ms
         duration_ms = task.step.estimate_ms
-        if _stays(task.step):
-            duration_ms = _SETTLED_MS
+        if crashes.is_lasting(task.step):
+            duration_ms = crashes.PROVEN_MS
         free_ms = max(free_ms, started_ms + duration_ms)
     return free_ms
 
@@ -436,7 +425,9 @@
     step = task.step
     if vm.on_probation and not vm_module.is_short(step):
         return 0
-    staying = [run for run in vm.runs.values() if _stays(run.task.step)]
+    staying = [
+        run for run in vm.runs.values() if crashes.is_lasting(run.task.step)
+    ]
     if step.max_per_vm:
         same = sum(run.task.id[:3] == task.id[:3] for run in staying)
         limit = min(limit, max(0, step.max_per_vm - same))
