Renew the lease of a process beside renewals without an answer

Cause: a silent store holds a renewal for up to 1.5 s, and a failed one is followed by up to 1 s of delay. Ruled out: the writer's delay (refusals come before a write is tried). Change: the next renewal is sent after 0.5 s; retries wait 0.4 s at most.

--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -115,7 +115,7 @@
         self._session = session.StoreSession(
             store_client,
             clock,
-            follower.Backoff(rng),
+            follower.Backoff(rng, session.MAX_RETRY_DELAY_MS),
             self._on_session_opened,
             self._on_session_expired,
         )
--- a/src/wagtailtiller/follower.py
+++ b/src/wagtailtiller/follower.py
@@ -23,10 +23,14 @@
 
     Args:
         rng: Random source that draws the delays.
+        limit_ms: Upper bound of all delays.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, rng: random.Random, limit_ms: int = _MAX_BACKOFF_MS
+    ) -> None:
         self._rng = rng
+        self._limit_ms = limit_ms
         self._max_delay_ms = _INITIAL_BACKOFF_MS
 
     def reset(self) -> None:
@@ -36,7 +40,7 @@
     async def wait(self) -> None:
         """Sleep for a random delay and double the bound of the next one."""
         delay_ms = self._rng.uniform(0.3, 1.0) * self._max_delay_ms
-        self._max_delay_ms = min(2 * self._max_delay_ms, _MAX_BACKOFF_MS)
+        self._max_delay_ms = min(2 * self._max_delay_ms, self._limit_ms)
         await asyncio.sleep(delay_ms / 1_000)
 
 
--- a/src/wagtailtiller/ownership/session.py
+++ b/src/wagtailtiller/ownership/session.py
@@ -6,12 +6,19 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
 from wagtailtiller import follower
+from wagtailtiller import tasks
 from wagtailtiller.ports import store
 
 # A dead owner is replaced after this time. A process that is paused for longer
 # loses its pools.
 LEASE_TTL_MS = 2_000
 RENEW_INTERVAL_MS = 500
+# Longest delay of a retry. Requests are refused until the store has answered
+# one.
+MAX_RETRY_DELAY_MS = 400
+# A renewal without an answer is not waited for: its connection may be lost, and
+# the store may be back before it times out.
+_NEXT_ATTEMPT_MS = 500
 
 
 class StoreSession:
@@ -46,20 +53,29 @@
         self._on_opened = on_opened
         self._on_expired = on_expired
         self._closing = False
+        self._attempts = tasks.TaskGroup()
 
     async def run(self) -> None:
         """Hold a lease until the session is closed."""
-        while not self._closing:
-            sent_ms = self._clock.monotonic_ms()
-            if not self.lease:
-                succeeded = await self._open(sent_ms)
-            else:
-                succeeded = await self._renew(sent_ms)
-            if succeeded:
-                self._backoff.reset()
-                await asyncio.sleep(RENEW_INTERVAL_MS / 1_000)
-            else:
-                await self._backoff.wait()
+        try:
+            while not self._closing:
+                if await self._attempt():
+                    self._backoff.reset()
+                    await asyncio.sleep(RENEW_INTERVAL_MS / 1_000)
+                else:
+                    await self._backoff.wait()
+        except asyncio.CancelledError:
+            await self._attempts.cancel()
+            raise
+
+    async def _attempt(self) -> bool:
+        """Return whether the lease is valid after an attempt to make it so."""
+        sent_ms = self._clock.monotonic_ms()
+        if not self.lease:
+            return await self._open(sent_ms)
+        renewal = self._attempts.spawn(self._renew(sent_ms))
+        await asyncio.wait({renewal}, timeout=_NEXT_ATTEMPT_MS / 1_000)
+        return self.renewed_ms >= sent_ms or not self.lease
 
     def age_ms(self) -> int:
         """Return the time since the lease was last known to be valid."""
@@ -82,19 +98,16 @@
         self._on_opened(self.lease)
         return True
 
-    async def _renew(self, sent_ms: int) -> bool:
+    async def _renew(self, sent_ms: int) -> None:
         lease = self.lease
         result = await self._store.renew_lease(lease)
-        if lease != self.lease:
-            return True
-        if result.is_error():
-            return False
+        if lease != self.lease or result.is_error():
+            return
         if result.ok:
-            self.renewed_ms = sent_ms
-            return True
+            self.renewed_ms = max(self.renewed_ms, sent_ms)
+            return
         events.emit(
             events.Event.SESSION_LAPSED, lease=lease, age_ms=self.age_ms()
         )
         self.lease = ""
         self._on_expired()
-        return True
