Let a restarted process claim what its previous start owned

Cause: after all entry VMs have restarted at once, each pool waits until the leases of the ended processes expire. Ruled out: start-up (0.6 s) and the reading of jobs. Change: a process deletes owner keys that its node and address hold under another incarnation, if they are older than its own first record. A suspended process never deletes the key of a later start.

--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -108,6 +108,8 @@
         self._stored_record: claims.NodeRecord | None = None
         self._stored_ms = 0
         self._record_revision = store.ABSENT
+        # Revision of the first record that this process has written.
+        self._first_revision = store.ABSENT
         self._published_ms: int | None = None
         self._highest_capacity = own_record.shard_capacity
         self._registered = False
@@ -362,6 +364,8 @@
                 self._record_revision = store.ABSENT
             return False
         self._record_revision = result.ok
+        if self._first_revision == store.ABSENT:
+            self._first_revision = result.ok
         self._stored_record = record
         self._stored_ms = self._clock.monotonic_ms()
         return True
@@ -414,6 +418,17 @@
     async def _delete_stale_claim(
         self, shard: ids.ShardId, owner: claims.OwnerRecord
     ) -> None:
+        item = self._mirror.items.get(keys.owner(shard))
+        if item is None:
+            return
+        if self._is_of_previous_start(item, owner):
+            events.emit(
+                events.Event.STALE_CLAIM_DELETED,
+                shard=shard,
+                epoch=owner.epoch,
+            )
+            await self._store.delete(item.key, item.revision)
+            return
         # A claim transaction of this process may be applied after the process
         # has treated it as failed.
         if (
@@ -422,9 +437,6 @@
             or shard in self._releasing
         ):
             return
-        item = self._mirror.items.get(keys.owner(shard))
-        if item is None:
-            return
         stored = _decode(item, claims.OwnerRecord)
         if stored is None or stored.incarnation == owner.incarnation:
             await self._store.delete(item.key, item.revision)
@@ -433,6 +445,22 @@
             # process owns the shard by now.
             self._update_owner(item)
 
+    def _is_of_previous_start(
+        self, item: store.Item, owner: claims.OwnerRecord
+    ) -> bool:
+        """Return whether a previous start of this process owns a shard.
+
+        It has ended, so that nobody serves the shard until its lease expires.
+        A later start of this process, which may exist while this one is
+        suspended, has a newer owner key than the first record of this one.
+        """
+        return (
+            owner.node == self._own_record.node
+            and owner.address == self._own_record.address
+            and owner.incarnation != self._own_record.incarnation
+            and item.revision < self._first_revision
+        )
+
     def _claim_delay_ms(self, shard: ids.ShardId) -> int:
         successor = self._successor(shard)
         if successor == self._own_record.node:
--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -158,6 +158,51 @@
         self.run_with_shards(main)
 
 
+class RestartTest(_ShardsCase):
+    """Load pattern: all entry VMs restart at once in a peak."""
+
+    def add_owner(self, name, incarnation):
+        """Store the owner key of a process whose lease has not expired."""
+        owner = claims.OwnerRecord(
+            ids.NodeId(name), f"{name}:1", incarnation, 1
+        )
+        key = keys.owner(_SHARD)
+        self.store.state.write(key, claims.encode(owner), 0, "")
+        self.store.state.write(keys.epoch(_SHARD), b"1", 0, "")
+
+    def test_restarted_process_does_not_wait_for_its_previous_lease(self):
+        """Guards against pools that nobody serves until a lease expires."""
+
+        async def main(shards):
+            self.add_owner("e-1", "previous")
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(1)
+            self.assertEqual([2], [claim.epoch for claim in self.gained])
+
+        self.run_with_shards(main)
+
+    def test_shards_of_other_processes_are_left_to_them(self):
+        async def main(shards):
+            self.add_owner("e-2", "previous")
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(5)
+            self.assertEqual([], self.gained)
+
+        self.run_with_shards(main)
+
+    def test_shard_of_a_later_start_is_left_to_it(self):
+        """Guards against a suspended process that takes its successor's."""
+
+        async def main(shards):
+            await asyncio.sleep(2)
+            self.add_owner("e-1", "later")
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(5)
+            self.assertEqual([], self.gained)
+
+        self.run_with_shards(main)
+
+
 class SuccessorTest(_ShardsCase):
     """Tests of shards that are released by an owner that names a successor."""
 
