Learn the owners of pools from peers while the store is silent

Cause: a frontend that is cut off from the store keeps the owners that it knew when the cut began. Suspected before: that it reaches nobody. Ruled out by a log of what it asks: all six others answer it. Change: while the store is silent, each process asks up to eight others every 0.3 s; the answer names the owners that they know, and later ones are used. If most do not answer, it is cut off itself: it is not ready, closes connections after their answers and refuses at once (reason cut_off), since nothing has been sent.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -33,6 +33,9 @@
 # After it, a frontend stores jobs itself, or refuses them.
 _TAKEOVER_WAIT_MS = 700
 _NO_OWNER_RETRY_MS = 1_000
+# Nothing has been sent to any process, so the request has had no effect. The
+# caller's next attempt reaches another process.
+_CUT_OFF = outcomes.Refused(admission.RefusalReason.CUT_OFF, _NO_OWNER_RETRY_MS)
 _ToOutcome = Callable[
     [messages.Answer | None], Awaitable[outcomes.Outcome | None]
 ]
@@ -137,7 +140,7 @@
             pool: Id of the pool.
         """
 
-    async def ask_local(self, request: messages.Request) -> messages.Answer:
+    async def ask_local(self, request: messages.PoolRequest) -> messages.Answer:
         """Answer a request in this process, without a network call.
 
         Args:
@@ -150,6 +153,9 @@
     def store_answers(self) -> bool:
         """Return whether the store has responded recently."""
 
+    def is_cut_off(self) -> bool:
+        """Return whether neither the store nor most other processes answer."""
+
 
 class Frontend:
     """Serves callers' requests about queues and jobs.
@@ -182,6 +188,13 @@
         self._redirects: dict[ids.PoolId, _Owner] = {}
         self._asks: dict[ids.PoolId, dict[asyncio.Timeout, _Owner]] = {}
 
+    def is_ready(self) -> bool:
+        """Return whether callers are served as well here as elsewhere."""
+        return (
+            self._directory.catalogue() is not None
+            and not self._directory.is_cut_off()
+        )
+
     def on_owner_change(self, pool: ids.PoolId) -> None:
         """End the questions to previous owners of a pool.
 
@@ -249,11 +262,15 @@
             timeout ended first.
         """
         queue = route.queue
+        started_ms = self._clock.monotonic_ms()
+        if self._directory.is_cut_off():
+            outcome: outcomes.Outcome = _CUT_OFF
+            self._log_submission(job, queue, outcome, started_ms)
+            return outcome
         request = messages.Submit(
             queue.pool, job, queue.queue, spec, route.organisation
         )
-        started_ms = self._clock.monotonic_ms()
-        outcome: outcomes.Outcome = outcomes.Unknown()
+        outcome = outcomes.Unknown()
         with contextlib.suppress(TimeoutError):
             async with self.deadlines.limit(timeout_ms) as deadline_ms:
                 outcome = await self._submit_until_resolved(
@@ -443,9 +460,14 @@
         return await self._ask_until_resolved(request, timeout_ms, to_outcome)
 
     async def _ask_until_resolved(
-        self, request: messages.Request, timeout_ms: int, to_outcome: _ToOutcome
+        self,
+        request: messages.PoolRequest,
+        timeout_ms: int,
+        to_outcome: _ToOutcome,
     ) -> outcomes.Outcome:
         """Repeat a request to a pool's owner until its outcome is known."""
+        if self._directory.is_cut_off():
+            return _CUT_OFF
         with contextlib.suppress(TimeoutError):
             async with self.deadlines.limit(timeout_ms) as deadline_ms:
                 while True:
@@ -475,7 +497,7 @@
     async def _ask(
         self,
         owner: _Owner | None,
-        request: messages.Request,
+        request: messages.PoolRequest,
         deadline_ms: int,
     ) -> messages.Answer | None:
         """Ask an owner; None without an answer, or if it has been replaced."""
@@ -493,8 +515,10 @@
                     answer = await self._peers.ask(
                         owner.address, request, timeout_ms
                     )
-        if isinstance(answer, messages.NotOwner):
-            self._follow(request.pool, answer)
+        if isinstance(answer, messages.NotOwner) and answer.address:
+            self.follow(
+                messages.KnownOwner(request.pool, answer.address, answer.epoch)
+            )
         return answer
 
     @contextlib.asynccontextmanager
@@ -510,24 +534,30 @@
             finally:
                 del asks[scope]
 
-    def _follow(self, pool: ids.PoolId, answer: messages.NotOwner) -> None:
-        """Use the owner that a previous one has named, if it is a later one."""
-        current = self._owner(pool)
+    def follow(self, known: messages.KnownOwner) -> None:
+        """Use an owner that another process has named, if it is a later one.
+
+        Args:
+            known: The owner of a pool, as the other process knows it.
+        """
+        current = self._owner(known.pool)
         known_epoch = max(
-            self._directory.owner_epoch(pool), current.epoch if current else 0
+            self._directory.owner_epoch(known.pool),
+            current.epoch if current else 0,
         )
-        if not answer.address or answer.epoch <= known_epoch:
+        if known.epoch <= known_epoch:
             return
-        self._redirects[pool] = _Owner(answer.address, answer.epoch)
+        self._redirects[known.pool] = _Owner(known.address, known.epoch)
         events.emit(
             events.Event.OWNER_REDIRECTED,
-            pool=pool,
-            address=answer.address,
-            epoch=answer.epoch,
+            pool=known.pool,
+            address=known.address,
+            epoch=known.epoch,
         )
+        self.on_owner_change(known.pool)
 
     async def _ask_local(
-        self, request: messages.Request, timeout_ms: int
+        self, request: messages.PoolRequest, timeout_ms: int
     ) -> messages.Answer | None:
         # A write that the request has begun continues after the timeout.
         try:
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -13,6 +13,7 @@
 from wagtailtiller import loop_monitor
 from wagtailtiller import runtime
 from wagtailtiller import tasks
+from wagtailtiller.entry import contact as contact_module
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import hand_over as hand_over_module
 from wagtailtiller.entry import peers
@@ -120,6 +121,13 @@
             rng,
             lambda shard: self.frontend.on_owner_change(ids.PoolId(shard)),
         )
+        self._contact = contact_module.PeerContact(
+            self._shards.store_answers,
+            self._shards.peer_addresses,
+            self._ping,
+            lambda owner: self.frontend.follow(owner),
+            rng,
+        )
         self._loop_monitor = loop_monitor.LoopMonitor(clock)
         self.frontend = frontend.Frontend(
             self, self._peers, adapters.store, clock, self._lateness_ms
@@ -140,6 +148,7 @@
         self._tasks = [
             runtime.spawn(self._adapters.declared.run()),
             runtime.spawn(self._shards.run()),
+            runtime.spawn(self._contact.run()),
             runtime.spawn(self._monitor_session()),
             runtime.spawn(self._hand_over_when_better()),
             runtime.spawn(self._loop_monitor.run()),
@@ -214,6 +223,10 @@
         """Return whether the store has responded recently."""
         return self._shards.store_answers()
 
+    def is_cut_off(self) -> bool:
+        """Return whether only this process has lost the store and its peers."""
+        return self._contact.cut_off
+
     def own_address(self) -> str:
         """Return the address for peers of this process, as ``ip:port``."""
         return self._settings.peer_address
@@ -225,9 +238,12 @@
             request: The request, from this process or from a peer.
 
         Returns:
-            The answer; ``NotOwner`` if this process does not own the pool, or
-            not under the epoch that the request is meant for.
+            The answer; ``Pong`` to ``Ping``; ``NotOwner`` if this process does
+            not own the pool, or not under the epoch that the request is meant
+            for.
         """
+        if isinstance(request, messages.Ping):
+            return self._pong()
         owner = self._owners.get(request.pool)
         if owner is None or not _is_for(request, owner.claim):
             return self._not_owner(request.pool)
@@ -236,6 +252,23 @@
             return self._not_owner(request.pool)
         return answer
 
+    async def _ping(self, address: str) -> messages.Pong | None:
+        answer = await self._peers.ask(
+            address, messages.Ping(), contact_module.PING_TIMEOUT_MS
+        )
+        return answer if isinstance(answer, messages.Pong) else None
+
+    def _pong(self) -> messages.Pong:
+        return messages.Pong(
+            tuple(
+                messages.KnownOwner(
+                    ids.PoolId(shard), owner.address, owner.epoch
+                )
+                for shard, owner in self._shards.owners().items()
+                if shard != MACHINES_SHARD
+            )
+        )
+
     def _not_owner(self, pool: ids.PoolId) -> messages.NotOwner:
         known = self._shards.owner(ids.ShardId(pool))
         if known is None:
@@ -316,7 +349,7 @@
         )
 
     async def _ask_owner(
-        self, pool: ids.PoolId, request: messages.Request
+        self, pool: ids.PoolId, request: messages.PoolRequest
     ) -> messages.Answer | None:
         address = self.owner_address(pool)
         if address is None:
@@ -470,7 +503,7 @@
             self._vms_task = None
 
 
-def _is_for(request: messages.Request, claim: claims.Claim) -> bool:
+def _is_for(request: messages.PoolRequest, claim: claims.Claim) -> bool:
     """Return whether a request may be answered under a claim."""
     if not isinstance(request, messages.Submit):
         return True
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -142,10 +142,22 @@
         """Return the last known owner of a shard, or None."""
         return self._owners.get(shard)
 
+    def owners(self) -> dict[ids.ShardId, claims.OwnerRecord]:
+        """Return the last known owners, as a new dictionary."""
+        return dict(self._owners)
+
     def owner_epoch(self, shard: ids.ShardId) -> int:
         """Return the epoch of a shard's last known owner, or 0."""
         return self._epochs.get(shard, 0)
 
+    def peer_addresses(self) -> list[str]:
+        """Return the addresses of the other live processes last known."""
+        return [
+            node.address
+            for node in self._nodes.values()
+            if node.node != self._own_record.node and not node.leaving
+        ]
+
     def session_age_ms(self) -> int:
         """Return the time since the lease was last known to be valid."""
         return self._session.age_ms()
--- a/src/wagtailtiller/maintenance/load_collector.py
+++ b/src/wagtailtiller/maintenance/load_collector.py
@@ -14,7 +14,7 @@
 _WAIT_MS = 120
 
 AskOwner = Callable[
-    [ids.PoolId, messages.Request], Awaitable[messages.Answer | None]
+    [ids.PoolId, messages.PoolRequest], Awaitable[messages.Answer | None]
 ]
 
 
--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -119,7 +119,38 @@
     vm: ids.VmId
 
 
-Request = Submit | AskState | Cancel | AskPending | AskLoad | Vacate | Reopen
+class Ping(msgspec.Struct, frozen=True, tag=True):
+    """Request for a sign of life; each process answers it."""
+
+
+PoolRequest = (
+    Submit | AskState | Cancel | AskPending | AskLoad | Vacate | Reopen
+)
+Request = PoolRequest | Ping
+
+
+class KnownOwner(msgspec.Struct, frozen=True):
+    """The last known owner of a pool.
+
+    Attributes:
+        pool: Id of the pool.
+        address: Address at which the owner listens for peers, as ``ip:port``.
+        epoch: Epoch of its ownership.
+    """
+
+    pool: ids.PoolId
+    address: str
+    epoch: int
+
+
+class Pong(msgspec.Struct, frozen=True, tag=True):
+    """The process runs.
+
+    Attributes:
+        owners: The owners of pools that it knows.
+    """
+
+    owners: tuple[KnownOwner, ...] = ()
 
 
 class Accepted(msgspec.Struct, frozen=True, tag=True):
@@ -249,4 +280,5 @@
     | IdInUse
     | NotOwner
     | Unsure
+    | Pong
 )
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -293,7 +293,7 @@
         self._reports = dict(reports)
         self._wake.set()
 
-    async def answer(self, request: messages.Request) -> messages.Answer:
+    async def answer(self, request: messages.PoolRequest) -> messages.Answer:
         """Handle a request of this or another process.
 
         Args:
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -60,7 +60,7 @@
         self._arrived_core_ms = 0.0
         self._arrived_jobs = 0
 
-    async def answer(self, request: messages.Request) -> messages.Answer:
+    async def answer(self, request: messages.PoolRequest) -> messages.Answer:
         """Handle a request.
 
         Args:
--- a/src/wagtailtiller/platform/caller_api.py
+++ b/src/wagtailtiller/platform/caller_api.py
@@ -31,8 +31,8 @@
         in_flight: The number of requests that are being served.
         last_request_s: Time of the event loop at which the latest request was
             read.
-        stopping: Whether the process shuts down; each connection is then
-            closed after its next response.
+        stopping: Whether the process shuts down. Then, and while it is not
+            ready, each connection is closed after its next response.
     """
 
     def __init__(self, entry_frontend: frontend.Frontend) -> None:
@@ -56,7 +56,7 @@
             response = await self._serve(request)
         finally:
             self.in_flight -= 1
-        if self.stopping:
+        if self.stopping or not self._frontend.is_ready():
             response.force_close()
         return response
 
--- a/src/wagtailtiller/platform/main.py
+++ b/src/wagtailtiller/platform/main.py
@@ -125,9 +125,7 @@
         return policy.PlatformPolicy(self.settings.policy_address)
 
     async def _handle_ready(self, request: web.BaseRequest) -> web.Response:
-        ready = (
-            not self._caller_api.stopping and self._node.catalogue() is not None
-        )
+        ready = not self._caller_api.stopping and self._node.frontend.is_ready()
         self._readiness.record_check(ready)
         return web.Response(status=200 if ready else 503)
 
--- a/src/wagtailtiller/scheduling/admission.py
+++ b/src/wagtailtiller/scheduling/admission.py
@@ -41,6 +41,7 @@
     NO_CONFIGURATION = "no_configuration"
     NO_OWNER = "no_owner"
     OVER_SHARE = "over_share"
+    CUT_OFF = "cut_off"
 
 
 class Estimate(msgspec.Struct, frozen=True):
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -35,6 +35,7 @@
         self.address = _OWNER
         self.epoch = 1
         self.store_unavailable = False
+        self.cut_off = False
         self.local_answers = []
         self.local_requests = []
         self.declared = catalogue.Catalogue(1, (jobs.queue(),), (), 1_000)
@@ -45,6 +46,9 @@
     def owner_address(self, pool):
         return self.address
 
+    def is_cut_off(self):
+        return self.cut_off
+
     def owner_epoch(self, pool):
         return self.epoch
 
@@ -89,6 +93,13 @@
             self.frontend.submit(_ROUTE, _JOB, jobs.spec(), timeout_ms)
         )
 
+    def submit_after_naming(self, owner):
+        async def main():
+            self.frontend.follow(owner)
+            return await self.frontend.submit(_ROUTE, _JOB, jobs.spec(), 400)
+
+        return asyncio.run(main())
+
     def state(self):
         return asyncio.run(self.frontend.job_status(_ROUTE, _JOB, 400))
 
@@ -116,6 +127,47 @@
         self.assertIsInstance(self.submit(), outcomes.Refused)
         self.assertEqual(1, len(self.peers.requests))
 
+    def test_frontend_cut_off_from_all_but_its_callers_refuses_at_once(self):
+        """Load pattern: a frontend is cut off from all but its callers.
+
+        Guards against callers that wait for processes that cannot answer.
+        """
+        self.directory.cut_off = True
+        cut_off = outcomes.Refused(admission.RefusalReason.CUT_OFF, 1_000)
+        self.assertEqual(cut_off, self.submit(timeout_ms=60_000))
+        self.assertEqual(cut_off, self.state())
+        self.assertEqual([], self.peers.requests)
+        self.assertFalse(self.frontend.is_ready())
+
+    def test_job_goes_to_the_owner_that_another_process_names(self):
+        """Load pattern: some frontends are cut off from the store only.
+
+        The owner that the frontend knows is cut off as well, and its pool has
+        been taken over.
+        """
+        self.directory.store_unavailable = True
+        self.peers.answers = [messages.Accepted()]
+        named = messages.KnownOwner(jobs.POOL, "new:1", 2)
+        self.assertEqual(outcomes.Accepted(), self.submit_after_naming(named))
+        self.assertEqual(2, self.peers.requests[0].epoch)
+
+    def test_an_earlier_owner_that_another_process_names_is_ignored(self):
+        """Guards against requests that go back to a replaced owner."""
+        self.directory.epoch = 3
+        self.peers.answers = [messages.Accepted()]
+        named = messages.KnownOwner(jobs.POOL, "old:1", 2)
+        self.assertEqual(outcomes.Accepted(), self.submit_after_naming(named))
+        self.assertEqual(3, self.peers.requests[0].epoch)
+
+    def test_frontend_is_ready_while_only_the_store_is_away(self):
+        """Guards against all frontends leaving together in an outage."""
+        self.directory.store_unavailable = True
+        self.assertTrue(self.frontend.is_ready())
+
+    def test_frontend_without_configuration_is_not_ready(self):
+        self.directory.declared = None
+        self.assertFalse(self.frontend.is_ready())
+
     def test_job_without_owner_is_stored_for_next_owner(self):
         self.directory.address = None
         self.assertEqual(outcomes.Accepted(), self.submit())
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -44,6 +44,9 @@
     def own_address(self):
         return "own:1"
 
+    def is_cut_off(self):
+        return False
+
     def store_answers(self):
         return True
 
