Count refused jobs as arrived work of a pool

Cause: the machine manager sees the work of admitted jobs only. While a peak begins in a pool with few machines, or after a restart, callers are refused, and the machines for them are ordered after they have returned. Change: a job that is refused for lack of capacity counts as arrived, once; its return is not counted again.

--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -219,8 +219,9 @@
         idle_millicores: Processor demand of the tasks that could start now, the
             capacity of VMs that became unresponsive unplanned, and what usable
             VMs have lost of their capacity, in thousandths of a core.
-        arrived_core_ms: Processor work of the jobs admitted since the
-            takeover, in core milliseconds.
+        arrived_core_ms: Processor work of the jobs that were admitted, or
+            refused for lack of capacity, since the takeover, in core
+            milliseconds.
         arrived_jobs: Number of the jobs that this work belongs to.
         lasting_millicores: Processor demand of long-running tasks, in
             thousandths of a core.
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -22,6 +22,8 @@
 _STORE_RETRY_AFTER_MS = 1_000
 # A VM stays closed to new runs this long after the latest request to vacate it.
 _VACATE_HOLD_MS = 3_000
+# Callers of refused jobs return within seconds.
+_MAX_COUNTED_REFUSED = 2_000
 
 FindStored = Callable[
     [model.JobId], Awaitable[Result[bool, errors.StoreUnavailable]]
@@ -59,6 +61,8 @@
         self._find_stored = find_stored
         self._arrived_core_ms = 0.0
         self._arrived_jobs = 0
+        # Refused jobs that have been counted, in the order of their arrival.
+        self._counted_refused: dict[model.JobId, None] = {}
 
     async def answer(self, request: messages.PoolRequest) -> messages.Answer:
         """Handle a request.
@@ -108,7 +112,7 @@
                 request.organisation,
             )
             self._pool.jobs.add(job, inherited=False)
-            self._count_arrival(request.spec)
+            self._count_arrival(request.job, request.spec)
         elif entry.job.organisation != request.organisation:
             return messages.IdInUse()
         elif entry.stored_state is not None:
@@ -126,12 +130,20 @@
             case job_writer_module.WriteOutcome.OWNERSHIP_LOST:
                 return messages.Unsure()
 
-    def _count_arrival(self, spec: model.JobSpec) -> None:
+    def _count_arrival(self, job: model.JobId, spec: model.JobSpec) -> None:
+        """Count the work of a job when it is submitted for the first time."""
         work_core_ms = spec.work_core_ms()
-        if work_core_ms:
+        if work_core_ms and job not in self._counted_refused:
             self._arrived_core_ms += work_core_ms
             self._arrived_jobs += 1
 
+    def _count_refused(self, request: messages.Submit) -> None:
+        """Count a refused job, since its caller is expected to return."""
+        self._count_arrival(request.job, request.spec)
+        self._counted_refused[request.job] = None
+        if len(self._counted_refused) > _MAX_COUNTED_REFUSED:
+            del self._counted_refused[next(iter(self._counted_refused))]
+
     def _check_admission(
         self, request: messages.Submit
     ) -> admission.Refusal | None:
@@ -153,6 +165,8 @@
         if stored.ok:
             entry = self._visible_entry(request.job, request.organisation)
             return messages.Accepted() if entry else messages.IdInUse()
+        if refusal.reason is admission.RefusalReason.OVERLOADED:
+            self._count_refused(request)
         events.emit(
             events.Event.JOB_REFUSED,
             job=request.job,
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -22,6 +22,7 @@
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import admission
 
 _SHARD = ids.ShardId(jobs.POOL)
 _SETTINGS = pool_owner.OwnerSettings(2_000, 60_000)
@@ -100,6 +101,34 @@
         request = messages.AskState(jobs.POOL, name * 16)
         return (await owner.answer(request)).state
 
+    def test_refused_jobs_count_once_as_arrived_work(self):
+        """Load pattern: a peak begins in a pool with few machines.
+
+        Guards against machines that come late because callers are refused.
+        """
+
+        async def main():
+            self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: owner.pool.vms.get("vm-1"))
+            await owner.answer(messages.AskLoad(jobs.POOL, 0))
+            step = jobs.step(8, cpu_millicores=16_000, estimate_ms=9_000)
+            await self.submit(owner, "a", jobs.spec(step))
+            for _ in range(2):
+                refused = await self.submit(owner, "b")
+                self.assertEqual(
+                    admission.RefusalReason.OVERLOADED, refused.reason
+                )
+            load = await owner.answer(messages.AskLoad(jobs.POOL, 0))
+            self.assertEqual(2, load.arrived_jobs)
+            # The caller returns when there is room.
+            await owner.answer(messages.AskLoad(jobs.POOL, 1_000_000))
+            await self.submit(owner, "b")
+            load = await owner.answer(messages.AskLoad(jobs.POOL, 0))
+            self.assertEqual(2, load.arrived_jobs)
+
+        self.run_with(main)
+
     def test_job_of_another_organisation_is_not_visible(self):
         """Guards against members who see or cancel one another's orders."""
 
