Let restarted processes and a new machine manager go on at once

Cause: after a restart of all entry VMs, a process waits 0.4 s for the records of others, deletes the owner keys of its previous start, and candidates claim the shards in turn. The new machine manager then waits for a cycle. Change: a process whose previous start owns shards does not wait, and replaces those owner keys by its own in one transaction. The machine manager begins with a cycle.

--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -44,6 +44,7 @@
 # A process that has just started waits first, so that it can read the records
 # of the other processes.
 _STARTUP_DELAY_MS = 400
+_STARTUP_POLL_MS = 20
 # No shard is claimed on a lease that may expire soon.
 _MAX_SESSION_AGE_MS = 1_300
 _WATCH_WAIT_MS = 1_000
@@ -301,7 +302,7 @@
         )
 
     async def _claim_loop(self) -> None:
-        await asyncio.sleep(_STARTUP_DELAY_MS / 1_000)
+        await self._wait_for_records()
         while not self._closing:
             await self._wait_for_turn()
             if not self._session.lease:
@@ -317,6 +318,24 @@
                 if self._closing:
                     return
 
+    async def _wait_for_records(self) -> None:
+        """Wait until the records of the other processes can be known.
+
+        A process that has been restarted goes on with the shards that it owned.
+        """
+        waited_ms = 0
+        while waited_ms < _STARTUP_DELAY_MS and not self._was_owner():
+            await asyncio.sleep(_STARTUP_POLL_MS / 1_000)
+            waited_ms += _STARTUP_POLL_MS
+
+    def _was_owner(self) -> bool:
+        """Return whether a previous start of this process owns a shard."""
+        return any(
+            owner.node == self._own_record.node
+            and owner.incarnation != self._own_record.incarnation
+            for owner in self._owners.values()
+        )
+
     async def _wait_for_turn(self) -> None:
         """Wait until the next check is due, or a hint names this process."""
         with contextlib.suppress(TimeoutError):
@@ -387,15 +406,20 @@
         owner = self._owners.get(shard)
         if owner is not None:
             self._unowned_since_ms.pop(shard, None)
-            await self._delete_stale_claim(shard, owner)
+            await self._replace_stale_claim(shard, owner)
             return
         if shard in self.claims_by_shard:
             return
         since_ms = self._unowned_since_ms.setdefault(shard, now_ms)
         if now_ms - since_ms < self._claim_delay_ms(shard):
             return
+        await self._claim(shard)
+
+    async def _claim(
+        self, shard: ids.ShardId, replaced: ids.Revision = store.ABSENT
+    ) -> None:
         claim = await claims.claim(
-            self._store, shard, self._own_record, self._session.lease
+            self._store, shard, self._own_record, self._session.lease, replaced
         )
         self._unowned_since_ms.pop(shard, None)
         if claim is None:
@@ -427,19 +451,18 @@
         self._on_gained(claim)
         self._on_owner_change(shard)
 
-    async def _delete_stale_claim(
+    async def _replace_stale_claim(
         self, shard: ids.ShardId, owner: claims.OwnerRecord
     ) -> None:
+        """Replace or delete an owner key that this process has left behind."""
         item = self._mirror.items.get(keys.owner(shard))
         if item is None:
             return
         if self._is_of_previous_start(item, owner):
             events.emit(
-                events.Event.STALE_CLAIM_DELETED,
-                shard=shard,
-                epoch=owner.epoch,
+                events.Event.SHARD_RECLAIMED, shard=shard, epoch=owner.epoch
             )
-            await self._store.delete(item.key, item.revision)
+            await self._claim(shard, item.revision)
             return
         # A claim transaction of this process may be applied after the process
         # has treated it as failed.
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -127,8 +127,8 @@
         self._knows_orders = True
         self._background.spawn(self._restore_season())
         while True:
-            await asyncio.sleep(_CYCLE_INTERVAL_MS / 1_000)
             await self._run_cycle()
+            await asyncio.sleep(_CYCLE_INTERVAL_MS / 1_000)
 
     async def _restore_season(self) -> None:
         season = await self._state.read_season()
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -200,6 +200,7 @@
     shard: ids.ShardId,
     claimant: NodeRecord,
     lease: str,
+    replaced: ids.Revision = store.ABSENT,
 ) -> Claim | None:
     """Try to become the owner of a shard.
 
@@ -208,6 +209,8 @@
         shard: Id of the shard to claim.
         claimant: Record of this process.
         lease: Id of this process's lease.
+        replaced: Revision of an owner key whose process is known to have ended;
+            ``store.ABSENT`` if the shard has no owner.
 
     Returns:
         The claim, or None if it failed or its outcome is unknown.
@@ -234,7 +237,7 @@
         claimant.node, claimant.address, claimant.incarnation, epoch
     )
     transaction = store.Transaction(
-        {keys.owner(shard): store.ABSENT, epoch_key: revision},
+        {keys.owner(shard): replaced, epoch_key: revision},
         (
             store.Write(keys.owner(shard), encode(record), lease),
             store.Write(epoch_key, str(epoch).encode()),
