Read the sizes that pools were given until work arrives

Cause: the machine manager takes the number of machines that it first sees in a pool for the size that operators gave it. Ruled out: a manager that was replaced (epoch 1), a forecast (none yet). Change: until work has arrived, the given size is the largest number seen.

--- a/src/wagtailtiller/maintenance/returns.py
+++ b/src/wagtailtiller/maintenance/returns.py
@@ -82,6 +82,11 @@
         if history is None:
             history = _PoolHistory(present_machines)
             self._pools[pool] = history
+        if self.arrivals_since_ms is None:
+            # The platform lists the machines of a pool as they start.
+            history.given_machines = max(
+                history.given_machines, present_machines
+            )
         history.peak_machines = max(history.peak_machines, needed_machines)
         seen = history.peak_machines >= _PEAK_SHARE * history.given_machines
         if needed_machines > _PEAK_SHARE * history.peak_machines or not seen:
