Do not refuse a job that was sent before a cut was noticed

Cause: a frontend that is cut off refuses at once, since it sends nothing. An earlier request for the same job may have been sent before the cut was noticed, and reach an owner when it ends; then the refusal is not true. Found by reading. Change: jobs whose outcome this process does not know are remembered; a repeat is answered as unknown, at once.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -33,6 +33,8 @@
 # After it, a frontend stores jobs itself, or refuses them.
 _TAKEOVER_WAIT_MS = 700
 _NO_OWNER_RETRY_MS = 1_000
+# Callers repeat a request within some seconds; more are forgotten.
+_MAX_UNKNOWN_JOBS = 2_000
 # Nothing has been sent to any process, so the request has had no effect. The
 # caller's next attempt reaches another process.
 _CUT_OFF = outcomes.Refused(admission.RefusalReason.CUT_OFF, _NO_OWNER_RETRY_MS)
@@ -187,6 +189,9 @@
         # Owners that previous owners have named, while the store is away.
         self._redirects: dict[ids.PoolId, _Owner] = {}
         self._asks: dict[ids.PoolId, dict[asyncio.Timeout, _Owner]] = {}
+        # Jobs that an earlier request to this process may have stored, or may
+        # still store, in the order of their submission.
+        self._unknown_jobs: dict[model.JobId, None] = {}
 
     def is_ready(self) -> bool:
         """Return whether callers are served as well here as elsewhere."""
@@ -264,7 +269,7 @@
         queue = route.queue
         started_ms = self._clock.monotonic_ms()
         if self._directory.is_cut_off():
-            outcome: outcomes.Outcome = _CUT_OFF
+            outcome = self._outcome_when_cut_off(job)
             self._log_submission(job, queue, outcome, started_ms)
             return outcome
         request = messages.Submit(
@@ -276,9 +281,22 @@
                 outcome = await self._submit_until_resolved(
                     request, _Submission(deadline_ms)
                 )
+        if isinstance(outcome, outcomes.Unknown):
+            self._remember_unknown(job)
         self._log_submission(job, queue, outcome, started_ms)
         return outcome
 
+    def _outcome_when_cut_off(self, job: model.JobId) -> outcomes.Outcome:
+        if job in self._unknown_jobs:
+            # An earlier request may reach an owner when the cut ends.
+            return outcomes.Unknown()
+        return _CUT_OFF
+
+    def _remember_unknown(self, job: model.JobId) -> None:
+        self._unknown_jobs[job] = None
+        if len(self._unknown_jobs) > _MAX_UNKNOWN_JOBS:
+            del self._unknown_jobs[next(iter(self._unknown_jobs))]
+
     async def _submit_until_resolved(
         self, request: messages.Submit, submission: _Submission
     ) -> outcomes.Outcome:
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -139,6 +139,13 @@
         self.assertEqual([], self.peers.requests)
         self.assertFalse(self.frontend.is_ready())
 
+    def test_job_that_was_sent_before_the_cut_was_noticed_is_not_refused(self):
+        """Guards against a refusal of a job that runs when the cut ends."""
+        self.directory.store_unavailable = True
+        self.assertEqual(outcomes.Unknown(), self.submit())
+        self.directory.cut_off = True
+        self.assertEqual(outcomes.Unknown(), self.submit(timeout_ms=60_000))
+
     def test_job_goes_to_the_owner_that_another_process_names(self):
         """Load pattern: some frontends are cut off from the store only.
 
