--- a/review/lib/site.py
+++ b/review/lib/site.py
@@ -19,6 +19,10 @@
 HOST = "desk1.example"
 STANDBY = "backoffice"
 _READY_S = 20.0
+# A deadly task crashes its worker after the first time; the worker is back
+# after the second.
+_CRASH_S = 0.05
+_BACK_S = 2.0
 
 
 def free_ports(count):
@@ -132,6 +136,10 @@
         self.folder = pathlib.Path(self._folder.name)
         self._session = None
         self.version = 0
+        self.entry_started_ms = {}
+        # Task, starter and for how long it has run, of each deadly start.
+        self.deadly_starts = []
+        self._background = set()
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
             self._command = tomllib.load(file)["roles"]["entry"]["run"].split()
 
@@ -159,6 +167,8 @@
             await self.wait_until_ready(name)
 
     async def stop(self):
+        for task in self._background:
+            task.cancel()
         for process in self.processes.values():
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
@@ -200,6 +210,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.entry_started_ms[name] = standins.steady_ms()
         self.record.add("entry_started", name=name)
 
     def signal(self, name, number):
@@ -240,6 +251,8 @@
     async def crash(self, machine, down_s):
         """End a machine's worker at once; a new one comes after a time."""
         worker, machine.worker = machine.worker, None
+        if worker is None:
+            return
         self.record.add("worker_crash", worker=worker.id)
         machine.state = "down"
         await worker.crash()
@@ -248,6 +261,19 @@
         machine.state = "up"
         await self.start_worker(machine)
 
+    def crash_soon(self, worker, caller, run):
+        """Let a task crash its worker, which is back after some seconds."""
+        started_ms = self.entry_started_ms.get(caller, 0)
+        in_touch_ms = standins.steady_ms() - started_ms
+        self.deadly_starts.append((run.task, caller, in_touch_ms))
+        task = asyncio.get_running_loop().call_later(
+            _CRASH_S,
+            lambda: self._background.add(
+                asyncio.ensure_future(self.crash(worker.machine, _BACK_S))
+            ),
+        )
+        self._background.add(task)
+
     def workers(self, pool):
         return [
             machine.worker
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -591,6 +591,7 @@
             expected = request.headers.get("Expected-Instance", self.id)
             port = request.transport.get_extra_info("sockname")[1]
             entry = self.machine.entry(port)
+            body["caller"] = entry
             links = self.site.links
             if links.is_cut(entry, self.machine.name):
                 await links.passes(entry, self.machine.name)
@@ -660,9 +661,12 @@
             task=task,
             run=number,
             fence_token=body.get("fence_token", 0),
+            caller=body["caller"],
             checkpoint=run.checkpoint,
         )
         self.site.run_started(self, run)
+        if spec.get("deadly"):
+            self.site.crash_soon(self, body["caller"], run)
         return self._answer(200)
 
     def _fits(self, step):
