Cut the machine service off as well in the partition of case 1

Cause: the claim says that the entry VM loses everything else, but the stand-in left its link to the machine service open.

Change: each entry process has a link of its own to the machine service.

--- a/review/lib/site.py
+++ b/review/lib/site.py
@@ -97,10 +97,11 @@
             workers = dict.fromkeys(pools, workers)
         machine_count = sum(workers.values()) + spare
         ports = iter(
-            free_ports(5 + entries + entries * (entries + machine_count))
+            free_ports(4 + entries * (2 + entries + machine_count))
         )
         self._front, self._ready, self._peer = (next(ports) for _ in range(3))
-        self._cloud_port, self._advice_port = next(ports), next(ports)
+        self._advice_port = next(ports)
+        self._cloud_ports = {name: next(ports) for name in self.addresses}
         self._store_ports = {name: next(ports) for name in self.addresses}
         self._proxy_ports = {
             (caller, callee): next(ports)
@@ -156,7 +157,7 @@
             )
             await proxy.start(port)
             self._proxies.append(proxy)
-        await self.cloud.start(self._cloud_port)
+        await self.cloud.start(self._cloud_ports)
         await self.advice.start(self._advice_port)
         self.set_config(routes or {pool: pool for pool in self.pools})
         for machine in self.machines.values():
@@ -305,7 +306,7 @@
         """Cut an entry process and some machines off from all the rest."""
         others = [name for name in self.addresses if name != entry]
         far = [name for name in self.machines if name not in machines]
-        self.links.cut(entry, ["store", *others, *far])
+        self.links.cut(entry, ["store", "cloud", *others, *far])
         for other in others:
             self.links.cut(other, list(machines))
         for name in machines:
@@ -507,7 +508,9 @@
                 "history_s": 20,
                 "ttl_min_ms": 1_000,
             },
-            "cloud": {"address": f"{standins.LOOPBACK}:{self._cloud_port}"},
+            "cloud": {
+                "address": f"{standins.LOOPBACK}:{self._cloud_ports[name]}"
+            },
             "advice": f"{standins.LOOPBACK}:{self._advice_port}",
         }
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -757,15 +757,32 @@
     def __init__(self, site):
         self.site = site
         self.away_s = 1.0
+        self._entries = {}
         self._runner = None
         self._tasks = set()
 
-    async def start(self, port):
+    async def start(self, ports):
+        """Listen on one port for each entry process."""
+        self._entries = {port: entry for entry, port in ports.items()}
         app = web.Application()
-        app.router.add_get("/v1/machines", self._list)
-        app.router.add_post("/v1/machine-move", self._move)
-        app.router.add_post("/v1/machine-upkeep", self._upkeep)
-        self._runner = await _listen(app, LOOPBACK, port)
+        app.router.add_get("/v1/machines", self._linked(self._list))
+        app.router.add_post("/v1/machine-move", self._linked(self._move))
+        app.router.add_post("/v1/machine-upkeep", self._linked(self._upkeep))
+        self._runner = await _listen(app, LOOPBACK, *ports.values())
+
+    def _linked(self, handler):
+        async def serve(request):
+            port = request.transport.get_extra_info("sockname")[1]
+            entry = self._entries[port]
+            if self.site.links.is_cut(entry, "cloud"):
+                await self.site.links.passes(entry, "cloud")
+                if _is_closed(request):
+                    _reset(request)
+            response = await handler(request)
+            await self.site.links.passes(entry, "cloud")
+            return response
+
+        return serve
 
     async def stop(self):
         for task in self._tasks:
