Say in one place what an owner may do at which age of its lease

Cause: four bounds on the age of the lease in the store stood in three files (1.3 s twice, 1.5, 3.5 and 6 s), each with a part of the reason; what a former owner may still do could only be read by putting them together.

Change: ownership/authority.py names the kinds of action and their bounds. Nothing is decided otherwise.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -22,6 +22,7 @@
 from wagtailtiller.maintenance import machine_manager as machine_manager_module
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
+from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import succession
 from wagtailtiller.ports import catalogue
@@ -41,9 +42,6 @@
 # new owners cannot start before this process has released its shards.
 _LEAVING_TIMEOUT_S = 0.4
 _SESSION_END_TIMEOUT_S = 0.4
-# The machine manager orders no machine while the lease in the store may have
-# expired.
-_MANAGER_MAX_SESSION_AGE_MS = 1_500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -327,7 +325,8 @@
                 self._settings.overload_control,
             ),
             self._on_ownership_lost,
-            self._shards,
+            self._shards.authority,
+            self._shards.store_answers,
         )
         self._owners[owner.pool_id] = owner
         self._update_owner(owner)
@@ -342,9 +341,7 @@
             self._ask_owner,
             self._clock,
             self._settings.machine_lease_ms,
-            lambda: (
-                self._shards.session_age_ms() <= _MANAGER_MAX_SESSION_AGE_MS
-            ),
+            self._shards.authority,
             self._rng,
         )
 
@@ -380,14 +377,13 @@
             shard=owner.claim.shard,
             epoch=owner.claim.epoch,
             reason=reason,
-            session_age_ms=self._shards.session_age_ms(),
+            session_age_ms=self._shards.authority.lease_age_ms(),
         )
 
     async def _monitor_session(self) -> None:
         while True:
             await asyncio.sleep(_SESSION_CHECK_INTERVAL_MS / 1_000)
-            age_ms = self._shards.session_age_ms()
-            if age_ms > pool_owner.LEASE_RENEWAL_TIMEOUT_MS:
+            if not self._shards.authority.allows(authority.Action.COMMAND_VMS):
                 for owner in list(self._owners.values()):
                     self._on_ownership_lost(owner, "store_silent")
 
@@ -474,7 +470,7 @@
             shard=claim.shard,
             epoch=claim.epoch,
             reason=plan.reason.value,
-            session_age_ms=self._shards.session_age_ms(),
+            session_age_ms=self._shards.authority.lease_age_ms(),
         )
         events.emit(
             events.Event.HAND_OVER_ENDED,
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -16,6 +16,7 @@
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import stored_state
+from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
 from wagtailtiller.ownership import restarts
@@ -45,8 +46,6 @@
 # of the other processes.
 _STARTUP_DELAY_MS = 400
 _STARTUP_POLL_MS = 20
-# No shard is claimed on a lease that may expire soon.
-_MAX_SESSION_AGE_MS = 1_300
 _WATCH_WAIT_MS = 1_000
 # The store responds to a watch after _WATCH_WAIT_MS even if nothing has
 # changed. It counts as unavailable if it has not responded for longer than
@@ -72,6 +71,7 @@
 
     Attributes:
         claims_by_shard: The claims that this process has won.
+        authority: Tells what this process may do under its lease.
     """
 
     def __init__(
@@ -122,6 +122,7 @@
             self._on_session_opened,
             self._on_session_expired,
         )
+        self.authority = authority.Authority(self._session)
         self._mirror = mirror.Mirror(
             store_client,
             keys.LIVE_PREFIX,
@@ -159,18 +160,13 @@
             if node.node != self._own_record.node and not node.leaving
         ]
 
-    def session_age_ms(self) -> int:
-        """Return the time since the lease was last known to be valid."""
-        return self._session.age_ms()
-
     def store_answers(self) -> bool:
         """Return whether the store has responded recently."""
         watch_age_ms = (
             self._clock.monotonic_ms() - self._mirror.last_response_ms
         )
-        return (
-            min(watch_age_ms, self.session_age_ms()) <= _MAX_STORE_ANSWER_AGE_MS
-        )
+        lease_age_ms = self.authority.lease_age_ms()
+        return min(watch_age_ms, lease_age_ms) <= _MAX_STORE_ANSWER_AGE_MS
 
     async def run(self) -> None:
         """Follow the store, renew the lease, claim shards until cancelled."""
@@ -307,7 +303,7 @@
             await self._wait_for_turn()
             if not self._session.lease:
                 continue
-            if self.session_age_ms() > _MAX_SESSION_AGE_MS:
+            if not self.authority.allows(authority.Action.CLAIM_SHARD):
                 continue
             if not self._registered:
                 await self._register()
@@ -556,7 +552,7 @@
             shard=claim.shard,
             epoch=claim.epoch,
             reason=reason,
-            session_age_ms=self.session_age_ms(),
+            session_age_ms=self.authority.lease_age_ms(),
         )
         self._on_lost(claim, reason)
 
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 import random
 
 from wagtailtiller import clock as clock_module
@@ -20,6 +19,7 @@
 from wagtailtiller.maintenance import operations
 from wagtailtiller.maintenance import season as season_module
 from wagtailtiller.owner import messages
+from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import declarations
 from wagtailtiller.ports import machines
@@ -48,8 +48,7 @@
         clock: Clock that supplies the current time.
         machine_lease_ms: Time within which two machine managers must not
             order the same machine.
-        is_lease_fresh: Returns whether the process's lease in the store was
-            recently known to be valid.
+        owner_authority: Tells what this process may do under its lease.
         rng: Random source that spreads retries.
 
     Attributes:
@@ -65,7 +64,7 @@
         ask_owner: load_collector.AskOwner,
         clock: clock_module.Clock,
         machine_lease_ms: int,
-        is_lease_fresh: Callable[[], bool],
+        owner_authority: authority.Authority,
         rng: random.Random,
     ) -> None:
         self.claim = claim
@@ -75,7 +74,7 @@
         self._load_collector = load_collector.LoadCollector(ask_owner)
         self._clock = clock
         self._cooldown_ms = machine_lease_ms + _TAKEOVER_MARGIN_MS
-        self._is_lease_fresh = is_lease_fresh
+        self._authority = owner_authority
         self._fleet = machine_fleet.MachineFleet(
             clock, sizes_are_given=claim.epoch == claims.FIRST_EPOCH
         )
@@ -281,7 +280,7 @@
             return
         if operation.machine not in self._state.saved_orders:
             return
-        if not self._is_lease_fresh():
+        if not self._authority.allows(authority.Action.ORDER_MACHINES):
             # A process that was suspended may have been replaced by a
             # successor.
             return
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -5,7 +5,6 @@
 import contextlib
 import dataclasses
 import random
-from typing import Protocol
 
 from expression import Error
 from expression import Ok
@@ -31,6 +30,7 @@
 from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import unresolved_vms
 from wagtailtiller.owner import vm_link
+from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
 from wagtailtiller.ports import catalogue
@@ -42,21 +42,9 @@
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import vm as vm_module
 
-# An owner stops sending commands this long after the last renewal of its lease
-# in the store. A new owner waits until then, and then until the lease of a VM's
-# runs has expired, before it starts the tasks of an unresponsive VM elsewhere.
-LEASE_RENEWAL_TIMEOUT_MS = 6_000
 # Long enough for a new owner to renew the leases of running tasks. The runs of
 # a dead VM are discarded only after this time.
 _MAX_LEASE_MS = 5_000
-# Newly listed VMs are used, and VMs reported empty, only while this process's
-# lease in the store was renewed at most this long ago.
-_MAX_SESSION_AGE_MS = 1_300
-# Runs start on VMs that take whatever they are told to only while the lease was
-# renewed at most this long ago, since reports may be as old. A capacity that
-# has shrunk counts 4.5 s after its report; the rest is for the watch of the
-# reports and for the command.
-_MAX_REPORT_AGE_MS = 3_500
 _PLAN_PAUSE_MS = 8
 _MAX_PLAN_WAIT_MS = 100
 _TAKEOVER_RETRY_MS = 200
@@ -82,16 +70,6 @@
     overload_control: bool = False
 
 
-class StoreContact(Protocol):
-    """State of this process's connection to the store."""
-
-    def session_age_ms(self) -> int:
-        """Return the time since the lease was last known to be valid."""
-
-    def store_answers(self) -> bool:
-        """Return whether the store has responded recently."""
-
-
 @dataclasses.dataclass(frozen=True)
 class OwnerPorts:
     """Clients and sources that a pool owner uses.
@@ -123,7 +101,8 @@
         settings: Settings of pool owners.
         on_lost: Called with this owner and a reason when the ownership is
             lost.
-        store_contact: State of this process's connection to the store.
+        owner_authority: Tells what this process may do under its lease.
+        store_answers: Returns whether the store has responded recently.
 
     Attributes:
         claim: Claim of the pool's shard.
@@ -138,7 +117,8 @@
         ports: OwnerPorts,
         settings: OwnerSettings,
         on_lost: Callable[["PoolOwner", str], None],
-        store_contact: StoreContact,
+        owner_authority: authority.Authority,
+        store_answers: Callable[[], bool],
     ) -> None:
         clock = ports.clock
         self.claim = claim
@@ -152,7 +132,8 @@
         self._settings = settings
         self._lease_ms = min(settings.lease_ms, _MAX_LEASE_MS)
         self._on_lost = on_lost
-        self._store_contact = store_contact
+        self._authority = owner_authority
+        self._store_answers = store_answers
         self._job_writer = job_writer_module.JobWriter(
             ports.store, self.pool, claim, follower.Backoff(ports.rng)
         )
@@ -202,7 +183,7 @@
             self.pool,
             self._job_writer,
             clock,
-            store_contact.store_answers,
+            store_answers,
             self._wake.set,
             self._find_stored,
         )
@@ -234,7 +215,7 @@
         await tasks.cancel_and_wait(self._tasks)
         self._allocations.clear_metrics()
         await asyncio.gather(*(link.close() for link in self._links.values()))
-        if self.ready and self._store_contact.store_answers():
+        if self.ready and self._store_answers():
             await self._members.store_final()
 
     async def _store_ended_runs(self) -> None:
@@ -305,7 +286,7 @@
         """
         if not self.ready or self._stopped:
             return messages.NotOwner()
-        if isinstance(request, messages.Vacate) and not self._owns_surely():
+        if isinstance(request, messages.Vacate) and not self._may_judge_vms():
             # A new owner may have started runs on the VM.
             return messages.NotOwner()
         return await self._request_handler.answer(request)
@@ -351,11 +332,11 @@
         return False
 
     def _previous_lease_end_ms(self) -> int:
-        # The previous owner may send commands until LEASE_RENEWAL_TIMEOUT_MS
-        # after its last lease renewal. The store may end leases before their
-        # time, so that this renewal may be as recent as the takeover.
+        # The store may end leases before their time, so that the previous
+        # owner's last renewal may be as recent as the takeover.
         lease_ms = int(self._lease_ms / vm_module.MIN_CLOCK_RATE)
-        return self._clock.monotonic_ms() + LEASE_RENEWAL_TIMEOUT_MS + lease_ms
+        command_ms = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
+        return self._clock.monotonic_ms() + command_ms + lease_ms
 
     def _restore(self, item: store.Item) -> None:
         decoded = record.decode(item.value or b"")
@@ -382,7 +363,7 @@
     def _register_vms(self) -> None:
         # If this process was paused, another one may own the pool by now. The
         # new owner has fenced only the VMs that were listed at its takeover.
-        if not self._owns_surely():
+        if not self._may_judge_vms():
             return
         for report in list(self._reports.values()):
             self._register_vm(report)
@@ -414,17 +395,18 @@
             self._find_stored,
         )
 
-    def _owns_surely(self) -> bool:
-        return self._store_contact.session_age_ms() <= _MAX_SESSION_AGE_MS
+    def _may_judge_vms(self) -> bool:
+        return self._authority.allows(authority.Action.JUDGE_VMS)
 
     def _may_command(self) -> bool:
-        age_ms = self._store_contact.session_age_ms()
-        return not self._stopped and age_ms <= LEASE_RENEWAL_TIMEOUT_MS
+        return not self._stopped and self._authority.allows(
+            authority.Action.COMMAND_VMS
+        )
 
     def _may_start(self) -> bool:
-        age_ms = self._store_contact.session_age_ms()
         return self._may_command() and (
-            self._guards_capacity or age_ms <= _MAX_REPORT_AGE_MS
+            self._guards_capacity
+            or self._authority.allows(authority.Action.START_UNGUARDED)
         )
 
     def _on_fenced(self) -> None:
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -19,7 +19,6 @@
 from support.sim import soak
 from support.sim import world as world_module
 from wagtailtiller.entry import frontend
-from wagtailtiller.entry import node
 from wagtailtiller.jobs import job
 from wagtailtiller.jobs import record
 from wagtailtiller.jobs import task as task_module
@@ -30,6 +29,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.owner import requests
+from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import session
 from wagtailtiller.scheduling import reconciler
@@ -123,11 +123,17 @@
 
 def _count_from_expiry(self: pool_owner.PoolOwner) -> int:
     """Assume that the previous owner's lease has expired by itself."""
-    time_left_ms = pool_owner.LEASE_RENEWAL_TIMEOUT_MS - session.LEASE_TTL_MS
+    command_ms = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
+    time_left_ms = command_ms - session.LEASE_TTL_MS
     lease_ms = int(self._lease_ms / vm_module.MIN_CLOCK_RATE)
     return self._clock.monotonic_ms() + time_left_ms + lease_ms
 
 
+def _without_age_limit(action: authority.Action) -> tuple[Any, str, Any]:
+    ages_ms = {**authority.MAX_LEASE_AGE_MS, action: 10**6}
+    return authority, "MAX_LEASE_AGE_MS", ages_ms
+
+
 def _play_random_faults(seed: int) -> world_module.World:
     return soak.simulate(seed)[1]
 
@@ -226,13 +232,13 @@
         (machine_manager, "_TAKEOVER_MARGIN_MS", -3_000)
     ],
     "a machine manager continues after its lease has expired": [
-        (node, "_MANAGER_MAX_SESSION_AGE_MS", 10**9)
+        _without_age_limit(authority.Action.ORDER_MACHINES)
     ],
     "an owner with an outdated session takes new VMs": [
-        (pool_owner, "_MAX_SESSION_AGE_MS", 10**9)
+        _without_age_limit(authority.Action.JUDGE_VMS)
     ],
     "owners never stop while the store is unreachable": [
-        (pool_owner, "LEASE_RENEWAL_TIMEOUT_MS", 10**6)
+        _without_age_limit(authority.Action.COMMAND_VMS)
     ],
     "writes have no precondition on the owner's key": [
         (claims.Claim, "preconditions", lambda self: {})
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -7,12 +7,14 @@
 import testtools
 
 from support import fakes
+from support import leases
 from support.sim import loop as loop_module
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import tasks
 from wagtailtiller.maintenance import machine_manager as machine_manager_module
 from wagtailtiller.owner import messages
+from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import machines
@@ -72,7 +74,7 @@
         self.arrived_jobs = 0
         self.vms = {}
         self.requests = []
-        self.may_order = True
+        self.lease = leases.FakeLease()
 
     async def ask_owner(self, pool, request):
         self.requests.append(request)
@@ -105,7 +107,7 @@
             self.ask_owner,
             loop_module.VirtualClock(asyncio.get_running_loop()),
             _LEASE_MS,
-            lambda: self.may_order,
+            authority.Authority(self.lease),
             random.Random(1),
         )
 
@@ -228,11 +230,11 @@
 
         async def main():
             self.needed_machines = 4
-            self.may_order = False
+            self.lease.current_age_ms = 2_000
             first = self.start_manager(1)
             await asyncio.sleep(1)
             await first.stop()
-            self.may_order = True
+            self.lease.current_age_ms = 0
             second = self.start_manager(2)
             await asyncio.sleep(1)
             await second.stop()
@@ -245,11 +247,11 @@
         # Without a planned stop, any of them may have been ordered.
         async def main():
             self.needed_machines = 6
-            self.may_order = False
+            self.lease.current_age_ms = 2_000
             first = self.start_manager(1)
             await asyncio.sleep(1)
             await self.crash(first)
-            self.may_order = True
+            self.lease.current_age_ms = 0
             second = self.start_manager(2)
             await asyncio.sleep(_LEASE_MS / 1_000)
             self.assertEqual([], self.orders_of(2))
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -10,6 +10,7 @@
 from support import fake_vms
 from support import fakes
 from support import jobs
+from support import leases
 from support import limits
 from wagtailtiller import clock
 from wagtailtiller import errors
@@ -20,11 +21,13 @@
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
+from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import admission
 
 _SHARD = ids.ShardId(jobs.POOL)
+_COMMAND_MS = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
 _SETTINGS = pool_owner.OwnerSettings(2_000, 60_000)
 
 
@@ -36,7 +39,7 @@
             self.vms = {}
             self.machines = None
             self.lost = []
-            self.lease_age_ms = 0
+            self.lease = leases.FakeLease()
             self.store_unreachable = False
             await asyncio.wait_for(main(), 15)
 
@@ -58,18 +61,13 @@
             ),
             _SETTINGS,
             lambda owner, reason: self.lost.append(reason),
-            self,
+            authority.Authority(self.lease),
+            lambda: not self.store_unreachable,
         )
         owner.set_queues((jobs.queue(),))
         owner.set_reports({v.report.vm: v.report for v in self.vms.values()})
         return owner
 
-    def session_age_ms(self):
-        return self.lease_age_ms
-
-    def store_answers(self):
-        return not self.store_unreachable
-
     def add_vm(self, name):
         vm = fake_vms.FakeVm(fake_vms.report(name), self.clock)
         self.vms[vm.report.vm] = vm
@@ -201,7 +199,7 @@
             owner = self.own_pool()
             await self.submit(owner)
             await self.until(lambda: vm.running)
-            self.lease_age_ms = 2_000
+            self.lease.current_age_ms = 2_000
             shrunken = msgspec.structs.replace(
                 vm.report, capacity=vms.Resources(1_500, 131_072)
             )
@@ -213,7 +211,7 @@
             owner.set_reports({vm.report.vm: vm.report})
             await asyncio.sleep(0.2)
             self.assertEqual(1, len(vm.running))
-            self.lease_age_ms = 0
+            self.lease.current_age_ms = 0
             await self.until(lambda: len(vm.running) == 2)
 
         self.run_with(main)
@@ -229,12 +227,12 @@
             owner = self.own_pool()
             owner.set_guards_capacity(False)
             await self.until(lambda: owner.pool.vms.get("vm-1"))
-            self.lease_age_ms = 4_000
+            self.lease.current_age_ms = 4_000
             await self.submit(owner)
             await asyncio.sleep(0.3)
             self.assertEqual({}, vm.running)
             self.assertEqual(0, len(owner.pool.vms["vm-1"].runs))
-            self.lease_age_ms = 3_000
+            self.lease.current_age_ms = 3_000
             await self.until(lambda: vm.running)
 
         self.run_with(main)
@@ -247,7 +245,7 @@
             owner = self.own_pool()
             owner.set_guards_capacity(True)
             await self.until(lambda: owner.pool.vms.get("vm-1"))
-            self.lease_age_ms = 5_000
+            self.lease.current_age_ms = 5_000
             await self.submit(owner)
             await self.until(lambda: vm.running)
 
@@ -399,7 +397,7 @@
             await self.submit(owner)
             await self.until(lambda: owner.pool.vms["vm-1"].runs)
             await asyncio.sleep(0.1)
-            self.lease_age_ms = 7_000
+            self.lease.current_age_ms = 7_000
             link_slots.release()
             await asyncio.sleep(0.3)
             self.assertEqual([], vm.starts)
@@ -498,9 +496,7 @@
             # renewal it has just answered.
             second = self.own_pool(2)
             await self.until(lambda: second.ready)
-            may_command_until_ms = (
-                taken_ms + pool_owner.LEASE_RENEWAL_TIMEOUT_MS
-            )
+            may_command_until_ms = taken_ms + _COMMAND_MS
             self.assertGreaterEqual(
                 min(second.pool.unresolved.values()),
                 may_command_until_ms + _SETTINGS.lease_ms,
@@ -651,10 +647,10 @@
             request = messages.Vacate(
                 jobs.POOL, "vm-1", messages.VacateMode.MOVE_ALL
             )
-            self.lease_age_ms = 2_100
+            self.lease.current_age_ms = 2_100
             answer = await owner.answer(request)
             self.assertEqual(messages.NotOwner(), answer)
-            self.lease_age_ms = 0
+            self.lease.current_age_ms = 0
             answer = await owner.answer(request)
             self.assertEqual(messages.Vacated(0), answer)
             await owner.stop()
