Log how old a former owner's lease is, and which runs an owner adopts

No line shows that an owner reads a job of a later epoch, or goes on with a run that it has not started.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -147,7 +147,7 @@
             pause_ms=_JOBS_WATCH_PAUSE_MS,
         )
         self._start_gate = start_gate.StartGate(
-            self._may_command, self._may_start
+            self._may_command, self._may_start, owner_authority.lease_age_ms
         )
         self._guards_capacity = False
         self._links: dict[ids.VmId, vm_link.VmLink] = {}
@@ -356,6 +356,8 @@
             revision=item.revision,
             state=job.state.value,
             done_tasks=sum(1 for _ in job.done_tasks()),
+            accepted_epoch=job.accepted_epoch,
+            epoch=self.claim.epoch,
         )
         self._job_writer.revisions[job.id] = item.revision
         self.pool.jobs.add(job, inherited=True, stored_state=job.state)
@@ -431,7 +433,8 @@
         if not self._may_command():
             return
         self._register_vms()
-        for vm in self.pool.vm_tracker.expire_leases():
+        lease_age_ms = self._authority.lease_age_ms()
+        for vm in self.pool.vm_tracker.expire_leases(lease_age_ms):
             self._close_link(vm)
         self._schedule_wake_up()
         self._members.schedule_update()
--- a/src/wagtailtiller/owner/start_sender.py
+++ b/src/wagtailtiller/owner/start_sender.py
@@ -170,6 +170,7 @@
             token=token,
             outcome=outcome,
             took_ms=took_ms,
+            lease_age_ms=self._gate.lease_age_ms(),
         )
 
     async def _resolve_unknown_start(self, run: task_module.Run) -> None:
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -388,6 +388,14 @@
         task.checkpoint = listed_run.checkpoint or task.checkpoint
         vm.add(run)
         entry.job.mark_started()
+        events.emit(
+            events.Event.RUN_ADOPTED,
+            job=task.id.job,
+            task=task.id[1:],
+            run=run.number,
+            vm=run.vm,
+            epoch=self._state.epoch,
+        )
 
     def _remove_unlisted(
         self,
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -144,13 +144,20 @@
         self.counted_crashes.add(task.id.job)
         self.mark_changed(entry)
 
-    def discard_runs(self, vm: vm_module.Vm, reason: str) -> None:
+    def discard_runs(
+        self, vm: vm_module.Vm, reason: str, **inputs: int
+    ) -> None:
         """Discard all runs of a VM.
 
         Args:
             vm: VM whose runs are discarded.
             reason: Reason, as logged.
+            **inputs: What the decision is based on, as logged.
         """
+        now_ms = self.clock.monotonic_ms()
+        silent_ms = 0
+        if vm.unresponsive_since_ms is not None:
+            silent_ms = now_ms - vm.unresponsive_since_ms
         vm.set_orphans([], has_unknown=False)
         for run in list(vm.runs.values()):
             events.emit(
@@ -160,6 +167,9 @@
                 run=run.number,
                 vm=vm.report.vm,
                 reason=reason,
+                epoch=self.epoch,
+                silent_ms=silent_ms,
+                **inputs,
             )
             self.remove_run(vm, run)
 
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -102,12 +102,14 @@
         # Otherwise tasks start on it until a call has timed out.
         self.mark_unresponsive(old)
 
-    def _discard_runs(self, vm: vm_module.Vm, reason: str) -> None:
+    def _discard_runs(
+        self, vm: vm_module.Vm, reason: str, **inputs: int
+    ) -> None:
         for run in vm.runs.values():
             if run.doubtful_crash is not None:
                 # No listing will show any more who executed the start command.
                 self._state.record_crash(run, run.doubtful_crash)
-        self._state.discard_runs(vm, reason)
+        self._state.discard_runs(vm, reason, **inputs)
 
     def lower_capacity(self, report: vms.VmReport) -> None:
         """Apply the part of a newer report that takes capacity from a VM.
@@ -203,11 +205,15 @@
             vm.status = vm_module.VmStatus.UNRESPONSIVE
             vm.silent_at_ms = (now_ms, *vm.silent_at_ms[:1])
 
-    def expire_leases(self) -> list[vm_module.Vm]:
+    def expire_leases(self, lease_age_ms: int = 0) -> list[vm_module.Vm]:
         """Discard the runs of unresponsive VMs whose leases have expired.
 
         Unresolved VMs whose leases have expired count as ended.
 
+        Args:
+            lease_age_ms: Time since the owner's lease in the store was last
+                known to be valid.
+
         Returns:
             The VMs that were removed because they are no longer registered.
         """
@@ -216,7 +222,7 @@
         for vm_id, until_ms in list(self._state.unresolved.items()):
             if now_ms < until_ms or self._may_list_more_ends(vm_id, now_ms):
                 continue
-            self._end_wait(vm_id)
+            self._end_wait(vm_id, lease_age_ms)
         removed = []
         for vm in list(self._state.vms.values()):
             removable = not vm.registered and not vm.has_unstored_ends
@@ -226,7 +232,12 @@
             if now_ms < vm.lease.expiry_ms() and not unused:
                 continue
             self._lost_instances.add(vm, now_ms)
-            self._discard_runs(vm, "lease_over")
+            self._discard_runs(
+                vm,
+                "lease_over",
+                over_ms=now_ms - vm.lease.expiry_ms(),
+                lease_age_ms=lease_age_ms,
+            )
             if removable:
                 del self._state.vms[vm.report.vm]
                 self._state.health.remove_vm(vm.report.vm)
@@ -247,7 +258,7 @@
         is_responsive = vm.unresponsive_since_ms is None
         return is_responsive or now_ms < vm.lease.expiry_ms()
 
-    def _end_wait(self, vm_id: ids.VmId) -> None:
+    def _end_wait(self, vm_id: ids.VmId, lease_age_ms: int) -> None:
         """Stop waiting for an unresolved VM whose leases have expired."""
         del self._state.unresolved[vm_id]
         vm = self._state.vms.get(vm_id)
@@ -256,6 +267,8 @@
             vm=vm_id,
             pool=self._state.pool,
             listed=vm is not None and vm.registered,
+            epoch=self._state.epoch,
+            lease_age_ms=lease_age_ms,
         )
 
     def members(self) -> set[ids.VmId]:
