--- /dev/null
+++ b/tests/owner/test_former_owners.py
@@ -0,0 +1,219 @@
+"""Tests of an owner that has lost its pool without knowing it, virtual time."""
+
+import asyncio
+import random
+
+from expression import Error
+import testtools
+
+from support import fake_vms
+from support import fakes
+from support import jobs
+from support.sim import loop as loop_module
+from wagtailtiller import errors
+from wagtailtiller import ids
+from wagtailtiller import keys
+from wagtailtiller.owner import messages
+from wagtailtiller.owner import pool_owner
+from wagtailtiller.ownership import authority
+from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import session
+from wagtailtiller.ports import vms
+
+_SHARD = ids.ShardId(jobs.POOL)
+_SETTINGS = pool_owner.OwnerSettings(5_000, 60_000)
+_CALL_TIMEOUT_S = 0.7
+_COMMAND_S = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS] / 1_000
+_STORE_LEASE_S = session.LEASE_TTL_MS / 1_000
+_JOIN_S = 1.0
+
+
+class _Store(fakes.FakeStore):
+    """Connection of one process to the store.
+
+    Attributes:
+        cut: Whether no call is answered.
+    """
+
+    def __init__(self, state):
+        super().__init__()
+        self.state = state
+        self.cut = False
+
+    async def _next_fault(self):
+        if not self.cut:
+            return await super()._next_fault()
+        await asyncio.sleep(_CALL_TIMEOUT_S)
+        return fakes.Fault.REQUEST_LOST
+
+    async def watch(self, prefix, after, wait_ms):
+        if self.cut:
+            await asyncio.sleep(_CALL_TIMEOUT_S)
+            return Error(errors.StoreUnavailable("no answer"))
+        return await super().watch(prefix, after, wait_ms)
+
+
+class _Path:
+    """Client of one process for a VM.
+
+    Attributes:
+        cut: Whether no command arrives.
+    """
+
+    def __init__(self, vm):
+        self._vm = vm
+        self.cut = False
+
+    async def start(self, command):
+        if self.cut:
+            await asyncio.sleep(_CALL_TIMEOUT_S)
+            return vms.CommandResponse(vms.CommandOutcome.UNANSWERED)
+        return await self._vm.start(command)
+
+    async def stop(self, task, number, token):
+        if self.cut:
+            await asyncio.sleep(_CALL_TIMEOUT_S)
+            return vms.CommandResponse(vms.CommandOutcome.UNANSWERED)
+        return await self._vm.stop(task, number, token)
+
+    async def hold(self, token, acknowledged, lease_until_ms, wait_ms):
+        if self.cut:
+            await asyncio.sleep(_CALL_TIMEOUT_S)
+            return vms.HoldResponse(vms.CommandOutcome.UNANSWERED)
+        return await self._vm.hold(token, acknowledged, lease_until_ms, wait_ms)
+
+    async def close(self):
+        pass
+
+
+class _Process:
+    """A process that may own the pool, with its connections.
+
+    Attributes:
+        store: Its connection to the store.
+        paths: Its client for each VM.
+        owner: Its pool owner.
+        lost: Reasons for which the owner gave its pool up.
+    """
+
+    def __init__(self, state, all_vms, epoch):
+        self._clock = loop_module.VirtualClock(asyncio.get_running_loop())
+        self._renewed_ms = self._clock.monotonic_ms()
+        self.store = _Store(state)
+        self.paths = {vm.report.vm: _Path(vm) for vm in all_vms}
+        self.lost = []
+        key = keys.owner(_SHARD)
+        written = state.write(key, b"%d" % epoch, state.item(key).revision, "")
+        self.owner = pool_owner.PoolOwner(
+            claims.Claim(_SHARD, epoch, written.ok),
+            pool_owner.OwnerPorts(
+                self.store,
+                lambda report: self.paths[report.vm],
+                None,
+                None,
+                self._clock,
+                random.Random(epoch),
+            ),
+            _SETTINGS,
+            lambda owner, reason: self.lost.append(reason),
+            authority.Authority(self),
+            lambda: not self.store.cut,
+        )
+        self.owner.set_queues((jobs.queue(),))
+        self.owner.set_guards_capacity(True)
+        self.owner.set_reports({vm.report.vm: vm.report for vm in all_vms})
+
+    def age_ms(self):
+        """Return the age of the lease, which is renewed unless it is cut."""
+        if not self.store.cut:
+            self._renewed_ms = self._clock.monotonic_ms()
+        return self._clock.monotonic_ms() - self._renewed_ms
+
+    def cut_off(self, *unreachable_vms):
+        """Cut the process off from the store and from some VMs."""
+        self.age_ms()
+        self.store.cut = True
+        for vm in unreachable_vms:
+            self.paths[vm.report.vm].cut = True
+
+    async def submit(self, name):
+        while not self.owner.ready:
+            await asyncio.sleep(0.01)
+        request = messages.Submit(jobs.POOL, name * 16, jobs.QUEUE, jobs.spec())
+        return await self.owner.answer(request)
+
+
+class FormerOwnersTest(testtools.TestCase):
+    """A partition leaves some VMs to the former owner, others to the new one.
+
+    The new owner has fenced the latter only.
+    """
+
+    def run_with(self, main):
+        async def wrapped():
+            clock = loop_module.VirtualClock(asyncio.get_running_loop())
+            self.state = fakes.FakeStore().state
+            self.vms = [
+                fake_vms.FakeVm(fake_vms.report(f"vm-{number}"), clock)
+                for number in range(2)
+            ]
+            await main()
+
+        loop_module.run(wrapped())
+
+    async def own_pool_with_run(self):
+        """Return an owner, the VM of its only run, and the other VM."""
+        former = _Process(self.state, self.vms, 1)
+        await former.submit("a")
+        await asyncio.sleep(_JOIN_S)
+        busy = next(vm for vm in self.vms if vm.running)
+        idle = next(vm for vm in self.vms if not vm.running)
+        return former, busy, idle
+
+    def take_over(self, *unreachable_vms):
+        successor = _Process(self.state, self.vms, 2)
+        for vm in unreachable_vms:
+            successor.paths[vm.report.vm].cut = True
+        return successor
+
+    def started(self):
+        """Return the id of each task that has been started, as often."""
+        return [command.task.job[0] for vm in self.vms for command in vm.starts]
+
+    def test_run_whose_lease_a_successor_renews_is_not_started_again(self):
+        """Guards against two runs of one task, on both sides of a partition."""
+
+        async def main():
+            former, busy, idle = await self.own_pool_with_run()
+            former.cut_off(busy)
+            await asyncio.sleep(_STORE_LEASE_S)
+            successor = self.take_over(idle)
+            await asyncio.sleep(_COMMAND_S)
+            self.assertEqual(["a"], self.started())
+            await former.owner.stop()
+            await successor.owner.stop()
+
+        self.run_with(main)
+
+    def test_job_that_a_successor_has_accepted_is_not_started(self):
+        """Guards against two runs of a job that the store shows to both."""
+
+        async def main():
+            former, busy, idle = await self.own_pool_with_run()
+            former.cut_off(busy)
+            await asyncio.sleep(_STORE_LEASE_S)
+            successor = self.take_over(idle)
+            await asyncio.sleep(_JOIN_S)
+            await successor.submit("b")
+            await asyncio.sleep(_JOIN_S)
+            self.assertEqual(["a", "b"], sorted(self.started()))
+            # The store answers the watch of the jobs again, before the former
+            # owner's next renewal shows that its lease has ended.
+            former.store.cut = False
+            await asyncio.sleep(_JOIN_S)
+            self.assertEqual(["a", "b"], sorted(self.started()))
+            self.assertNotEqual([], former.lost)
+            await former.owner.stop()
+            await successor.owner.stop()
+
+        self.run_with(main)
