Take a VM's lease for over only while ownership is proven

Cause: an owner gave up the runs of a VM that it did not reach when the last lease that it had sent was over by its own clock, and started their tasks on other VMs. Between 2 s and 6 s after its last renewal in the store another process may own the pool, may reach that VM and may have renewed that lease, while it has not fenced the VMs that only the former owner reaches.

Change: the end of a lease, and of the wait for a VM of a previous owner, counts only up to the request time of the last successful renewal of the owner's lease in the store. A lease that lived at that time shows that nobody else could have owned the pool before, whether it has ended since by time or by the store. So that tasks of a lost VM do not wait for the next usual renewal, the owner renews early when a lease is over, at most every 100 ms.

Ruled out: stopping all commands when the store lease may be over (2 s) would mend it as well, but stops work in each outage of the store although nobody else can own the pool then; a bound below 5.1 s for commands does not help if the VM fell silent before the store did.

New: early renewals come within 150 ms and at most every 100 ms; a lost VM's task starts elsewhere within 1 s of the end of its lease.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -433,9 +433,7 @@
         if not self._may_command():
             return
         self._register_vms()
-        lease_age_ms = self._authority.lease_age_ms()
-        for vm in self.pool.vm_tracker.expire_leases(lease_age_ms):
-            self._close_link(vm)
+        self._expire_leases()
         self._schedule_wake_up()
         self._members.schedule_update()
         members = self._members.stored if self._may_start() else set()
@@ -445,6 +443,14 @@
         self._write_urgent_changes()
         await asyncio.sleep(_PLAN_PAUSE_MS / 1_000)
 
+    def _expire_leases(self) -> None:
+        owned_until_ms = self._authority.held_until_ms()
+        for vm in self.pool.vm_tracker.expire_leases(owned_until_ms):
+            self._close_link(vm)
+        if self.pool.vm_tracker.has_unproven_expiry(owned_until_ms):
+            # Otherwise their tasks would wait for the next usual renewal.
+            self._authority.prove_soon()
+
     def _write_urgent_changes(self) -> None:
         # The next owner must not count the crashes of a task from the start.
         counted, self.pool.counted_crashes = self.pool.counted_crashes, set()
--- a/src/wagtailtiller/ownership/authority.py
+++ b/src/wagtailtiller/ownership/authority.py
@@ -4,6 +4,12 @@
 after its last renewal, or earlier if the store ends it, and from then on
 another process may own the shard. A former owner learns of that late, or not at
 all while it is cut off from the store.
+
+So an owner may send commands for some time without knowing that it still owns
+the shard: they are fenced, or its successor waits until they can have no effect
+any more. What it concludes from the time alone, such as the end of a lease that
+it has given to a VM, holds only if nobody else owned the shard until then. That
+is known once a renewal that was sent later has succeeded.
 """
 
 from collections.abc import Mapping
@@ -54,11 +60,21 @@
 
 
 class Lease(Protocol):
-    """The lease of a process in the store."""
+    """The lease of a process in the store.
+
+    Attributes:
+        renewed_ms: Clock reading before the latest successful request for the
+            lease was sent.
+    """
+
+    renewed_ms: int
 
     def age_ms(self) -> int:
         """Return the time since the lease was last known to be valid."""
 
+    def renew_soon(self) -> None:
+        """Renew the lease earlier than at the usual interval."""
+
 
 class Authority:
     """Tells what a process may do under its lease in the store.
@@ -74,6 +90,19 @@
         """Return the time since the lease was last known to be valid."""
         return self._lease.age_ms()
 
+    def held_until_ms(self) -> int:
+        """Return until when this process has certainly been the only owner.
+
+        Returns:
+            A reading of the process's monotonic clock. Up to then its lease has
+            not ended, so that nobody else has claimed its shards.
+        """
+        return self._lease.renewed_ms
+
+    def prove_soon(self) -> None:
+        """Renew the lease, so that ``held_until_ms`` advances."""
+        self._lease.renew_soon()
+
     def allows(self, action: Action) -> bool:
         """Return whether the lease is young enough for an action.
 
--- a/src/wagtailtiller/ownership/session.py
+++ b/src/wagtailtiller/ownership/session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
@@ -13,6 +14,8 @@
 # loses its pools.
 LEASE_TTL_MS = 2_000
 RENEW_INTERVAL_MS = 500
+# Shortest time between two renewals, since the store limits their rate.
+_MIN_RENEW_INTERVAL_MS = 100
 # Longest delay of a retry. Requests are refused until the store has answered
 # one.
 MAX_RETRY_DELAY_MS = 400
@@ -53,6 +56,7 @@
         self._on_opened = on_opened
         self._on_expired = on_expired
         self._closing = False
+        self._renewal_wanted = asyncio.Event()
         self._attempts = tasks.TaskGroup()
 
     async def run(self) -> None:
@@ -61,13 +65,25 @@
             while not self._closing:
                 if await self._attempt():
                     self._backoff.reset()
-                    await asyncio.sleep(RENEW_INTERVAL_MS / 1_000)
+                    await self._wait_for_turn()
                 else:
                     await self._backoff.wait()
         except asyncio.CancelledError:
             await self._attempts.cancel()
             raise
 
+    def renew_soon(self) -> None:
+        """Renew the lease earlier than at the usual interval."""
+        self._renewal_wanted.set()
+
+    async def _wait_for_turn(self) -> None:
+        await asyncio.sleep(_MIN_RENEW_INTERVAL_MS / 1_000)
+        rest_ms = RENEW_INTERVAL_MS - _MIN_RENEW_INTERVAL_MS
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(rest_ms / 1_000):
+                await self._renewal_wanted.wait()
+        self._renewal_wanted.clear()
+
     async def _attempt(self) -> bool:
         """Return whether the lease is valid after an attempt to make it so."""
         sent_ms = self._clock.monotonic_ms()
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -205,14 +205,15 @@
             vm.status = vm_module.VmStatus.UNRESPONSIVE
             vm.silent_at_ms = (now_ms, *vm.silent_at_ms[:1])
 
-    def expire_leases(self, lease_age_ms: int = 0) -> list[vm_module.Vm]:
+    def expire_leases(self, owned_until_ms: int) -> list[vm_module.Vm]:
         """Discard the runs of unresponsive VMs whose leases have expired.
 
-        Unresolved VMs whose leases have expired count as ended.
+        Unresolved VMs whose leases have expired count as ended. A later owner
+        may have renewed what was still valid when this one ended.
 
         Args:
-            lease_age_ms: Time since the owner's lease in the store was last
-                known to be valid.
+            owned_until_ms: Time, on the owner's clock, until which the pool has
+                certainly had no later owner.
 
         Returns:
             The VMs that were removed because they are no longer registered.
@@ -220,23 +221,25 @@
         now_ms = self._state.clock.monotonic_ms()
         self._lost_instances.forget_old(now_ms)
         for vm_id, until_ms in list(self._state.unresolved.items()):
-            if now_ms < until_ms or self._may_list_more_ends(vm_id, now_ms):
+            if owned_until_ms < until_ms:
                 continue
-            self._end_wait(vm_id, lease_age_ms)
+            if self._may_list_more_ends(vm_id, owned_until_ms):
+                continue
+            self._end_wait(vm_id, now_ms - owned_until_ms)
         removed = []
         for vm in list(self._state.vms.values()):
             removable = not vm.registered and not vm.has_unstored_ends
             unused = removable and not vm.runs
             if vm.unresponsive_since_ms is None:
                 continue
-            if now_ms < vm.lease.expiry_ms() and not unused:
+            if owned_until_ms < vm.lease.expiry_ms() and not unused:
                 continue
             self._lost_instances.add(vm, now_ms)
             self._discard_runs(
                 vm,
                 "lease_over",
                 over_ms=now_ms - vm.lease.expiry_ms(),
-                lease_age_ms=lease_age_ms,
+                lease_age_ms=now_ms - owned_until_ms,
             )
             if removable:
                 del self._state.vms[vm.report.vm]
@@ -246,7 +249,24 @@
                 removed.append(vm)
         return removed
 
-    def _may_list_more_ends(self, vm_id: ids.VmId, now_ms: int) -> bool:
+    def has_unproven_expiry(self, owned_until_ms: int) -> bool:
+        """Return whether leases have expired that may have been renewed.
+
+        Args:
+            owned_until_ms: As for ``expire_leases``.
+        """
+        now_ms = self._state.clock.monotonic_ms()
+        expiries_ms = [
+            vm.lease.expiry_ms()
+            for vm in self._state.vms.values()
+            if vm.unresponsive_since_ms is not None and vm.runs
+        ]
+        expiries_ms += self._state.unresolved.values()
+        return any(
+            owned_until_ms < expiry_ms <= now_ms for expiry_ms in expiries_ms
+        )
+
+    def _may_list_more_ends(self, vm_id: ids.VmId, owned_until_ms: int) -> bool:
         """Return whether a VM is expected to list further ended runs.
 
         Their tasks must not start again. The VM has its lease from this owner,
@@ -256,7 +276,7 @@
         if vm is None or not vm.has_more_ends:
             return False
         is_responsive = vm.unresponsive_since_ms is None
-        return is_responsive or now_ms < vm.lease.expiry_ms()
+        return is_responsive or owned_until_ms < vm.lease.expiry_ms()
 
     def _end_wait(self, vm_id: ids.VmId, lease_age_ms: int) -> None:
         """Stop waiting for an unresolved VM whose leases have expired."""
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -6,6 +6,7 @@
 from expression import Ok
 import testtools
 
+from support import clocks
 from support import fakes
 from support import leases
 from support.sim import loop as loop_module
@@ -74,7 +75,7 @@
         self.arrived_jobs = 0
         self.vms = {}
         self.requests = []
-        self.lease = leases.FakeLease()
+        self.lease = leases.FakeLease(clocks.FakeClock())
 
     async def ask_owner(self, pool, request):
         self.requests.append(request)
--- a/tests/owner/test_former_owners.py
+++ b/tests/owner/test_former_owners.py
@@ -26,6 +26,9 @@
 _COMMAND_S = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS] / 1_000
 _STORE_LEASE_S = session.LEASE_TTL_MS / 1_000
 _JOIN_S = 1.0
+_VM_LEASE_S = _SETTINGS.lease_ms / 1_000
+# The lease counts 2% slow and is renewed until a call has timed out.
+_START_S = 1.0
 
 
 class _Store(fakes.FakeStore):
@@ -98,10 +101,11 @@
 
     def __init__(self, state, all_vms, epoch):
         self._clock = loop_module.VirtualClock(asyncio.get_running_loop())
-        self._renewed_ms = self._clock.monotonic_ms()
+        self.renewed_ms = self._clock.monotonic_ms()
         self.store = _Store(state)
         self.paths = {vm.report.vm: _Path(vm) for vm in all_vms}
         self.lost = []
+        self._renewals = asyncio.create_task(self._renew())
         key = keys.owner(_SHARD)
         written = state.write(key, b"%d" % epoch, state.item(key).revision, "")
         self.owner = pool_owner.PoolOwner(
@@ -124,14 +128,25 @@
         self.owner.set_reports({vm.report.vm: vm.report for vm in all_vms})
 
     def age_ms(self):
-        """Return the age of the lease, which is renewed unless it is cut."""
+        """Return the age of the lease of the process."""
+        return self._clock.monotonic_ms() - self.renewed_ms
+
+    def renew_soon(self):
+        """Renew the lease, unless the store can't be reached."""
         if not self.store.cut:
-            self._renewed_ms = self._clock.monotonic_ms()
-        return self._clock.monotonic_ms() - self._renewed_ms
+            self.renewed_ms = self._clock.monotonic_ms()
+
+    def stop_renewals(self):
+        """Let the lease age even if the store can be reached."""
+        self._renewals.cancel()
+
+    async def _renew(self):
+        while True:
+            self.renew_soon()
+            await asyncio.sleep(session.RENEW_INTERVAL_MS / 1_000)
 
     def cut_off(self, *unreachable_vms):
         """Cut the process off from the store and from some VMs."""
-        self.age_ms()
         self.store.cut = True
         for vm in unreachable_vms:
             self.paths[vm.report.vm].cut = True
@@ -195,6 +210,20 @@
 
         self.run_with(main)
 
+    def test_run_of_a_lost_vm_starts_again_when_its_lease_is_over(self):
+        """Guards against tasks that wait although nobody else owns the pool."""
+
+        async def main():
+            owner, busy, idle = await self.own_pool_with_run()
+            owner.paths[busy.report.vm].cut = True
+            await asyncio.sleep(_VM_LEASE_S)
+            self.assertEqual(["a"], self.started())
+            await asyncio.sleep(_START_S)
+            self.assertEqual(["a", "a"], self.started())
+            await owner.owner.stop()
+
+        self.run_with(main)
+
     def test_job_that_a_successor_has_accepted_is_not_started(self):
         """Guards against two runs of a job that the store shows to both."""
 
@@ -209,6 +238,7 @@
             self.assertEqual(["a", "b"], sorted(self.started()))
             # The store answers the watch of the jobs again, before the former
             # owner's next renewal shows that its lease has ended.
+            former.stop_renewals()
             former.store.cut = False
             await asyncio.sleep(_JOIN_S)
             self.assertEqual(["a", "b"], sorted(self.started()))
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -39,7 +39,7 @@
             self.vms = {}
             self.machines = None
             self.lost = []
-            self.lease = leases.FakeLease()
+            self.lease = leases.FakeLease(self.clock)
             self.store_unreachable = False
             await asyncio.wait_for(main(), 15)
 
--- a/tests/ownership/test_session.py
+++ b/tests/ownership/test_session.py
@@ -80,6 +80,33 @@
 
         self.run_with_session(main)
 
+    def test_lease_is_renewed_early_on_request(self):
+        """Guards against tasks of a dead VM that wait for a renewal."""
+
+        async def main(store_session):
+            await asyncio.sleep(1.25)
+            for _ in range(5):
+                wanted_ms = store_session.renewed_ms + 1
+                await asyncio.sleep(0.01)
+                store_session.renew_soon()
+                await asyncio.sleep(0.15)
+                self.assertGreaterEqual(store_session.renewed_ms, wanted_ms)
+
+        self.run_with_session(main)
+
+    def test_renewals_on_request_are_limited(self):
+        """Guards against renewals that exceed the store's rates."""
+
+        async def main(store_session):
+            await asyncio.sleep(1)
+            self.store.calls = 0
+            for _ in range(1_000):
+                store_session.renew_soon()
+                await asyncio.sleep(0.01)
+            self.assertLess(self.store.calls, 102)
+
+        self.run_with_session(main)
+
     def test_age_counts_from_the_latest_answered_renewal(self):
         async def main(store_session):
             await asyncio.sleep(1)
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -55,7 +55,9 @@
         self.pool.vm_tracker.mark_unlisted(vm.report.vm)
         self.pool.vm_tracker.mark_unresponsive(vm)
         self.clock.advance(60_000)
-        self.assertEqual([vm], self.pool.vm_tracker.expire_leases())
+        self.assertEqual(
+            [vm], self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+        )
 
     def end_all(self, vm):
         """Let all runs of a VM that do not stay end well."""
