Give a pool up that a later owner's job shows to be lost

Cause: an owner took over any job that the store showed it, by its watch, by a look-up or in place of its own unanswered write, also one that a later owner had accepted. The later owner starts such a job at once, since no earlier owner can have started it; that held only as long as no earlier owner read it.

With the watch mended alone, a caller that sent the job again was told that its id is in use.

Change: a job whose accepted_epoch is above the owner's own epoch ends the ownership (shard_lost with later_epoch). From that moment the owner sends nothing and confirms only what is stored; before, it could go on until its stop had begun.

Ruled out: to leave such a job alone and go on; the owner has certainly lost the pool.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -19,6 +19,7 @@
 from wagtailtiller import keys
 from wagtailtiller import runtime
 from wagtailtiller import tasks
+from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import allocations
@@ -281,15 +282,21 @@
             request: Request about the pool.
 
         Returns:
-            The answer; ``NotOwner`` before the takeover has finished, after
-            ``stop``, and to ``Vacate`` while another process may own the pool.
+            The answer; ``NotOwner`` before the takeover has finished, once the
+            pool is given up, and to ``Vacate`` while another process may own
+            the pool.
         """
         if not self.ready or self._stopped:
             return messages.NotOwner()
         if isinstance(request, messages.Vacate) and not self._may_judge_vms():
             # A new owner may have started runs on the VM.
             return messages.NotOwner()
-        return await self._request_handler.answer(request)
+        answer = await self._request_handler.answer(request)
+        if self._stopped and not isinstance(
+            answer, messages.Accepted | messages.Unsure
+        ):
+            return messages.NotOwner()
+        return answer
 
     async def _run(self) -> None:
         while not await self._take_over():
@@ -338,7 +345,12 @@
         command_ms = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
         return self._clock.monotonic_ms() + command_ms + lease_ms
 
-    def _restore(self, item: store.Item) -> None:
+    def _decode(self, item: store.Item) -> job_module.Job | None:
+        """Decode a stored job; None if it is not one that this owner may run.
+
+        A job that a later owner has accepted shows that this one has lost the
+        pool. The later one starts it without waiting for this one.
+        """
         decoded = record.decode(item.value or b"")
         if decoded.is_error():
             events.emit(
@@ -346,9 +358,15 @@
                 key=item.key,
                 reason=str(decoded.error),
             )
-            return
-        job = decoded.ok
-        if job.id in self.pool.entries:
+            return None
+        if decoded.ok.accepted_epoch > self.claim.epoch:
+            self._give_up("later_epoch")
+            return None
+        return decoded.ok
+
+    def _restore(self, item: store.Item) -> None:
+        job = self._decode(item)
+        if job is None or job.id in self.pool.entries:
             return
         events.emit(
             events.Event.JOB_RESTORED,
@@ -412,12 +430,16 @@
         )
 
     def _on_fenced(self) -> None:
-        if not self._stopped:
-            self._on_lost(self, "fenced")
+        self._give_up("fenced")
 
     def _on_ownership_lost(self) -> None:
+        self._give_up("store")
+
+    def _give_up(self, reason: str) -> None:
         if not self._stopped:
-            self._on_lost(self, "store")
+            # No command is sent from now on, before the owner is stopped.
+            self._stopped = True
+            self._on_lost(self, reason)
 
     async def _plan_once(self) -> None:
         # asyncio.wait_for could swallow a cancellation that arrives together
@@ -426,10 +448,8 @@
             async with asyncio.timeout(_MAX_PLAN_WAIT_MS / 1_000):
                 await self._wake.wait()
         self._wake.clear()
-        if self._job_writer.ownership_lost.is_set() and not self._stopped:
-            self._on_lost(self, "store")
-            await asyncio.sleep(1)
-            return
+        if self._job_writer.ownership_lost.is_set():
+            self._give_up("store")
         if not self._may_command():
             return
         self._register_vms()
@@ -506,7 +526,7 @@
             if entry is None:
                 self._restore(item)
                 self._wake.set()
-            elif entry.stored_state is None:
+            elif entry.stored_state is None and self._decode(item) is not None:
                 # Otherwise the owner would drop the job if its own first
                 # write failed.
                 self._job_writer.revisions[job] = item.revision
--- a/tests/owner/test_former_owners.py
+++ b/tests/owner/test_former_owners.py
@@ -151,10 +151,12 @@
         for vm in unreachable_vms:
             self.paths[vm.report.vm].cut = True
 
-    async def submit(self, name):
+    async def submit(self, name, spec=None):
         while not self.owner.ready:
             await asyncio.sleep(0.01)
-        request = messages.Submit(jobs.POOL, name * 16, jobs.QUEUE, jobs.spec())
+        request = messages.Submit(
+            jobs.POOL, name * 16, jobs.QUEUE, spec or jobs.spec()
+        )
         return await self.owner.answer(request)
 
 
@@ -247,3 +249,53 @@
             await successor.owner.stop()
 
         self.run_with(main)
+
+    def test_job_sent_to_both_owners_is_started_by_the_later_one(self):
+        """Guards against two runs of a job that a caller has sent again.
+
+        The former owner's own write of the job has had no answer.
+        """
+
+        async def main():
+            former, busy, idle = await self.own_pool_with_run()
+            unanswered = asyncio.create_task(former.submit("b"))
+            await asyncio.sleep(0)
+            former.cut_off(busy)
+            successor = self.take_over(idle)
+            await asyncio.sleep(_JOIN_S)
+            await successor.submit("b")
+            await asyncio.sleep(_JOIN_S)
+            former.stop_renewals()
+            former.store.refuse_commits = True
+            former.store.cut = False
+            await asyncio.sleep(_JOIN_S)
+            self.assertEqual(["a", "b"], sorted(self.started()))
+            await former.owner.stop()
+            self.assertEqual(messages.Unsure(), await unanswered)
+            await successor.owner.stop()
+
+        self.run_with(main)
+
+    def test_former_owner_denies_no_job_of_its_successor(self):
+        """Guards against an untrue answer to a caller that sends a job again.
+
+        The former owner has no room for the job, and finds it in the store.
+        """
+
+        async def main():
+            former, busy, idle = await self.own_pool_with_run()
+            await former.owner.answer(messages.AskLoad(jobs.POOL, 0))
+            step = jobs.step(16, cpu_millicores=16_000, estimate_ms=9_000)
+            await former.submit("c", jobs.spec(step))
+            former.cut_off()
+            successor = self.take_over(*self.vms)
+            await asyncio.sleep(_JOIN_S)
+            await successor.submit("b", jobs.spec(step))
+            former.stop_renewals()
+            former.store.cut = False
+            answer = await former.submit("b", jobs.spec(step))
+            self.assertEqual(messages.NotOwner(), answer)
+            await former.owner.stop()
+            await successor.owner.stop()
+
+        self.run_with(main)
