Keep no claim whose lease has ended before its answer

Cause: a claim whose answer arrived after the process had lost its lease and opened the next one was kept. Renewals of the new lease then stood for a shard whose owner key had ended with the old one.

Evidence: tests/entry/test_shards.py, LateAnswerTest fails on the code before ({} != the claim).

Change: the lease of the claim must still be that of the session. So a renewal proves what it is taken for: all claims hang on the lease that was renewed.

Result: tests of shards and node passed.

--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -414,8 +414,9 @@
     async def _claim(
         self, shard: ids.ShardId, replaced: ids.Revision = store.ABSENT
     ) -> None:
+        lease = self._session.lease
         claim = await claims.claim(
-            self._store, shard, self._own_record, self._session.lease, replaced
+            self._store, shard, self._own_record, lease, replaced
         )
         self._unowned_since_ms.pop(shard, None)
         if claim is None:
@@ -424,6 +425,9 @@
             # The process was told to stop while it claimed the shard.
             await claims.release(self._store, claim)
             return
+        if self._session.lease != lease:
+            # The owner key has ended with its lease.
+            return
         stored = self._mirror.items.get(keys.owner(shard))
         if stored is not None and stored.revision > claim.revision:
             # The answer came so late that another process owns the shard.
