Grant no VM a longer lease than a new owner waits for

Cause: the end of a lease was computed as if the VM's clock had run as fast as the owner's since its last reading, which may be seconds old. On a VM whose clock is 2% slow the lease then lasted up to 122 ms longer than the new owner's wait, which counts the slow clock from the sending of the lease only.

Change: the time since the reading counts at the slowest rate, so that a lease lasts at most its duration on a slow clock, however old the reading is.

Ruled out: a longer wait of new owners; the reading may be older than 6 s.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import math
 import random
 
 from expression import Error
@@ -341,7 +342,7 @@
     def _previous_lease_end_ms(self) -> int:
         # The store may end leases before their time, so that the previous
         # owner's last renewal may be as recent as the takeover.
-        lease_ms = int(self._lease_ms / vm_module.MIN_CLOCK_RATE)
+        lease_ms = math.ceil(self._lease_ms / vm_module.MIN_CLOCK_RATE)
         command_ms = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
         return self._clock.monotonic_ms() + command_ms + lease_ms
 
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -63,9 +63,10 @@
             now_ms: Current time, on the owner's clock.
             lease_ms: Duration of the lease.
         """
-        until_ms = (
-            self.vm_clock_ms + (now_ms - self.clock_received_ms) + lease_ms
-        )
+        # On a VM with the slowest clock the lease lasts no longer than that,
+        # however old the reading is.
+        elapsed_ms = int((now_ms - self.clock_received_ms) * MIN_CLOCK_RATE)
+        until_ms = self.vm_clock_ms + elapsed_ms + lease_ms
         self.latest_end_vm_ms = max(self.latest_end_vm_ms, until_ms)
         return until_ms
 
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -25,6 +25,7 @@
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import admission
+from wagtailtiller.scheduling import vm as vm_module
 
 _SHARD = ids.ShardId(jobs.POOL)
 _COMMAND_MS = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
@@ -506,6 +507,30 @@
 
         self.run_with(main)
 
+    def test_new_owner_waits_for_lease_set_by_an_old_clock_reading(self):
+        """Guards against starts beside runs whose lease is not over.
+
+        The former owner was paused. It takes the VM's clock, which is slow, for
+        as fast as its own since the last reading.
+        """
+
+        async def main():
+            vm, first = await self.own_pool_with_run()
+            vm.unresponsive = True
+            await first.stop()
+            renewed_ms = self.clock.monotonic_ms()
+            lease = vm_module.LeaseTracker()
+            lease.update_clock(1, renewed_ms)
+            lease.extend(renewed_ms + _COMMAND_MS, _SETTINGS.lease_ms)
+            second = self.own_pool(2)
+            await self.until(lambda: second.ready)
+            self.assertGreaterEqual(
+                min(second.pool.unresolved.values()), lease.expiry_ms()
+            )
+            await second.stop()
+
+        self.run_with(main)
+
     def test_new_owner_waits_while_machine_carries_unresponsive_vm(self):
         self.assertFalse(
             self.starts_elsewhere_after_takeover({"m-vm-1": "vm-1"})
