Wait again for a VM that returns under its id after a takeover

Cause: a VM counts as fenced once it has answered a new owner. If it crashes and returns under its id, the new instance has seen no fencing token, and may execute a start of the previous owner, who may still command or whose start is late.

Change: as long as a previous owner's runs may go on, a new instance under the id of a stored member is waited for like the one before it.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -152,6 +152,10 @@
             self._may_command, self._may_start, owner_authority.lease_age_ms
         )
         self._guards_capacity = False
+        # VMs on which a previous owner may have started runs, and the time
+        # until which these may go on.
+        self._inherited_members: frozenset[ids.VmId] = frozenset()
+        self._inherited_until_ms = 0
         self._links: dict[ids.VmId, vm_link.VmLink] = {}
         self._reports: dict[ids.VmId, vms.VmReport] = {}
         self._closing_links = tasks.TaskGroup()
@@ -324,8 +328,11 @@
         jobs = await self._store.read(keys.jobs(self.pool_id))
         if jobs.is_error():
             return self._log_delay(jobs.error)
-        until_ms = self._previous_lease_end_ms()
-        self.pool.unresolved = dict.fromkeys(self._members.stored, until_ms)
+        self._inherited_until_ms = self._previous_lease_end_ms()
+        self._inherited_members = frozenset(self._members.stored)
+        self.pool.unresolved = dict.fromkeys(
+            self._inherited_members, self._inherited_until_ms
+        )
         for item in jobs.ok.items:
             self._restore(item)
         return True
@@ -390,11 +397,11 @@
             self._register_vm(report)
 
     def _register_vm(self, report: vms.VmReport) -> None:
-        was_unresolved = report.vm in self.pool.unresolved
+        may_run_inherited = self._may_run_inherited(report.vm)
         vm = self.pool.vm_tracker.register(report)
         if vm is None:
             return
-        if was_unresolved:
+        if may_run_inherited:
             # The VM stays unresolved until it has responded under the new
             # fencing token.
             until_ms = self._previous_lease_end_ms()
@@ -416,6 +423,17 @@
             self._find_stored,
         )
 
+    def _may_run_inherited(self, vm: ids.VmId) -> bool:
+        """Return whether a previous owner may have started runs on an instance.
+
+        An instance that returns under the id of an earlier one, which has
+        answered this owner, does not know its fencing token.
+        """
+        return vm in self.pool.unresolved or (
+            vm in self._inherited_members
+            and self._clock.monotonic_ms() < self._inherited_until_ms
+        )
+
     def _may_judge_vms(self) -> bool:
         return self._authority.allows(authority.Action.JUDGE_VMS)
 
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -32,6 +32,42 @@
 _SETTINGS = pool_owner.OwnerSettings(2_000, 60_000)
 
 
+class _Path:
+    """The path of one process to a VM, which can be cut.
+
+    Attributes:
+        report: Registration of the VM.
+        is_cut: Whether no call reaches the VM, and no response this process.
+    """
+
+    def __init__(self, vm):
+        self.report = vm.report
+        self.is_cut = False
+        self._vm = vm
+
+    async def start(self, command):
+        if self.is_cut:
+            return vms.CommandResponse(vms.CommandOutcome.UNANSWERED)
+        return await self._vm.start(command)
+
+    async def stop(self, task, number, token):
+        if self.is_cut:
+            return vms.CommandResponse(vms.CommandOutcome.UNANSWERED)
+        return await self._vm.stop(task, number, token)
+
+    async def hold(self, token, acknowledged, lease_until_ms, wait_ms):
+        if not self.is_cut:
+            response = await self._vm.hold(
+                token, acknowledged, lease_until_ms, wait_ms
+            )
+            if not self.is_cut:
+                return response
+        return vms.HoldResponse(vms.CommandOutcome.UNANSWERED)
+
+    async def close(self):
+        pass
+
+
 class PoolOwnerTest(testtools.TestCase):
     def run_with(self, main):
         async def wrapped():
@@ -531,6 +567,56 @@
 
         self.run_with(main)
 
+    def test_new_owner_waits_for_vm_that_returns_after_it_has_answered(self):
+        """Guards against a start of a predecessor on a VM that was fenced.
+
+        The VM has crashed since, and has seen no fencing token. It is back
+        under its id, executes the start late, and the new owner does not reach
+        it.
+        """
+
+        async def main():
+            vm = fake_vms.FakeVm(fake_vms.report("vm-1"), self.clock)
+            path = _Path(vm)
+            self.vms[vm.report.vm] = path
+            first = self.own_pool()
+            await self.until(lambda: "vm-1" in first._members.stored)
+            returned = fake_vms.FakeVm(
+                fake_vms.report("vm-1", born_ms=2), self.clock
+            )
+
+            async def hold_up(command):
+                path.is_cut = True
+                returned.delayed_starts.append(command)
+                return vms.CommandResponse(vms.CommandOutcome.UNANSWERED)
+
+            path.start = hold_up
+            step = jobs.step(cpu_millicores=16_000)
+            await self.submit(first, spec=jobs.spec(step))
+            await self.until(lambda: returned.delayed_starts)
+            vm.report = msgspec.structs.replace(
+                vm.report, capacity=vms.Resources(8_000, 131_072)
+            )
+            self.vms[vm.report.vm] = vm
+            second = self.own_pool(2)
+            await self.until(lambda: second.ready)
+            self.assertIn("vm-1", second._members.stored)
+            await self.until(lambda: not second.pool.unresolved)
+            returned.execute_delayed_starts()
+            self.assertEqual(1, len(returned.running))
+            returned.unresponsive = True
+            self.vms[vm.report.vm] = returned
+            other_vm = self.add_vm("vm-2")
+            second.set_reports(
+                {v.report.vm: v.report for v in self.vms.values()}
+            )
+            await asyncio.sleep(0.5)
+            self.assertEqual({}, other_vm.running)
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+
     def test_new_owner_waits_while_machine_carries_unresponsive_vm(self):
         self.assertFalse(
             self.starts_elsewhere_after_takeover({"m-vm-1": "vm-1"})
