Give a pool up when another owner has changed a stored job

Cause: an owner ignores what the store shows of a job that it knows. But only owners change stored jobs, so that a change which it has not written, or tried to write, shows a later owner.

Evidence: test_job_that_a_successor_has_cancelled_is_not_started (found by an audit) failed before and passes now.

Change: such a change ends the ownership (shard_lost with later_write).

--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -98,7 +98,7 @@
         self._claim = claim
         self._backoff = backoff
         self._pending: dict[model.JobId, asyncio.Future[WriteOutcome]] = {}
-        self._committing: list[asyncio.Future[WriteOutcome]] = []
+        self._committing: dict[model.JobId, asyncio.Future[WriteOutcome]] = {}
         self._unknown_outcome: set[model.JobId] = set()
         self._wake = asyncio.Event()
         self.ownership_lost = asyncio.Event()
@@ -130,7 +130,8 @@
         for job in jobs:
             self.write(job)
         return Flush(
-            {*self._pending.values(), *self._committing}, self.ownership_lost
+            {*self._pending.values(), *self._committing.values()},
+            self.ownership_lost,
         )
 
     async def run(self) -> None:
@@ -144,15 +145,28 @@
             if not self._pending:
                 self._wake.clear()
             if batch:
-                self._committing = list(batch.values())
+                self._committing = batch
                 await self._commit(batch)
-                self._committing = []
+                self._committing = {}
+
+    def is_own_write(self, item: store.Item) -> bool:
+        """Return whether a stored job may be as this owner has written it.
+
+        Args:
+            item: Stored job, which this owner has read or written before.
+        """
+        job = model.JobId(item.key.rpartition("/")[2])
+        return (
+            item.revision <= self.revisions.get(job, store.ABSENT)
+            or job in self._committing
+            or job in self._unknown_outcome
+        )
 
     def stop(self) -> None:
         """Stop writing; all open writes resolve to ``OWNERSHIP_LOST``."""
         self.ownership_lost.set()
         _resolve(
-            [*self._committing, *self._pending.values()],
+            [*self._committing.values(), *self._pending.values()],
             WriteOutcome.OWNERSHIP_LOST,
         )
         self._pending.clear()
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -552,6 +552,9 @@
                 entry.stored_state = model.JobState.QUEUED
                 entry.inherited = True
                 self._wake.set()
+            elif not self._job_writer.is_own_write(item):
+                # Only owners change stored jobs.
+                self._give_up("later_write")
 
     def _dispatch(self, decision: commands.Decision) -> None:
         if isinstance(decision, commands.PolicyQuery):
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -1090,6 +1090,30 @@
         key = keys.job(jobs.POOL, job.id)
         self.store.state.write(key, record.encode(job), 0, "")
 
+    def test_job_that_a_successor_has_cancelled_is_not_started(self):
+        """UNASKED: a former owner started a job after it had been cancelled.
+
+        It had read the cancellation by its successor, and ignored it.
+        """
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: "vm-1" in owner._members.stored)
+            self.close_vm(owner, vm)
+            await self.submit(owner)
+            key = keys.job(jobs.POOL, "a" * 16)
+            cancelled = self.stored_job()
+            cancelled.cancel(1)
+            revision = self.store.state.item(key).revision
+            self.store.state.write(key, record.encode(cancelled), revision, "")
+            owner._on_jobs_change([self.store.state.item(key)])
+            owner.pool.vms["vm-1"].closed_until_ms = 0
+            await asyncio.sleep(0.3)
+            self.assertEqual([], vm.starts)
+
+        self.run_with(main)
+
     def test_a_stored_job_is_not_refused_when_it_is_sent_again(self):
         """The answer of a frontend that had stored the job was lost."""
 
