Start a job that was found in the store only while ownership is proven

Cause: a former owner whose store answers again, or answered just before it was cut off, starts jobs that frontends have stored. Its successor reads them later, counts nothing for them yet, and uses the allocation itself.

Change: the pool knows until when it has certainly had no later owner. Ends of leases, ends of waits and jobs that were found in the store count up to then, by one rule; the owner renews its lease early for such a job. Jobs that the owner accepts itself, and those found at the takeover, do not wait: the former need the owner's key, the latter wait for the VMs of the previous owner.

A job that a frontend stores starts up to 0.2 s later (the interval of early renewals and the next plan).

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -42,6 +42,7 @@
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import pool as pool_module
+from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
 # Long enough for a new owner to renew the leases of running tasks. The runs of
@@ -471,6 +472,7 @@
             self._give_up("store")
         if not self._may_command():
             return
+        self.pool.owned_until_ms = self._authority.held_until_ms()
         self._register_vms()
         self._expire_leases()
         self._schedule_wake_up()
@@ -483,10 +485,9 @@
         await asyncio.sleep(_PLAN_PAUSE_MS / 1_000)
 
     def _expire_leases(self) -> None:
-        owned_until_ms = self._authority.held_until_ms()
-        for vm in self.pool.vm_tracker.expire_leases(owned_until_ms):
+        for vm in self.pool.vm_tracker.expire_leases():
             self._close_link(vm)
-        if self.pool.vm_tracker.has_unproven_expiry(owned_until_ms):
+        if self.pool.vm_tracker.has_unproven_expiry():
             # Otherwise their tasks would wait for the next usual renewal.
             self._authority.prove_soon()
 
@@ -538,23 +539,39 @@
         if not self.ready:
             return
         for item in items:
-            if item.value is None:
-                continue
-            job = model.JobId(item.key.rpartition("/")[2])
-            entry = self.pool.entries.get(job)
-            if entry is None:
-                self._restore(item)
-                self._wake.set()
-            elif entry.stored_state is None and self._decode(item) is not None:
-                # Otherwise the owner would drop the job if its own first
-                # write failed.
-                self._job_writer.revisions[job] = item.revision
-                entry.stored_state = model.JobState.QUEUED
-                entry.inherited = True
-                self._wake.set()
-            elif not self._job_writer.is_own_write(item):
-                # Only owners change stored jobs.
-                self._give_up("later_write")
+            if item.value is not None:
+                self._on_job_read(item)
+
+    def _on_job_read(self, item: store.Item) -> None:
+        job = model.JobId(item.key.rpartition("/")[2])
+        entry = self.pool.entries.get(job)
+        if entry is None:
+            self._restore(item)
+            self._start_once_owned(job)
+        elif entry.stored_state is None:
+            self._confirm_stored(entry, item)
+            self._start_once_owned(job)
+        elif not self._job_writer.is_own_write(item):
+            # Only owners change stored jobs.
+            self._give_up("later_write")
+
+    def _confirm_stored(self, entry: state.JobEntry, item: store.Item) -> None:
+        """Record that another process has stored a job of this owner.
+
+        Otherwise the owner would drop the job if its own first write failed.
+        """
+        if self._decode(item) is not None:
+            self._job_writer.revisions[entry.job.id] = item.revision
+            entry.stored_state = model.JobState.QUEUED
+            entry.inherited = True
+
+    def _start_once_owned(self, job: model.JobId) -> None:
+        """Let a job start once it is known that nobody else owned the pool."""
+        entry = self.pool.entries.get(job)
+        if entry is not None:
+            entry.read_ms = self._clock.monotonic_ms()
+            self._authority.prove_soon()
+            self._wake.set()
 
     def _dispatch(self, decision: commands.Decision) -> None:
         if isinstance(decision, commands.PolicyQuery):
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -166,6 +166,9 @@
     def _may_start(self, entry: state.JobEntry) -> bool:
         if entry.stored_state is None:
             return False
+        if entry.read_ms > self._state.owned_until_ms:
+            # A later owner may be at work on it.
+            return False
         return not (entry.inherited and self._state.unresolved)
 
     def _start_step(
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -33,6 +33,9 @@
         beyond_weight: Whether the job was one more per second than its
             organisation's weight.
         outcome_known: Whether it is recorded if the job was on time.
+        read_ms: Time, on the owner's clock, at which the job was found in the
+            store; it starts once the pool was certainly owned later than that.
+            0 if the owner has accepted it, or found it at the takeover.
     """
 
     job: job_module.Job
@@ -43,6 +46,7 @@
     cost: cost_module.JobCost | None = None
     beyond_weight: bool = False
     outcome_known: bool = False
+    read_ms: int = 0
 
 
 class PoolState:
@@ -52,6 +56,9 @@
         pool: Id of the pool.
         epoch: Epoch of the owner.
         clock: Clock that supplies the current time.
+        owned_until_ms: Time, on the owner's clock, until which the pool has
+            certainly had no later owner. What holds for a sole owner only is
+            concluded up to then.
         queues: Queues by id, including removed ones.
         organisations: Declared organisations by name.
         overload_control: Whether jobs are ordered and admitted by what a delay
@@ -82,6 +89,7 @@
         self.pool = pool
         self.epoch = epoch
         self.clock = clock
+        self.owned_until_ms = 0
         self.queues: dict[ids.QueueId, catalogue.Queue] = {}
         self.organisations: dict[
             ids.OrganisationId, catalogue.Organisation
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -205,25 +205,23 @@
             vm.status = vm_module.VmStatus.UNRESPONSIVE
             vm.silent_at_ms = (now_ms, *vm.silent_at_ms[:1])
 
-    def expire_leases(self, owned_until_ms: int) -> list[vm_module.Vm]:
+    def expire_leases(self) -> list[vm_module.Vm]:
         """Discard the runs of unresponsive VMs whose leases have expired.
 
-        Unresolved VMs whose leases have expired count as ended. A later owner
-        may have renewed what was still valid when this one ended.
-
-        Args:
-            owned_until_ms: Time, on the owner's clock, until which the pool has
-                certainly had no later owner.
+        Unresolved VMs whose leases have expired count as ended. Leases that
+        were still valid at ``owned_until_ms`` of the pool may have been renewed
+        by a later owner.
 
         Returns:
             The VMs that were removed because they are no longer registered.
         """
         now_ms = self._state.clock.monotonic_ms()
+        owned_until_ms = self._state.owned_until_ms
         self._lost_instances.forget_old(now_ms)
         for vm_id, until_ms in list(self._state.unresolved.items()):
             if owned_until_ms < until_ms:
                 continue
-            if self._may_list_more_ends(vm_id, owned_until_ms):
+            if self._may_list_more_ends(vm_id):
                 continue
             self._end_wait(vm_id, now_ms - owned_until_ms)
         removed = []
@@ -249,12 +247,8 @@
                 removed.append(vm)
         return removed
 
-    def has_unproven_expiry(self, owned_until_ms: int) -> bool:
-        """Return whether leases have expired that may have been renewed.
-
-        Args:
-            owned_until_ms: As for ``expire_leases``.
-        """
+    def has_unproven_expiry(self) -> bool:
+        """Return whether leases have expired that may have been renewed."""
         now_ms = self._state.clock.monotonic_ms()
         expiries_ms = [
             vm.lease.expiry_ms()
@@ -263,10 +257,11 @@
         ]
         expiries_ms += self._state.unresolved.values()
         return any(
-            owned_until_ms < expiry_ms <= now_ms for expiry_ms in expiries_ms
+            self._state.owned_until_ms < expiry_ms <= now_ms
+            for expiry_ms in expiries_ms
         )
 
-    def _may_list_more_ends(self, vm_id: ids.VmId, owned_until_ms: int) -> bool:
+    def _may_list_more_ends(self, vm_id: ids.VmId) -> bool:
         """Return whether a VM is expected to list further ended runs.
 
         Their tasks must not start again. The VM has its lease from this owner,
@@ -276,7 +271,9 @@
         if vm is None or not vm.has_more_ends:
             return False
         is_responsive = vm.unresponsive_since_ms is None
-        return is_responsive or owned_until_ms < vm.lease.expiry_ms()
+        return is_responsive or (
+            self._state.owned_until_ms < vm.lease.expiry_ms()
+        )
 
     def _end_wait(self, vm_id: ids.VmId, lease_age_ms: int) -> None:
         """Stop waiting for an unresolved VM whose leases have expired."""
--- a/support/fake_vms.py
+++ b/support/fake_vms.py
@@ -8,6 +8,8 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import pool as pool_module
+from wagtailtiller.scheduling import vm as vm_module
 
 _HOLD_WAIT_S = 0.02
 DEFAULT_CAPACITY = vms.Resources(cpu_millicores=32_000, memory_mb=131_072)
@@ -35,6 +37,19 @@
     )
 
 
+def expire_leases(pool: pool_module.Pool) -> list[vm_module.Vm]:
+    """Discard the runs of VMs whose leases are over, as the sole owner does.
+
+    Args:
+        pool: Pool of the VMs.
+
+    Returns:
+        The VMs that were removed.
+    """
+    pool.owned_until_ms = pool.clock.monotonic_ms()
+    return pool.vm_tracker.expire_leases()
+
+
 @dataclasses.dataclass
 class FakeRun:
     """Run that is in progress.
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -224,6 +224,63 @@
 
         self.run_with(main)
 
+    def test_two_owners_keep_the_limit_of_an_organisation(self):
+        """Guards against an allocation that two owners of a pool both use.
+
+        A frontend has stored a job that the former owner reads first. What the
+        pool is not allocated may be in use in other pools.
+        """
+
+        async def main():
+            vm = fake_vms.FakeVm(fake_vms.report("vm-1"), self.clock)
+            self.vms[vm.report.vm] = _Path(vm)
+            first = self.own_pool()
+            first.set_organisations(limits.organisations(cores=3), 1)
+            spec = jobs.spec(jobs.step(3))
+
+            def submit(owner, name):
+                return owner.answer(
+                    messages.Submit(
+                        jobs.POOL,
+                        name * 16,
+                        jobs.QUEUE,
+                        spec,
+                        limits.ORGANISATION,
+                    )
+                )
+
+            await self.until(lambda: first.ready)
+            await submit(first, "a")
+            await self.until(lambda: len(vm.running) == 3)
+            for task in list(vm.running):
+                vm.end(task, task_module.EndKind.DONE)
+            await self.until(lambda: not vm.ended)
+            path = _Path(vm)
+            path.is_cut = True
+            self.vms[vm.report.vm] = path
+            other_vm = self.add_vm("vm-2")
+            second = self.own_pool(2)
+            second._job_mirror._pause_ms = 60_000
+            second.set_organisations(limits.organisations(cores=3), 1)
+            await self.until(lambda: second.ready)
+            # No renewal shows that the former owner read the job as the owner.
+            self.lease.current_age_ms = 1_000
+            job = jobs.job("b" * 16, spec, epoch=0)
+            job.organisation = limits.ORGANISATION
+            self.store_as_frontend(job)
+            await submit(second, "c")
+            await self.until(lambda: other_vm.running)
+            item = self.store.state.item(keys.job(jobs.POOL, job.id))
+            first._on_jobs_change([item])
+            await asyncio.sleep(0.5)
+            running = len(vm.running) + len(other_vm.running)
+            allowed = second.pool.allocations.allowed(limits.ORGANISATION)
+            self.assertLessEqual(1_000 * running, allowed.cpu_millicores)
+            await first.stop()
+            await second.stop()
+
+        self.run_with(main)
+
     def test_shrunken_capacity_counts_with_an_outdated_session(self):
         """Guards against starts by an old report while the store is silent.
 
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -93,7 +93,7 @@
             await self.until(lambda: vm.unresponsive_since_ms is not None)
 
             def discarded():
-                pool.vm_tracker.expire_leases(pool.clock.monotonic_ms())
+                fake_vms.expire_leases(pool)
                 return task.run is None
 
             await self.until(discarded, timeout_s=4 * _LEASE_MS / 1_000)
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -118,7 +118,7 @@
         )
 
     def plan(self):
-        self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+        fake_vms.expire_leases(self.pool)
         for command in self.pool.plan():
             self.links[command.vm].send(command)
 
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -183,7 +183,7 @@
         self.list_runs(vm, self.orphan(cpu_millicores=6_000))
         self.pool.vm_tracker.mark_unresponsive(vm)
         self.clock.advance(60_000)
-        self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+        fake_vms.expire_leases(self.pool)
         self.assertEqual(8_000, vm.free_cpu)
 
     def test_runs_of_a_previous_owner_count_before_the_first_start(self):
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -41,7 +41,7 @@
         """Let a VM be silent until its runs are discarded."""
         self.pool.vm_tracker.mark_unresponsive(vm)
         self.clock.advance(_LEASE_OVER_MS)
-        self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+        fake_vms.expire_leases(self.pool)
 
     def start_unanswered(self, sent_ms=None):
         """Start what is planned; the VMs do not respond to the commands."""
@@ -294,7 +294,7 @@
         vm, task = self.started_task()
         self.lose(vm)
         self.clock.advance(600_000)
-        self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+        fake_vms.expire_leases(self.pool)
         self.assertEqual(set(), task.lost_on)
 
     def test_lost_instances_are_bounded_in_number(self):
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -270,7 +270,7 @@
         jobs_started = {s.run.task.id.job[0] for s in self.start_all()}
         self.assertEqual({"b"}, jobs_started)
         self.clock.advance(5_000)
-        self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+        fake_vms.expire_leases(self.pool)
         (start,) = self.start_all()
         self.assertEqual("a", start.run.task.id.job[0])
 
@@ -372,7 +372,7 @@
         self.pool.vm_tracker.mark_unresponsive(vm)
         self.assertEqual({"vm-1"}, self.pool.vm_tracker.members())
         self.clock.advance(60_000)
-        self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+        fake_vms.expire_leases(self.pool)
         self.assertEqual(set(), self.pool.vm_tracker.members())
 
     def test_an_unlisted_vm_is_a_member_until_its_end_is_stored(self):
@@ -384,14 +384,10 @@
         self.pool.vm_tracker.mark_unlisted("vm-1")
         self.pool.vm_tracker.mark_unresponsive(vm)
         self.clock.advance(60_000)
-        self.assertEqual(
-            [], self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
-        )
+        self.assertEqual([], fake_vms.expire_leases(self.pool))
         self.assertEqual({"vm-1"}, self.pool.vm_tracker.members())
         vm.stored_end_position = vm.last_end_position
-        self.assertEqual(
-            [vm], self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
-        )
+        self.assertEqual([vm], fake_vms.expire_leases(self.pool))
         self.assertEqual(set(), self.pool.vm_tracker.members())
 
     def test_unresolved_vms_stay_members(self):
@@ -511,9 +507,7 @@
         self.pool.vm_tracker.mark_unlisted(vm.report.vm)
         self.pool.vm_tracker.mark_unresponsive(vm)
         self.clock.advance(60_000)
-        self.assertEqual(
-            [vm], self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
-        )
+        self.assertEqual([vm], fake_vms.expire_leases(self.pool))
         returned = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
         self.assertEqual(token, returned.token)
 
@@ -560,10 +554,10 @@
         self.add_vm("vm-2")
         self.list_ends(vm, entry.job, 1, vms.MAX_LISTED_ENDS)
         self.clock.advance(5_000)
-        self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+        fake_vms.expire_leases(self.pool)
         self.assertEqual([], self.start_all())
         self.pool.vm_tracker.mark_unresponsive(vm)
-        self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+        fake_vms.expire_leases(self.pool)
         self.assertEqual({}, self.pool.unresolved)
 
     def test_a_late_listing_of_a_replaced_instance_resolves_nothing(self):
@@ -661,7 +655,7 @@
         for number in range(20):
             self.clock.advance(500)
             self.answer(silent, percent=number)
-            self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
+            fake_vms.expire_leases(self.pool)
             self.assertNotIn("vm-1", [c.vm for c in self.pool.plan()])
         self.assertIs(start.run, start.run.task.run)
         self.pool.vm_tracker.register(silent.report)
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from support import fake_vms
 from support import jobs
 from tests.scheduling import test_pool
 from wagtailtiller.jobs import model
@@ -55,9 +56,7 @@
         self.pool.vm_tracker.mark_unlisted(vm.report.vm)
         self.pool.vm_tracker.mark_unresponsive(vm)
         self.clock.advance(60_000)
-        self.assertEqual(
-            [vm], self.pool.vm_tracker.expire_leases(self.clock.monotonic_ms())
-        )
+        self.assertEqual([vm], fake_vms.expire_leases(self.pool))
 
     def end_all(self, vm):
         """Let all runs of a VM that do not stay end well."""
