Report a VM empty only once ownership at that moment is proven

Cause: an owner whose lease the store has ended early reported VMs empty until 1.3 s after its last renewal. It did not know of the runs that its successor had started on them, and the machine manager orders by the report.

Evidence: test_no_vm_is_reported_empty_after_an_early_end_of_the_lease and test_unknown_vm_is_not_reported_empty_after_the_lease_ended (found by an audit) failed before and pass now. In them the lease now ends for good; as found, its age stood still, so that a later renewal would have looked successful.

Change: the owner renews its lease early and gives the report once a renewal that was sent after it has succeeded, or none after 300 ms.

Not mended: what a new owner starts between the report and the order.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -51,6 +51,9 @@
 _PLAN_PAUSE_MS = 8
 _MAX_PLAN_WAIT_MS = 100
 _TAKEOVER_RETRY_MS = 200
+# The machine manager waits 500 ms for an answer.
+_PROOF_TIMEOUT_MS = 300
+_PROOF_POLL_MS = 10
 _JOBS_WATCH_WAIT_MS = 5_000
 _JOBS_WATCH_PAUSE_MS = 1_000
 _JOB_EXPIRY_INTERVAL_MS = 5_000
@@ -298,11 +301,22 @@
             # A new owner may have started runs on the VM.
             return messages.NotOwner()
         answer = await self._request_handler.answer(request)
-        if self._stopped and not isinstance(
-            answer, messages.Accepted | messages.Unsure
-        ):
+        if isinstance(answer, messages.Accepted | messages.Unsure):
+            return answer
+        if isinstance(answer, messages.Vacated) and not await self._owns_now():
             return messages.NotOwner()
-        return answer
+        return messages.NotOwner() if self._stopped else answer
+
+    async def _owns_now(self) -> bool:
+        """Return whether it is soon known that no other owner exists now."""
+        now_ms = self._clock.monotonic_ms()
+        end_ms = now_ms + _PROOF_TIMEOUT_MS
+        while self._authority.held_until_ms() < now_ms:
+            if self._stopped or self._clock.monotonic_ms() >= end_ms:
+                return False
+            self._authority.prove_soon()
+            await asyncio.sleep(_PROOF_POLL_MS / 1_000)
+        return True
 
     async def _run(self) -> None:
         while not await self._take_over():
--- a/support/leases.py
+++ b/support/leases.py
@@ -18,15 +18,22 @@
         self.current_age_ms = 0
         self.early_renewals = 0
         self._clock = clock
+        self._ended_ms: int | None = None
 
     @property
     def renewed_ms(self) -> int:
         """Clock reading of the latest renewal."""
+        if self._ended_ms is not None:
+            return self._ended_ms
         return self._clock.monotonic_ms() - self.current_age_ms
 
     def age_ms(self) -> int:
         """Return the time since the lease was last known to be valid."""
-        return self.current_age_ms
+        return self._clock.monotonic_ms() - self.renewed_ms
+
+    def end(self) -> None:
+        """Let the store end the lease right after a renewal."""
+        self._ended_ms = self._clock.monotonic_ms()
 
     def renew_soon(self) -> None:
         """Count the request."""
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -825,6 +825,59 @@
 
         self.run_with(main)
 
+    async def answer_of_former_owner(self, listed_before):
+        """Ask a former owner to vacate a VM that runs a task of its successor.
+
+        The store has ended the lease of the former owner right after a
+        renewal. The former owner does not reach the VM.
+
+        Args:
+            listed_before: Whether the VM had been listed before the takeover.
+        """
+        vm = fake_vms.FakeVm(fake_vms.report("vm-1"), self.clock)
+        path = _Path(vm)
+        if listed_before:
+            self.vms[vm.report.vm] = path
+        first = self.own_pool()
+        await self.until(lambda: first.ready)
+        if listed_before:
+            await self.until(lambda: "vm-1" in first._members.stored)
+        path.is_cut = True
+        self.vms[vm.report.vm] = vm
+        second = self.own_pool(2)
+        await self.submit(second)
+        await self.until(lambda: vm.running)
+        self.assertEqual([], self.lost)
+        self.lease.end()
+        await asyncio.sleep(0.01)
+        answer = await first.answer(
+            messages.Vacate(jobs.POOL, "vm-1", messages.VacateMode.MOVE_ALL)
+        )
+        await first.stop()
+        await second.stop()
+        return answer
+
+    def test_no_vm_is_reported_empty_after_an_early_end_of_the_lease(self):
+        """Guards against machines moved under the runs of a successor."""
+
+        async def main():
+            answer = await self.answer_of_former_owner(listed_before=True)
+            self.assertEqual(messages.NotOwner(), answer)
+
+        self.run_with(main)
+
+    def test_unknown_vm_is_not_reported_empty_after_the_lease_ended(self):
+        """Guards against machines moved under the runs of a successor.
+
+        The VM has registered after the takeover.
+        """
+
+        async def main():
+            answer = await self.answer_of_former_owner(listed_before=False)
+            self.assertEqual(messages.NotOwner(), answer)
+
+        self.run_with(main)
+
     def test_vm_leaves_member_list_once_its_end_is_stored(self):
         """A silent VM would otherwise delay each new owner."""
 
