End the wait for a VM that has ended only while ownership is proven

Cause: an owner that waits for a VM of its predecessor ended the wait when the list of machines showed that the VM has ended. That it runs nothing any more is true for good. But if the owner has been replaced, its successor may have reached the VM before, and have read how the run ended.

Change: the wait is over at the time of the list, and counts like a lease that is over then: once a renewal that was sent later has succeeded.

--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -150,8 +150,14 @@
             new.add(run)
 
     def mark_ended(self, vm: ids.VmId) -> None:
-        """Record that an unresolved VM has ended and runs no more tasks."""
-        if self._state.unresolved.pop(vm, None) is not None:
+        """Record that an unresolved VM has ended and runs no more tasks.
+
+        The wait for it is over once the pool was certainly owned until now: a
+        later owner may have read how its runs ended.
+        """
+        now_ms = self._state.clock.monotonic_ms()
+        if self._state.unresolved.get(vm, 0) > now_ms:
+            self._state.unresolved[vm] = now_ms
             events.emit(events.Event.VM_ENDED, vm=vm, pool=self._state.pool)
 
     def mark_vacated(self, vm: ids.VmId) -> None:
--- a/tests/owner/test_former_owners.py
+++ b/tests/owner/test_former_owners.py
@@ -4,6 +4,7 @@
 import random
 
 from expression import Error
+from expression import Ok
 import testtools
 
 from support import fake_vms
@@ -13,11 +14,13 @@
 from wagtailtiller import errors
 from wagtailtiller import ids
 from wagtailtiller import keys
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import session
+from wagtailtiller.ports import machines
 from wagtailtiller.ports import vms
 
 _SHARD = ids.ShardId(jobs.POOL)
@@ -89,6 +92,29 @@
         pass
 
 
+class _Machines(fakes.FakeMachines):
+    """Machine service that lists the machine of each VM.
+
+    Attributes:
+        moving: VMs whose machines are moving, so that they have ended.
+    """
+
+    def __init__(self, all_vms):
+        super().__init__({vm.report.machine: vm.report.vm for vm in all_vms})
+        self.moving = set()
+
+    async def list(self):
+        listed = await super().list()
+        return Ok([self._as_moved(machine) for machine in listed.ok])
+
+    def _as_moved(self, machine):
+        if machine.vm not in self.moving:
+            return machine
+        return fakes.machine(
+            machine.machine, "", state=machines.MachineState.MOVING
+        )
+
+
 class _Process:
     """A process that may own the pool, with its connections.
 
@@ -99,7 +125,7 @@
         lost: Reasons for which the owner gave its pool up.
     """
 
-    def __init__(self, state, all_vms, epoch):
+    def __init__(self, state, all_vms, epoch, machine_service=None):
         self._clock = loop_module.VirtualClock(asyncio.get_running_loop())
         self.renewed_ms = self._clock.monotonic_ms()
         self.store = _Store(state)
@@ -113,7 +139,7 @@
             pool_owner.OwnerPorts(
                 self.store,
                 lambda report: self.paths[report.vm],
-                None,
+                machine_service,
                 None,
                 self._clock,
                 random.Random(epoch),
@@ -187,8 +213,8 @@
         idle = next(vm for vm in self.vms if not vm.running)
         return former, busy, idle
 
-    def take_over(self, *unreachable_vms):
-        successor = _Process(self.state, self.vms, 2)
+    def take_over(self, *unreachable_vms, epoch=2, machine_service=None):
+        successor = _Process(self.state, self.vms, epoch, machine_service)
         for vm in unreachable_vms:
             successor.paths[vm.report.vm].cut = True
         return successor
@@ -299,3 +325,34 @@
             await successor.owner.stop()
 
         self.run_with(main)
+
+    def test_run_that_a_successor_acknowledged_is_not_started_again(self):
+        """Guards against a start after an end as done that was acknowledged.
+
+        The former owner waits for the VM of an inherited run, and the list of
+        machines shows that the VM has ended since.
+        """
+
+        async def main():
+            first, busy, idle = await self.own_pool_with_run()
+            await first.owner.stop()
+            platform = _Machines(self.vms)
+            former = self.take_over(busy, epoch=2, machine_service=platform)
+            await asyncio.sleep(_JOIN_S)
+            former.cut_off(busy)
+            await asyncio.sleep(_STORE_LEASE_S)
+            successor = self.take_over(idle, epoch=3)
+            await asyncio.sleep(_JOIN_S)
+            (task,) = busy.running
+            busy.end(task, task_module.EndKind.DONE)
+            await asyncio.sleep(_JOIN_S)
+            self.assertEqual([], busy.ended)
+            # The run's VM is empty, so that its machine may be moved.
+            busy.unresponsive = True
+            platform.moving.add(busy.report.vm)
+            await asyncio.sleep(_COMMAND_S)
+            self.assertEqual(["a"], self.started())
+            await former.owner.stop()
+            await successor.owner.stop()
+
+        self.run_with(main)
