Use an instance that has replaced another only while ownership is proven

Cause: the registration of an instance on the machine, or under the id, of another one ends the other's runs for the owner, which starts their tasks again. A bound of 1.3 s on the age of the owner's lease was to exclude a later owner, but the store may end a lease before its time. A later owner may have read how the runs ended.

Change: such an instance is used once a renewal has succeeded that was sent after it was listed; the owner renews early. Other new VMs are used as before: nothing starts on them before they are stored as members, which needs the owner's key.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -23,6 +23,7 @@
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
+from wagtailtiller.jobs import task as task_module
 from wagtailtiller.owner import allocations
 from wagtailtiller.owner import job_writer as job_writer_module
 from wagtailtiller.owner import members as members_module
@@ -41,6 +42,7 @@
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
+from wagtailtiller.scheduling import crashes
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
@@ -162,6 +164,8 @@
         self._inherited_until_ms = 0
         self._links: dict[ids.VmId, vm_link.VmLink] = {}
         self._reports: dict[ids.VmId, vms.VmReport] = {}
+        # When instances were first listed that have replaced others.
+        self._replacements_ms: dict[task_module.VmInstance, int] = {}
         self._closing_links = tasks.TaskGroup()
         self._wake = asyncio.Event()
         self._stopped = False
@@ -277,6 +281,11 @@
         """
         for vm_id in self._reports.keys() - reports.keys():
             self.pool.vm_tracker.mark_unlisted(vm_id)
+        self._replacements_ms = {
+            instance: seen_ms
+            for instance, seen_ms in self._replacements_ms.items()
+            if instance.vm in reports
+        }
         for report in reports.values():
             # Less capacity counts at once, even if this process may not take
             # new VMs now, and for starts that wait for their turn.
@@ -409,7 +418,24 @@
         if not self._may_judge_vms():
             return
         for report in list(self._reports.values()):
-            self._register_vm(report)
+            if self._may_register(report):
+                self._register_vm(report)
+
+    def _may_register(self, report: vms.VmReport) -> bool:
+        """Return whether a report may be used.
+
+        If it shows that another instance has ended, a later owner may have read
+        how the runs there ended.
+        """
+        if not self.pool.vm_tracker.replaces_instance(report):
+            return True
+        seen_ms = self._replacements_ms.setdefault(
+            crashes.instance_of(report), self._clock.monotonic_ms()
+        )
+        if self.pool.owned_until_ms >= seen_ms:
+            return True
+        self._authority.prove_soon()
+        return False
 
     def _register_vm(self, report: vms.VmReport) -> None:
         may_run_inherited = self._may_run_inherited(report.vm)
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -58,6 +58,21 @@
         self._end_replaced(new)
         return new
 
+    def replaces_instance(self, report: vms.VmReport) -> bool:
+        """Return whether a report shows that a known instance has ended.
+
+        Args:
+            report: Report of an instance, which is not registered yet.
+        """
+        known = (
+            self._state.vms.get(report.vm),
+            self._vm_by_machine.get(report.machine),
+        )
+        return any(
+            vm is not None and crashes.is_replaced(vm.report, report)
+            for vm in known
+        )
+
     def _record_crashes(self, report: vms.VmReport) -> None:
         """Record the crashes that the report of a new instance proves."""
         for instance, runs in self._lost_instances.take_replaced(report):
--- a/tests/owner/test_former_owners.py
+++ b/tests/owner/test_former_owners.py
@@ -5,6 +5,7 @@
 
 from expression import Error
 from expression import Ok
+import msgspec
 import testtools
 
 from support import fake_vms
@@ -177,6 +178,13 @@
         for vm in unreachable_vms:
             self.paths[vm.report.vm].cut = True
 
+    def add_vm(self, vm, *others):
+        """List a further VM, which the process reaches, beside others."""
+        self.paths[vm.report.vm] = _Path(vm)
+        self.owner.set_reports(
+            {each.report.vm: each.report for each in (vm, *others)}
+        )
+
     async def submit(self, name, spec=None):
         while not self.owner.ready:
             await asyncio.sleep(0.01)
@@ -356,3 +364,36 @@
             await successor.owner.stop()
 
         self.run_with(main)
+
+    def test_replaced_vm_tells_nothing_of_runs_that_a_successor_has_ended(self):
+        """Guards against a start after an end as done that was acknowledged.
+
+        The store has ended the former owner's lease early, and the platform
+        lists a new VM on the machine on which the run has ended.
+        """
+
+        async def main():
+            former, busy, idle = await self.own_pool_with_run()
+            former.stop_renewals()
+            former.cut_off(busy)
+            successor = self.take_over(idle)
+            await asyncio.sleep(0.4)
+            (task,) = busy.running
+            busy.end(task, task_module.EndKind.DONE)
+            await asyncio.sleep(0.3)
+            self.assertEqual([], busy.ended)
+            busy.unresponsive = True
+            born_ms = busy.report.born_ms + 1
+            restarted = fake_vms.FakeVm(
+                msgspec.structs.replace(
+                    busy.report, vm=ids.VmId("vm-2"), born_ms=born_ms
+                ),
+                loop_module.VirtualClock(asyncio.get_running_loop()),
+            )
+            former.add_vm(restarted, idle)
+            await asyncio.sleep(_COMMAND_S)
+            self.assertEqual(["a"], self.started())
+            await former.owner.stop()
+            await successor.owner.stop()
+
+        self.run_with(main)
