Show that a claim is kept under a lease that has ended

What a caller sees: a process answers for a pool, and may start tasks on VMs that the next owner has not fenced yet, although its owner key is gone. Its renewals succeed meanwhile, because they are of a new lease. Cause: Shards._claim keeps a claim whatever has become of the lease that it was made under. The answer of the claim came after the lease had ended and the process had opened another one; the copy of the live keys has seen the deletion and tells of it no more. Evidence: tests/entry/test_shards.py::LateAnswerTest:: test_claim_under_a_lease_that_has_ended_is_not_kept fails with {} != {'renders': Claim(shard='renders', epoch=1, revision=2)}.

--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -203,6 +203,43 @@
         self.run_with_shards(main)
 
 
+class LateAnswerTest(_ShardsCase):
+    """Load pattern: the store is slow, and ends a lease before its time."""
+
+    def answer_commits_late(self, delay_s):
+        commit = self.store.commit
+
+        async def late_commit(transaction):
+            result = await commit(transaction)
+            await asyncio.sleep(delay_s)
+            return result
+
+        self.store.commit = late_commit
+
+    def test_claim_under_a_lease_that_has_ended_is_not_kept(self):
+        """Guards against renewals of a new lease that prove an old claim."""
+
+        async def main(shards):
+            await asyncio.sleep(2)
+            ended_lease = shards._session.lease
+            self.answer_commits_late(1.4)
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(0.3)
+            owner = self.store.state.item(keys.owner(_SHARD))
+            self.assertIsNotNone(owner.value)
+            self.store.state.end(ended_lease)
+            await asyncio.sleep(1)
+            # The claim is not answered yet, and the session is renewed.
+            self.assertEqual([], self.gained)
+            self.assertNotIn(shards._session.lease, ("", ended_lease))
+            await asyncio.sleep(0.6)
+            owner = self.store.state.item(keys.owner(_SHARD))
+            self.assertIsNone(owner.value)
+            self.assertEqual({}, shards.claims_by_shard)
+
+        self.run_with_shards(main)
+
+
 class SuccessorTest(_ShardsCase):
     """Tests of shards that are released by an owner that names a successor."""
 
