Show that a former machine manager vacates and reopens VMs

What a caller sees: VMs that take no tasks and lose those that they run, for as long as the former manager is cut off from the store; or tasks that start on a VM just before the next manager's order ends them. Cause: MachineManager checks the age of its lease before an order, but not before Vacate and Reopen. Owners obey each manager, and the process gives up pools when the store is silent (store_silent), but not the machines.

--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -66,7 +66,7 @@
         self.waves = {}
 
 
-class MachineManagerTest(testtools.TestCase):
+class _ManagerCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.store = fakes.FakeStore()
@@ -129,6 +129,36 @@
     def orders_of(self, epoch):
         return [order for order in self.service.orders if order[1] == epoch]
 
+    async def start_with_surplus(self):
+        """Start the manager of a pool that soon needs one of its three VMs."""
+        for name in "abc":
+            self.service.vms[name] = f"vm-{name}"
+            self.vms[f"vm-{name}"] = 1
+        self.service.pools = dict.fromkeys("abc", _RENDERS)
+        self.needed_machines = 3
+        self.arrived_jobs = 1
+        manager = self.start_manager(1)
+        await asyncio.sleep(2)
+        self.needed_machines = 1
+        return manager
+
+    async def start_vacating(self):
+        """Start a manager, and wait until it vacates two VMs."""
+        manager = await self.start_with_surplus()
+        await asyncio.sleep(4)
+        self.assertEqual(2, len(self.sent(messages.Vacate)))
+        return manager
+
+    def sent(self, request_type):
+        """Return the VMs that requests of a type name."""
+        return {
+            request.vm
+            for request in self.requests
+            if isinstance(request, request_type)
+        }
+
+
+class MachineManagerTest(_ManagerCase):
     def test_a_new_manager_orders_after_one_pause(self):
         """Load pattern: all entry VMs restart at once in a peak.
 
@@ -367,3 +397,38 @@
 
         loop_module.run(main())
         self.assertEqual(3, len(self.orders_of(1)))
+
+
+class FormerManagerTest(_ManagerCase):
+    """Load pattern: the machine manager is cut off from the store only.
+
+    Its lease has ended, so that another process manages the machines.
+    """
+
+    def test_former_manager_vacates_no_vms(self):
+        """Guards against VMs that are closed, and tasks that are moved."""
+
+        async def main():
+            manager = await self.start_vacating()
+            self.lease.current_age_ms = 10_000
+            await asyncio.sleep(1)
+            self.requests.clear()
+            await asyncio.sleep(3)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual(set(), self.sent(messages.Vacate))
+
+    def test_former_manager_reopens_no_vms(self):
+        """Guards against starts on VMs that its successor is vacating."""
+
+        async def main():
+            manager = await self.start_vacating()
+            self.lease.current_age_ms = 10_000
+            await asyncio.sleep(1)
+            self.needed_machines = 3
+            await asyncio.sleep(2)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual(set(), self.sent(messages.Reopen))
