Show that a VM is ordered on the report of a former pool owner

What a caller sees: tasks that the next owner of a pool has just started end, and count as if they had crashed their VM. Cause: a report that a VM has no runs counts for 400 ms, also if the owner that is asked next answers that it can't tell (NotOwner). Within this time the pool may have changed hands; the next owner doesn't know that the VM is closed.

--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -432,3 +432,36 @@
 
         loop_module.run(main())
         self.assertEqual(set(), self.sent(messages.Reopen))
+
+
+class OwnershipChangeTest(_ManagerCase):
+    """Tests of orders while a pool or the machines change hands."""
+
+    def test_vm_is_not_ordered_after_its_owner_has_changed(self):
+        """Guards against an order that ends the runs of a pool's next owner.
+
+        The report that the VM has no runs comes from the previous owner. When
+        the order may be sent, the next one does not know the VM's runs yet.
+        """
+
+        async def ask_owner(pool, request):
+            if not isinstance(request, messages.Vacate):
+                return await _ManagerCase.ask_owner(self, pool, request)
+            is_first = not self.sent(messages.Vacate)
+            self.requests.append(request)
+            if not is_first:
+                return messages.NotOwner()
+            # The list of orders could not be stored before.
+            self.store.refuse_commits = False
+            return messages.Vacated(0)
+
+        async def main():
+            self.ask_owner = ask_owner
+            manager = await self.start_with_surplus()
+            self.store.refuse_commits = True
+            await asyncio.sleep(4)
+            self.assertNotEqual(set(), self.sent(messages.Vacate))
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual([], self.service.orders)
