Show that a stopping machine manager still sends orders

What a caller sees: nothing by itself; the order may follow the release, or one of the next manager. Cause: MachineManager.stop cancels the operations last, after its main task and the requests for loads, each of which may need 50 ms and more to end; an operation that goes on meanwhile sends its order. Its docstring and entry/hand_over.py promise that nothing is sent from the first step on.

--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -465,3 +465,34 @@
 
         loop_module.run(main())
         self.assertEqual([], self.service.orders)
+
+    def test_stopping_manager_orders_nothing(self):
+        """Guards against an order that is sent after the stop has begun.
+
+        A request for a load is slow to end, and the answer that a VM has no
+        runs arrives meanwhile.
+        """
+        answer_vacate = asyncio.Event()
+
+        async def ask_owner(pool, request):
+            if isinstance(request, messages.Vacate):
+                self.requests.append(request)
+                await answer_vacate.wait()
+                return messages.Vacated(0)
+            if not self.sent(messages.Vacate):
+                return await _ManagerCase.ask_owner(self, pool, request)
+            try:
+                return await loop_module.wait_forever()
+            finally:
+                await asyncio.sleep(0.3)
+
+        async def main():
+            self.ask_owner = ask_owner
+            manager = await self.start_vacating()
+            stopping = asyncio.create_task(manager.stop())
+            await asyncio.sleep(0.02)
+            answer_vacate.set()
+            await stopping
+
+        loop_module.run(main())
+        self.assertEqual([], self.service.orders)
