Show that a wave exceeds its limit by a late order of the last manager

What a caller sees: two machines of a wave down for maintenance where one may be (rule LIMIT). Cause: a new machine manager counts the machines among the stored orders for 3.25 s, then by its list of machines, which may be 2 s old. The previous manager may order for 1.5 s more if the store has ended its lease early, and the platform may be slow to carry the order out. Nothing makes the manager read the list again at the end of its wait. Evidence: tests/maintenance/test_machine_manager.py::OwnershipChangeTest:: test_late_order_of_the_previous_manager_counts_against_its_wave: ['a'] != ['a', 'b'].

--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -4,6 +4,7 @@
 import random
 
 from expression import Ok
+import msgspec
 import testtools
 
 from support import clocks
@@ -51,6 +52,32 @@
         return machines.MachineOutcome.DONE
 
 
+class _MaintenanceService(_FakeMachineService):
+    """Machine service whose maintenance lasts until the end of the test."""
+
+    def __init__(self, names):
+        super().__init__(names)
+        self.maintained = []
+
+    async def list(self):
+        listed = (await super().list()).ok
+        return Ok(
+            [
+                msgspec.structs.replace(
+                    machine, state=machines.MachineState.MAINTENANCE
+                )
+                if machine.machine in self.maintained
+                else machine
+                for machine in listed
+            ]
+        )
+
+    async def maintain(self, machine, wave, epoch):
+        if machine not in self.maintained:
+            self.maintained.append(machine)
+        return machines.MachineOutcome.DONE
+
+
 class _FakeDeclarations:
     """Declarations of a pool with one queue, and of a standby pool."""
 
@@ -65,12 +92,19 @@
         self.catalogue = catalogue.Catalogue(1, (queue,), pools, 1_000)
         self.waves = {}
 
+    def wave_status_key(self, wave):
+        return f"status/{wave}"
+
+    def wave_status(self, wave, completed):
+        return b"completed" if completed else b"running"
+
 
 class _ManagerCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.store = fakes.FakeStore()
         self.service = _FakeMachineService("abcdef")
+        self.waves = {}
         self.needed_machines = 0
         self.arrived_jobs = 0
         self.vms = {}
@@ -97,6 +131,8 @@
         )
 
     def start_manager(self, epoch):
+        declared = _FakeDeclarations()
+        declared.waves = self.waves
         key = keys.owner(_SHARD)
         revision = self.store.state.item(key).revision
         written = self.store.state.write(key, b"%d" % epoch, revision, "")
@@ -104,7 +140,7 @@
             claims.Claim(_SHARD, epoch, written.ok),
             self.store,
             self.service,
-            _FakeDeclarations(),
+            declared,
             self.ask_owner,
             loop_module.VirtualClock(asyncio.get_running_loop()),
             _LEASE_MS,
@@ -496,3 +532,27 @@
 
         loop_module.run(main())
         self.assertEqual([], self.service.orders)
+
+    def test_late_order_of_the_previous_manager_counts_against_its_wave(self):
+        """Guards against more machines down for a wave than may be.
+
+        The store ends the lease of the previous manager right after a renewal,
+        so that it may order for 1.5 s more, and the platform takes as long to
+        carry out its last order.
+        """
+        self.service = _MaintenanceService("ab")
+        wave = machines.Wave(ids.WaveId("1"), ("b", "a"), 60_000, 1)
+        self.waves = {wave.wave: wave}
+        orders = msgspec.msgpack.encode({"machines": ["a"]})
+        self.store.state.write(keys.MACHINE_ORDERS, orders, 0, "")
+
+        async def main():
+            manager = self.start_manager(2)
+            await asyncio.sleep(3)
+            self.assertEqual([], self.service.maintained)
+            await self.service.maintain("a", wave.wave, 1)
+            await asyncio.sleep(5)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual(["a"], self.service.maintained)
