Show that two machine managers order a machine within its lease

Cause: a new manager waits lease_ms and 250 ms. The previous one may send orders until its lease was renewed 1.5 s ago, and the store may have ended that lease right after the renewal. Pool owners add the time for which a predecessor may command (PoolOwner._previous_lease_end_ms); the cooldown of machines does not.

--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -556,3 +556,34 @@
 
         loop_module.run(main())
         self.assertEqual(["a"], self.service.maintained)
+
+    def test_successor_waits_for_a_manager_whose_lease_ended_early(self):
+        """Guards against two managers that order a machine within its lease.
+
+        The store ends the lease of the first manager right after a renewal, and
+        the first manager does not learn of it.
+        """
+        self.service = _FakeMachineService("a")
+
+        async def main():
+            self.needed_machines = 1
+            self.lease.current_age_ms = 10_000
+            first = self.start_manager(1)
+            await asyncio.sleep(1)
+            first_lease, self.lease = self.lease, leases.FakeLease()
+            second = self.start_manager(2)
+            await asyncio.sleep(1)
+            first_lease.current_age_ms = 1_000
+            await asyncio.sleep(0.4)
+            first_lease.current_age_ms = 10_000
+            self.service.pools["a"] = _SPARE
+            await asyncio.sleep(6)
+            await second.stop()
+            await first.stop()
+
+        loop_module.run(main())
+        ((_, first_epoch, first_ms), (_, second_epoch, second_ms)) = (
+            self.service.orders
+        )
+        self.assertEqual((1, 2), (first_epoch, second_epoch))
+        self.assertGreaterEqual(second_ms - first_ms, _LEASE_MS)
