Show that an order is sent after it has waited for a connection

What a caller sees: two managers that order a machine within its lease (rule ONE), or one machine more of a wave down (LIMIT). Cause: the age of the lease is checked before the call. The call may then open a connection, for up to its timeout of 2 s (longer in a process that is paused meanwhile), and sends the order when it is open. Evidence: tests/maintenance/test_machine_manager.py::OwnershipChangeTest:: test_order_that_waited_for_a_connection_is_not_sent: 0 != 1 orders received with a lease 10 s old.

--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import random
+from unittest import mock
 
+from aiohttp import test_utils
+from aiohttp import web
 from expression import Ok
 import msgspec
 import testtools
@@ -11,6 +14,7 @@
 from support import fakes
 from support import leases
 from support.sim import loop as loop_module
+from wagtailtiller import connector
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import tasks
@@ -18,6 +22,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
+from wagtailtiller.platform import machines as platform_machines
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import machines
 
@@ -52,6 +57,51 @@
         return machines.MachineOutcome.DONE
 
 
+class _SlowlyConnectedService(_FakeMachineService):
+    """Lists fixed machines, and sends orders over a network.
+
+    Args:
+        names: Ids of the machines.
+        on_connect: Called when a connection for an order begins to open.
+
+    Attributes:
+        received: Number of orders that have arrived.
+    """
+
+    def __init__(self, names, on_connect):
+        super().__init__(names)
+        self.received = 0
+        self._on_connect = on_connect
+
+    async def serve(self):
+        async def answer(request):
+            self.received += 1
+            return web.Response(body=b"{}")
+
+        self._server = test_utils.RawTestServer(answer)
+        await self._server.start_server()
+        self._client = platform_machines.PlatformMachineService(
+            f"127.0.0.1:{self._server.port}", ids.NodeId("e-1")
+        )
+
+    async def move(self, machine, pool, epoch):
+        open_connection = connector.Connector._wrap_create_connection
+
+        async def open_slowly(*args, **options):
+            self._on_connect()
+            await asyncio.sleep(0.2)
+            return await open_connection(*args, **options)
+
+        with mock.patch.object(
+            connector.Connector, "_wrap_create_connection", open_slowly
+        ):
+            return await self._client.move(machine, pool, epoch)
+
+    async def close(self):
+        await self._client.close()
+        await self._server.close()
+
+
 class _MaintenanceService(_FakeMachineService):
     """Machine service whose maintenance lasts until the end of the test."""
 
@@ -587,3 +637,22 @@
         )
         self.assertEqual((1, 2), (first_epoch, second_epoch))
         self.assertGreaterEqual(second_ms - first_ms, _LEASE_MS)
+
+    def test_order_that_waited_for_a_connection_is_not_sent(self):
+        """Guards against orders of a process that was paused meanwhile."""
+
+        def lose_lease():
+            self.lease.current_age_ms = 10_000
+
+        async def main():
+            self.service = _SlowlyConnectedService("a", lose_lease)
+            await self.service.serve()
+            self.needed_machines = 1
+            manager = self.start_manager(1)
+            await asyncio.sleep(1.5)
+            await manager.stop()
+            await self.service.close()
+
+        asyncio.run(main())
+        self.assertEqual(10_000, self.lease.current_age_ms)
+        self.assertEqual(0, self.service.received)
