Show that an owner key outlives its creation and deletion in one answer

Cause: Mirror._apply decides which items change something before it applies any. The deletion of a key that is not known yet changes nothing, also if the same answer creates the key first. Evidence: tests/ownership/test_mirror.py::MirrorTest:: test_key_that_is_created_and_deleted_at_once_is_not_kept: {'a/1': b'one'} != {'a/1': b'one', 'a/2': b'two'}. Tests on the stand-in of the store can't show it: StoreState.changes returns the latest change of each key only, where the platform's store returns all.

--- a/tests/ownership/test_mirror.py
+++ b/tests/ownership/test_mirror.py
@@ -107,3 +107,27 @@
             self.assertEqual({"a/1": b"two"}, self.values())
 
         self.run_with(main)
+
+    def test_key_that_is_created_and_deleted_at_once_is_not_kept(self):
+        """Guards against owners that are believed in after their end."""
+
+        async def main():
+            self.write("a/1", b"one")
+            await self.until(lambda: self.values())
+            watch = self.store.watch
+
+            async def watch_with_all_changes(prefix, after, wait_ms):
+                self.store.watch = watch
+                self.write("a/2", b"two")
+                created = self.store.state.item("a/2")
+                self.store.state.delete("a/2", created.revision)
+                revision = self.store.state.revision
+                deleted = store.Item("a/2", None, revision)
+                return Ok(store.Snapshot([created, deleted], revision))
+
+            self.store.watch = watch_with_all_changes
+            await self.until(lambda: self.store.watch is watch)
+            await asyncio.sleep(0.02)
+            self.assertEqual({"a/1": b"one"}, self.values())
+
+        self.run_with(main)
