--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -179,3 +179,23 @@
             self.assertTrue(task.cancelled())
 
         self.run_with(main)
+
+
+class SecondStartTest(testtools.TestCase):
+    def test_second_process_cannot_listen_on_the_same_address(self):
+        """Guards against a shard that is taken from a live previous start.
+
+        A process that has started takes what its name and address own for what
+        a process owned that has ended (``Shards._is_of_previous_start``).
+        """
+
+        async def main():
+            address = _free_address()
+            first, second = peers.GrpcPeers(), peers.GrpcPeers()
+            await first.serve(address, _handle)
+            with self.assertRaises(RuntimeError):
+                await second.serve(address, _handle)
+            await first.close()
+            await second.close()
+
+        asyncio.run(main())
