Show that a machine manager orders after a write showed its loss

What a caller sees: as the tests beside it: orders of two managers. Cause: ManagerState takes a refused write for a conflict on its own keys, also if the refusal shows another revision of the owner key. Pool owners stop then (AllocationSync, MemberList, JobWriter). An answer of the machine service that the fencing token is outdated is ignored as well (MachineOutcome.FENCED).

--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -656,3 +656,27 @@
         asyncio.run(main())
         self.assertEqual(10_000, self.lease.current_age_ms)
         self.assertEqual(0, self.service.received)
+
+    def test_manager_that_has_learned_of_its_successor_orders_nothing(self):
+        """Guards against orders after a write that showed the loss."""
+
+        async def main():
+            self.needed_machines = 1
+            self.lease.current_age_ms = 10_000
+            manager = self.start_manager(1)
+            await asyncio.sleep(1)
+            self.assertEqual(1, len(manager._state.saved_orders))
+            key = keys.owner(_SHARD)
+            revision = self.store.state.item(key).revision
+            self.store.state.write(key, b"2", revision, "")
+            # The next list of orders is refused, since the owner has changed.
+            self.needed_machines = 2
+            writes = self.store.writes
+            await asyncio.sleep(1)
+            self.assertGreater(self.store.writes, writes)
+            self.lease.current_age_ms = 0
+            await asyncio.sleep(1)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual([], self.service.orders)
