Show that a new owner starts tasks on a VM reported empty for an order

What a caller sees: tasks that have just started end, with their machine, and start again elsewhere. The new owner does not know that the VM was being vacated, and takes its end for a crash (crashes.ends_by_plan, by reading). Cause: that a VM is closed for an order lives in the memory of the pool's owner. The next owner opens it within the 400 ms for which the report counts.

--- a/tests/entry/test_node.py
+++ b/tests/entry/test_node.py
@@ -257,3 +257,53 @@
                 self.assertGreater(len(learned), 0)
 
             self.run_world(main, processes=2, guards_capacity=guards_capacity)
+
+
+class VacatedVmTest(_NodeCase):
+    """Load pattern: owners hand their pools over while machines move."""
+
+    def test_new_owner_starts_nothing_on_a_vm_reported_empty(self):
+        """Guards against runs that the order for the machine ends.
+
+        The machine manager orders within 400 ms of the report.
+        """
+
+        async def main():
+            pool = ids.PoolId("proofs")
+            process = self.world.processes[self.owners()[pool]]
+            vm = next(
+                vm
+                for vm in self.world.fleet.live_vms()
+                if vm.report.pool == pool
+            )
+            vacate = messages.Vacate(
+                pool, vm.report.vm, messages.VacateMode.MOVE_ALL
+            )
+            answer = await process.node.ask_local(vacate)
+            self.assertEqual(messages.Vacated(0), answer)
+            reported_ms = self.world.clock.monotonic_ms()
+            stopping = asyncio.create_task(process.node.hand_over())
+            step = jobs.step(12, cpu_millicores=8_000)
+            submitting = asyncio.create_task(self.submit(pool, jobs.spec(step)))
+            while self.world.clock.monotonic_ms() < reported_ms + 400:
+                self.assertEqual([], list(vm.running))
+                await asyncio.sleep(0.01)
+            await stopping
+            await submitting
+
+        self.run_world(main, processes=10, strong_processes=3)
+
+    async def submit(self, pool, spec):
+        """Submit a job by the pool's next owner as soon as it answers."""
+        request = messages.Submit(
+            pool, model.JobId("a" * 16), ids.QueueId("proof-page"), spec
+        )
+        while True:
+            await asyncio.sleep(0.01)
+            owner = self.owners().get(pool)
+            if owner is None:
+                continue
+            node = self.world.processes[owner].node
+            answer = await node.ask_local(request)
+            if isinstance(answer, messages.Accepted):
+                return
