--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -620,7 +620,10 @@
             self.lease.current_age_ms = 10_000
             first = self.start_manager(1)
             await asyncio.sleep(1)
-            first_lease, self.lease = self.lease, leases.FakeLease()
+            first_lease, self.lease = (
+                self.lease,
+                leases.FakeLease(clocks.FakeClock()),
+            )
             second = self.start_manager(2)
             await asyncio.sleep(1)
             first_lease.current_age_ms = 1_000
