End a cooldown with a list of machines that was read after it

What operators would see: more machines of a wave are down for maintenance than the wave allows, after a change of the machine manager.

Cause: the cooldown ended by time. The list of machines is read every 2 s while nothing changes, so that the last one may be older than what the previous manager's last order has done: its machine counted as up, and as not cooling down any more.

Evidence: test_late_order_of_the_previous_manager_counts_against_its_wave failed with the cooldown of before.

Change: machines cool down until a list is read that was requested after the end of the cooldown; the manager requests one in its next cycle. test_a_machine_in_cooldown_counts_as_out expected operations from the passing of time; it now expects none until such a list is read, and none after an older one.

--- a/src/wagtailtiller/maintenance/machine_fleet.py
+++ b/src/wagtailtiller/maintenance/machine_fleet.py
@@ -55,21 +55,28 @@
         self.pools: dict[ids.PoolId, operations.PoolStatus] = {}
         self.loads: dict[ids.VmId, messages.VmLoad] = {}
         self.cancelled_moves: dict[ids.MachineId, ids.VmId] = {}
-        self._cooldown_until_ms: dict[ids.MachineId, int] = {}
+        self._cooling_down: set[ids.MachineId] = set()
+        self._cooldown_end_ms = 0
         self._ordered_ms: dict[ids.MachineId, int] = {}
         self._moved_ms: dict[ids.MachineId, int] = {}
         self._move_planner = move_planner.MovePlanner(
             self, clock, sizes_are_given
         )
 
-    def update_machines(self, listed: list[machines.Machine]) -> None:
+    def update_machines(
+        self, listed: list[machines.Machine], requested_ms: int
+    ) -> None:
         """Replace the machines, and end the operations that are complete.
 
         Args:
             listed: All machines that the platform lists. Machines that are
                 missing count as maintained in their waves.
+            requested_ms: Clock reading before the list was requested.
         """
         self.machines = {machine.machine: machine for machine in listed}
+        if requested_ms >= self._cooldown_end_ms:
+            # The list shows what a previous manager has ordered.
+            self._cooling_down.clear()
         for operation in list(self.operations.values()):
             self._update_operation(operation)
         for tracked_wave in self.waves.values():
@@ -87,13 +94,19 @@
     def start_cooldown(
         self, machine_ids: set[ids.MachineId], until_ms: int
     ) -> None:
-        """Prevent orders for some machines until a given time.
+        """Prevent orders for some machines until they are listed again.
 
         Args:
             machine_ids: Machines that a previous manager may have ordered.
-            until_ms: Clock reading at which the cooldown ends.
+            until_ms: Clock reading from which a list shows what it has ordered.
         """
-        self._cooldown_until_ms = dict.fromkeys(machine_ids, until_ms)
+        self._cooling_down = set(machine_ids)
+        self._cooldown_end_ms = until_ms
+
+    def awaits_list(self) -> bool:
+        """Return whether a list that is requested now ends the cooldown."""
+        now_ms = self._clock.monotonic_ms()
+        return bool(self._cooling_down) and now_ms >= self._cooldown_end_ms
 
     def recently_ordered(self, span_ms: int) -> set[ids.MachineId]:
         """Return the machines whose last order is recent.
@@ -110,9 +123,7 @@
             for machine, ordered_ms in self._ordered_ms.items()
             if ordered_ms >= since_ms
         }
-        return own_orders | set(
-            filter(self._is_cooling_down, self._cooldown_until_ms)
-        )
+        return own_orders | self._cooling_down
 
     def is_completed(self, tracked_wave: operations.TrackedWave) -> bool:
         """Return whether no machine of a wave needs more maintenance."""
@@ -290,9 +301,7 @@
             machine is not None
             and machine.state is machines.MachineState.MAINTENANCE
         )
-        return (
-            in_progress or in_maintenance or self._is_cooling_down(machine_id)
-        )
+        return in_progress or in_maintenance or machine_id in self._cooling_down
 
     def _remaining_in_order(
         self, tracked_wave: operations.TrackedWave
@@ -402,13 +411,9 @@
         return (
             machine.state is machines.MachineState.UP
             and machine.machine not in self.operations
-            and not self._is_cooling_down(machine.machine)
+            and machine.machine not in self._cooling_down
         )
 
-    def _is_cooling_down(self, machine_id: ids.MachineId) -> bool:
-        until_ms = self._cooldown_until_ms.get(machine_id, 0)
-        return self._clock.monotonic_ms() < until_ms
-
     def is_standby(self, pool: ids.PoolId) -> bool:
         """Return whether the machines of a pool are switched off."""
         pool_status = self.pools.get(pool)
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -230,6 +230,7 @@
         if (
             self._listed_ms is not None
             and now_ms - self._listed_ms < interval_ms
+            and not self._fleet.awaits_list()
         ):
             return
         result = await self._platform.list()
@@ -239,7 +240,7 @@
             )
             return
         self._listed_ms = now_ms
-        self._fleet.update_machines(result.ok)
+        self._fleet.update_machines(result.ok, now_ms)
 
     # Operations.
 
--- a/tests/maintenance/rotating_load.py
+++ b/tests/maintenance/rotating_load.py
@@ -193,7 +193,9 @@
             for pool in POOLS
         }
         self.fleet.pools[STANDBY] = operations.PoolStatus(True, None)
-        self.fleet.update_machines(list(self.listed.values()))
+        self.fleet.update_machines(
+            list(self.listed.values()), self._clock.monotonic_ms()
+        )
         self._planner.plan()
         self._clock.advance(STEP_MS)
         self.now_ms += STEP_MS
--- a/tests/maintenance/test_machine_fleet.py
+++ b/tests/maintenance/test_machine_fleet.py
@@ -32,7 +32,11 @@
     def add_machine(self, name, pool, state=machines.MachineState.UP):
         vm = "" if pool == _SPARE else f"vm-{name}"
         self.listed[name] = fakes.machine(name, vm, pool, state)
-        self.fleet.update_machines(list(self.listed.values()))
+        self.update_machines()
+
+    def update_machines(self, requested_ms_ago=0):
+        requested_ms = self.clock.monotonic_ms() - requested_ms_ago
+        self.fleet.update_machines(list(self.listed.values()), requested_ms)
 
     def set_load(self, name, long_running=0, runs=0):
         vm = ids.VmId(f"vm-{name}")
@@ -259,7 +263,7 @@
             (operation,) = self.find_operations(machine=name)
             self.fleet.record_outcome(operation, machines.MachineOutcome.DONE)
         self.listed["a"] = fakes.machine("a", "vm-a2", _RENDERS)
-        self.fleet.update_machines(list(self.listed.values()))
+        self.update_machines()
         self.fleet.plan()
         self.assertTrue(self.find_operations(machine="h"))
 
@@ -282,7 +286,7 @@
         self.fleet.plan()
         (operation,) = self.find_operations(wave=_WAVE)
         self.fleet.record_outcome(operation, machines.MachineOutcome.DONE)
-        self.fleet.update_machines(list(self.listed.values()))
+        self.update_machines()
         self.fleet.plan()
         self.assertEqual(1, len(self.find_operations(wave=_WAVE)))
 
@@ -310,6 +314,12 @@
         self.clock.advance(3_000)
         self.add_sample(cores=100)
         self.fleet.plan()
+        self.assertEqual([], self.find_operations(wave=_WAVE))
+        self.update_machines(requested_ms_ago=1)
+        self.fleet.plan()
+        self.assertEqual([], self.find_operations(wave=_WAVE))
+        self.update_machines()
+        self.fleet.plan()
         self.assertEqual(2, len(self.find_operations(wave=_WAVE)))
 
     def test_a_machine_is_ordered_only_after_a_recent_empty_report(self):
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -590,6 +590,22 @@
         so that it may order for 1.5 s more, and the platform takes as long to
         carry out its last order.
         """
+        self.check_late_order(3)
+
+    def test_order_that_is_carried_out_as_the_cooldown_ends_counts(self):
+        """Guards against more machines down for a wave than may be.
+
+        The last list of machines before the end of the cooldown does not show
+        the maintenance.
+        """
+        self.check_late_order(4.7)
+
+    def check_late_order(self, carried_out_s):
+        """Check that an order of a previous manager counts.
+
+        Args:
+            carried_out_s: When the platform carries it out, after the takeover.
+        """
         self.service = _MaintenanceService("ab")
         wave = machines.Wave(ids.WaveId("1"), ("b", "a"), 60_000, 1)
         self.waves = {wave.wave: wave}
@@ -598,7 +614,7 @@
 
         async def main():
             manager = self.start_manager(2)
-            await asyncio.sleep(3)
+            await asyncio.sleep(carried_out_s)
             self.assertEqual([], self.service.maintained)
             await self.service.maintain("a", wave.wave, 1)
             await asyncio.sleep(5)
--- a/tests/maintenance/test_sharing.py
+++ b/tests/maintenance/test_sharing.py
@@ -40,7 +40,9 @@
         vm = "" if pool == _SPARE else f"vm-{name}-{pool}"
         self.listed[name] = fakes.machine(name, vm, pool, state)
         self.fleet.loads[vm] = messages.VmLoad(vm, 0, 0, 0, 0, True)
-        self.fleet.update_machines(list(self.listed.values()))
+        self.fleet.update_machines(
+            list(self.listed.values()), self.clock.monotonic_ms()
+        )
 
     def sample(self, pool, waiting=0, running=0, forecast=None):
         """Add a sample; the arguments are in machines of 32 cores."""
