Let a former machine manager vacate, reopen and plan nothing

What callers would see: while the machine manager's process is cut off from the store only, VMs are closed and their tasks moved for nothing, or reopened while the next manager vacates them, for as long as the cut lasts.

Cause: only orders asked whether the lease in the store is young enough. Cycles, and requests to vacate or to reopen a VM, did not; and a process that could not renew its lease for 6 s gave its pools up, but not the machines.

Change: a cycle begins, and VMs are vacated and reopened, only while machines may be ordered. After 6 s without a renewal the machine manager ends like the pools' owners, with shard_lost and store_silent. In calm times a lease is at most 0.5 s old, so that no cycle is left out.

Four tests let a manager plan and store its orders under an old lease, so that it did not order. It plans nothing under such a lease now. Their lease becomes old when the orders are stored, which is checked, as is that nothing was ordered until then. test_manager_that_has_learned_of_its_successor keeps a young lease from the change of the owner on.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -43,6 +43,8 @@
 _LEAVING_TIMEOUT_S = 0.4
 _SESSION_END_TIMEOUT_S = 0.4
 
+_Service = pool_owner.PoolOwner | machine_manager_module.MachineManager
+
 
 @dataclasses.dataclass(frozen=True)
 class Adapters:
@@ -367,15 +369,13 @@
             self._remove_owner(owner)
             self._tasks.append(runtime.spawn(owner.stop()))
 
-    def _on_ownership_lost(
-        self, owner: pool_owner.PoolOwner, reason: str
-    ) -> None:
-        self._shards.remove_claim(owner.claim)
-        self._on_shard_lost(owner.claim, reason)
+    def _on_ownership_lost(self, service: _Service, reason: str) -> None:
+        self._shards.remove_claim(service.claim)
+        self._on_shard_lost(service.claim, reason)
         events.emit(
             events.Event.SHARD_LOST,
-            shard=owner.claim.shard,
-            epoch=owner.claim.epoch,
+            shard=service.claim.shard,
+            epoch=service.claim.epoch,
             reason=reason,
             session_age_ms=self._shards.authority.lease_age_ms(),
         )
@@ -384,8 +384,15 @@
         while True:
             await asyncio.sleep(_SESSION_CHECK_INTERVAL_MS / 1_000)
             if not self._shards.authority.allows(authority.Action.COMMAND_VMS):
-                for owner in list(self._owners.values()):
-                    self._on_ownership_lost(owner, "store_silent")
+                for service in self._services():
+                    self._on_ownership_lost(service, "store_silent")
+
+    def _services(self) -> list[_Service]:
+        """Return what serves the shards of this process."""
+        services: list[_Service] = list(self._owners.values())
+        if self._machine_manager is not None:
+            services.append(self._machine_manager)
+        return services
 
     async def _hand_over_when_better(self) -> None:
         """Hand over shards that another process would serve better."""
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -133,9 +133,15 @@
         self._knows_orders = True
         self._background.spawn(self._restore_season())
         while True:
-            await self._run_cycle()
+            if self._may_act():
+                await self._run_cycle()
             await asyncio.sleep(_CYCLE_INTERVAL_MS / 1_000)
 
+    def _may_act(self) -> bool:
+        # A process that was suspended or is cut off from the store may have
+        # been replaced by a successor.
+        return self._authority.allows(authority.Action.ORDER_MACHINES)
+
     async def _restore_season(self) -> None:
         season = await self._state.read_season()
         if season is not None and not self._season.is_confident():
@@ -245,10 +251,11 @@
     # Operations.
 
     async def _advance(self, operation: operations.MachineOperation) -> None:
+        emptying = operation.stage is operations.Stage.EMPTYING
         try:
-            if operation.stage is operations.Stage.EMPTYING and operation.vm:
+            if emptying and operation.vm and self._may_act():
                 await self._vacate(operation)
-            if self._fleet.may_order(operation):
+            if self._fleet.may_order(operation) and self._may_act():
                 await self._order(operation)
         finally:
             self._in_progress.discard(operation.machine)
@@ -268,6 +275,8 @@
 
     def _reopen_kept_vms(self) -> None:
         """Let owners start runs again on VMs whose move was cancelled."""
+        if not self._may_act():
+            return
         for machine_id, vm in list(self._fleet.cancelled_moves.items()):
             if machine_id in self._in_progress:
                 # A request to vacate the VM may be in transit; it must not
@@ -288,10 +297,6 @@
             return
         if operation.machine not in self._state.saved_orders:
             return
-        if not self._authority.allows(authority.Action.ORDER_MACHINES):
-            # A process that was suspended may have been replaced by a
-            # successor.
-            return
         self._fleet.record_order(operation)
         epoch = self.claim.epoch
         if operation.wave is not None:
--- a/tests/entry/test_node.py
+++ b/tests/entry/test_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from unittest import mock
 
 import testtools
 
@@ -9,6 +10,7 @@
 from support.sim import loop as loop_module
 from support.sim import scenarios
 from support.sim import world as world_module
+from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller.entry import node as node_module
 from wagtailtiller.jobs import model
@@ -130,6 +132,34 @@
         self.run_world(main, strong_processes=2)
 
 
+class SilentStoreTest(_NodeCase):
+    """Load pattern: a process is cut off from the store only, for long."""
+
+    def test_process_gives_all_its_shards_up(self):
+        """Guards against managers and owners that last as long as the cut."""
+
+        async def main():
+            process = self.world.processes["e0"]
+            self.assertIn(
+                node_module.MACHINES_SHARD, process.node.owned_shards()
+            )
+            manager = process.node._machine_manager
+            self.world.store_service.faults.partitioned.add(process.process)
+            with mock.patch.object(events, "emit") as emit:
+                await asyncio.sleep(8)
+            self.assertEqual([], process.node.owned_shards())
+            self.assertTrue(manager._main_task.done())
+            lost = {
+                call.kwargs["shard"]: call.kwargs["reason"]
+                for call in emit.mock_calls
+                if call.args == (events.Event.SHARD_LOST,)
+            }
+            self.assertEqual(dict.fromkeys(lost, "store_silent"), lost)
+            self.assertIn(node_module.MACHINES_SHARD, lost)
+
+        self.run_world(main, processes=1)
+
+
 class EpochTest(_NodeCase):
     def test_submission_for_an_earlier_epoch_has_no_effect(self):
         """Guards against a late request whose job was refused meanwhile."""
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -31,6 +31,7 @@
 _SHARD = ids.ShardId("machines")
 _LEASE_MS = 3_000
 _CORES = 32_000
+_OLD_LEASE_MS = 10_000
 
 
 class _FakeMachineService:
@@ -198,6 +199,26 @@
             random.Random(1),
         )
 
+    async def start_manager_that_only_plans(self, epoch):
+        """Start a manager whose lease is old once its orders are listed.
+
+        It has planned to order machines, and the store lists them for its
+        successor, but it may not order them.
+        """
+        commit = self.store.commit
+
+        async def commit_and_age(transaction):
+            result = await commit(transaction)
+            self.lease.current_age_ms = _OLD_LEASE_MS
+            return result
+
+        with mock.patch.object(self.store, "commit", commit_and_age):
+            manager = self.start_manager(epoch)
+            await asyncio.sleep(1)
+        self.assertEqual(self.needed_machines, len(manager._state.saved_orders))
+        self.assertEqual([], self.orders_of(epoch))
+        return manager
+
     async def crash(self, manager):
         """End a manager without a planned stop."""
         await tasks.cancel_and_wait([manager._main_task])
@@ -347,9 +368,7 @@
 
         async def main():
             self.needed_machines = 4
-            self.lease.current_age_ms = 2_000
-            first = self.start_manager(1)
-            await asyncio.sleep(1)
+            first = await self.start_manager_that_only_plans(1)
             await first.stop()
             self.lease.current_age_ms = 0
             second = self.start_manager(2)
@@ -364,9 +383,7 @@
         # Without a planned stop, any of them may have been ordered.
         async def main():
             self.needed_machines = 6
-            self.lease.current_age_ms = 2_000
-            first = self.start_manager(1)
-            await asyncio.sleep(1)
+            first = await self.start_manager_that_only_plans(1)
             await self.crash(first)
             self.lease.current_age_ms = 0
             second = self.start_manager(2)
@@ -633,9 +650,7 @@
 
         async def main():
             self.needed_machines = 1
-            self.lease.current_age_ms = 10_000
-            first = self.start_manager(1)
-            await asyncio.sleep(1)
+            first = await self.start_manager_that_only_plans(1)
             first_lease, self.lease = (
                 self.lease,
                 leases.FakeLease(clocks.FakeClock()),
@@ -681,20 +696,16 @@
 
         async def main():
             self.needed_machines = 1
-            self.lease.current_age_ms = 10_000
-            manager = self.start_manager(1)
-            await asyncio.sleep(1)
-            self.assertEqual(1, len(manager._state.saved_orders))
+            manager = await self.start_manager_that_only_plans(1)
             key = keys.owner(_SHARD)
             revision = self.store.state.item(key).revision
             self.store.state.write(key, b"2", revision, "")
             # The next list of orders is refused, since the owner has changed.
             self.needed_machines = 2
             writes = self.store.writes
-            await asyncio.sleep(1)
-            self.assertGreater(self.store.writes, writes)
             self.lease.current_age_ms = 0
-            await asyncio.sleep(1)
+            await asyncio.sleep(2)
+            self.assertGreater(self.store.writes, writes)
             await manager.stop()
 
         loop_module.run(main())
