Void a report of an empty VM when its pool answers otherwise

What callers would see: tasks end at once on a machine that is moved or maintained, right after its pool has changed hands.

A new owner knows nothing of the request to the previous one and may start runs on the VM.

Change: each request to vacate a VM replaces the report of the previous one; only a report of no runs lets the machine be ordered.

Left: until the next request is answered, the earlier report counts (entry/test_node.py, VacatedVmTest).

--- a/src/wagtailtiller/maintenance/machine_fleet.py
+++ b/src/wagtailtiller/maintenance/machine_fleet.py
@@ -143,12 +143,16 @@
         self._move_planner.plan()
 
     def record_runs_left(
-        self, operation: operations.MachineOperation, runs_left: int
+        self, operation: operations.MachineOperation, runs_left: int | None
     ) -> None:
-        """Record how many runs are left on the VM of an operation."""
-        if runs_left:
-            operation.empty_at_ms = None
-        else:
+        """Record how many runs are left on the VM of an operation.
+
+        Args:
+            operation: The operation whose VM is being vacated.
+            runs_left: Number of runs; None if nobody can say.
+        """
+        operation.empty_at_ms = None
+        if runs_left == 0:
             operation.empty_at_ms = self._clock.monotonic_ms()
 
     def may_order(self, operation: operations.MachineOperation) -> bool:
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -270,8 +270,12 @@
         answer = await self._ask_owner(
             machine.pool, messages.Vacate(machine.pool, operation.vm, mode)
         )
+        runs_left = None
         if isinstance(answer, messages.Vacated):
-            self._fleet.record_runs_left(operation, answer.runs_left)
+            runs_left = answer.runs_left
+        # Another answer, or none, may mean that the pool has a new owner, which
+        # may start runs on the VM.
+        self._fleet.record_runs_left(operation, runs_left)
 
     def _reopen_kept_vms(self) -> None:
         """Let owners start runs again on VMs whose move was cancelled."""
