Let a stopping machine manager order nothing from its first step on

What operators would see: a machine is ordered by a manager that hands the machines over, and that order is missing in the list for its successor.

Cause: a stop first waited for the cycle and for open requests for loads to end. Meanwhile the answer that a VM has no runs led to an order.

Change: the first step of a stop is a flag that every action asks for, as in the owners of pools.

--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -97,14 +97,16 @@
         self._listed_ms: int | None = None
         self._background = tasks.TaskGroup()
         self._in_progress: set[ids.MachineId] = set()
+        self._stopped = False
         self._main_task = runtime.spawn(self._main())
 
     async def stop(self) -> None:
-        """Stop, and cancel all operations; no order is sent afterwards.
+        """Stop, and cancel all operations.
 
-        The machines that were ordered and the season are stored for the
-        successor, in a bounded time.
+        No order is sent from the first step on. The machines that were ordered
+        and the season are stored for the successor, in a bounded time.
         """
+        self._stopped = True
         await tasks.cancel_and_wait([self._main_task])
         await self._load_collector.cancel()
         await self._background.cancel()
@@ -140,7 +142,9 @@
     def _may_act(self) -> bool:
         # A process that was suspended or is cut off from the store may have
         # been replaced by a successor.
-        return self._authority.allows(authority.Action.ORDER_MACHINES)
+        return not self._stopped and self._authority.allows(
+            authority.Action.ORDER_MACHINES
+        )
 
     async def _restore_season(self) -> None:
         season = await self._state.read_season()
