Let a manager that learns of its successor give the machines up

What operators would see: a former machine manager orders machines after the store or the machine service has told it that there is a later one.

Cause: a write that was refused because the owner key has another revision, and an order that was refused as fenced, counted as failures and were tried again; the machines that were listed before were ordered meanwhile.

Change: the manager orders nothing from then on, and its process gives the shard up and logs shard_lost with store or fenced, as with a pool. Tokens are the epochs of the shard, so that a higher one is a later owner's.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -344,6 +344,7 @@
             self._clock,
             self._settings.machine_lease_ms,
             self._shards.authority,
+            self._on_ownership_lost,
             self._rng,
         )
 
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import random
 
 from wagtailtiller import clock as clock_module
@@ -49,6 +50,8 @@
         machine_lease_ms: Time within which two machine managers must not
             order the same machine.
         owner_authority: Tells what this process may do under its lease.
+        on_lost: Called with this manager and a reason when the ownership is
+            lost.
         rng: Random source that spreads retries.
 
     Attributes:
@@ -65,6 +68,7 @@
         clock: clock_module.Clock,
         machine_lease_ms: int,
         owner_authority: authority.Authority,
+        on_lost: Callable[["MachineManager", str], None],
         rng: random.Random,
     ) -> None:
         self.claim = claim
@@ -82,12 +86,18 @@
             + self._order_span_ms
         )
         self._authority = owner_authority
+        self._on_lost = on_lost
         self._fleet = machine_fleet.MachineFleet(
             clock, sizes_are_given=claim.epoch == claims.FIRST_EPOCH
         )
         self._estimators: dict[ids.PoolId, demand.DemandEstimator] = {}
         self._state = manager_state.ManagerState(
-            store_client, claim, declared, clock, follower.Backoff(rng)
+            store_client,
+            claim,
+            declared,
+            clock,
+            follower.Backoff(rng),
+            self._on_ownership_lost,
         )
         self._season = season_module.SeasonLearner(
             clock.wall_ms() - clock.monotonic_ms()
@@ -146,6 +156,15 @@
             authority.Action.ORDER_MACHINES
         )
 
+    def _on_ownership_lost(self) -> None:
+        self._give_up("store")
+
+    def _give_up(self, reason: str) -> None:
+        if not self._stopped:
+            # No order is sent from now on, before the manager is stopped.
+            self._stopped = True
+            self._on_lost(self, reason)
+
     async def _restore_season(self) -> None:
         season = await self._state.read_season()
         if season is not None and not self._season.is_confident():
@@ -327,6 +346,8 @@
             waited_ms=now_ms - operation.started_ms,
         )
         self._fleet.record_outcome(operation, outcome)
+        if outcome is machines.MachineOutcome.FENCED:
+            self._give_up("fenced")
 
     # The season.
 
--- a/src/wagtailtiller/maintenance/manager_state.py
+++ b/src/wagtailtiller/maintenance/manager_state.py
@@ -1,6 +1,7 @@
 """Persistent state that a machine manager leaves to its successor."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
 from typing import TypeVar
@@ -70,6 +71,8 @@
             status for operators.
         clock: Clock that supplies the current time.
         backoff: Delays after failed store calls.
+        on_ownership_lost: Called when a write shows that another process owns
+            the machines.
 
     Attributes:
         saved_orders: The machines that may be ordered, because the store
@@ -83,6 +86,7 @@
         declared: declarations.Declarations,
         clock: clock_module.Clock,
         backoff: follower.Backoff,
+        on_ownership_lost: Callable[[], None],
     ) -> None:
         self._clock = clock
         self.saved_orders: set[ids.MachineId] = set()
@@ -90,6 +94,7 @@
         self._claim = claim
         self._declared = declared
         self._backoff = backoff
+        self._on_ownership_lost = on_ownership_lost
         self._revisions: dict[str, ids.Revision] = {}
         self._waves: dict[ids.WaveId, WaveProgress] = {}
         self._orders_saved_ms = 0
@@ -292,4 +297,6 @@
             for item in result.error.items:
                 if item.key in own_keys:
                     self._revisions[item.key] = item.revision
+                elif item.revision != self._claim.revision:
+                    self._on_ownership_lost()
         return False
--- a/src/wagtailtiller/ports/machines.py
+++ b/src/wagtailtiller/ports/machines.py
@@ -64,7 +64,8 @@
     """Outcome of a command for a machine.
 
     After ``UNANSWERED`` the outcome is unknown: the platform may have executed
-    the command or may still do so.
+    the command or may still do so. ``FENCED`` shows that another process has
+    used a higher epoch.
     """
 
     DONE = "done"
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -103,6 +103,14 @@
         await self._server.close()
 
 
+class _FencingService(_FakeMachineService):
+    """Machine service that has seen the token of a later manager."""
+
+    async def move(self, machine, pool, epoch):
+        self.orders.append((machine, epoch, 0))
+        return machines.MachineOutcome.FENCED
+
+
 class _MaintenanceService(_FakeMachineService):
     """Machine service whose maintenance lasts until the end of the test."""
 
@@ -160,6 +168,7 @@
         self.arrived_jobs = 0
         self.vms = {}
         self.requests = []
+        self.lost = []
         self.lease = leases.FakeLease(clocks.FakeClock())
 
     async def ask_owner(self, pool, request):
@@ -196,6 +205,7 @@
             loop_module.VirtualClock(asyncio.get_running_loop()),
             _LEASE_MS,
             authority.Authority(self.lease),
+            lambda manager, reason: self.lost.append((manager, reason)),
             random.Random(1),
         )
 
@@ -706,7 +716,22 @@
             self.lease.current_age_ms = 0
             await asyncio.sleep(2)
             self.assertGreater(self.store.writes, writes)
+            self.assertEqual([(manager, "store")], self.lost)
             await manager.stop()
 
         loop_module.run(main())
         self.assertEqual([], self.service.orders)
+
+    def test_fenced_manager_orders_nothing(self):
+        """Guards against orders after one that showed a later manager."""
+
+        async def main():
+            self.service = _FencingService("abcdef")
+            self.needed_machines = 3
+            manager = self.start_manager(1)
+            await asyncio.sleep(2)
+            self.assertEqual([(manager, "fenced")], self.lost)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual(1, len(self.service.orders))
--- a/tests/maintenance/test_manager_state.py
+++ b/tests/maintenance/test_manager_state.py
@@ -35,6 +35,7 @@
                 None,
                 clock,
                 follower.Backoff(random.Random(1)),
+                self.fail,
             )
             await state.save_orders({_ORDERED, _OTHER}, set())
             self.assertEqual({_ORDERED, _OTHER}, state.saved_orders)
@@ -47,6 +48,7 @@
                 None,
                 clock,
                 follower.Backoff(random.Random(1)),
+                self.fail,
             )
             self.assertLessEqual(
                 state.saved_orders, await successor.read_orders()
