Ask again before an order for a machine is written to its connection

What operators would see: an order of a process that was paused or waited for a connection arrives up to seconds after the process might last send it, beside those of its successor.

Cause: the manager asked whether it may order before the call, which may open a connection first, for up to 2 s, or longer if the process is paused meanwhile.

Evidence: test_order_that_waited_for_a_connection_is_not_sent failed.

Change: an order carries a question, which the HTTP client asks when the request has its connection, and closes the connection if the answer is no. aiohttp documents the request's class as a parameter of the session.

Result: that test passes, and a new one of the client.

--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -328,12 +328,12 @@
         epoch = self.claim.epoch
         if operation.wave is not None:
             outcome = await self._platform.maintain(
-                operation.machine, operation.wave, epoch
+                operation.machine, operation.wave, epoch, self._may_act
             )
         else:
             assert operation.pool is not None
             outcome = await self._platform.move(
-                operation.machine, operation.pool, epoch
+                operation.machine, operation.pool, epoch, self._may_act
             )
         events.emit(
             events.Event.MACHINE_ORDERED,
--- a/src/wagtailtiller/platform/http.py
+++ b/src/wagtailtiller/platform/http.py
@@ -1,7 +1,9 @@
 """HTTP client that sends each request once and returns errors as values."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
+import contextvars
 import dataclasses
 from typing import TypeVar
 
@@ -25,16 +27,23 @@
 
 _T = TypeVar("_T")
 
+# Of the call that the current task makes; aiohttp creates the request.
+_may_send: contextvars.ContextVar[Callable[[], bool] | None] = (
+    contextvars.ContextVar("may_send", default=None)
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class NoResponse:
-    """No usable response came; the request may have been carried out.
+    """No usable response came.
 
     Attributes:
         reason: What happened, for the log.
+        may_apply: Whether the request may have been carried out.
     """
 
     reason: str
+    may_apply: bool = True
 
 
 class Response(msgspec.Struct, frozen=True):
@@ -84,6 +93,22 @@
         self.timeout_ms = min(max(next_timeout_ms, self._min_ms), self._max_ms)
 
 
+class _NotSentError(Exception):
+    """A request that had got its connection was not to be sent any more."""
+
+
+class _Request(aiohttp.ClientRequest):
+    """Request that may be withdrawn until it has a connection."""
+
+    async def send(
+        self, conn: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        may_send = _may_send.get()
+        if may_send is not None and not may_send():
+            raise _NotSentError
+        return await super().send(conn)
+
+
 class HttpClient:
     """Client of one HTTP service.
 
@@ -122,6 +147,7 @@
         query: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
         timeout_ms: int = 0,
+        may_send: Callable[[], bool] | None = None,
     ) -> Result[Response, NoResponse]:
         """Send one request, without retries.
 
@@ -133,6 +159,8 @@
             headers: Additional headers.
             timeout_ms: Limit for the duration of the call once it has a
                 connection; 0 for the client's default.
+            may_send: Returns whether the request may still be sent; it is
+                called when there is a connection. None if it always may.
 
         Returns:
             The response with any status, or ``NoResponse``.
@@ -140,6 +168,7 @@
         request_headers = dict(headers or {})
         if body is not None:
             request_headers["Content-Type"] = "application/json"
+        _may_send.set(may_send)
         try:
             # A call that waits for a connection has not been sent, so that
             # this time says nothing about the service.
@@ -159,6 +188,8 @@
                 return Ok(Response(response.status, await response.read()))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Error(NoResponse(f"{path}: {type(error).__name__}"))
+        except _NotSentError:
+            return Error(NoResponse(f"{path}: not sent", may_apply=False))
 
     async def close(self) -> None:
         """Close the connections."""
@@ -174,6 +205,7 @@
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 headers=self._default_headers,
+                request_class=_Request,
             )
             # By default aiohttp may resend a request on a new connection. A
             # command must not be sent twice without the caller's knowledge.
--- a/src/wagtailtiller/platform/machines.py
+++ b/src/wagtailtiller/platform/machines.py
@@ -74,7 +74,11 @@
                 return Ok(listed)
 
     async def move(
-        self, machine: ids.MachineId, pool: ids.PoolId, epoch: int
+        self,
+        machine: ids.MachineId,
+        pool: ids.PoolId,
+        epoch: int,
+        may_send: machines.MaySend,
     ) -> machines.MachineOutcome:
         """Move a machine to another pool; its runs end at once.
 
@@ -82,12 +86,19 @@
             machine: Id of the machine.
             pool: Id of the new pool.
             epoch: Epoch of the caller's claim, used as the fencing token.
+            may_send: Returns whether the command may still be sent.
         """
         body = {"machine": machine, "pool": pool}
-        return await self._post_command("/v1/machine-move", body, epoch)
+        return await self._post_command(
+            "/v1/machine-move", body, epoch, may_send
+        )
 
     async def maintain(
-        self, machine: ids.MachineId, wave: ids.WaveId, epoch: int
+        self,
+        machine: ids.MachineId,
+        wave: ids.WaveId,
+        epoch: int,
+        may_send: machines.MaySend,
     ) -> machines.MachineOutcome:
         """Start the maintenance of a machine; its runs end at once.
 
@@ -95,27 +106,40 @@
             machine: Id of the machine.
             wave: Id of the wave that requests the maintenance.
             epoch: Epoch of the caller's claim, used as the fencing token.
+            may_send: Returns whether the command may still be sent.
         """
         # Wave ids are numbers on the platform and strings in the package.
         body = {"machine": machine, "wave": int(wave)}
-        return await self._post_command("/v1/machine-upkeep", body, epoch)
+        return await self._post_command(
+            "/v1/machine-upkeep", body, epoch, may_send
+        )
 
     async def close(self) -> None:
         """Close the connections."""
         await self._http.close()
 
     async def _post_command(
-        self, path: str, body: dict[str, Any], epoch: int
+        self,
+        path: str,
+        body: dict[str, Any],
+        epoch: int,
+        may_send: machines.MaySend,
     ) -> machines.MachineOutcome:
         headers = {
             "Lease-Holder": self._lease_holder,
             "Fencing-Token": str(epoch),
         }
         response = await self._http.call(
-            "POST", path, msgspec.json.encode(body), headers=headers
+            "POST",
+            path,
+            msgspec.json.encode(body),
+            headers=headers,
+            may_send=may_send,
         )
         if response.is_error():
-            return machines.MachineOutcome.UNANSWERED
+            if response.error.may_apply:
+                return machines.MachineOutcome.UNANSWERED
+            return machines.MachineOutcome.NOT_SENT
         return _to_machine_outcome(response.ok)
 
 
--- a/src/wagtailtiller/ports/machines.py
+++ b/src/wagtailtiller/ports/machines.py
@@ -1,5 +1,6 @@
 """Interface to the platform's machines and their maintenance."""
 
+from collections.abc import Callable
 import enum
 from typing import Protocol
 
@@ -65,7 +66,8 @@
 
     After ``UNANSWERED`` the outcome is unknown: the platform may have executed
     the command or may still do so. ``FENCED`` shows that another process has
-    used a higher epoch.
+    used a higher epoch. After ``NOT_SENT`` the caller was not permitted to send
+    the command any more when there was a connection for it.
     """
 
     DONE = "done"
@@ -75,6 +77,11 @@
     INVALID = "invalid"
     REFUSED = "refused"
     UNANSWERED = "unanswered"
+    NOT_SENT = "not_sent"
+
+
+MaySend = Callable[[], bool]
+"""Returns whether a command may still be sent; called right before that."""
 
 
 class MachineService(Protocol):
@@ -86,7 +93,11 @@
         """List all machines."""
 
     async def move(
-        self, machine: ids.MachineId, pool: ids.PoolId, epoch: int
+        self,
+        machine: ids.MachineId,
+        pool: ids.PoolId,
+        epoch: int,
+        may_send: MaySend,
     ) -> MachineOutcome:
         """Move a machine to a pool; all runs on its VM end immediately.
 
@@ -94,10 +105,15 @@
             machine: Id of the machine.
             pool: Id of the new pool.
             epoch: Epoch of the caller's claim, used as the fencing token.
+            may_send: Returns whether the command may still be sent.
         """
 
     async def maintain(
-        self, machine: ids.MachineId, wave: ids.WaveId, epoch: int
+        self,
+        machine: ids.MachineId,
+        wave: ids.WaveId,
+        epoch: int,
+        may_send: MaySend,
     ) -> MachineOutcome:
         """Start maintenance of a machine; all runs on its VM end immediately.
 
@@ -105,4 +121,5 @@
             machine: Id of the machine.
             wave: Id of the wave that requests the maintenance.
             epoch: Epoch of the caller's claim, used as the fencing token.
+            may_send: Returns whether the command may still be sent.
         """
--- a/support/fakes.py
+++ b/support/fakes.py
@@ -198,13 +198,21 @@
         return Ok([machine(*row) for row in self._vm_by_machine.items()])
 
     async def move(
-        self, machine: ids.MachineId, pool: ids.PoolId, epoch: int
+        self,
+        machine: ids.MachineId,
+        pool: ids.PoolId,
+        epoch: int,
+        may_send: machines.MaySend,
     ) -> machines.MachineOutcome:
         """Refuse the move."""
         return machines.MachineOutcome.REFUSED
 
     async def maintain(
-        self, machine: ids.MachineId, wave: ids.WaveId, epoch: int
+        self,
+        machine: ids.MachineId,
+        wave: ids.WaveId,
+        epoch: int,
+        may_send: machines.MaySend,
     ) -> machines.MachineOutcome:
         """Refuse the maintenance."""
         return machines.MachineOutcome.REFUSED
--- a/support/sim/fleet.py
+++ b/support/sim/fleet.py
@@ -324,18 +324,30 @@
         return Ok(answer)
 
     async def move(
-        self, machine: ids.MachineId, pool: ids.PoolId, epoch: int
+        self,
+        machine: ids.MachineId,
+        pool: ids.PoolId,
+        epoch: int,
+        may_send: machines.MaySend,
     ) -> machines.MachineOutcome:
         """Move a machine to a pool; its VM ends at once."""
+        if not may_send():
+            return machines.MachineOutcome.NOT_SENT
         answer = await self._call(
             lambda: self._fleet.move(machine, pool, epoch)
         )
         return answer or machines.MachineOutcome.UNANSWERED
 
     async def maintain(
-        self, machine: ids.MachineId, wave: ids.WaveId, epoch: int
+        self,
+        machine: ids.MachineId,
+        wave: ids.WaveId,
+        epoch: int,
+        may_send: machines.MaySend,
     ) -> machines.MachineOutcome:
         """Begin the maintenance of a machine; its VM ends at once."""
+        if not may_send():
+            return machines.MachineOutcome.NOT_SENT
         answer = await self._call(
             lambda: self._fleet.maintain(machine, wave, epoch)
         )
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -51,7 +51,7 @@
             ]
         )
 
-    async def move(self, machine, pool, epoch):
+    async def move(self, machine, pool, epoch, may_send):
         now_ms = asyncio.get_running_loop().time() * 1_000
         self.orders.append((machine, epoch, now_ms))
         self.pools[machine] = pool
@@ -85,7 +85,7 @@
             f"127.0.0.1:{self._server.port}", ids.NodeId("e-1")
         )
 
-    async def move(self, machine, pool, epoch):
+    async def move(self, machine, pool, epoch, may_send):
         open_connection = connector.Connector._wrap_create_connection
 
         async def open_slowly(*args, **options):
@@ -96,7 +96,7 @@
         with mock.patch.object(
             connector.Connector, "_wrap_create_connection", open_slowly
         ):
-            return await self._client.move(machine, pool, epoch)
+            return await self._client.move(machine, pool, epoch, may_send)
 
     async def close(self):
         await self._client.close()
@@ -106,7 +106,7 @@
 class _FencingService(_FakeMachineService):
     """Machine service that has seen the token of a later manager."""
 
-    async def move(self, machine, pool, epoch):
+    async def move(self, machine, pool, epoch, may_send):
         self.orders.append((machine, epoch, 0))
         return machines.MachineOutcome.FENCED
 
@@ -131,7 +131,7 @@
             ]
         )
 
-    async def maintain(self, machine, wave, epoch):
+    async def maintain(self, machine, wave, epoch, may_send=lambda: True):
         if machine not in self.maintained:
             self.maintained.append(machine)
         return machines.MachineOutcome.DONE
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -72,6 +72,20 @@
 
         self.run_with(1, main)
 
+    def test_request_that_may_not_be_sent_any_more_is_not_sent(self):
+        async def main(client):
+            withdrawn = await client.call("GET", "/", may_send=lambda: False)
+            self.assertFalse(withdrawn.error.may_apply)
+            self.assertEqual(0, self.requests)
+            for may_send in (lambda: True, None):
+                sent = await client.call("GET", "/", may_send=may_send)
+                self.assertTrue(sent.is_ok())
+            lost = await client.call("GET", "/", timeout_ms=_ANSWER_MS // 4)
+            self.assertTrue(lost.error.may_apply)
+            self.assertEqual(3, self.requests)
+
+        self.run_with(1, main)
+
     def test_connection_is_free_after_timeout(self):
         """Guards against a slot that a call without a response keeps."""
 
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -53,7 +53,7 @@
                 await service.start(), ids.NodeId("e-1")
             )
             outcome = await client.move(
-                ids.MachineId("m-1"), ids.PoolId("renders"), 1
+                ids.MachineId("m-1"), ids.PoolId("renders"), 1, lambda: True
             )
             self.assertEqual(machines.MachineOutcome.UNANSWERED, outcome)
             service.ended.set()
