--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import random
 
 from wagtailtiller import clock as clock_module
@@ -29,8 +30,8 @@
 _ACTIVE_LIST_INTERVAL_MS = 400
 _IDLE_LIST_INTERVAL_MS = 2_000
 _ORDER_RETRY_INTERVAL_MS = 300
-# Orders from the previous machine manager may still be in transit.
-_TAKEOVER_MARGIN_MS = 250
+# Orders may be in transit for this long.
+_ORDER_MARGIN_MS = 250
 
 
 class MachineManager:
@@ -49,6 +50,8 @@
         machine_lease_ms: Time within which two machine managers must not
             order the same machine.
         owner_authority: Tells what this process may do under its lease.
+        on_lost: Called with this manager and a reason when the ownership is
+            lost.
         rng: Random source that spreads retries.
 
     Attributes:
@@ -65,6 +68,7 @@
         clock: clock_module.Clock,
         machine_lease_ms: int,
         owner_authority: authority.Authority,
+        on_lost: Callable[["MachineManager", str], None],
         rng: random.Random,
     ) -> None:
         self.claim = claim
@@ -73,14 +77,27 @@
         self._ask_owner = ask_owner
         self._load_collector = load_collector.LoadCollector(ask_owner)
         self._clock = clock
-        self._cooldown_ms = machine_lease_ms + _TAKEOVER_MARGIN_MS
+        # How long after an order another manager must not order the machine.
+        self._order_span_ms = machine_lease_ms + _ORDER_MARGIN_MS
+        # The store may end leases before their time, so that the previous
+        # manager's last renewal may be as recent as the takeover.
+        self._cooldown_ms = (
+            authority.MAX_LEASE_AGE_MS[authority.Action.ORDER_MACHINES]
+            + self._order_span_ms
+        )
         self._authority = owner_authority
+        self._on_lost = on_lost
         self._fleet = machine_fleet.MachineFleet(
             clock, sizes_are_given=claim.epoch == claims.FIRST_EPOCH
         )
         self._estimators: dict[ids.PoolId, demand.DemandEstimator] = {}
         self._state = manager_state.ManagerState(
-            store_client, claim, declared, clock, follower.Backoff(rng)
+            store_client,
+            claim,
+            declared,
+            clock,
+            follower.Backoff(rng),
+            self._on_ownership_lost,
         )
         self._season = season_module.SeasonLearner(
             clock.wall_ms() - clock.monotonic_ms()
@@ -90,20 +107,22 @@
         self._listed_ms: int | None = None
         self._background = tasks.TaskGroup()
         self._in_progress: set[ids.MachineId] = set()
+        self._stopped = False
         self._main_task = runtime.spawn(self._main())
 
     async def stop(self) -> None:
-        """Stop, and cancel all operations; no order is sent afterwards.
+        """Stop, and cancel all operations.
 
-        The machines that were ordered and the season are stored for the
-        successor, in a bounded time.
+        No order is sent from the first step on. The machines that were ordered
+        and the season are stored for the successor, in a bounded time.
         """
+        self._stopped = True
         await tasks.cancel_and_wait([self._main_task])
         await self._load_collector.cancel()
         await self._background.cancel()
         if not self._knows_orders:
             return
-        ordered = self._fleet.recently_ordered(self._cooldown_ms)
+        ordered = self._fleet.recently_ordered(self._order_span_ms)
         stored = await self._state.save_at_stop(ordered, self._season.season())
         events.emit(
             events.Event.MANAGER_STOPPED,
@@ -126,9 +145,26 @@
         self._knows_orders = True
         self._background.spawn(self._restore_season())
         while True:
-            await self._run_cycle()
+            if self._may_act():
+                await self._run_cycle()
             await asyncio.sleep(_CYCLE_INTERVAL_MS / 1_000)
 
+    def _may_act(self) -> bool:
+        # A process that was suspended or is cut off from the store may have
+        # been replaced by a successor.
+        return not self._stopped and self._authority.allows(
+            authority.Action.ORDER_MACHINES
+        )
+
+    def _on_ownership_lost(self) -> None:
+        self._give_up("store")
+
+    def _give_up(self, reason: str) -> None:
+        if not self._stopped:
+            # No order is sent from now on, before the manager is stopped.
+            self._stopped = True
+            self._on_lost(self, reason)
+
     async def _restore_season(self) -> None:
         season = await self._state.read_season()
         if season is not None and not self._season.is_confident():
@@ -146,7 +182,7 @@
         self._fleet.plan()
         await self._state.save_orders(
             set(self._fleet.operations),
-            self._fleet.recently_ordered(self._cooldown_ms),
+            self._fleet.recently_ordered(self._order_span_ms),
         )
         for operation in list(self._fleet.operations.values()):
             if operation.machine not in self._in_progress:
@@ -223,6 +259,7 @@
         if (
             self._listed_ms is not None
             and now_ms - self._listed_ms < interval_ms
+            and not self._fleet.awaits_list()
         ):
             return
         result = await self._platform.list()
@@ -232,15 +269,16 @@
             )
             return
         self._listed_ms = now_ms
-        self._fleet.update_machines(result.ok)
+        self._fleet.update_machines(result.ok, now_ms)
 
     # Operations.
 
     async def _advance(self, operation: operations.MachineOperation) -> None:
+        emptying = operation.stage is operations.Stage.EMPTYING
         try:
-            if operation.stage is operations.Stage.EMPTYING and operation.vm:
+            if emptying and operation.vm and self._may_act():
                 await self._vacate(operation)
-            if self._fleet.may_order(operation):
+            if self._fleet.may_order(operation) and self._may_act():
                 await self._order(operation)
         finally:
             self._in_progress.discard(operation.machine)
@@ -255,11 +293,17 @@
         answer = await self._ask_owner(
             machine.pool, messages.Vacate(machine.pool, operation.vm, mode)
         )
+        runs_left = None
         if isinstance(answer, messages.Vacated):
-            self._fleet.record_runs_left(operation, answer.runs_left)
+            runs_left = answer.runs_left
+        # Another answer, or none, may mean that the pool has a new owner, which
+        # may start runs on the VM.
+        self._fleet.record_runs_left(operation, runs_left)
 
     def _reopen_kept_vms(self) -> None:
         """Let owners start runs again on VMs whose move was cancelled."""
+        if not self._may_act():
+            return
         for machine_id, vm in list(self._fleet.cancelled_moves.items()):
             if machine_id in self._in_progress:
                 # A request to vacate the VM may be in transit; it must not
@@ -280,20 +324,16 @@
             return
         if operation.machine not in self._state.saved_orders:
             return
-        if not self._authority.allows(authority.Action.ORDER_MACHINES):
-            # A process that was suspended may have been replaced by a
-            # successor.
-            return
         self._fleet.record_order(operation)
         epoch = self.claim.epoch
         if operation.wave is not None:
             outcome = await self._platform.maintain(
-                operation.machine, operation.wave, epoch
+                operation.machine, operation.wave, epoch, self._may_act
             )
         else:
             assert operation.pool is not None
             outcome = await self._platform.move(
-                operation.machine, operation.pool, epoch
+                operation.machine, operation.pool, epoch, self._may_act
             )
         events.emit(
             events.Event.MACHINE_ORDERED,
@@ -306,6 +346,8 @@
             waited_ms=now_ms - operation.started_ms,
         )
         self._fleet.record_outcome(operation, outcome)
+        if outcome is machines.MachineOutcome.FENCED:
+            self._give_up("fenced")
 
     # The season.
 
--- a/tests/entry/test_node.py
+++ b/tests/entry/test_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from unittest import mock
 
 import testtools
 
@@ -9,6 +10,7 @@
 from support.sim import loop as loop_module
 from support.sim import scenarios
 from support.sim import world as world_module
+from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller.entry import node as node_module
 from wagtailtiller.jobs import model
@@ -130,6 +132,34 @@
         self.run_world(main, strong_processes=2)
 
 
+class SilentStoreTest(_NodeCase):
+    """Load pattern: a process is cut off from the store only, for long."""
+
+    def test_process_gives_all_its_shards_up(self):
+        """Guards against managers and owners that last as long as the cut."""
+
+        async def main():
+            process = self.world.processes["e0"]
+            self.assertIn(
+                node_module.MACHINES_SHARD, process.node.owned_shards()
+            )
+            manager = process.node._machine_manager
+            self.world.store_service.faults.partitioned.add(process.process)
+            with mock.patch.object(events, "emit") as emit:
+                await asyncio.sleep(8)
+            self.assertEqual([], process.node.owned_shards())
+            self.assertTrue(manager._main_task.done())
+            lost = {
+                call.kwargs["shard"]: call.kwargs["reason"]
+                for call in emit.mock_calls
+                if call.args == (events.Event.SHARD_LOST,)
+            }
+            self.assertEqual(dict.fromkeys(lost, "store_silent"), lost)
+            self.assertIn(node_module.MACHINES_SHARD, lost)
+
+        self.run_world(main, processes=1)
+
+
 class EpochTest(_NodeCase):
     def test_submission_for_an_earlier_epoch_has_no_effect(self):
         """Guards against a late request whose job was refused meanwhile."""
@@ -257,3 +287,53 @@
                 self.assertGreater(len(learned), 0)
 
             self.run_world(main, processes=2, guards_capacity=guards_capacity)
+
+
+class VacatedVmTest(_NodeCase):
+    """Load pattern: owners hand their pools over while machines move."""
+
+    def test_new_owner_starts_nothing_on_a_vm_reported_empty(self):
+        """Guards against runs that the order for the machine ends.
+
+        The machine manager orders within 400 ms of the report.
+        """
+
+        async def main():
+            pool = ids.PoolId("proofs")
+            process = self.world.processes[self.owners()[pool]]
+            vm = next(
+                vm
+                for vm in self.world.fleet.live_vms()
+                if vm.report.pool == pool
+            )
+            vacate = messages.Vacate(
+                pool, vm.report.vm, messages.VacateMode.MOVE_ALL
+            )
+            answer = await process.node.ask_local(vacate)
+            self.assertEqual(messages.Vacated(0), answer)
+            reported_ms = self.world.clock.monotonic_ms()
+            stopping = asyncio.create_task(process.node.hand_over())
+            step = jobs.step(12, cpu_millicores=8_000)
+            submitting = asyncio.create_task(self.submit(pool, jobs.spec(step)))
+            while self.world.clock.monotonic_ms() < reported_ms + 400:
+                self.assertEqual([], list(vm.running))
+                await asyncio.sleep(0.01)
+            await stopping
+            await submitting
+
+        self.run_world(main, processes=10, strong_processes=3)
+
+    async def submit(self, pool, spec):
+        """Submit a job by the pool's next owner as soon as it answers."""
+        request = messages.Submit(
+            pool, model.JobId("a" * 16), ids.QueueId("proof-page"), spec
+        )
+        while True:
+            await asyncio.sleep(0.01)
+            owner = self.owners().get(pool)
+            if owner is None:
+                continue
+            node = self.world.processes[owner].node
+            answer = await node.ask_local(request)
+            if isinstance(answer, messages.Accepted):
+                return
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import random
+from unittest import mock
 
+from aiohttp import test_utils
+from aiohttp import web
 from expression import Ok
+import msgspec
 import testtools
 
 from support import clocks
 from support import fakes
 from support import leases
 from support.sim import loop as loop_module
+from wagtailtiller import connector
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import tasks
@@ -17,6 +22,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
+from wagtailtiller.platform import machines as platform_machines
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import machines
 
@@ -25,6 +31,7 @@
 _SHARD = ids.ShardId("machines")
 _LEASE_MS = 3_000
 _CORES = 32_000
+_OLD_LEASE_MS = 10_000
 
 
 class _FakeMachineService:
@@ -44,13 +51,92 @@
             ]
         )
 
-    async def move(self, machine, pool, epoch):
+    async def move(self, machine, pool, epoch, may_send):
         now_ms = asyncio.get_running_loop().time() * 1_000
         self.orders.append((machine, epoch, now_ms))
         self.pools[machine] = pool
         return machines.MachineOutcome.DONE
 
 
+class _SlowlyConnectedService(_FakeMachineService):
+    """Lists fixed machines, and sends orders over a network.
+
+    Args:
+        names: Ids of the machines.
+        on_connect: Called when a connection for an order begins to open.
+
+    Attributes:
+        received: Number of orders that have arrived.
+    """
+
+    def __init__(self, names, on_connect):
+        super().__init__(names)
+        self.received = 0
+        self._on_connect = on_connect
+
+    async def serve(self):
+        async def answer(request):
+            self.received += 1
+            return web.Response(body=b"{}")
+
+        self._server = test_utils.RawTestServer(answer)
+        await self._server.start_server()
+        self._client = platform_machines.PlatformMachineService(
+            f"127.0.0.1:{self._server.port}", ids.NodeId("e-1")
+        )
+
+    async def move(self, machine, pool, epoch, may_send):
+        open_connection = connector.Connector._wrap_create_connection
+
+        async def open_slowly(*args, **options):
+            self._on_connect()
+            await asyncio.sleep(0.2)
+            return await open_connection(*args, **options)
+
+        with mock.patch.object(
+            connector.Connector, "_wrap_create_connection", open_slowly
+        ):
+            return await self._client.move(machine, pool, epoch, may_send)
+
+    async def close(self):
+        await self._client.close()
+        await self._server.close()
+
+
+class _FencingService(_FakeMachineService):
+    """Machine service that has seen the token of a later manager."""
+
+    async def move(self, machine, pool, epoch, may_send):
+        self.orders.append((machine, epoch, 0))
+        return machines.MachineOutcome.FENCED
+
+
+class _MaintenanceService(_FakeMachineService):
+    """Machine service whose maintenance lasts until the end of the test."""
+
+    def __init__(self, names):
+        super().__init__(names)
+        self.maintained = []
+
+    async def list(self):
+        listed = (await super().list()).ok
+        return Ok(
+            [
+                msgspec.structs.replace(
+                    machine, state=machines.MachineState.MAINTENANCE
+                )
+                if machine.machine in self.maintained
+                else machine
+                for machine in listed
+            ]
+        )
+
+    async def maintain(self, machine, wave, epoch, may_send=lambda: True):
+        if machine not in self.maintained:
+            self.maintained.append(machine)
+        return machines.MachineOutcome.DONE
+
+
 class _FakeDeclarations:
     """Declarations of a pool with one queue, and of a standby pool."""
 
@@ -65,16 +151,24 @@
         self.catalogue = catalogue.Catalogue(1, (queue,), pools, 1_000)
         self.waves = {}
 
+    def wave_status_key(self, wave):
+        return f"status/{wave}"
 
-class MachineManagerTest(testtools.TestCase):
+    def wave_status(self, wave, completed):
+        return b"completed" if completed else b"running"
+
+
+class _ManagerCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.store = fakes.FakeStore()
         self.service = _FakeMachineService("abcdef")
+        self.waves = {}
         self.needed_machines = 0
         self.arrived_jobs = 0
         self.vms = {}
         self.requests = []
+        self.lost = []
         self.lease = leases.FakeLease(clocks.FakeClock())
 
     async def ask_owner(self, pool, request):
@@ -97,6 +191,8 @@
         )
 
     def start_manager(self, epoch):
+        declared = _FakeDeclarations()
+        declared.waves = self.waves
         key = keys.owner(_SHARD)
         revision = self.store.state.item(key).revision
         written = self.store.state.write(key, b"%d" % epoch, revision, "")
@@ -104,14 +200,35 @@
             claims.Claim(_SHARD, epoch, written.ok),
             self.store,
             self.service,
-            _FakeDeclarations(),
+            declared,
             self.ask_owner,
             loop_module.VirtualClock(asyncio.get_running_loop()),
             _LEASE_MS,
             authority.Authority(self.lease),
+            lambda manager, reason: self.lost.append((manager, reason)),
             random.Random(1),
         )
 
+    async def start_manager_that_only_plans(self, epoch):
+        """Start a manager whose lease is old once its orders are listed.
+
+        It has planned to order machines, and the store lists them for its
+        successor, but it may not order them.
+        """
+        commit = self.store.commit
+
+        async def commit_and_age(transaction):
+            result = await commit(transaction)
+            self.lease.current_age_ms = _OLD_LEASE_MS
+            return result
+
+        with mock.patch.object(self.store, "commit", commit_and_age):
+            manager = self.start_manager(epoch)
+            await asyncio.sleep(1)
+        self.assertEqual(self.needed_machines, len(manager._state.saved_orders))
+        self.assertEqual([], self.orders_of(epoch))
+        return manager
+
     async def crash(self, manager):
         """End a manager without a planned stop."""
         await tasks.cancel_and_wait([manager._main_task])
@@ -129,6 +246,36 @@
     def orders_of(self, epoch):
         return [order for order in self.service.orders if order[1] == epoch]
 
+    async def start_with_surplus(self):
+        """Start the manager of a pool that soon needs one of its three VMs."""
+        for name in "abc":
+            self.service.vms[name] = f"vm-{name}"
+            self.vms[f"vm-{name}"] = 1
+        self.service.pools = dict.fromkeys("abc", _RENDERS)
+        self.needed_machines = 3
+        self.arrived_jobs = 1
+        manager = self.start_manager(1)
+        await asyncio.sleep(2)
+        self.needed_machines = 1
+        return manager
+
+    async def start_vacating(self):
+        """Start a manager, and wait until it vacates two VMs."""
+        manager = await self.start_with_surplus()
+        await asyncio.sleep(4)
+        self.assertEqual(2, len(self.sent(messages.Vacate)))
+        return manager
+
+    def sent(self, request_type):
+        """Return the VMs that requests of a type name."""
+        return {
+            request.vm
+            for request in self.requests
+            if isinstance(request, request_type)
+        }
+
+
+class MachineManagerTest(_ManagerCase):
     def test_a_new_manager_orders_after_one_pause(self):
         """Load pattern: all entry VMs restart at once in a peak.
 
@@ -231,9 +378,7 @@
 
         async def main():
             self.needed_machines = 4
-            self.lease.current_age_ms = 2_000
-            first = self.start_manager(1)
-            await asyncio.sleep(1)
+            first = await self.start_manager_that_only_plans(1)
             await first.stop()
             self.lease.current_age_ms = 0
             second = self.start_manager(2)
@@ -248,9 +393,7 @@
         # Without a planned stop, any of them may have been ordered.
         async def main():
             self.needed_machines = 6
-            self.lease.current_age_ms = 2_000
-            first = self.start_manager(1)
-            await asyncio.sleep(1)
+            first = await self.start_manager_that_only_plans(1)
             await self.crash(first)
             self.lease.current_age_ms = 0
             second = self.start_manager(2)
@@ -367,3 +510,228 @@
 
         loop_module.run(main())
         self.assertEqual(3, len(self.orders_of(1)))
+
+
+class FormerManagerTest(_ManagerCase):
+    """Load pattern: the machine manager is cut off from the store only.
+
+    Its lease has ended, so that another process manages the machines.
+    """
+
+    def test_former_manager_vacates_no_vms(self):
+        """Guards against VMs that are closed, and tasks that are moved."""
+
+        async def main():
+            manager = await self.start_vacating()
+            self.lease.current_age_ms = 10_000
+            await asyncio.sleep(1)
+            self.requests.clear()
+            await asyncio.sleep(3)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual(set(), self.sent(messages.Vacate))
+
+    def test_former_manager_reopens_no_vms(self):
+        """Guards against starts on VMs that its successor is vacating."""
+
+        async def main():
+            manager = await self.start_vacating()
+            self.lease.current_age_ms = 10_000
+            await asyncio.sleep(1)
+            self.needed_machines = 3
+            await asyncio.sleep(2)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual(set(), self.sent(messages.Reopen))
+
+
+class OwnershipChangeTest(_ManagerCase):
+    """Tests of orders while a pool or the machines change hands."""
+
+    def test_vm_is_not_ordered_after_its_owner_has_changed(self):
+        """Guards against an order that ends the runs of a pool's next owner.
+
+        The report that the VM has no runs comes from the previous owner. When
+        the order may be sent, the next one does not know the VM's runs yet.
+        """
+
+        async def ask_owner(pool, request):
+            if not isinstance(request, messages.Vacate):
+                return await _ManagerCase.ask_owner(self, pool, request)
+            is_first = not self.sent(messages.Vacate)
+            self.requests.append(request)
+            if not is_first:
+                return messages.NotOwner()
+            # The list of orders could not be stored before.
+            self.store.refuse_commits = False
+            return messages.Vacated(0)
+
+        async def main():
+            self.ask_owner = ask_owner
+            manager = await self.start_with_surplus()
+            self.store.refuse_commits = True
+            await asyncio.sleep(4)
+            self.assertNotEqual(set(), self.sent(messages.Vacate))
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual([], self.service.orders)
+
+    def test_stopping_manager_orders_nothing(self):
+        """Guards against an order that is sent after the stop has begun.
+
+        A request for a load is slow to end, and the answer that a VM has no
+        runs arrives meanwhile.
+        """
+        answer_vacate = asyncio.Event()
+
+        async def ask_owner(pool, request):
+            if isinstance(request, messages.Vacate):
+                self.requests.append(request)
+                await answer_vacate.wait()
+                return messages.Vacated(0)
+            if not self.sent(messages.Vacate):
+                return await _ManagerCase.ask_owner(self, pool, request)
+            try:
+                return await loop_module.wait_forever()
+            finally:
+                await asyncio.sleep(0.3)
+
+        async def main():
+            self.ask_owner = ask_owner
+            manager = await self.start_vacating()
+            stopping = asyncio.create_task(manager.stop())
+            await asyncio.sleep(0.02)
+            answer_vacate.set()
+            await stopping
+
+        loop_module.run(main())
+        self.assertEqual([], self.service.orders)
+
+    def test_late_order_of_the_previous_manager_counts_against_its_wave(self):
+        """Guards against more machines down for a wave than may be.
+
+        The store ends the lease of the previous manager right after a renewal,
+        so that it may order for 1.5 s more, and the platform takes as long to
+        carry out its last order.
+        """
+        self.check_late_order(3)
+
+    def test_order_that_is_carried_out_as_the_cooldown_ends_counts(self):
+        """Guards against more machines down for a wave than may be.
+
+        The last list of machines before the end of the cooldown does not show
+        the maintenance.
+        """
+        self.check_late_order(4.7)
+
+    def check_late_order(self, carried_out_s):
+        """Check that an order of a previous manager counts.
+
+        Args:
+            carried_out_s: When the platform carries it out, after the takeover.
+        """
+        self.service = _MaintenanceService("ab")
+        wave = machines.Wave(ids.WaveId("1"), ("b", "a"), 60_000, 1)
+        self.waves = {wave.wave: wave}
+        orders = msgspec.msgpack.encode({"machines": ["a"]})
+        self.store.state.write(keys.MACHINE_ORDERS, orders, 0, "")
+
+        async def main():
+            manager = self.start_manager(2)
+            await asyncio.sleep(carried_out_s)
+            self.assertEqual([], self.service.maintained)
+            await self.service.maintain("a", wave.wave, 1)
+            await asyncio.sleep(5)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual(["a"], self.service.maintained)
+
+    def test_successor_waits_for_a_manager_whose_lease_ended_early(self):
+        """Guards against two managers that order a machine within its lease.
+
+        The store ends the lease of the first manager right after a renewal, and
+        the first manager does not learn of it.
+        """
+        self.service = _FakeMachineService("a")
+
+        async def main():
+            self.needed_machines = 1
+            first = await self.start_manager_that_only_plans(1)
+            first_lease, self.lease = (
+                self.lease,
+                leases.FakeLease(clocks.FakeClock()),
+            )
+            second = self.start_manager(2)
+            await asyncio.sleep(1)
+            first_lease.current_age_ms = 1_000
+            await asyncio.sleep(0.4)
+            first_lease.current_age_ms = 10_000
+            self.service.pools["a"] = _SPARE
+            await asyncio.sleep(6)
+            await second.stop()
+            await first.stop()
+
+        loop_module.run(main())
+        ((_, first_epoch, first_ms), (_, second_epoch, second_ms)) = (
+            self.service.orders
+        )
+        self.assertEqual((1, 2), (first_epoch, second_epoch))
+        self.assertGreaterEqual(second_ms - first_ms, _LEASE_MS)
+
+    def test_order_that_waited_for_a_connection_is_not_sent(self):
+        """Guards against orders of a process that was paused meanwhile."""
+
+        def lose_lease():
+            self.lease.current_age_ms = 10_000
+
+        async def main():
+            self.service = _SlowlyConnectedService("a", lose_lease)
+            await self.service.serve()
+            self.needed_machines = 1
+            manager = self.start_manager(1)
+            await asyncio.sleep(1.5)
+            await manager.stop()
+            await self.service.close()
+
+        asyncio.run(main())
+        self.assertEqual(10_000, self.lease.current_age_ms)
+        self.assertEqual(0, self.service.received)
+
+    def test_manager_that_has_learned_of_its_successor_orders_nothing(self):
+        """Guards against orders after a write that showed the loss."""
+
+        async def main():
+            self.needed_machines = 1
+            manager = await self.start_manager_that_only_plans(1)
+            key = keys.owner(_SHARD)
+            revision = self.store.state.item(key).revision
+            self.store.state.write(key, b"2", revision, "")
+            # The next list of orders is refused, since the owner has changed.
+            self.needed_machines = 2
+            writes = self.store.writes
+            self.lease.current_age_ms = 0
+            await asyncio.sleep(2)
+            self.assertGreater(self.store.writes, writes)
+            self.assertEqual([(manager, "store")], self.lost)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual([], self.service.orders)
+
+    def test_fenced_manager_orders_nothing(self):
+        """Guards against orders after one that showed a later manager."""
+
+        async def main():
+            self.service = _FencingService("abcdef")
+            self.needed_machines = 3
+            manager = self.start_manager(1)
+            await asyncio.sleep(2)
+            self.assertEqual([(manager, "fenced")], self.lost)
+            await manager.stop()
+
+        loop_module.run(main())
+        self.assertEqual(1, len(self.service.orders))
