Count the age of a report that a VM is empty from the request

Cause: the report counted as new when its answer was read, which a late or paused process does up to 1.5 s after the owner has looked at the VM.

Change: its age counts from the request.

--- a/src/wagtailtiller/maintenance/machine_fleet.py
+++ b/src/wagtailtiller/maintenance/machine_fleet.py
@@ -143,17 +143,20 @@
         self._move_planner.plan()
 
     def record_runs_left(
-        self, operation: operations.MachineOperation, runs_left: int | None
+        self,
+        operation: operations.MachineOperation,
+        runs_left: int | None,
+        asked_ms: int,
     ) -> None:
         """Record how many runs are left on the VM of an operation.
 
         Args:
             operation: The operation whose VM is being vacated.
             runs_left: Number of runs; None if nobody can say.
+            asked_ms: Clock reading before the owner was asked; the answer may
+                be read late.
         """
-        operation.empty_at_ms = None
-        if runs_left == 0:
-            operation.empty_at_ms = self._clock.monotonic_ms()
+        operation.empty_at_ms = asked_ms if runs_left == 0 else None
 
     def may_order(self, operation: operations.MachineOperation) -> bool:
         """Return whether the machine has no runs and may be ordered now."""
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -290,6 +290,7 @@
         mode = messages.VacateMode.MOVE_LONG_RUNNING
         if self._fleet.must_move_all(operation):
             mode = messages.VacateMode.MOVE_ALL
+        asked_ms = self._clock.monotonic_ms()
         answer = await self._ask_owner(
             machine.pool, messages.Vacate(machine.pool, operation.vm, mode)
         )
@@ -298,7 +299,7 @@
             runs_left = answer.runs_left
         # Another answer, or none, may mean that the pool has a new owner, which
         # may start runs on the VM.
-        self._fleet.record_runs_left(operation, runs_left)
+        self._fleet.record_runs_left(operation, runs_left, asked_ms)
 
     def _reopen_kept_vms(self) -> None:
         """Let owners start runs again on VMs whose move was cancelled."""
--- a/src/wagtailtiller/maintenance/operations.py
+++ b/src/wagtailtiller/maintenance/operations.py
@@ -31,8 +31,8 @@
         vm: The VM on the machine before the order; empty if there is none.
         started_ms: Clock reading at the start of the operation.
         stage: Current stage.
-        empty_at_ms: Clock reading at the answer to the last request to vacate
-            the VM if the VM had no runs; otherwise None.
+        empty_at_ms: Clock reading before the last request to vacate the VM if
+            the VM had no runs; otherwise None.
         last_order_ms: Clock reading when an order was last sent; 0 if none
             was sent.
     """
--- a/tests/maintenance/test_machine_fleet.py
+++ b/tests/maintenance/test_machine_fleet.py
@@ -213,7 +213,7 @@
         operation = self.find_operations(pool=_SPARE)[0]
         self.add_sample(cores=80)
         self.fleet.plan()
-        self.fleet.record_runs_left(operation, 0)
+        self.fleet.record_runs_left(operation, 0, self.clock.monotonic_ms())
         self.assertFalse(self.fleet.may_order(operation))
 
     def test_a_new_manager_moves_surplus_machines_to_a_short_pool(self):
@@ -330,7 +330,7 @@
         self.fleet.plan()
         (operation,) = self.find_operations(wave=_WAVE)
         self.assertFalse(self.fleet.may_order(operation))
-        self.fleet.record_runs_left(operation, 0)
+        self.fleet.record_runs_left(operation, 0, self.clock.monotonic_ms())
         self.assertTrue(self.fleet.may_order(operation))
         self.clock.advance(1_000)
         self.assertFalse(self.fleet.may_order(operation))
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -511,6 +511,43 @@
         loop_module.run(main())
         self.assertEqual(3, len(self.orders_of(1)))
 
+    def order_after_answers_that_take(self, delay_s):
+        """Return whether a VM is moved whose owner answers after a delay."""
+
+        async def answer_late(pool, request):
+            answer = await self.ask_owner(pool, request)
+            if isinstance(request, messages.Vacate):
+                await asyncio.sleep(delay_s)
+            return answer
+
+        async def main():
+            for name in "abc":
+                self.service.pools[name] = _RENDERS
+                self.service.vms[name] = f"vm-{name}"
+                self.vms[f"vm-{name}"] = 0
+            self.service.pools = dict(list(self.service.pools.items())[:3])
+            self.needed_machines = 3
+            self.arrived_jobs = 1
+            manager = self.start_manager(1)
+            manager._ask_owner = answer_late
+            await asyncio.sleep(2)
+            self.needed_machines = 1
+            await asyncio.sleep(6)
+            await manager.stop()
+
+        loop_module.run(main())
+        return bool(self.service.orders)
+
+    def test_empty_vm_is_moved(self):
+        self.assertTrue(self.order_after_answers_that_take(0.1))
+
+    def test_report_that_a_vm_is_empty_ages_while_it_is_awaited(self):
+        """Guards against moves of VMs on which a new owner has started tasks.
+
+        This process was paused, or late, before it read the answer.
+        """
+        self.assertFalse(self.order_after_answers_that_take(0.9))
+
 
 class FormerManagerTest(_ManagerCase):
     """Load pattern: the machine manager is cut off from the store only.
