--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -10,7 +10,7 @@
 import dataclasses
 import random
 
-from support.sim import process as process_module
+from support.sim import revocations
 from support.sim import vms as vms_module
 from support.sim import world as world_module
 from wagtailtiller import ids
@@ -18,15 +18,6 @@
 
 World = world_module.World
 
-_RENEWAL_CHECK_S = 0.001
-# Longer than an answer of the store takes, so that the process knows of it.
-_RENEWAL_ANSWER_S = 0.003
-# Renewals are 500 ms apart; a paused or partitioned process makes none.
-_RENEWAL_CHECKS = 1_000
-# A former owner may command VMs for 6 s, which is longer than drawn faults.
-_SPLIT_FACTOR = 2.0
-_SPLIT_LONGER_S = 3.0
-
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
@@ -248,96 +239,6 @@
     )
 
 
-async def _revoke_lease(world: World, duration_s: float) -> None:
-    """Take a process's lease away, and turn it away from the store.
-
-    A pool's owner is preferred. The process reaches the VMs, the machine
-    service and the other processes as before.
-    """
-    processes = world.live_processes()
-    if not processes:
-        return
-    await _revoke(world, _choose_owner(world, processes), duration_s)
-
-
-async def _revoke_renewed_lease(world: World, duration_s: float) -> None:
-    """Take a process's lease away right after it has renewed it."""
-    processes = world.live_processes()
-    if not processes:
-        return
-    process = _choose_owner(world, processes)
-    await _await_renewal(world, process)
-    await _revoke(world, process, duration_s)
-
-
-async def _split_at_revocation(world: World, duration_s: float) -> None:
-    """Revoke a pool's owner, and split its VMs between it and the others.
-
-    Each VM with runs is out of reach for the processes that may take the pool
-    over, and each other VM for the owner. The owner is turned away for twice
-    the duration; the VMs stay out of reach for 3 s longer.
-    """
-    owners = _pool_owners(world)
-    if not owners:
-        return
-    owner = world.rng.choice(owners)
-    pools = {ids.PoolId(shard) for shard in owner.node.owned_shards()}
-    other_ids = {
-        process.process
-        for process in world.live_processes()
-        if process is not owner
-    }
-    revoked_s = _SPLIT_FACTOR * duration_s
-    await _await_renewal(world, owner)
-    for vm in world.fleet.live_vms():
-        if vm.report.pool not in pools:
-            continue
-        process_ids = other_ids if vm.running else {owner.process}
-        vm.partitioned |= process_ids
-        asyncio.get_running_loop().call_later(
-            revoked_s + _SPLIT_LONGER_S,
-            vm.partitioned.difference_update,
-            process_ids,
-        )
-    await _revoke(world, owner, revoked_s)
-
-
-async def _revoke(
-    world: World, process: process_module.Process, duration_s: float
-) -> None:
-    service = world.store_service
-    service.faults.partitioned.add(process.process)
-    service.revoke(process.process)
-    await asyncio.sleep(duration_s)
-    service.faults.partitioned.discard(process.process)
-
-
-async def _await_renewal(world: World, process: process_module.Process) -> None:
-    """Wait until a process has renewed its lease, if it does so soon."""
-    renewals = world.store_service.renewals
-    count = renewals[process.process]
-    for _ in range(_RENEWAL_CHECKS):
-        if renewals[process.process] > count:
-            break
-        await asyncio.sleep(_RENEWAL_CHECK_S)
-    await asyncio.sleep(_RENEWAL_ANSWER_S)
-
-
-def _pool_owners(world: World) -> list[process_module.Process]:
-    return [
-        process
-        for process in world.live_processes()
-        if world.scenario.machines.keys() & set(process.node.owned_shards())
-    ]
-
-
-def _choose_owner(
-    world: World, processes: list[process_module.Process]
-) -> process_module.Process:
-    """Return the owner of a pool, or any process if there is none."""
-    return world.rng.choice(_pool_owners(world) or processes)
-
-
 async def _slow_store(world: World, duration_s: float) -> None:
     await _set_temporarily(
         [world.store_service.faults], "slow_ms", 150.0, 0.0, duration_s
@@ -489,9 +390,9 @@
     "cut-peers": _partition_peer,
     "store-down": _stop_store,
     "store-cut": _partition_store,
-    "store-revokes": _revoke_lease,
-    "store-revokes-renewed": _revoke_renewed_lease,
-    "store-revokes-split": _split_at_revocation,
+    "store-revokes": revocations.revoke_lease,
+    "store-revokes-renewed": revocations.revoke_renewed_lease,
+    "store-revokes-split": revocations.split_at_revocation,
     "store-slow": _slow_store,
     "store-loses": _lose_store_answers,
     "store-late": _delay_store_writes,
