Let the simulation cut nodes off from machines and hold answers up

Cause: a partition could be named by instances of processes and VMs only, so that a process or a VM that restarts during it was back in reach, and a cut-off process still read registrations and listed machines. Change: partitions may name nodes; machines have predicates of the processes that can't reach them; answers of the store may arrive after a partition; VMs may restart under their id; calls go to the instance that listens at the address then.

--- a/support/sim/fleet.py
+++ b/support/sim/fleet.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from support.sim import loop as loop_module
+from support.sim import nodes
 from support.sim import oracle as oracle_module
 from support.sim import truth as truth_module
 from support.sim import vms as vms_module
@@ -49,6 +50,7 @@
         command_epoch: Highest epoch of all commands so far.
         command_ms: When the last command arrived.
         counted_until_ms: Time up to which machine time has been counted.
+        barriers: Predicates of the processes that cannot reach the machine.
     """
 
     machine: ids.MachineId
@@ -61,6 +63,7 @@
     command_epoch: int = 0
     command_ms: int = 0
     counted_until_ms: int = 0
+    barriers: list[vms_module.Barrier] = dataclasses.field(default_factory=list)
 
 
 class Fleet:
@@ -79,6 +82,8 @@
         maintained: Machines whose maintenance has begun, by wave.
         registered: Reports of the registered VMs.
         down: Whether the machine service does not answer.
+        partitioned: Processes, or names of their nodes, that can reach neither
+            the machine service nor the registrations.
         moves: Number of machine moves.
         pooled_machine_ms: Machine time in pools other than standby.
         guards_capacity: Whether new VMs refuse starts that do not fit.
@@ -97,6 +102,7 @@
         self.maintained: dict[ids.WaveId, set[ids.MachineId]] = {}
         self.registered: dict[ids.VmId, vms.VmReport] = {}
         self.down = False
+        self.partitioned: set[str] = set()
         self.moves = 0
         self.pooled_machine_ms = 0
         self.guards_capacity = True
@@ -127,22 +133,32 @@
             process: Process that opens the connection.
             rng: Random source that decides which commands are delayed.
         """
-        vm = self._vms_by_id.get(report.vm)
-        return vms_module.SimVmClient(vm, process, rng)
+        return vms_module.SimVmClient(
+            lambda: self._vms_by_id.get(report.vm), process, rng
+        )
 
-    def crash(self, vm: vms_module.SimVm, restart_after_ms: int) -> None:
+    def crash(
+        self,
+        vm: vms_module.SimVm,
+        restart_after_ms: int,
+        keeps_id: bool = False,
+    ) -> None:
         """Crash a VM; a new instance starts later.
 
         Args:
             vm: VM to crash; nothing happens if it has ended.
             restart_after_ms: Time until the new instance starts.
+            keeps_id: Whether the new instance has the id of the VM.
         """
         machine = self.machines[ids.MachineId(vm.report.machine)]
         if machine.vm is not vm:
             return
         machine.state = machines.MachineState.DOWN
         self._power_off(machine, _HEARTBEAT_TIMEOUT_MS)
-        loop_module.spawn(self._power_on_after(machine, restart_after_ms))
+        vm_id = vm.report.vm if keeps_id else None
+        loop_module.spawn(
+            self._power_on_after(machine, restart_after_ms, vm_id)
+        )
 
     def report_capacity(self, vm: vms_module.SimVm, divisor: int = 1) -> None:
         """Let a VM report a part of its full capacity.
@@ -247,14 +263,16 @@
             return machines.MachineOutcome.BUSY
         return None
 
-    def _power_on(self, machine: SimMachine) -> None:
+    def _power_on(
+        self, machine: SimMachine, vm_id: ids.VmId | None = None
+    ) -> None:
         machine.state = machines.MachineState.UP
         machine.counted_until_ms = self._clock.monotonic_ms()
         if machine.pool == self._standby:
             return
         machine.instance_count += 1
         report = vms_module.vm_report(
-            f"{machine.machine}-{machine.instance_count}",
+            vm_id or f"{machine.machine}-{machine.instance_count}",
             machine.pool,
             machine.machine,
             self._clock.wall_ms(),
@@ -269,6 +287,7 @@
             lambda vm: self.crash(vm, _CRASH_RETURN_MS),
         )
         vm.guards_capacity = self.guards_capacity
+        vm.barriers = machine.barriers
         self._oracle.record_capacity(vm)
         machine.vm = vm
         self._vms_by_id[report.vm] = vm
@@ -286,7 +305,7 @@
         else:
             self._oracle.record_shutdown(vm)
         vm.power_off()
-        loop_module.spawn(self._deregister(vm.report.vm, deregister_after_ms))
+        loop_module.spawn(self._deregister(vm.report, deregister_after_ms))
 
     def _update_machine_time(self, machine: SimMachine) -> None:
         now_ms = self._clock.monotonic_ms()
@@ -294,14 +313,22 @@
             self.pooled_machine_ms += now_ms - machine.counted_until_ms
         machine.counted_until_ms = now_ms
 
-    async def _deregister(self, vm: ids.VmId, after_ms: int) -> None:
+    async def _deregister(self, report: vms.VmReport, after_ms: int) -> None:
         await asyncio.sleep(after_ms / 1_000)
-        self.registered.pop(vm, None)
+        registered = self.registered.get(report.vm)
+        # A later instance may have registered under the same id.
+        if registered is not None and registered.born_ms == report.born_ms:
+            del self.registered[report.vm]
 
-    async def _power_on_after(self, machine: SimMachine, delay_ms: int) -> None:
+    async def _power_on_after(
+        self,
+        machine: SimMachine,
+        delay_ms: int,
+        vm_id: ids.VmId | None = None,
+    ) -> None:
         await asyncio.sleep(delay_ms / 1_000)
         self._update_machine_time(machine)
-        self._power_on(machine)
+        self._power_on(machine, vm_id)
 
 
 class SimMachines:
@@ -309,10 +336,12 @@
 
     Args:
         fleet: Fleet that the service manages.
+        process: Process that owns the client.
     """
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, process: str) -> None:
         self._fleet = fleet
+        self._process = process
 
     async def list(
         self,
@@ -348,7 +377,8 @@
 
     async def _deliver(self, operation: Callable[[], Awaitable[_T]]) -> _T:
         await asyncio.sleep(_ONE_WAY_DELAY_MS / 1_000)
-        if self._fleet.down:
+        partitioned = self._fleet.partitioned
+        if self._fleet.down or nodes.is_partitioned(self._process, partitioned):
             await loop_module.wait_forever()
         answer = await operation()
         await asyncio.sleep(_ONE_WAY_DELAY_MS / 1_000)
--- a/support/sim/process.py
+++ b/support/sim/process.py
@@ -6,6 +6,7 @@
 
 from support.sim import fleet as fleet_module
 from support.sim import loop as loop_module
+from support.sim import nodes
 from support.sim import store as store_module
 from wagtailtiller import ids
 from wagtailtiller.entry import node as node_module
@@ -27,7 +28,8 @@
 
     Attributes:
         handlers: Process and request handler for each address.
-        partitioned: Processes that cannot exchange requests with others.
+        partitioned: Processes, or names of their nodes, that cannot exchange
+            requests with others.
     """
 
     def __init__(self) -> None:
@@ -51,16 +53,20 @@
             # The receiver has ended while the request was under way.
             await loop_module.wait_forever()
         receiver, handle = self.handlers[address]
-        if sender in self.partitioned or receiver in self.partitioned:
-            await loop_module.wait_forever()
+        await self._wait_if_partitioned(sender, receiver)
         answer = await loop_module.spawn(
             _answer_request(handle, request), receiver
         )
         await asyncio.sleep(_ONE_WAY_DELAY_MS / 1_000)
-        if sender in self.partitioned or receiver in self.partitioned:
-            await loop_module.wait_forever()
+        await self._wait_if_partitioned(sender, receiver)
         return answer
 
+    async def _wait_if_partitioned(self, sender: str, receiver: str) -> None:
+        """Never return if one of two processes is cut off from the others."""
+        for process in (sender, receiver):
+            if nodes.is_partitioned(process, self.partitioned):
+                await loop_module.wait_forever()
+
 
 class _SimPeers:
     def __init__(self, network: Network, process: str) -> None:
@@ -93,6 +99,7 @@
     Args:
         catalogue: Catalogue that the operators have declared.
         fleet: Fleet whose VMs register.
+        process: Process that follows the registrations.
 
     Attributes:
         catalogue: Catalogue that the operators have declared.
@@ -101,12 +108,16 @@
     """
 
     def __init__(
-        self, catalogue: catalogue_module.Catalogue, fleet: fleet_module.Fleet
+        self,
+        catalogue: catalogue_module.Catalogue,
+        fleet: fleet_module.Fleet,
+        process: str,
     ) -> None:
         self.catalogue: catalogue_module.Catalogue | None = catalogue
         self.vms: dict[ids.VmId, vms.VmReport] = {}
         self.waves = fleet.waves
         self._fleet = fleet
+        self._process = process
         self._subscribers: list[Callable[[], None]] = []
 
     def subscribe(self, on_change: Callable[[], None]) -> None:
@@ -129,7 +140,10 @@
     async def follow_vms(self) -> None:
         """Follow the registrations of VMs until cancelled."""
         while True:
-            if self.vms != self._fleet.registered:
+            cut_off = nodes.is_partitioned(
+                self._process, self._fleet.partitioned
+            )
+            if not cut_off and self.vms != self._fleet.registered:
                 self.vms = dict(self._fleet.registered)
                 self._notify()
             await asyncio.sleep(_REGISTRY_DELAY_MS / 1_000)
@@ -181,9 +195,9 @@
         settings = _settings(name, capacity)
         adapters = node_module.Adapters(
             store_module.SimStore(store_service, self.process),
-            SimDeclarations(catalogue, fleet),
+            SimDeclarations(catalogue, fleet, self.process),
             lambda report: fleet.connect(report, self.process, rng),
-            fleet_module.SimMachines(fleet),
+            fleet_module.SimMachines(fleet, self.process),
             peers=_SimPeers(network, self.process),
         )
         self.node = loop_module.context(self.process).run(
--- a/support/sim/store.py
+++ b/support/sim/store.py
@@ -14,6 +14,7 @@
 from expression import Result
 
 from support.sim import loop as loop_module
+from support.sim import nodes
 from support.standins import store as standin
 from wagtailtiller import errors
 from wagtailtiller import ids
@@ -24,6 +25,7 @@
 _CALL_TIMEOUT_MS = 700
 _EXPIRY_CHECK_S = 0.1
 _LATE_DELAY_MS = (1_000, 6_000)
+_HELD_ANSWER_CHECK_S = 0.001
 
 
 @dataclasses.dataclass
@@ -32,7 +34,10 @@
 
     Attributes:
         down: Whether the service does not answer.
-        partitioned: Processes that cannot reach the service.
+        partitioned: Processes, or names of their nodes, that cannot reach the
+            service.
+        holds_answers: Whether answers to partitioned processes arrive after the
+            partition; otherwise they are lost.
         slow_ms: Additional duration of each call.
         lost_answer_share: Share of calls whose answers are lost.
         late_share: Share of transactions that are applied late.
@@ -40,6 +45,7 @@
 
     down: bool = False
     partitioned: set[str] = dataclasses.field(default_factory=set)
+    holds_answers: bool = False
     slow_ms: float = 0.0
     lost_answer_share: float = 0.0
     late_share: float = 0.0
@@ -119,15 +125,24 @@
         await asyncio.sleep((_ONE_WAY_DELAY_MS + faults.slow_ms) / 1_000)
         if writes and self._rng.random() < faults.late_share:
             await asyncio.sleep(self._rng.uniform(*_LATE_DELAY_MS) / 1_000)
-        if faults.down or process in faults.partitioned:
+        if faults.down or nodes.is_partitioned(process, faults.partitioned):
             await loop_module.wait_forever()
         answer = await operation()
         await asyncio.sleep(_ONE_WAY_DELAY_MS / 1_000)
         lost = self._rng.random() < faults.lost_answer_share
-        if lost or faults.down or process in faults.partitioned:
+        if lost or faults.down:
             await loop_module.wait_forever()
+        await self._cross_partition(process)
         return answer
 
+    async def _cross_partition(self, process: str) -> None:
+        """Hold an answer up until its receiver is in reach, or lose it."""
+        faults = self.faults
+        while nodes.is_partitioned(process, faults.partitioned):
+            if not faults.holds_answers:
+                await loop_module.wait_forever()
+            await asyncio.sleep(_HELD_ANSWER_CHECK_S)
+
 
 class SimStore:
     """Client of the service in one process.
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -21,6 +21,8 @@
 from wagtailtiller.ports import vms
 
 _T = TypeVar("_T")
+# Returns whether a process cannot reach a machine.
+Barrier = Callable[[str], bool]
 _ONE_WAY_DELAY_MS = 0.6
 _COMMAND_TIMEOUT_MS = 800
 _HOLD_TIMEOUT_MS = 600
@@ -62,6 +64,7 @@
         health: Whether tasks end normally, fail or hang.
         slowdown_factor: Factor on the run time of all tasks.
         partitioned: Processes that cannot reach the VM.
+        barriers: Predicates of the processes that cannot reach the machine.
         late_share: Share of commands that are delayed.
         dead: Whether the instance has ended.
         guards_capacity: Whether the VM refuses starts that do not fit.
@@ -80,6 +83,7 @@
         self.health = Health.HEALTHY
         self.slowdown_factor = 1.0
         self.partitioned: set[str] = set()
+        self.barriers: list[Barrier] = []
         self.late_share = 0.0
         self.dead = False
         self._lapsed_lease_ms = 0
@@ -129,6 +133,14 @@
         self._oracle.record_end(self, task, number, kind)
         self._ends_changed.set()
 
+    def reachable_from(self, process: str) -> bool:
+        """Return whether requests and answers of a process get through."""
+        return not (
+            self.dead
+            or process in self.partitioned
+            or any(is_cut_off(process) for is_cut_off in self.barriers)
+        )
+
     def rack_label(self) -> str:
         """Return the label of the VM's rack."""
         return self.report.labels[1]
@@ -263,15 +275,18 @@
     """Connection of one process to a VM.
 
     Args:
-        vm: VM to connect to; None if nothing listens at the address.
+        find_vm: Returns the VM that listens at the address now, or None.
         process: Process that owns the connection.
         rng: Random source that decides which commands are delayed.
     """
 
     def __init__(
-        self, vm: SimVm | None, process: str, rng: random.Random
+        self,
+        find_vm: Callable[[], SimVm | None],
+        process: str,
+        rng: random.Random,
     ) -> None:
-        self._vm = vm
+        self._find_vm = find_vm
         self._process = process
         self._rng = rng
 
@@ -323,7 +338,8 @@
     async def _send_command(
         self, operation: Callable[[SimVm], Awaitable[vms.CommandResponse]]
     ) -> vms.CommandResponse:
-        late_share = self._vm.late_share if self._vm is not None else 0.0
+        vm = self._find_vm()
+        late_share = vm.late_share if vm is not None else 0.0
         late = self._rng.random() < late_share
         answer = await loop_module.call_remote(
             self._deliver(operation, late), _COMMAND_TIMEOUT_MS
@@ -333,15 +349,15 @@
     async def _deliver(
         self, operation: Callable[[SimVm], Awaitable[_T]], late: bool
     ) -> _T:
-        vm = self._vm
+        vm = self._find_vm()
         await asyncio.sleep(_ONE_WAY_DELAY_MS / 1_000)
-        if vm is None or vm.dead or self._process in vm.partitioned:
+        if vm is None or not vm.reachable_from(self._process):
             return await loop_module.wait_forever()
         if late:
             await asyncio.sleep(self._rng.uniform(*_LATE_DELAY_MS) / 1_000)
         answer = await operation(vm)
         await asyncio.sleep(_ONE_WAY_DELAY_MS / 1_000)
-        if late or vm.dead or self._process in vm.partitioned:
+        if late or not vm.reachable_from(self._process):
             await loop_module.wait_forever()
         return answer
 
