--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -8,8 +8,10 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import functools
 import random
 
+from support.sim import partitions
 from support.sim import revocations
 from support.sim import vms as vms_module
 from support.sim import world as world_module
@@ -18,6 +20,9 @@
 
 World = world_module.World
 
+# A plan that is drawn beside another one must not begin with the same numbers.
+_SPLIT_SEED_OFFSET = 1_000_000
+
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
@@ -107,6 +112,28 @@
     ]
 
 
+def split_pools(seed: int, count: int, length_ms: int) -> list[Fault]:
+    """Draw a plan of partitions with VMs on both sides, of 4.5 to 9 s.
+
+    A former owner commands VMs for up to 6 s after its last renewal.
+
+    Args:
+        seed: Seed of the random numbers.
+        count: Number of faults.
+        length_ms: Time during which jobs are sent.
+    """
+    rng = random.Random(seed + _SPLIT_SEED_OFFSET)
+    kinds = ["split-any", *partitions.KINDS]
+    return [
+        Fault(
+            rng.choice(kinds),
+            int(rng.uniform(0, length_ms)),
+            int(rng.uniform(4_500, 9_000)),
+        )
+        for _ in range(count)
+    ]
+
+
 def partition() -> list[Fault]:
     """Return a plan with a long network partition.
 
@@ -410,4 +437,9 @@
 # Not drawn at random, so that the days of known seeds stay the same.
 _PLANNED_INJECTORS: dict[str, Callable[[World, float], Awaitable[None]]] = {
     "vm-shrinks": _shrink_vms,
+    "split-any": partitions.inject_any,
+    **{
+        kind: functools.partial(partitions.inject, partition)
+        for kind, partition in partitions.KINDS.items()
+    },
 }
--- a/support/sim/scenarios.py
+++ b/support/sim/scenarios.py
@@ -181,6 +181,15 @@
     return dataclasses.replace(scenario, kinds=kinds, guards_capacity=False)
 
 
+def split(seed: int = 1) -> world.Scenario:
+    """Return the small day, for 14 s, during which pools are split.
+
+    Args:
+        seed: Seed of all random numbers.
+    """
+    return small(seed, length_ms=14_000)
+
+
 def small(seed: int = 1, length_ms: int = 8_000) -> world.Scenario:
     """Return a day of two pools under light load, for tests with faults.
 
--- a/support/sim/soak.py
+++ b/support/sim/soak.py
@@ -18,8 +18,12 @@
     "small": scenarios.small,
     "two-sizes": scenarios.two_sizes,
     "shrinking": scenarios.shrinking,
+    "partitions": scenarios.split,
 }
 _SHRINKING_FAULTS = 8
+_MAX_PARTITIONS = 3
+# Many other faults would leave no owner that a partition could cut off.
+_MAX_FAULTS_WITH_PARTITIONS = 3
 
 
 def simulate(
@@ -35,16 +39,32 @@
         The injected faults and the final state of the day.
     """
     scenario = SCENARIOS[scenario_name](seed)
-    drawn_faults = faults.draw(seed, 1 + seed % _MAX_FAULTS, scenario.length_ms)
-    if scenario_name == "shrinking":
-        drawn_faults += faults.shrinking_vms(
-            seed, _SHRINKING_FAULTS, scenario.length_ms
-        )
+    drawn_faults = _draw_faults(seed, scenario_name, scenario.length_ms)
     return drawn_faults, world_module.simulate(
         scenario, faults.schedule(drawn_faults)
     )
 
 
+def _draw_faults(
+    seed: int, scenario_name: str, length_ms: int
+) -> list[faults.Fault]:
+    match scenario_name:
+        case "shrinking":
+            return faults.draw(
+                seed, 1 + seed % _MAX_FAULTS, length_ms
+            ) + faults.shrinking_vms(seed, _SHRINKING_FAULTS, length_ms)
+        case "partitions":
+            return faults.draw(
+                seed, seed % _MAX_FAULTS_WITH_PARTITIONS, length_ms
+            ) + faults.split_pools(
+                seed,
+                1 + seed // _MAX_FAULTS_WITH_PARTITIONS % _MAX_PARTITIONS,
+                length_ms,
+            )
+        case _:
+            return faults.draw(seed, 1 + seed % _MAX_FAULTS, length_ms)
+
+
 def main() -> int:
     """Run the days of consecutive seeds.
 
