Vary what a partition interrupts, and hold calls up in both directions

Cause: the partitions cut an owner off from all services at once, and requests under way were lost, while a network holds both up. Change: an owner may keep its peers or the machine service; requests and answers under way may arrive up to 1 s after the partition; a VM on either side may restart.

--- a/support/sim/partitions.py
+++ b/support/sim/partitions.py
@@ -1,7 +1,8 @@
 """Network partitions around a pool's owner, with VMs on both sides.
 
-The owner is cut off from the store, the other processes, the machine service
-and a part of its pools' VMs; the other processes reach that part only.
+The owner is cut off from a part of its pools' VMs, the other processes from the
+rest, and the owner from the store, the other processes and the machine service,
+or from some of these.
 """
 
 import asyncio
@@ -34,6 +35,14 @@
     EITHER = "either"
 
 
+class Service(enum.Enum):
+    """What a process may be cut off from, beside VMs."""
+
+    STORE = "store"
+    PEERS = "peers"
+    MACHINES = "machines"
+
+
 class Links(enum.Enum):
     """Links that a partition interrupts.
 
@@ -69,19 +78,21 @@
 
     Attributes:
         busy_side: Side on which the VMs with most runs are.
+        services: What the owner is cut off from, beside VMs.
         late_links: Links that are restored later than the others.
         revokes: Whether the store ends the owner's lease at the start, right
             after a renewal.
-        holds_answers: Whether the store's answers to the owner arrive after
-            the partition; otherwise they are lost.
+        holds_calls: Whether calls of the owner to the store that are under way
+            arrive after the partition; otherwise they are lost.
         restart: What happens to the owner's process during the partition.
-        restarts_vm: Whether a VM on the owner's side restarts under its id.
+        restarts_vm: Whether a VM of the owner's pools restarts under its id.
     """
 
     busy_side: BusySide = BusySide.EITHER
+    services: frozenset[Service] = frozenset(Service)
     late_links: frozenset[Links] = frozenset()
     revokes: bool = False
-    holds_answers: bool = False
+    holds_calls: bool = False
     restart: Restart = Restart.NONE
     restarts_vm: bool = False
 
@@ -96,11 +107,12 @@
     "split-vms-last": Partition(late_links=_ALL_VMS),
     "split-owner-vms-last": Partition(late_links=frozenset({Links.OWNER_VMS})),
     "split-revoked": Partition(revokes=True),
-    "split-late-answers": Partition(
-        late_links=frozenset({Links.OWNER_VMS}), holds_answers=True
+    "split-late-calls": Partition(
+        late_links=frozenset({Links.OWNER_VMS}), holds_calls=True
     ),
     "split-killed": Partition(restart=Restart.KILLED),
     "split-replaced": Partition(restart=Restart.REPLACED),
+    "split-from-store": Partition(services=frozenset({Service.STORE})),
     "split-vm-restarts": Partition(restarts_vm=True),
 }
 """Partitions by the name of their kind of fault."""
@@ -114,9 +126,10 @@
     """
     return Partition(
         rng.choice(list(BusySide)),
-        frozenset(link for link in Links if rng.random() < 0.3),
+        frozenset(each for each in Service if rng.random() < 0.8),
+        frozenset(links for links in Links if rng.random() < 0.3),
         revokes=rng.random() < 0.3,
-        holds_answers=rng.random() < 0.5,
+        holds_calls=rng.random() < 0.5,
         restart=rng.choice([Restart.NONE, *Restart]),
         restarts_vm=rng.random() < 0.3,
     )
@@ -150,7 +163,7 @@
         changes.append(_kill(world, owner, duration_s))
     if partition.restart is Restart.REPLACED:
         changes.append(_replace(world, owner, duration_s))
-    if partition.restarts_vm and sides.owner:
+    if partition.restarts_vm:
         changes.append(_restart_vm(world, sides, duration_s))
     await asyncio.gather(*changes)
 
@@ -192,16 +205,19 @@
         # A restarted process is on the same node, a replacement on another.
         replaced = partition.restart is Restart.REPLACED
         self._cut_off = owner.process if replaced else owner.name
+        partitioned_by_service = {
+            Service.STORE: world.store_service.faults.partitioned,
+            Service.PEERS: world.network.partitioned,
+            Service.MACHINES: world.fleet.partitioned,
+        }
         self._partitioned = [
-            world.store_service.faults.partitioned,
-            world.network.partitioned,
-            world.fleet.partitioned,
+            partitioned_by_service[service] for service in partition.services
         ]
 
     def begin(self) -> None:
         """Interrupt all links."""
         service = self._world.store_service
-        service.faults.holds_answers = self._partition.holds_answers
+        service.faults.holds_calls = self._partition.holds_calls
         for partitioned in self._partitioned:
             partitioned.add(self._cut_off)
         for machine in self._sides.owner:
@@ -296,8 +312,10 @@
 
 
 async def _restart_vm(world: World, sides: _Sides, duration_s: float) -> None:
-    """Restart a VM on the owner's side under its id."""
-    machine = world.rng.choice(sides.owner)
+    """Restart a VM of the owner's pools under its id."""
+    if not sides.owner:
+        return
+    machine = world.rng.choice(sides.owner + sides.others)
     await asyncio.sleep(world.rng.uniform(0, duration_s))
     if machine.vm is not None:
         outage_ms = int(world.rng.uniform(*_VM_OUTAGE_S) * 1_000)
--- a/support/sim/store.py
+++ b/support/sim/store.py
@@ -25,7 +25,9 @@
 _CALL_TIMEOUT_MS = 700
 _EXPIRY_CHECK_S = 0.1
 _LATE_DELAY_MS = (1_000, 6_000)
-_HELD_ANSWER_CHECK_S = 0.001
+_HELD_CALL_CHECK_S = 0.01
+# Time from the end of a partition to the next transmission on a connection.
+_HELD_CALL_DELAY_S = (0.0, 1.0)
 
 
 @dataclasses.dataclass
@@ -36,8 +38,8 @@
         down: Whether the service does not answer.
         partitioned: Processes, or names of their nodes, that cannot reach the
             service.
-        holds_answers: Whether answers to partitioned processes arrive after the
-            partition; otherwise they are lost.
+        holds_calls: Whether requests and answers of partitioned processes
+            arrive after the partition; otherwise they are lost.
         slow_ms: Additional duration of each call.
         lost_answer_share: Share of calls whose answers are lost.
         late_share: Share of transactions that are applied late.
@@ -45,7 +47,7 @@
 
     down: bool = False
     partitioned: set[str] = dataclasses.field(default_factory=set)
-    holds_answers: bool = False
+    holds_calls: bool = False
     slow_ms: float = 0.0
     lost_answer_share: float = 0.0
     late_share: float = 0.0
@@ -125,8 +127,9 @@
         await asyncio.sleep((_ONE_WAY_DELAY_MS + faults.slow_ms) / 1_000)
         if writes and self._rng.random() < faults.late_share:
             await asyncio.sleep(self._rng.uniform(*_LATE_DELAY_MS) / 1_000)
-        if faults.down or nodes.is_partitioned(process, faults.partitioned):
+        if faults.down:
             await loop_module.wait_forever()
+        await self._cross_partition(process)
         answer = await operation()
         await asyncio.sleep(_ONE_WAY_DELAY_MS / 1_000)
         lost = self._rng.random() < faults.lost_answer_share
@@ -136,12 +139,14 @@
         return answer
 
     async def _cross_partition(self, process: str) -> None:
-        """Hold an answer up until its receiver is in reach, or lose it."""
+        """Hold a request or an answer up during a partition, or lose it."""
         faults = self.faults
         while nodes.is_partitioned(process, faults.partitioned):
-            if not faults.holds_answers:
+            if not faults.holds_calls:
                 await loop_module.wait_forever()
-            await asyncio.sleep(_HELD_ANSWER_CHECK_S)
+            await asyncio.sleep(_HELD_CALL_CHECK_S)
+            if not nodes.is_partitioned(process, faults.partitioned):
+                await asyncio.sleep(self._rng.uniform(*_HELD_CALL_DELAY_S))
 
 
 class SimStore:
