Test partitions that leave VMs of a pool on both sides

Cause: no test cut a pool's owner off together with a part of its VMs for as long as it commands VMs.

--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -152,6 +152,22 @@
     return [Fault("store-revokes-split", 3_000, 4_500)]
 
 
+def split_pool() -> list[Fault]:
+    """Return a plan that cuts an owner off with VMs that run little.
+
+    Its successor reaches the VMs with most runs.
+    """
+    return [Fault("split-busy-others", 4_000, 6_500)]
+
+
+def late_calls() -> list[Fault]:
+    """Return a plan that cuts an owner off for less than it commands VMs.
+
+    It reads what its successor has stored meanwhile.
+    """
+    return [Fault("split-late-calls", 4_000, 5_000)]
+
+
 def owner_loss() -> list[Fault]:
     """Return a plan that kills the first pool's owner after 5 s."""
     return [Fault("kill-owner", 5_000, 1_000)]
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -129,6 +129,25 @@
     return self._clock.monotonic_ms() + time_left_ms + lease_ms
 
 
+def _expire_by_own_clock(self: Any, *_: int) -> Any:
+    """Take leases for over that a successor may have renewed."""
+    return _original_expire_leases(self, self._state.clock.monotonic_ms())
+
+
+_original_expire_leases = vm_tracker.VmTracker.expire_leases
+
+
+def _hide_accepting_epoch(value: bytes) -> Any:
+    """Decode a job as if it had been stored without an owner."""
+    decoded = _original_decode(value)
+    if decoded.is_ok():
+        decoded.ok.accepted_epoch = 0
+    return decoded
+
+
+_original_decode = record.decode
+
+
 def _without_age_limit(action: authority.Action) -> tuple[Any, str, Any]:
     ages_ms = {**authority.MAX_LEASE_AGE_MS, action: 10**6}
     return authority, "MAX_LEASE_AGE_MS", ages_ms
@@ -144,6 +163,18 @@
     )
 
 
+def _play_split_pool(seed: int) -> world_module.World:
+    return world_module.simulate(
+        scenarios.split(seed), faults.schedule(faults.split_pool())
+    )
+
+
+def _play_late_calls(seed: int) -> world_module.World:
+    return world_module.simulate(
+        scenarios.split(seed), faults.schedule(faults.late_calls())
+    )
+
+
 def _play_shrinking(seed: int) -> world_module.World:
     return soak.simulate(seed, "shrinking")[1]
 
@@ -250,6 +281,12 @@
             _ignore_members(pool_owner.pool_module.Pool.plan),
         )
     ],
+    "a former owner takes leases for over": [
+        (vm_tracker.VmTracker, "expire_leases", _expire_by_own_clock)
+    ],
+    "jobs of a later epoch are taken over": [
+        (record, "decode", _hide_accepting_epoch)
+    ],
     "capacity is read once": [
         (vm_tracker.VmTracker, "register", _keep_first_report),
         (vm_tracker.VmTracker, "lower_capacity", lambda self, report: None),
@@ -271,6 +308,8 @@
 _DAYS: dict[str, Callable[[int], world_module.World]] = {
     "crashed VMs are not stored with the job": _play_crashing_tasks,
     "a new owner takes a revoked lease for an expired one": _play_revocation,
+    "a former owner takes leases for over": _play_split_pool,
+    "jobs of a later epoch are taken over": _play_late_calls,
     "capacity is read once": _play_shrinking,
     "fits ignore memory": _play_shrinking,
 }
