Test a job that a former owner can't store and its successor accepts

Cause: a caller whose job an owner can't store in time sends it to the owner's successor, which accepts and starts it. Its watch shows the item to the former owner, whose PoolOwner._on_jobs_change takes it for its own write and starts the job as well: the branch for known jobs without a stored state decodes no epoch.

--- a/tests/sim/test_partitions.py
+++ b/tests/sim/test_partitions.py
@@ -14,6 +14,8 @@
 
 _SPLIT_SEEDS = (1, 9)
 _LATE_CALLS_SEEDS = (22, 26)
+# On this day a caller whose job is unanswered sends it to the successor.
+_SENT_AGAIN_SEED = 166
 _RANDOM_SEEDS = (13, 43)
 
 
@@ -39,6 +41,15 @@
             violations = self.violations(faults.late_calls(), seed)
             self.assertEqual([], violations, f"seed {seed}")
 
+    def test_a_former_owner_starts_no_job_that_is_sent_again(self):
+        """Guards against a job that a former owner could not store.
+
+        Its caller sends it again, and the successor accepts and runs it. The
+        former owner then finds the job in the store.
+        """
+        violations = self.violations(faults.late_calls(), _SENT_AGAIN_SEED)
+        self.assertEqual([], violations)
+
     def test_random_days_with_partitions_violate_no_guarantee(self):
         """Guards against other decisions that hold for a sole owner only."""
         for seed in _RANDOM_SEEDS:
