Draw partitions that end while a former owner commands VMs

Change: a quarter of the drawn partitions last 2.2 to 5.9 s, and the owner's calls arrive after them.

--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -22,6 +22,10 @@
 
 # A plan that is drawn beside another one must not begin with the same numbers.
 _SPLIT_SEED_OFFSET = 1_000_000
+_PARTITION_MS = (4_500, 9_000)
+# Longer than a lease in the store, shorter than a former owner commands VMs.
+_LATE_CALLS_MS = (2_200, 5_900)
+_LATE_CALLS_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,9 +117,10 @@
 
 
 def split_pools(seed: int, count: int, length_ms: int) -> list[Fault]:
-    """Draw a plan of partitions with VMs on both sides, of 4.5 to 9 s.
+    """Draw a plan of partitions with VMs on both sides.
 
-    A former owner commands VMs for up to 6 s after its last renewal.
+    A former owner commands VMs for up to 6 s after its last renewal. A quarter
+    of the partitions end before that, and its calls arrive then.
 
     Args:
         seed: Seed of the random numbers.
@@ -123,15 +128,15 @@
         length_ms: Time during which jobs are sent.
     """
     rng = random.Random(seed + _SPLIT_SEED_OFFSET)
-    kinds = ["split-any", *partitions.KINDS]
-    return [
-        Fault(
-            rng.choice(kinds),
-            int(rng.uniform(0, length_ms)),
-            int(rng.uniform(4_500, 9_000)),
-        )
-        for _ in range(count)
-    ]
+    return [_draw_partition(rng, length_ms) for _ in range(count)]
+
+
+def _draw_partition(rng: random.Random, length_ms: int) -> Fault:
+    at_ms = int(rng.uniform(0, length_ms))
+    if rng.random() < _LATE_CALLS_SHARE:
+        return Fault("split-late-calls", at_ms, rng.randint(*_LATE_CALLS_MS))
+    kind = rng.choice(["split-any", *partitions.KINDS])
+    return Fault(kind, at_ms, rng.randint(*_PARTITION_MS))
 
 
 def partition() -> list[Fault]:
