Give the stand-ins of entry processes links that can be cut

The stand-ins could stop the store or silence a VM for all entry processes at once, but not cut one process off with some VMs, so that make faults played no partition with VMs on both sides.

Change: support/standins/links.py carries the connections of each entry process to the store, its peers, each VM and the machine service, and holds up bytes of links that are cut. The store gives each process the addresses of its own links (views.py). EntrySite has cut_off and restore; VMs that are cut off lose their registration after three heartbeats. The records of VMs have the time at which an end was acknowledged. VMs report the progress of runs: with 100 percent from the start, owners took runs of over 5 s for stalled and restarted them for ever.

Known limit: an address that a peer names in an answer is one of the peer's links. This does not matter while each side of a partition is whole.

--- a/support/demo/entry_site.py
+++ b/support/demo/entry_site.py
@@ -1,6 +1,7 @@
 """Starts entry processes and the stand-ins that they need on loopback."""
 
 import base64
+from collections.abc import Sequence
 import json
 import os
 import pathlib
@@ -13,9 +14,12 @@
 import urllib.request
 
 from support.demo import ports
+from support.demo import site_links
+from support.standins import workers
 
 _ROOT = pathlib.Path(__file__).parents[2]
 _READY_TIMEOUT_S = 20.0
+_OWNER_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 15.0
 _POLL_INTERVAL_S = 0.05
 _HOST = "press.example"
@@ -59,14 +63,31 @@
         self._caller_port = ports.free_port()
         self._ready_port = ports.free_port()
         self._peer_port = ports.free_port()
+        self._links = site_links.SiteLinks(
+            {n: f"{ip}:{self._peer_port}" for n, ip in self.addresses.items()},
+            {name: port for name, _, port in self._machines},
+            self.service_port,
+        )
 
     def start(self) -> None:
         """Start all processes and wait until the entry processes are ready."""
         store = f"127.0.0.1:{self._store_port}"
+        views = self._folder / "views.json"
+        self._links.write_views(views)
         self._start_module(
-            "store", ["support.standins.store"], self._store_port
+            "store",
+            ["support.standins.store", "--views", str(views)],
+            self._store_port,
         )
         self._wait_until_ready(f"http://{store}/calls")
+        links = self._folder / "links.json"
+        self._links.write_links(links)
+        self._start_module(
+            "links",
+            ["support.standins.links", "--links", str(links)],
+            self._links.port,
+        )
+        self._wait_until_ready(f"http://127.0.0.1:{self._links.port}/links")
         machines = ",".join(f"{n}:{pool}:{p}" for n, pool, p in self._machines)
         self._start_module(
             "workers",
@@ -171,11 +192,57 @@
         """Set the fault mode of the store, such as ``down`` or ``up``."""
         self._call_store("POST", f"/fault?mode={mode}")
 
+    def cut_off(self, entries: Sequence[str], machines: Sequence[str]) -> None:
+        """Cut entry processes and machines off from all others.
+
+        Args:
+            entries: Names of the entry processes.
+            machines: Names of the machines; their VMs do not reach the store.
+        """
+        self._links.cut_off(entries, machines)
+        self.call_workers("POST", f"/partition?machines={','.join(machines)}")
+
+    def restore(self, destinations: Sequence[str] = ()) -> None:
+        """Restore the links to some destinations; all if none is given."""
+        self._links.restore(destinations)
+        if not destinations:
+            self.call_workers("POST", "/partition?machines=")
+
     def owner(self, pool: str) -> str | None:
         """Return the entry process that owns a pool; None for none."""
         value = self.read_key(f"wagtail/live/owners/{pool}")
         return json.loads(value)["node"] if value else None
 
+    def wait_for_owner(self, pool: str) -> str:
+        """Wait until a pool has an owner, and return the entry process."""
+        deadline_s = time.monotonic() + _OWNER_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            owner = self.owner(pool)
+            if owner is not None:
+                return owner
+            time.sleep(_POLL_INTERVAL_S)
+        raise TimeoutError(f"no entry process owns {pool}")
+
+    def records(self) -> list[workers.Record]:
+        """Return every run of every task, as the VMs recorded it."""
+        listed = self.call_workers("GET", "/records")
+        return [workers.Record(**row) for row in listed]
+
+    def machines(self, pool: str | None = None) -> list[str]:
+        """Return the machines of a pool, or all machines."""
+        listed = self.call_workers("GET", "/v1/machines")["machines"]
+        return [row["machine"] for row in listed if pool in (None, row["pool"])]
+
+    def idle_machines(self, pool: str) -> list[str]:
+        """Return the machines of a pool whose VMs run nothing."""
+        listed = self.call_workers("GET", "/v1/machines")["machines"]
+        busy = {r.worker for r in self.records() if not r.how}
+        return [
+            row["machine"]
+            for row in listed
+            if row["pool"] == pool and row["id"] not in busy
+        ]
+
     def ready_url(self, name: str) -> str:
         """Return the URL at which a load balancer checks an entry process."""
         address = f"{self.addresses[name]}:{self._ready_port}"
@@ -233,8 +300,12 @@
                 "move_s": 0.5,
                 "upkeep_s": 0.5,
             },
-            "platform": {"address": f"127.0.0.1:{self._store_port}"},
-            "cloud": {"address": f"127.0.0.1:{self.service_port}"},
+            "platform": {
+                "address": self._links.address(name, site_links.STORE)
+            },
+            "cloud": {
+                "address": self._links.address(name, site_links.MACHINE_SERVICE)
+            },
         }
 
     def _start_module(self, name: str, module: list[str], port: int) -> None:
@@ -268,4 +339,4 @@
 
 
 def _stops_last(name: str) -> bool:
-    return name in ("store", "workers")
+    return name in ("store", "workers", "links")
--- a/support/standins/store.py
+++ b/support/standins/store.py
@@ -9,9 +9,11 @@
 import asyncio
 import base64
 import collections
+from collections.abc import Iterable
 import dataclasses
 import enum
 import itertools
+import pathlib
 import time
 
 from aiohttp import web
@@ -20,6 +22,7 @@
 import msgspec
 
 from support.standins import serving
+from support.standins import views
 from wagtailtiller import ids
 from wagtailtiller.ports import store
 
@@ -27,6 +30,7 @@
 _EXPIRY_SCAN_MS = 100
 _MAX_PAGE_ITEMS = 500
 _START_LINES_BYTES = 130
+_VIEW = web.AppKey("view", views.View)
 
 
 class FaultMode(enum.Enum):
@@ -239,7 +243,13 @@
         self.calls: collections.Counter[str] = collections.Counter()
 
     def application(self) -> web.Application:
-        """Return the aiohttp application."""
+        """Return the application, which also expires the leases."""
+        app = self.application_for(views.View())
+        app.cleanup_ctx.append(self._run_background)
+        return app
+
+    def application_for(self, view: views.View) -> web.Application:
+        """Return the application that serves the process with a view."""
 
         @web.middleware
         async def faults(
@@ -250,6 +260,7 @@
         app = web.Application(
             client_max_size=2 * _MAX_VALUE_BYTES, middlewares=[faults]
         )
+        app[_VIEW] = view
         app.router.add_get("/v1/kv-key", self._get_key)
         app.router.add_get("/v1/kv-range", self._list_range)
         app.router.add_get("/v1/kv-watch", self._watch)
@@ -259,7 +270,6 @@
         app.router.add_delete("/v1/kv-lease-end/{lease}", self._end_lease)
         app.router.add_post("/fault", self._set_fault)
         app.router.add_get("/calls", self._list_calls)
-        app.cleanup_ctx.append(self._run_background)
         return app
 
     async def _apply_fault(
@@ -284,7 +294,7 @@
         item = self.state.item(request.query["key"])
         if item.value is None:
             raise web.HTTPNotFound()
-        return _json(_wire_item(item))
+        return _json(_wire_item(item, request.app[_VIEW]))
 
     async def _list_range(self, request: web.Request) -> web.Response:
         snapshot = self.state.read(request.query["prefix"])
@@ -293,7 +303,7 @@
         page = items[:_MAX_PAGE_ITEMS]
         return _json(
             {
-                "items": [_wire_item(item) for item in page],
+                "items": _wire_items(page, request),
                 "has_more": len(page) < len(items),
                 "as_of": snapshot.revision,
             }
@@ -301,7 +311,10 @@
 
     async def _commit_transaction(self, request: web.Request) -> web.Response:
         body = msgspec.json.decode(await request.read(), type=_Transaction)
-        values = [base64.b64decode(write.value) for write in body.writes]
+        view = request.app[_VIEW]
+        values = [
+            view.write(base64.b64decode(write.value)) for write in body.writes
+        ]
         if any(len(value) > _MAX_VALUE_BYTES for value in values):
             raise web.HTTPBadRequest()
         result = self.state.commit(
@@ -317,7 +330,7 @@
         if result.is_ok():
             return _json({"revision": result.ok})
         if isinstance(result.error, store.PreconditionFailed):
-            items = [_wire_item(item) for item in result.error.items]
+            items = _wire_items(result.error.items, request)
             return _json({"items": items}, status=412)
         raise web.HTTPNotFound()
 
@@ -344,7 +357,7 @@
             snapshot = self.state.changes(prefix, after)
             remaining_s = deadline_s - time.monotonic()
             if snapshot.items or remaining_s <= 0:
-                events = [_wire_item(item) for item in snapshot.items]
+                events = _wire_items(snapshot.items, request)
                 return _json({"events": events, "as_of": snapshot.revision})
             if self.mode is FaultMode.DOWN:
                 raise web.HTTPServiceUnavailable()
@@ -393,10 +406,17 @@
     return header_bytes + line_bytes + content_bytes
 
 
-def _wire_item(item: store.Item) -> dict[str, object]:
+def _wire_items(
+    items: Iterable[store.Item], request: web.Request
+) -> list[dict[str, object]]:
+    view = request.app[_VIEW]
+    return [_wire_item(item, view) for item in items]
+
+
+def _wire_item(item: store.Item, view: views.View) -> dict[str, object]:
     if item.value is None and item.revision:
         return {"key": item.key, "revision": item.revision, "deleted": True}
-    value = base64.b64encode(item.value or b"").decode("ascii")
+    value = base64.b64encode(view.read(item.value or b"")).decode("ascii")
     return {"key": item.key, "value": value, "revision": item.revision}
 
 
@@ -404,8 +424,21 @@
     """Serve the stand-in until SIGTERM; returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
+    parser.add_argument(
+        "--views", type=pathlib.Path, help="JSON list of the processes' views"
+    )
     options = parser.parse_args()
-    return serving.serve([(StoreServer().application(), options.port)])
+    server = StoreServer()
+    applications = [(server.application(), options.port)]
+    for view in _read_views(options.views):
+        applications.append((server.application_for(view), view.port))
+    return serving.serve(applications)
+
+
+def _read_views(path: pathlib.Path | None) -> list[views.View]:
+    if path is None:
+        return []
+    return msgspec.json.decode(path.read_bytes(), type=list[views.View])
 
 
 if __name__ == "__main__":
--- a/support/standins/workers.py
+++ b/support/standins/workers.py
@@ -8,8 +8,9 @@
 Faults are set over HTTP at the machine service. ``POST
 /fault?worker=W&mode=silent|dead|up`` sets the mode of a worker. ``POST
 /fault?worker=all&late_ms=500`` makes workers execute start, stop and speed
-commands late and leave them unanswered. ``GET /records`` returns every run of
-every task.
+commands late and leave them unanswered. ``POST /partition?machines=A,B`` cuts
+the workers of exactly these machines off from the store. ``GET /records``
+returns every run of every task.
 """
 
 import argparse
@@ -19,6 +20,7 @@
 import dataclasses
 import enum
 import time
+from typing import Any
 import urllib.parse
 
 from aiohttp import web
@@ -30,6 +32,8 @@
 
 _LOOPBACK = "127.0.0.1"
 _HEARTBEAT_S = 0.5
+# A registration is removed after three missed heartbeats.
+_REGISTRATION_TTL_S = 3 * _HEARTBEAT_S
 _MAX_LISTED_ENDS = 500
 _MAX_LEASE_MS = 6_000
 _EXPIRY_SCAN_S = 0.05
@@ -65,6 +69,9 @@
         started_ms: Start time in Unix milliseconds.
         ended_ms: End time in Unix milliseconds; 0 while it runs.
         how: How the run ended; empty while it runs.
+        acknowledged_ms: Time at which its end was acknowledged, in Unix
+            milliseconds; 0 if it was not, or if the worker's lease expired
+            between its end and that time.
     """
 
     task: str
@@ -73,6 +80,7 @@
     started_ms: int
     ended_ms: int = 0
     how: str = ""
+    acknowledged_ms: int = 0
 
 
 @dataclasses.dataclass
@@ -80,6 +88,12 @@
     record: Record
     number: int
     timer: asyncio.Task
+    work_ms: int
+
+    def percent(self) -> int:
+        """Return the progress; a run that has not ended is not at 100."""
+        elapsed_ms = _wall_ms() - self.record.started_ms
+        return min(99, 100 * elapsed_ms // max(1, self.work_ms))
 
 
 class Worker:
@@ -101,6 +115,8 @@
         late_ms: Delay after which start, stop and speed commands are executed
             and left unanswered; 0 to execute and answer them immediately.
         born_ms: Start time in Unix milliseconds.
+        registered_s: Time of the last registration, of the monotonic clock in
+            seconds.
     """
 
     def __init__(
@@ -118,13 +134,17 @@
         self.mode = Mode.UP
         self.late_ms = 0
         self.born_ms = _wall_ms()
+        self.registered_s = 0.0
         self._started_s = time.monotonic()
         self._records = records
         self._token = 0
         self._lease_ms = 0
         self._runs: dict[str, _Run] = {}
         self._highest_number: dict[str, int] = {}
-        self._ended: list[list[object]] = []
+        self._ended: list[list[Any]] = []
+        # Records of the listed ends by position, unless the lease has expired
+        # since.
+        self._unacknowledged: dict[int, Record] = {}
         self._last_position = 0
         self._run_ended = asyncio.Event()
 
@@ -161,9 +181,11 @@
 
     def expire(self) -> None:
         """End all runs if the lease has expired."""
-        if self._runs and self.clock_ms() >= self._lease_ms:
-            for task in list(self._runs):
-                self._end(task, "lapsed")
+        if self.clock_ms() < self._lease_ms:
+            return
+        self._unacknowledged.clear()
+        for task in list(self._runs):
+            self._end(task, "lapsed")
 
     def discard_runs(self) -> None:
         """Discard all runs without listing their ends."""
@@ -188,8 +210,7 @@
         body = await self._read_command(request)
         if not self._accept_token(body):
             return self._respond(409, reason="fence")
-        acknowledged = body["ack_cursor"]
-        self._ended = [e for e in self._ended if e[0] > acknowledged]
+        self._acknowledge_ends(body["ack_cursor"])
         self._extend_lease(body.get("deadline_ms"))
         if body.get("wait_ms") and not self._ended:
             self._run_ended.clear()
@@ -198,12 +219,19 @@
                     self._run_ended.wait(), body["wait_ms"] / 1_000
                 )
         running = [
-            [task, run.number, "", 100, 0] for task, run in self._runs.items()
+            [task, run.number, "", run.percent(), 0]
+            for task, run in self._runs.items()
         ]
         return self._respond(
             200, running=running, ended=self._ended[:_MAX_LISTED_ENDS]
         )
 
+    def _acknowledge_ends(self, up_to: int) -> None:
+        self._ended = [e for e in self._ended if e[0] > up_to]
+        for position in [p for p in self._unacknowledged if p <= up_to]:
+            record = self._unacknowledged.pop(position)
+            record.acknowledged_ms = _wall_ms()
+
     async def _handle_command(
         self, request: web.Request, handle: _CommandHandler
     ) -> web.Response:
@@ -237,14 +265,15 @@
         self._highest_number[task] = number
         record = Record(task, number, self.id, _wall_ms())
         self._records.append(record)
-        timer = asyncio.create_task(self._run_task(task, number, body["spec"]))
-        self._runs[task] = _Run(record, number, timer)
+        parameters = dict(urllib.parse.parse_qsl(body["spec"]))
+        work_ms = int(parameters.get("work_ms", "50"))
+        failed = number <= int(parameters.get("fail", "0"))
+        timer = asyncio.create_task(self._run_task(task, work_ms, failed))
+        self._runs[task] = _Run(record, number, timer, work_ms)
         return self._respond(200)
 
-    async def _run_task(self, task: str, number: int, payload: str) -> None:
-        parameters = dict(urllib.parse.parse_qsl(payload))
-        await asyncio.sleep(int(parameters.get("work_ms", "50")) / 1_000)
-        failed = number <= int(parameters.get("fail", "0"))
+    async def _run_task(self, task: str, work_ms: int, failed: bool) -> None:
+        await asyncio.sleep(work_ms / 1_000)
         self._end(task, "failed" if failed else "done")
 
     def _stop(self, body: dict) -> web.Response:
@@ -270,6 +299,7 @@
         run.record.ended_ms = _wall_ms()
         self._last_position += 1
         self._ended.append([self._last_position, task, run.number, how, ""])
+        self._unacknowledged[self._last_position] = run.record
         self._run_ended.set()
 
     def _extend_lease(self, until_ms: int | None) -> None:
@@ -321,6 +351,7 @@
             name: _Machine(name, pool, port) for name, pool, port in machines
         }
         self._downtime_ms = downtime_ms
+        self._cut_off: set[str] = set()
         self._records: list[Record] = []
         self._tasks: set[asyncio.Task] = set()
 
@@ -331,6 +362,7 @@
         app.router.add_post("/v1/machine-move", self._handle_move)
         app.router.add_post("/v1/machine-upkeep", self._handle_maintenance)
         app.router.add_post("/fault", self._set_fault)
+        app.router.add_post("/partition", self._set_partition)
         app.router.add_get("/records", self._list_records)
         app.cleanup_ctx.append(self._run_background)
         return app
@@ -381,6 +413,7 @@
         )
         value = msgspec.json.encode(worker.registration())
         await self._store.write(key, value, revision)
+        worker.registered_s = time.monotonic()
 
     async def _unregister(self, worker: Worker) -> None:
         item = await self._store.read_key(f"servers/{worker.id}")
@@ -392,8 +425,12 @@
             await asyncio.sleep(_HEARTBEAT_S)
             for machine in list(self._machines.values()):
                 worker = machine.worker
-                if worker is not None and worker.mode is Mode.UP:
+                if worker is None or worker.mode is not Mode.UP:
+                    continue
+                if machine.name not in self._cut_off:
                     await self._register(worker)
+                elif _is_registration_over(worker):
+                    await self._unregister(worker)
 
     async def _expire_leases(self) -> None:
         while True:
@@ -463,10 +500,18 @@
                 worker.discard_runs()
         return _json({})
 
+    async def _set_partition(self, request: web.Request) -> web.Response:
+        self._cut_off = set(request.query["machines"].split(","))
+        return _json({})
+
     async def _list_records(self, request: web.Request) -> web.Response:
         return _json([dataclasses.asdict(r) for r in self._records])
 
 
+def _is_registration_over(worker: Worker) -> bool:
+    return time.monotonic() - worker.registered_s > _REGISTRATION_TTL_S
+
+
 def _wall_ms() -> int:
     return time.time_ns() // 1_000_000
 
