Play partitions of entry processes and VMs in make faults

Change: support/faults/entry_run.py plays seeded partitions of 4.5 to 7.5 s, each of which cuts a pool's owner off with some of its VMs, mostly idle ones, while tasks of 3 to 11 s run on the others; the links to the store or to the VMs may be restored first. task_runs.py judges the records of the VMs: runs of a task at the same time, and starts after an acknowledged end as done. support.demo.jobs uses it too. Callers of both sides send jobs; a job that is lost, or that runs although it was refused, fails the run as well. The seed does not fix which process owns a pool.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 faults: $(READY)
 	$(BIN)/python -m support.faults.run --seed $(SEED)
+	$(BIN)/python -m support.faults.entry_run --seed $(SEED)
 
 lab: $(READY)
 	PYTHONHASHSEED=0 $(BIN)/python -m support.sim.run --seed $(SEED)
--- a/support/demo/jobs.py
+++ b/support/demo/jobs.py
@@ -13,6 +13,8 @@
 from typing import Any
 
 from support.demo import entry_site
+from support.faults import task_runs
+from support.standins import workers
 
 _SENDING_S = 8.0
 _PAUSE_S = 0.05
@@ -42,10 +44,17 @@
         self.unknown: list[str] = []
 
     def send(self) -> None:
-        """Send one job, and retry until it is accepted, up to six times."""
-        pool = self._rng.choice(_POOLS)
+        """Send one random job to a random pool."""
+        self.send_job(self._rng.choice(_POOLS), self._create_job())
+
+    def send_job(self, pool: str, body: dict[str, Any]) -> None:
+        """Send one job, and retry until it is accepted, up to six times.
+
+        Args:
+            pool: Pool that the job's queue is routed to.
+            body: Body of the submission.
+        """
         path = f"/{pool}/{self._rng.getrandbits(64):016x}"
-        body = self._create_job()
         statuses = []
         for _ in range(_MAX_ATTEMPTS):
             statuses.append(self._call("POST", path, body))
@@ -77,25 +86,13 @@
         return {"spec": f"work_ms={work_ms}", "steps": [first, second]}
 
 
-def _count_completed_twice(records: list[dict[str, Any]]) -> int:
+def _count_completed_twice(records: list[workers.Record]) -> int:
     done = collections.Counter(
-        record["task"] for record in records if record["how"] == "done"
+        record.task for record in records if record.how == "done"
     )
     return sum(1 for count in done.values() if count > 1)
 
 
-def _count_overlapping(records: list[dict[str, Any]]) -> int:
-    by_task: dict[str, list[dict[str, Any]]] = collections.defaultdict(list)
-    for record in records:
-        by_task[record["task"]].append(record)
-    overlap_count = 0
-    for runs in by_task.values():
-        runs.sort(key=lambda record: record["started_ms"])
-        for earlier, later in zip(runs, runs[1:], strict=False):
-            overlap_count += later["started_ms"] < earlier["ended_ms"]
-    return overlap_count
-
-
 def _inject_fault(site: entry_site.EntrySite, fault_number: int) -> None:
     owner = site.owner(_POOLS[0])
     match fault_number:
@@ -151,12 +148,10 @@
         while incomplete and time.monotonic() < deadline_s:
             time.sleep(0.5)
             incomplete = callers.incomplete_jobs()
-        records = site.call_workers("GET", "/records")
-        completed_twice, overlapping = (
-            _count_completed_twice(records),
-            _count_overlapping(records),
-        )
-        started = {record["task"].partition(".")[0] for record in records}
+        records = site.records()
+        completed_twice = _count_completed_twice(records)
+        overlapping = len(task_runs.find_overlapping(records))
+        started = {record.task.partition(".")[0] for record in records}
         false_not_run = sum(
             path.rpartition("/")[2] in started for path in callers.refused
         )
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the verdicts of ``make faults``."""
