Send nothing after a write has shown another owner; one name for the proof

What callers would see: a start that was queued when the answer to a write showed that the pool has another owner was still sent (by reading and a test).

Cause: the writer recorded the loss, and the owner gave the pool up at its next plan, up to 100 ms later.

Evidence: test_owner_whose_write_shows_its_loss_sends_no_queued_start fails without the check.

Change: commands ask the writer as well. A takeover that has given the pool up is not reported as taken. Names after the review: owned_until_ms and renew_soon stand for the same in the authority and the pool, and what decodes a job says that it may end the ownership.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -320,16 +320,18 @@
         """Return whether it is soon known that no other owner exists now."""
         now_ms = self._clock.monotonic_ms()
         end_ms = now_ms + _PROOF_TIMEOUT_MS
-        while self._authority.held_until_ms() < now_ms:
+        while self._authority.owned_until_ms() < now_ms:
             if self._stopped or self._clock.monotonic_ms() >= end_ms:
                 return False
-            self._authority.prove_soon()
+            self._authority.renew_soon()
             await asyncio.sleep(_PROOF_POLL_MS / 1_000)
         return True
 
     async def _run(self) -> None:
         while not await self._take_over():
             await asyncio.sleep(_TAKEOVER_RETRY_MS / 1_000)
+        if self._stopped:
+            return
         self.ready = True
         # The copy may be newer than the jobs that the takeover has read.
         self._on_jobs_change(list(self._job_mirror.items.values()))
@@ -377,7 +379,7 @@
         command_ms = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
         return self._clock.monotonic_ms() + command_ms + lease_ms
 
-    def _decode(self, item: store.Item) -> job_module.Job | None:
+    def _decode_or_give_up(self, item: store.Item) -> job_module.Job | None:
         """Decode a stored job; None if it is not one that this owner may run.
 
         A job that a later owner has accepted shows that this one has lost the
@@ -397,7 +399,7 @@
         return decoded.ok
 
     def _restore(self, item: store.Item) -> None:
-        job = self._decode(item)
+        job = self._decode_or_give_up(item)
         if job is None or job.id in self.pool.entries:
             return
         events.emit(
@@ -434,7 +436,7 @@
         )
         if self.pool.owned_until_ms >= seen_ms:
             return True
-        self._authority.prove_soon()
+        self._authority.renew_soon()
         return False
 
     def _register_vm(self, report: vms.VmReport) -> None:
@@ -479,8 +481,10 @@
         return self._authority.allows(authority.Action.JUDGE_VMS)
 
     def _may_command(self) -> bool:
-        return not self._stopped and self._authority.allows(
-            authority.Action.COMMAND_VMS
+        return (
+            not self._stopped
+            and not self._job_writer.ownership_lost.is_set()
+            and self._authority.allows(authority.Action.COMMAND_VMS)
         )
 
     def _may_start(self) -> bool:
@@ -512,7 +516,7 @@
             self._give_up("store")
         if not self._may_command():
             return
-        self.pool.owned_until_ms = self._authority.held_until_ms()
+        self.pool.owned_until_ms = self._authority.owned_until_ms()
         self._register_vms()
         self._expire_leases()
         self._schedule_wake_up()
@@ -529,7 +533,7 @@
             self._close_link(vm)
         if self.pool.vm_tracker.has_unproven_expiry():
             # Otherwise their tasks would wait for the next usual renewal.
-            self._authority.prove_soon()
+            self._authority.renew_soon()
 
     def _write_urgent_changes(self) -> None:
         # The next owner must not count the crashes of a task from the start.
@@ -600,7 +604,7 @@
 
         Otherwise the owner would drop the job if its own first write failed.
         """
-        if self._decode(item) is not None:
+        if self._decode_or_give_up(item) is not None:
             self._job_writer.revisions[entry.job.id] = item.revision
             entry.stored_state = model.JobState.QUEUED
             entry.inherited = True
@@ -610,7 +614,7 @@
         entry = self.pool.entries.get(job)
         if entry is not None:
             entry.read_ms = self._clock.monotonic_ms()
-            self._authority.prove_soon()
+            self._authority.renew_soon()
             self._wake.set()
 
     def _dispatch(self, decision: commands.Decision) -> None:
--- a/src/wagtailtiller/owner/start_gate.py
+++ b/src/wagtailtiller/owner/start_gate.py
@@ -12,8 +12,8 @@
     """Limits the open start commands of all VMs of a pool.
 
     Args:
-        may_command: Returns whether this process is certain to own the pool,
-            so that it may stop runs and extend their leases.
+        may_command: Returns whether this process may stop runs and extend their
+            leases.
         may_start: Returns whether it may also start runs; None if it may
             whenever it may command.
         lease_age_ms: Returns the time since this process's lease in the store
--- a/src/wagtailtiller/ownership/authority.py
+++ b/src/wagtailtiller/ownership/authority.py
@@ -91,7 +91,7 @@
         """Return the time since the lease was last known to be valid."""
         return self._lease.age_ms()
 
-    def held_until_ms(self) -> int:
+    def owned_until_ms(self) -> int:
         """Return until when this process has certainly been the only owner.
 
         Returns:
@@ -100,8 +100,8 @@
         """
         return self._lease.renewed_ms
 
-    def prove_soon(self) -> None:
-        """Renew the lease, so that ``held_until_ms`` advances."""
+    def renew_soon(self) -> None:
+        """Renew the lease, so that ``owned_until_ms`` advances."""
         self._lease.renew_soon()
 
     def allows(self, action: Action) -> bool:
--- a/tests/owner/test_former_owners.py
+++ b/tests/owner/test_former_owners.py
@@ -310,6 +310,18 @@
 
         self.run_with(main)
 
+    def test_owner_whose_write_shows_its_loss_sends_no_queued_start(self):
+        """Guards against starts between the answer to a write and the stop."""
+
+        async def main():
+            former, busy, idle = await self.own_pool_with_run()
+            self.assertTrue(former.owner._start_gate.may_command())
+            former.owner._job_writer.ownership_lost.set()
+            self.assertFalse(former.owner._start_gate.may_command())
+            await former.owner.stop()
+
+        self.run_with(main)
+
     def test_former_owner_denies_no_job_of_its_successor(self):
         """Guards against an untrue answer to a caller that sends a job again.
 
--- a/tests/ownership/test_authority.py
+++ b/tests/ownership/test_authority.py
@@ -28,5 +28,5 @@
         """Guards against conclusions that a later owner has made false."""
         self.lease.current_age_ms = 300
         self.assertEqual(
-            self.clock.monotonic_ms() - 300, self.authority.held_until_ms()
+            self.clock.monotonic_ms() - 300, self.authority.owned_until_ms()
         )
