--- a/tests/owner/test_job_writer.py
+++ b/tests/owner/test_job_writer.py
@@ -200,6 +200,22 @@
 
         self.run_with(main)
 
+    def test_flush_of_job_that_is_not_stored_fails(self):
+        """Otherwise the end of a run is acknowledged that no record shows.
+
+        A former owner had run a job of a frontend, which this owner was about
+        to store for the first time.
+        """
+
+        async def main():
+            entry = self.add_job(jobs.step(2))
+            self.store.refuse_commits = True
+            entry.job.mark_done(entry.job.steps(0)[0].tasks[0])
+            self.pool.mark_changed(entry)
+            self.assertFalse(await self.writer.begin_flush().wait(1_000))
+
+        self.run_with(main)
+
     def test_conflict_does_not_cost_a_batch_its_turn(self):
         """Acknowledgements took 17 s while frontends stored jobs themselves.
 
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -878,6 +878,30 @@
 
         self.run_with(main)
 
+    def test_new_owner_starts_nothing_on_vm_that_was_reported_empty(self):
+        """Guards against a move that ends tasks around a planned hand-over.
+
+        The machine manager orders it by the answer of the previous owner, which
+        keeps the VM closed for 3 s.
+        """
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            first = self.own_pool()
+            await self.until(lambda: "vm-1" in first._members.stored)
+            answer = await first.answer(
+                messages.Vacate(jobs.POOL, "vm-1", messages.VacateMode.MOVE_ALL)
+            )
+            self.assertEqual(messages.Vacated(0), answer)
+            await first.stop()
+            second = self.own_pool(2)
+            await self.submit(second)
+            await asyncio.sleep(0.3)
+            self.assertEqual({}, vm.running)
+            await second.stop()
+
+        self.run_with(main)
+
     def test_vm_leaves_member_list_once_its_end_is_stored(self):
         """A silent VM would otherwise delay each new owner."""
 
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -274,6 +274,50 @@
         (start,) = self.start_all()
         self.assertEqual("a", start.run.task.id.job[0])
 
+    def test_a_new_owner_repeats_no_run_number_of_refused_starts(self):
+        """Guards against failed runs that count as one attempt."""
+        vm = self.add_vm("vm-1")
+        entry = self.add_job("a")
+        for _ in range(40):
+            (start,) = self.pool.plan()
+            self.pool.run_reconciler.apply_start_outcome(
+                vm, start.run, vms.CommandOutcome.NO_ROOM
+            )
+            self.clock.advance(1_000)
+        (last,) = self.start_all()
+        self.take_over(entry.job)
+        self.add_vm("vm-2")
+        (start,) = self.start_all()
+        self.assertGreater(start.run.number, last.run.number)
+
+    def test_a_task_that_a_new_owner_does_not_know_to_run_is_unavailable(self):
+        """Guards against moves by a former owner and by its successor at once.
+
+        The VM of the other task has not answered the successor, so that a
+        former owner may move that task.
+        """
+        all_vms = [self.add_vm(f"vm-{number}") for number in range(3)]
+        entry = self.add_job("a", jobs.step(2, **_LONG_RUNNING), inherited=True)
+        tasks = entry.job.steps(0)[0].tasks
+        known = vms.ListedRun(tasks[0].id, 1, "", 100, 0)
+
+        def list_on(vm, listed_run):
+            self.clock.advance(1)
+            now_ms = self.clock.now_ms
+            self.pool.vm_tracker.mark_responsive(vm, now_ms, now_ms)
+            listing = vms.Listing(now_ms, 1, (listed_run,), ())
+            self.pool.run_reconciler.apply_listing(
+                vm, vm.token, now_ms, listing
+            )
+
+        self.pool.unresolved = {"vm-1": self.clock.now_ms + 5_000}
+        list_on(all_vms[0], known)
+        all_vms[0].moves_long_running_until_ms = self.clock.now_ms + 10_000
+        self.assertEqual([], self.stops())
+        for _ in range(2):
+            list_on(all_vms[1], vms.ListedRun(tasks[1].id, 1, "", 100, 0))
+        self.assertEqual(1, len(self.stops()))
+
     def test_a_listed_run_is_adopted_and_not_started_again(self):
         vm = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
         entry = self.add_job("a", inherited=True)
@@ -582,6 +626,24 @@
         self.assertIn("vm-1", self.pool.unresolved)
         self.assertEqual([], self.start_all())
 
+    def test_an_inherited_task_waits_for_unread_runs_with_a_new_lease(self):
+        """The wait timed out although this owner renews the lease of the runs.
+
+        One of them, which could not be read, may be a run of the task.
+        """
+        vm = self.pool.vm_tracker.register(fake_vms.report("vm-1"))
+        self.pool.unresolved = {"vm-1": self.clock.now_ms + 5_000}
+        self.add_job("a", inherited=True)
+        self.add_vm("vm-2")
+        self.clock.advance(5_000)
+        now_ms = self.clock.now_ms
+        self.pool.vm_tracker.mark_responsive(vm, now_ms, now_ms)
+        vm.lease.extend(now_ms, 5_000)
+        listing = vms.Listing(now_ms, 1, (), (), is_complete=False)
+        self.pool.run_reconciler.apply_listing(vm, vm.token, now_ms, listing)
+        fake_vms.expire_leases(self.pool)
+        self.assertEqual([], self.start_all())
+
 
 class UnknownJobTest(PoolTest):
     """A predecessor has started a job that this owner has not read yet."""
