--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 SEED ?= 1
 SECONDS ?= 30
 DAYS ?= 50
+SCENARIO ?= small
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
@@ -47,7 +48,7 @@
 	PYTHONHASHSEED=0 $(BIN)/python -m support.sim.run --seed $(SEED)
 
 days: $(READY)
-	PYTHONHASHSEED=0 $(BIN)/python -m support.sim.soak --days $(DAYS) --seed $(SEED)
+	PYTHONHASHSEED=0 $(BIN)/python -m support.sim.soak --scenario $(SCENARIO) --days $(DAYS) --seed $(SEED)
 
 mutants: $(READY)
 	PYTHONHASHSEED=0 $(BIN)/python -m support.sim.mutants --days $(DAYS) --seed $(SEED)
