Move what an owner reads of stored jobs into a module of its own

Change: owner/stored_jobs.py restores, confirms and looks up stored jobs, and tells when one shows a later owner.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -7,9 +7,6 @@
 import math
 import random
 
-from expression import Error
-from expression import Ok
-from expression import Result
 import msgspec
 
 from wagtailtiller import clock as clock_module
@@ -20,9 +17,6 @@
 from wagtailtiller import keys
 from wagtailtiller import runtime
 from wagtailtiller import tasks
-from wagtailtiller.jobs import job as job_module
-from wagtailtiller.jobs import model
-from wagtailtiller.jobs import record
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.owner import allocations
 from wagtailtiller.owner import job_writer as job_writer_module
@@ -31,6 +25,7 @@
 from wagtailtiller.owner import policy_queue
 from wagtailtiller.owner import requests
 from wagtailtiller.owner import start_gate
+from wagtailtiller.owner import stored_jobs
 from wagtailtiller.owner import unresolved_vms
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import authority
@@ -44,7 +39,6 @@
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import crashes
 from wagtailtiller.scheduling import pool as pool_module
-from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
 
 # Long enough for a new owner to renew the leases of running tasks. The runs of
@@ -145,6 +139,14 @@
         self._job_writer = job_writer_module.JobWriter(
             ports.store, self.pool, claim, follower.Backoff(ports.rng)
         )
+        self._stored_jobs = stored_jobs.StoredJobs(
+            ports.store,
+            self.pool,
+            self._job_writer,
+            clock,
+            self._on_job_read,
+            self._give_up,
+        )
         self._job_mirror = mirror.Mirror(
             ports.store,
             keys.jobs(self.pool_id),
@@ -199,7 +201,7 @@
             clock,
             store_answers,
             self._wake.set,
-            self._find_stored,
+            self._stored_jobs.find,
         )
         self._policy_queue: policy_queue.PolicyQueue | None = None
         if ports.placement_policy is not None:
@@ -360,7 +362,7 @@
             self._inherited_members, self._inherited_until_ms
         )
         for item in jobs.ok.items:
-            self._restore(item)
+            self._stored_jobs.restore(item)
         return True
 
     def _log_delay(self, reason: errors.StoreUnavailable) -> bool:
@@ -379,41 +381,6 @@
         command_ms = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
         return self._clock.monotonic_ms() + command_ms + lease_ms
 
-    def _decode_or_give_up(self, item: store.Item) -> job_module.Job | None:
-        """Decode a stored job; None if it is not one that this owner may run.
-
-        A job that a later owner has accepted shows that this one has lost the
-        pool. The later one starts it without waiting for this one.
-        """
-        decoded = record.decode(item.value or b"")
-        if decoded.is_error():
-            events.emit(
-                events.Event.STATE_UNREADABLE,
-                key=item.key,
-                reason=str(decoded.error),
-            )
-            return None
-        if decoded.ok.accepted_epoch > self.claim.epoch:
-            self._give_up("later_epoch")
-            return None
-        return decoded.ok
-
-    def _restore(self, item: store.Item) -> None:
-        job = self._decode_or_give_up(item)
-        if job is None or job.id in self.pool.entries:
-            return
-        events.emit(
-            events.Event.JOB_RESTORED,
-            job=job.id,
-            revision=item.revision,
-            state=job.state.value,
-            done_tasks=sum(1 for _ in job.done_tasks()),
-            accepted_epoch=job.accepted_epoch,
-            epoch=self.claim.epoch,
-        )
-        self._job_writer.revisions[job.id] = item.revision
-        self.pool.jobs.add(job, inherited=True, stored_state=job.state)
-
     def _register_vms(self) -> None:
         # If this process was paused, another one may own the pool by now. The
         # new owner has fenced only the VMs that were listed at its takeover.
@@ -463,7 +430,7 @@
             self._lease_ms,
             self._wake.set,
             self._on_fenced,
-            self._find_stored,
+            self._stored_jobs.find,
         )
 
     def _may_run_inherited(self, vm: ids.VmId) -> bool:
@@ -568,54 +535,13 @@
                     self.pool.jobs.remove(job)
                     self._job_writer.revisions.pop(job, None)
 
-    async def _find_stored(
-        self, job: model.JobId
-    ) -> Result[bool, errors.StoreUnavailable]:
-        result = await self._store.read_key(keys.job(self.pool_id, job))
-        if result.is_error():
-            return Error(result.error)
-        if result.ok is not None:
-            self._on_jobs_change([result.ok])
-        return Ok(result.ok is not None)
-
     def _on_jobs_change(self, items: list[store.Item]) -> None:
-        # Frontends store jobs themselves while they cannot reach the owner.
-        if not self.ready:
-            return
-        for item in items:
-            if item.value is not None:
-                self._on_job_read(item)
-
-    def _on_job_read(self, item: store.Item) -> None:
-        job = model.JobId(item.key.rpartition("/")[2])
-        entry = self.pool.entries.get(job)
-        if entry is None:
-            self._restore(item)
-            self._start_once_owned(job)
-        elif entry.stored_state is None:
-            self._confirm_stored(entry, item)
-            self._start_once_owned(job)
-        elif not self._job_writer.is_own_write(item):
-            # Only owners change stored jobs.
-            self._give_up("later_write")
-
-    def _confirm_stored(self, entry: state.JobEntry, item: store.Item) -> None:
-        """Record that another process has stored a job of this owner.
-
-        Otherwise the owner would drop the job if its own first write failed.
-        """
-        if self._decode_or_give_up(item) is not None:
-            self._job_writer.revisions[entry.job.id] = item.revision
-            entry.stored_state = model.JobState.QUEUED
-            entry.inherited = True
-
-    def _start_once_owned(self, job: model.JobId) -> None:
-        """Let a job start once it is known that nobody else owned the pool."""
-        entry = self.pool.entries.get(job)
-        if entry is not None:
-            entry.read_ms = self._clock.monotonic_ms()
-            self._authority.renew_soon()
-            self._wake.set()
+        if self.ready:
+            self._stored_jobs.update(items)
+
+    def _on_job_read(self) -> None:
+        self._authority.renew_soon()
+        self._wake.set()
 
     def _dispatch(self, decision: commands.Decision) -> None:
         if isinstance(decision, commands.PolicyQuery):
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -28,6 +28,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.owner import requests
+from wagtailtiller.owner import stored_jobs
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import session
@@ -301,9 +302,9 @@
     "jobs of a later epoch are taken over": [
         (record, "decode", _hide_accepting_epoch),
         (
-            pool_owner.PoolOwner,
+            stored_jobs.StoredJobs,
             "_start_once_owned",
-            lambda self, job: self._wake.set(),
+            lambda self, job: None,
         ),
     ],
     "capacity is read once": [
