--- a/src/wagtailtiller/ownership/session.py
+++ b/src/wagtailtiller/ownership/session.py
@@ -77,8 +77,10 @@
         self._renewal_wanted.set()
 
     async def _wait_for_turn(self) -> None:
-        await asyncio.sleep(_MIN_RENEW_INTERVAL_MS / 1_000)
-        rest_ms = RENEW_INTERVAL_MS - _MIN_RENEW_INTERVAL_MS
+        # The age counts from the sending of the renewal.
+        pause_ms = max(0, _MIN_RENEW_INTERVAL_MS - self.age_ms())
+        await asyncio.sleep(pause_ms / 1_000)
+        rest_ms = RENEW_INTERVAL_MS - pause_ms
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(rest_ms / 1_000):
                 await self._renewal_wanted.wait()
