Let the stand-in of the store return each change to a watch

Cause: PROTOCOL.md says that each event is an item as it was written, or a deletion.

Change: StoreState.changes returns every change in the order of revisions. Likely, not traced: a former owner now sees the first write of its successor's job and the later ones, and concludes from them that it has lost the pool.

--- a/support/standins/store.py
+++ b/support/standins/store.py
@@ -108,19 +108,17 @@
         return store.Snapshot(items, ids.Revision(self.revision))
 
     def changes(self, prefix: str, after: int) -> store.Snapshot:
-        """Return the latest change of each key after a revision.
+        """Return each change after a revision, in the order of the revisions.
 
         Args:
             prefix: Prefix of the keys.
             after: Revision after which changes are returned.
         """
-        latest_items: dict[str, store.Item] = {}
-        for item in reversed(self._changes):
-            if item.revision <= after:
-                break
-            if item.key.startswith(prefix):
-                latest_items.setdefault(item.key, item)
-        items = sorted(latest_items.values(), key=lambda item: item.revision)
+        newer = itertools.takewhile(
+            lambda item: item.revision > after, reversed(self._changes)
+        )
+        items = [item for item in newer if item.key.startswith(prefix)]
+        items.reverse()
         return store.Snapshot(items, ids.Revision(self.revision))
 
     def commit(self, transaction: store.Transaction) -> store.CommitResult:
