Keep the copy of the live keys equal to the store

Cause: Mirror._apply decided about all changes of an answer before it applied any. The deletion of a key that the same answer created counted as the deletion of an unknown key. So all processes believed in an owner that did not exist, and its former process tried to delete the key for ever without a conclusion.

Ruled out: a key that the store still has under a lease that does not end, and a claim loop that stands still.

Items of refused preconditions correct the copy: a key that the store does not have is removed, and a key that the copy should have had has all keys read anew. Claims, the process's own record and the deletion of stale owner keys use it.

Why it works: after any answer the copy is the fold of all changes up to its revision; the property test shows it for any history and any cuts. Without outages no call is added.

--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -379,16 +379,15 @@
         key = keys.node(self._own_record.node)
         known = self._mirror.items.get(key)
         mirrored = known.revision if known is not None else store.ABSENT
+        expected = max(mirrored, self._record_revision)
         record = self._record_to_publish()
         result = await self._store.write(
-            key,
-            claims.encode(record),
-            max(mirrored, self._record_revision),
-            self._session.lease,
+            key, claims.encode(record), expected, self._session.lease
         )
         if result.is_error():
             if isinstance(result.error, errors.Conflict):
                 self._record_revision = store.ABSENT
+                self._correct_copy(expected, result.error)
             return False
         self._record_revision = result.ok
         if self._first_revision == store.ABSENT:
@@ -416,7 +415,12 @@
     ) -> None:
         lease = self._session.lease
         claim = await claims.claim(
-            self._store, shard, self._own_record, lease, replaced
+            self._store,
+            shard,
+            self._own_record,
+            lease,
+            replaced,
+            on_refused=lambda item: self._mirror.correct(replaced, item),
         )
         self._unowned_since_ms.pop(shard, None)
         if claim is None:
@@ -457,6 +461,9 @@
         """Replace or delete an owner key that this process has left behind."""
         item = self._mirror.items.get(keys.owner(shard))
         if item is None:
+            if shard not in self.claims_by_shard:
+                # The key of a released claim ended before the claim was known.
+                self._owners.pop(shard, None)
             return
         if self._is_of_previous_start(item, owner):
             events.emit(
@@ -474,12 +481,23 @@
             return
         stored = _decode(item, claims.OwnerRecord)
         if stored is None or stored.incarnation == owner.incarnation:
-            await self._store.delete(item.key, item.revision)
+            result = await self._store.delete(item.key, item.revision)
+            if result.is_error():
+                self._correct_copy(item.revision, result.error)
         else:
             # A claim that was answered late is recorded here although another
             # process owns the shard by now.
             self._update_owner(item)
 
+    def _correct_copy(
+        self, expected: ids.Revision, error: errors.StoreError
+    ) -> None:
+        """Use the item that a refused write of one key has returned."""
+        if isinstance(error, errors.Conflict):
+            self._mirror.correct(
+                expected, store.Item(error.key, error.current, error.revision)
+            )
+
     def _is_of_previous_start(
         self, item: store.Item, owner: claims.OwnerRecord
     ) -> bool:
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -6,6 +6,7 @@
 owner key as a precondition.
 """
 
+from collections.abc import Callable
 import dataclasses
 import hashlib
 
@@ -201,6 +202,7 @@
     claimant: NodeRecord,
     lease: str,
     replaced: ids.Revision = store.ABSENT,
+    on_refused: Callable[[store.Item], None] = lambda item: None,
 ) -> Claim | None:
     """Try to become the owner of a shard.
 
@@ -211,6 +213,8 @@
         lease: Id of this process's lease.
         replaced: Revision of an owner key whose process is known to have ended;
             ``store.ABSENT`` if the shard has no owner.
+        on_refused: Called with the owner key as the store has it, if that
+            is not as expected.
 
     Returns:
         The claim, or None if it failed or its outcome is unknown.
@@ -246,6 +250,10 @@
     committed = await store_client.commit(transaction)
     if committed.is_ok():
         return Claim(shard, epoch, committed.ok)
+    if isinstance(committed.error, store.PreconditionFailed):
+        for item in committed.error.items:
+            if item.key == keys.owner(shard) and item.revision != replaced:
+                on_refused(item)
     confirmed = await _read_back(store_client, shard, record)
     if confirmed is None:
         events.emit(
--- a/src/wagtailtiller/ownership/mirror.py
+++ b/src/wagtailtiller/ownership/mirror.py
@@ -20,8 +20,8 @@
             watch that does not return is noticed soon after this time.
         clock: Clock that supplies the current time.
         backoff: Delays between retries.
-        on_change: Called with the items that changed; a deleted item has the
-            value None.
+        on_change: Called with the items that changed, in the order of their
+            revisions; a deleted item has the value None.
         pause_ms: Shortest pause between two watch calls, to limit their rate.
 
     Attributes:
@@ -49,6 +49,8 @@
         self._backoff = backoff
         self._on_change = on_change
         self._revision: ids.Revision | None = None
+        # Whether all keys have to be read again.
+        self._read_due = False
         self._reachable = True
 
     async def run(self) -> None:
@@ -68,8 +70,37 @@
             self._set_reachable(False, error_reason)
             await self._backoff.wait()
 
+    def correct(self, expected: ids.Revision, stored: store.Item) -> None:
+        """Correct the copy by an item that a refused precondition returned.
+
+        Usually the copy is only late, and the next watch brings the change. If
+        the copy should have the item already, all keys are read again.
+
+        Args:
+            expected: Revision that the precondition named; ``ABSENT`` for a key
+                that was not to exist.
+            stored: The item as the store has it; its value is None if the key
+                does not exist.
+        """
+        known_revision = self._known_revision(stored.key)
+        if known_revision == stored.revision:
+            return
+        events.emit(
+            events.Event.STORE_COPY_OUTDATED,
+            key=stored.key,
+            known=known_revision,
+            stored=stored.revision,
+            followed=self._revision,
+        )
+        if stored.value is None:
+            # No later item of the key has the refused revision.
+            if known_revision == expected:
+                self._apply([store.Item(stored.key, None, expected)])
+        elif self._revision is not None and stored.revision <= self._revision:
+            self._read_due = True
+
     async def _update(self) -> str:
-        if self._revision is None:
+        if self._revision is None or self._read_due:
             return await self._read_all()
         result = await self._store.watch(
             self._prefix, self._revision, self._wait_ms
@@ -90,25 +121,38 @@
             for key, item in self.items.items()
             if key not in present and item.revision <= result.ok.revision
         ]
+        self._read_due = False
         self._revision = result.ok.revision
         self._apply(result.ok.items + deleted)
         return ""
 
     def _apply(self, items: list[store.Item]) -> None:
-        changes = [item for item in items if self._is_change(item)]
-        for item in changes:
+        """Apply items in the order of their revisions.
+
+        One answer may hold several changes of a key, such as its creation and
+        its deletion.
+        """
+        changes = []
+        for item in sorted(items, key=lambda item: item.revision):
+            if not self._is_change(item):
+                continue
             if item.value is None:
-                self.items.pop(item.key, None)
+                del self.items[item.key]
             else:
                 self.items[item.key] = item
+            changes.append(item)
         if changes:
             self._on_change(changes)
 
     def _is_change(self, item: store.Item) -> bool:
-        known = self.items.get(item.key)
-        if known is None:
-            return item.value is not None
-        return item.revision > known.revision or item.value is None
+        known_revision = self._known_revision(item.key)
+        if item.value is None:
+            return store.ABSENT < known_revision <= item.revision
+        return item.revision > known_revision
+
+    def _known_revision(self, key: str) -> ids.Revision:
+        known = self.items.get(key)
+        return known.revision if known is not None else store.ABSENT
 
     def _set_reachable(self, reachable: bool, reason: str) -> None:
         if reachable == self._reachable:
--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -4,6 +4,7 @@
 import random
 
 from expression import Error
+from expression import Ok
 import msgspec
 import testtools
 
@@ -15,6 +16,7 @@
 from wagtailtiller.entry import shards as shards_module
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import succession
+from wagtailtiller.ports import store
 
 _SHARD = ids.ShardId("renders")
 
@@ -240,6 +242,61 @@
         self.run_with_shards(main)
 
 
+class OutdatedCopyTest(_ShardsCase):
+    """Tests of processes whose copy of the owner keys is not what is stored."""
+
+    def change_next_answer(self, change):
+        """Change the items of the next answer to a watch that has some."""
+        watch = self.store.watch
+
+        async def changed_watch(prefix, after, wait_ms):
+            result = await watch(prefix, after, wait_ms)
+            items = change(result.ok.items)
+            if items != result.ok.items:
+                self.store.watch = watch
+            return Ok(store.Snapshot(items, result.ok.revision))
+
+        self.store.watch = changed_watch
+
+    def test_shard_is_claimed_when_its_owner_key_does_not_exist(self):
+        """Guards against shards that nobody claims after outages."""
+
+        async def main(shards):
+            await asyncio.sleep(2)
+            owner = claims.OwnerRecord(ids.NodeId("e-1"), "e-1:1", "x", 1)
+            ended = store.Item(
+                keys.owner(_SHARD),
+                claims.encode(owner),
+                self.store.state.revision,
+            )
+            self.change_next_answer(lambda items: [*items, ended])
+            await asyncio.sleep(0.2)
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(2)
+            self.assertEqual([_SHARD], [claim.shard for claim in self.gained])
+
+        self.run_with_shards(main)
+
+    def test_unknown_owner_is_known_after_a_refused_claim(self):
+        """Guards against callers that find no owner of an owned shard."""
+
+        async def main(shards):
+            await asyncio.sleep(2)
+            self.change_next_answer(lambda items: [])
+            # Until the watch that is under way has ended.
+            await asyncio.sleep(0.1)
+            owner = claims.OwnerRecord(ids.NodeId("e-2"), "e-2:1", "y", 1)
+            key = keys.owner(_SHARD)
+            self.store.state.write(key, claims.encode(owner), 0, "")
+            await asyncio.sleep(0.2)
+            self.assertIsNone(shards.owner(_SHARD))
+            shards.set_shards({_SHARD})
+            await asyncio.sleep(2)
+            self.assertEqual(owner, shards.owner(_SHARD))
+
+        self.run_with_shards(main)
+
+
 class SuccessorTest(_ShardsCase):
     """Tests of shards that are released by an owner that names a successor."""
 
--- a/tests/ownership/test_mirror.py
+++ b/tests/ownership/test_mirror.py
@@ -1,12 +1,16 @@
 """Tests of the in-memory copy of a store prefix."""
 
 import asyncio
+import dataclasses
 
 from expression import Error
 from expression import Ok
+import hypothesis
+from hypothesis import strategies
 import testtools
 
 from support import fakes
+from support.standins import store as standin
 from wagtailtiller import clock
 from wagtailtiller import errors
 from wagtailtiller.ownership import mirror
@@ -171,3 +175,200 @@
             self.assertEqual({"a/1": b"two"}, self.values())
 
         self.run_with(main)
+
+
+_KEYS = ("a/1", "a/2", "a/3")
+
+
+@dataclasses.dataclass(frozen=True)
+class _Toggle:
+    """A key is created, or deleted if it exists."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class _Rewrite:
+    """A key that exists is written again."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class _Watch:
+    """The copy is updated by a watch."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _LoseHistory:
+    """The copy is read anew, with changes between the pages of one key."""
+
+    between_pages: tuple[_Toggle | _Rewrite, ...]
+
+
+_changes = strategies.sampled_from(_KEYS).flatmap(
+    lambda key: strategies.sampled_from((_Toggle(key), _Rewrite(key)))
+)
+_steps = strategies.one_of(
+    _changes,
+    _changes,
+    strategies.just(_Watch()),
+    strategies.builds(
+        _LoseHistory, strategies.lists(_changes, max_size=4).map(tuple)
+    ),
+)
+
+
+class _HistoryStore:
+    """Store whose history can be lost, and whose reads have several pages."""
+
+    def __init__(self):
+        self.state = standin.StoreState()
+        self.between_pages = ()
+        self.has_history = True
+
+    def change(self, change):
+        item = self.state.item(change.key)
+        if item.value is None:
+            if isinstance(change, _Toggle):
+                self.state.write(change.key, b"x", store.ABSENT, "")
+        elif isinstance(change, _Toggle):
+            self.state.delete(change.key, item.revision)
+        else:
+            self.state.write(change.key, b"x", item.revision, "")
+
+    async def read(self, prefix):
+        revision = self.state.revision
+        items = []
+        changes = list(self.between_pages)
+        for key in _KEYS:
+            item = self.state.item(key)
+            if item.value is not None:
+                items.append(item)
+            if changes:
+                self.change(changes.pop(0))
+        self.has_history = True
+        return Ok(store.Snapshot(items, revision))
+
+    async def watch(self, prefix, after, wait_ms):
+        if not self.has_history:
+            return Error(errors.StoreUnavailable(store.HISTORY_LOST, False))
+        return Ok(self.state.changes(prefix, after))
+
+
+class HistoryTest(testtools.TestCase):
+    def make_mirror(self, history_store, on_change):
+        return mirror.Mirror(
+            history_store,
+            "a/",
+            10,
+            clock.SystemClock(),
+            _ShortBackoff(),
+            on_change,
+        )
+
+    @hypothesis.given(strategies.lists(_steps, max_size=20))
+    def test_any_history_in_any_answers_gives_the_items_of_the_store(
+        self, steps
+    ):
+        """Guards against a copy that differs from the store for ever."""
+        asyncio.run(self.play(steps))
+
+    async def play(self, steps):
+        history_store = _HistoryStore()
+        reported = {}
+
+        def on_change(items):
+            for item in items:
+                reported[item.key] = item
+
+        copy = self.make_mirror(history_store, on_change)
+        for step in (*steps, _Watch()):
+            match step:
+                case _LoseHistory():
+                    history_store.has_history = False
+                    history_store.between_pages = step.between_pages
+                    await self.update(copy)
+                case _Watch():
+                    await self.update(copy)
+                case change:
+                    history_store.change(change)
+        expected = history_store.state.read("a/").items
+        self.assertEqual(
+            expected, [copy.items[key] for key in sorted(copy.items)]
+        )
+        present = [item for item in reported.values() if item.value is not None]
+        self.assertEqual(expected, sorted(present, key=lambda item: item.key))
+
+    async def update(self, copy):
+        if await copy._update() == store.HISTORY_LOST:
+            copy._revision = None
+            await copy._update()
+        await copy._update()
+
+    def test_changes_of_one_key_are_reported_in_order(self):
+        """Guards against readers that keep the first of two changes."""
+        changes = []
+        history_store = _HistoryStore()
+        copy = self.make_mirror(history_store, changes.extend)
+        asyncio.run(copy._update())
+        for _ in range(2):
+            history_store.change(_Toggle("a/1"))
+        asyncio.run(copy._update())
+        self.assertEqual([b"x", None], [change.value for change in changes])
+
+
+class CorrectionTest(testtools.TestCase):
+    """Tests of items that refused preconditions have returned."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = fakes.FakeStore()
+        self.changes = []
+        self.mirror = mirror.Mirror(
+            self.store,
+            "a/",
+            10,
+            clock.SystemClock(),
+            _ShortBackoff(),
+            self.changes.extend,
+        )
+        self.store.state.write("a/1", b"one", store.ABSENT, "")
+        self.known = self.store.state.item("a/1")
+        self.update()
+
+    def update(self):
+        asyncio.run(self.mirror._update())
+
+    def correct(self, expected):
+        self.mirror.correct(expected, self.store.state.item("a/1"))
+
+    def test_item_that_the_store_does_not_have_is_removed(self):
+        self.store.state.delete("a/1", self.known.revision)
+        self.correct(self.known.revision)
+        self.assertEqual({}, self.mirror.items)
+        self.assertIsNone(self.changes[-1].value)
+
+    def test_item_that_is_newer_than_the_refusal_is_kept(self):
+        """Guards against a live owner that is forgotten."""
+        self.store.state.delete("a/1", self.known.revision)
+        absent = self.store.state.item("a/1")
+        self.store.state.write("a/1", b"two", store.ABSENT, "")
+        self.update()
+        self.mirror.correct(self.known.revision, absent)
+        self.assertEqual(b"two", self.mirror.items["a/1"].value)
+
+    def test_item_that_a_later_watch_brings_is_not_taken_over(self):
+        """Guards against a key that is kept although it has been deleted."""
+        self.store.state.write("a/1", b"two", self.known.revision, "")
+        self.correct(self.known.revision)
+        self.assertEqual(self.known, self.mirror.items["a/1"])
+        self.update()
+        self.assertEqual(b"two", self.mirror.items["a/1"].value)
+
+    def test_all_keys_are_read_again_if_an_item_is_missing(self):
+        """Guards against an owner that a process never learns of."""
+        del self.mirror.items["a/1"]
+        self.correct(store.ABSENT)
+        self.update()
+        self.assertEqual(self.known, self.mirror.items["a/1"])
