Read the shared state again after lost history

Cause: after the store had discarded the history that StoreFollower needed, each watch failed with the same answer, and the replica of a gateway stayed as it was for ever. A read was also taken to reach the newest revision of its items, so that changes between its pages counted as old, and deleted keys were not decoded again.

Change: lost history leads to a new read; the replica reaches the revision of the first page, after which the watch tells of all changes.

--- a/src/wagtailtiller/follower.py
+++ b/src/wagtailtiller/follower.py
@@ -98,6 +98,8 @@
             replica.PREFIX, self._followed_revision, self._wait_ms
         )
         if result.is_error():
+            if result.error.reason == store.HISTORY_LOST:
+                self._followed_revision = store.ABSENT
             return False
         updated = self._replica.update(result.ok.items)
         self._followed_revision = result.ok.revision
@@ -109,10 +111,9 @@
         result = await self._store.read(replica.PREFIX)
         if result.is_error():
             return False
-        newest = max(
-            (item.revision for item in result.ok.items), default=store.ABSENT
-        )
-        if self._replica.load(result.ok.items, newest):
+        # Items of later pages may be newer than this revision. The watch tells
+        # of all changes after it.
+        if self._replica.load(result.ok.items, result.ok.revision):
             self._on_change()
         self._followed_revision = max(result.ok.revision, ids.Revision(1))
         return True
--- a/src/wagtailtiller/replica.py
+++ b/src/wagtailtiller/replica.py
@@ -62,8 +62,9 @@
         """
         if revision <= self.revision:
             return False
+        previous_keys = set(self._items)
         self._items = {item.key: item for item in items}
-        self._refresh(set(self._items))
+        self._refresh(previous_keys | set(self._items))
         self.revision = ids.Revision(revision)
         return True
 
