Forget reports of VMs when they are followed anew

Cause: a process that loses its last pool and gains another at once starts a new copy of the VM reports before the old one has ended, which then does not clear them. A VM that ends in between stays listed while the process owns pools.

Change: the reports are cleared at the start as well.

Before: tests/platform/test_declarations.py fails, after: it passes.

--- a/src/wagtailtiller/platform/declarations.py
+++ b/src/wagtailtiller/platform/declarations.py
@@ -83,6 +83,8 @@
 
     async def follow_vms(self) -> None:
         """Follow the VMs' reports until cancelled, then discard them."""
+        # Reports that an earlier call has left are not in the new copy.
+        self.vms.clear()
         vm_mirror = mirror.Mirror(
             self._store_client,
             documents.VM_PREFIX,
