Keep a job in the pool that accepted it when its queue moves

Cause: keys, look-ups, cancellations, pending and repeats were made from the pool that the queue has in the configuration of the process that is asked. Processes learn a version at different moments, so that one request could be accepted under two pools without a late repeat as well. A pool that no queue names any more got no new owner.

Evidence: after the repeat the store holds the job under both pools (jobs/proofdesk/ID and jobs/colourhouse/ID). Ruled out: a former owner that drops the jobs of a queue that has left; the old key stays.

Change: the store lists the pools that each queue has had, in one key under the prefix that all processes follow. A transaction that creates a job expects this list at its known revision, and the job to be absent in the other pools of it. A refusal brings both, and is answered as the job that is stored.

Why it works: two creations of one job under two pools cannot both be applied, since the later one finds either the changed list or the stored job.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -20,6 +20,7 @@
 from wagtailtiller.entry import peers
 from wagtailtiller.jobs import model
 from wagtailtiller.owner import messages
+from wagtailtiller.owner import queue_pools
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import admission
@@ -41,6 +42,8 @@
 _ToOutcome = Callable[
     [messages.Answer | None], Awaitable[outcomes.Outcome | None]
 ]
+# Asks one pool about a job, within a time limit in ms.
+_AskPool = Callable[[ids.PoolId, int], Awaitable[outcomes.Outcome]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,6 +127,9 @@
     def catalogue(self) -> catalogue.Catalogue | None:
         """Return the declared queues and pools; None until they are read."""
 
+    def queue_pools(self) -> queue_pools.QueuePools:
+        """Return the pools in which each queue has had jobs."""
+
     def owner_address(self, pool: ids.PoolId) -> str | None:
         """Return the address of a pool's owner.
 
@@ -184,7 +190,10 @@
         self.deadlines = deadlines_module.Deadlines(clock, lateness_ms)
         self._directory = directory
         self._peers = peer_client
-        self._job_store = job_store.JobStore(store_client, clock)
+        self._queue_pools = directory.queue_pools()
+        self._job_store = job_store.JobStore(
+            store_client, clock, self._queue_pools
+        )
         self._clock = clock
         # Owners that previous owners have named, while the store is away.
         self._redirects: dict[ids.PoolId, _Owner] = {}
@@ -413,15 +422,20 @@
             first.
         """
 
-        async def to_outcome(
-            answer: messages.Answer | None,
-        ) -> outcomes.Outcome | None:
-            if isinstance(answer, messages.State) and answer.state:
-                return outcomes.JobStatus(answer.state)
-            return await self._job_store.state(request)
+        def ask(
+            pool: ids.PoolId, time_left_ms: int
+        ) -> Awaitable[outcomes.Outcome]:
+            async def to_outcome(
+                answer: messages.Answer | None,
+            ) -> outcomes.Outcome | None:
+                if isinstance(answer, messages.State) and answer.state:
+                    return outcomes.JobStatus(answer.state)
+                return await self._job_store.state(request)
 
-        request = messages.AskState(route.queue.pool, job, route.organisation)
-        return await self._ask_until_resolved(request, timeout_ms, to_outcome)
+            request = messages.AskState(pool, job, route.organisation)
+            return self._ask_until_resolved(request, time_left_ms, to_outcome)
+
+        return await self._ask_pools_in_turn(route.queue, timeout_ms, ask)
 
     async def cancel(
         self, route: Route, job: model.JobId, timeout_ms: int
@@ -438,21 +452,26 @@
             first.
         """
 
-        async def to_outcome(
-            answer: messages.Answer | None,
-        ) -> outcomes.Outcome | None:
-            match answer:
-                case messages.Accepted():
-                    return outcomes.Accepted()
-                case messages.State():
-                    stored = await self._job_store.state(request)
-                    missing = isinstance(stored, outcomes.NoSuchJob)
-                    return stored if missing else None
-                case _:
-                    return None
-
-        request = messages.Cancel(route.queue.pool, job, route.organisation)
-        return await self._ask_until_resolved(request, timeout_ms, to_outcome)
+        def ask(
+            pool: ids.PoolId, time_left_ms: int
+        ) -> Awaitable[outcomes.Outcome]:
+            async def to_outcome(
+                answer: messages.Answer | None,
+            ) -> outcomes.Outcome | None:
+                match answer:
+                    case messages.Accepted():
+                        return outcomes.Accepted()
+                    case messages.State():
+                        stored = await self._job_store.state(request)
+                        missing = isinstance(stored, outcomes.NoSuchJob)
+                        return stored if missing else None
+                    case _:
+                        return None
+
+            request = messages.Cancel(pool, job, route.organisation)
+            return self._ask_until_resolved(request, time_left_ms, to_outcome)
+
+        return await self._ask_pools_in_turn(route.queue, timeout_ms, ask)
 
     async def queue_status(
         self, queue: catalogue.Queue, timeout_ms: int
@@ -474,8 +493,45 @@
                 return outcomes.QueueStatus(answer.count)
             return None
 
-        request = messages.AskPending(queue.pool, queue.queue)
-        return await self._ask_until_resolved(request, timeout_ms, to_outcome)
+        answers = await asyncio.gather(
+            *(
+                self._ask_until_resolved(
+                    messages.AskPending(pool, queue.queue),
+                    timeout_ms,
+                    to_outcome,
+                )
+                for pool in self._pools_of(queue)
+            )
+        )
+        if not self._queue_pools.listed:
+            # Other pools of the queue may have jobs.
+            return outcomes.Unknown()
+        pending_count = 0
+        for answer in answers:
+            if not isinstance(answer, outcomes.QueueStatus):
+                return answer
+            pending_count += answer.pending_count
+        return outcomes.QueueStatus(pending_count)
+
+    def _pools_of(self, queue: catalogue.Queue) -> list[ids.PoolId]:
+        """Return the pools that may have jobs of a queue, its present first."""
+        others = self._queue_pools.other_pools(queue.queue, queue.pool)
+        return [queue.pool, *others]
+
+    async def _ask_pools_in_turn(
+        self, queue: catalogue.Queue, timeout_ms: int, ask: _AskPool
+    ) -> outcomes.Outcome:
+        """Ask the pools of a queue about a job until one has it."""
+        deadline_ms = self._clock.monotonic_ms() + timeout_ms
+        for pool in self._pools_of(queue):
+            time_left_ms = deadline_ms - self._clock.monotonic_ms()
+            outcome = await ask(pool, max(1, time_left_ms))
+            if not isinstance(outcome, outcomes.NoSuchJob):
+                return outcome
+        if not self._queue_pools.listed:
+            # Another pool of the queue may have the job.
+            return outcomes.Unknown()
+        return outcomes.NoSuchJob()
 
     async def _ask_until_resolved(
         self,
--- a/src/wagtailtiller/entry/job_store.py
+++ b/src/wagtailtiller/entry/job_store.py
@@ -9,6 +9,7 @@
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import messages
+from wagtailtiller.owner import queue_pools
 from wagtailtiller.ports import store
 
 # The epoch of a job that is stored without an owner.
@@ -30,13 +31,18 @@
     Args:
         store_client: Client of the store.
         clock: Clock that supplies the current time.
+        known_pools: The pools in which each queue has had jobs.
     """
 
     def __init__(
-        self, store_client: store.Store, clock: clock_module.Clock
+        self,
+        store_client: store.Store,
+        clock: clock_module.Clock,
+        known_pools: queue_pools.QueuePools,
     ) -> None:
         self._store = store_client
         self._clock = clock
+        self._queue_pools = known_pools
 
     async def add(self, request: messages.Submit) -> StoreResult:
         """Store a job whose pool has no reachable owner.
@@ -56,25 +62,48 @@
         )
         key = keys.job(request.pool, request.job)
         write = store.Write(key, record.encode(new_job))
+        expected = self._queue_pools.preconditions(
+            request.queue, request.pool, request.job
+        )
         result = await self._store.commit(
-            store.Transaction({key: store.ABSENT}, (write,))
+            store.Transaction(
+                {key: store.ABSENT, **expected},
+                (
+                    write,
+                    *self._queue_pools.writes(request.queue, request.pool),
+                ),
+            )
         )
         if result.is_ok():
             return StoreResult.YES
         match result.error:
-            case store.PreconditionFailed():
-                return await self._compare_stored(request)
+            case store.PreconditionFailed(items=items):
+                return self._compare_stored(request, items)
             case errors.StoreUnavailable(may_apply=False):
                 return StoreResult.NO
             case _:
                 return StoreResult.UNKNOWN
 
-    async def _compare_stored(self, request: messages.Submit) -> StoreResult:
-        """Tell whether the job that is stored is the caller's own."""
-        result = await self._store.read_key(keys.job(request.pool, request.job))
-        if result.is_error() or result.ok is None:
+    def _compare_stored(
+        self, request: messages.Submit, items: tuple[store.Item, ...]
+    ) -> StoreResult:
+        """Tell whether the job that is stored is the caller's own.
+
+        Args:
+            request: The job and its caller.
+            items: Items that the refused precondition has returned.
+        """
+        found = self._queue_pools.find_elsewhere(
+            items, request.queue, request.pool, request.job
+        )
+        own_key = keys.job(request.pool, request.job)
+        for item in items:
+            if item.key == own_key and item.value is not None:
+                found = item
+        if found is None:
+            # The list of the queue's pools has changed; the caller tries again.
             return StoreResult.UNKNOWN
-        decoded = record.decode(result.ok.value or b"")
+        decoded = record.decode(found.value or b"")
         if decoded.is_error():
             return StoreResult.UNKNOWN
         if decoded.ok.organisation != request.organisation:
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -22,6 +22,7 @@
 from wagtailtiller.maintenance import machine_manager as machine_manager_module
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import pool_owner
+from wagtailtiller.owner import queue_pools
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import succession
@@ -93,6 +94,7 @@
         self._settings = settings
         self._adapters = adapters
         self._clock = clock
+        self._queue_pools = queue_pools.QueuePools()
         self._owner_ports = pool_owner.OwnerPorts(
             adapters.store,
             adapters.connect,
@@ -100,6 +102,7 @@
             adapters.placement_policy,
             clock,
             rng,
+            self._queue_pools,
         )
         self._owners: dict[ids.PoolId, pool_owner.PoolOwner] = {}
         self._peers = adapters.peers
@@ -120,6 +123,7 @@
             self._on_shard_lost,
             rng,
             lambda shard: self.frontend.on_owner_change(ids.PoolId(shard)),
+            self._on_queue_items,
         )
         self._contact = contact_module.PeerContact(
             self._shards.store_answers,
@@ -198,6 +202,10 @@
         """Return the declared queues and pools; None until they are read."""
         return self._adapters.declared.catalogue
 
+    def queue_pools(self) -> queue_pools.QueuePools:
+        """Return the pools in which each queue has had jobs."""
+        return self._queue_pools
+
     def owner_address(self, pool: ids.PoolId) -> str | None:
         """Return the address of a pool's owner.
 
@@ -278,17 +286,30 @@
     # Changes of the declarations and of the owned shards.
 
     def _on_declarations_change(self) -> None:
-        declared = self._adapters.declared
-        if declared.catalogue is None:
+        if self._adapters.declared.catalogue is None:
             return
+        self._update_required_shards()
+        for owner in self._owners.values():
+            self._update_owner(owner)
+
+    def _on_queue_items(self, items: list[store.Item]) -> None:
+        self._queue_pools.listed = True
+        changes = [self._queue_pools.update(item) for item in items]
+        if any(changes):
+            self._update_required_shards()
+
+    def _update_required_shards(self) -> None:
+        """Set which shards exist, with the pools that queues have left."""
+        declared = self._adapters.declared.catalogue
+        if declared is None:
+            return
+        pools = {queue.pool for queue in declared.queues}
         required_shards = {
-            ids.ShardId(queue.pool) for queue in declared.catalogue.queues
+            ids.ShardId(pool) for pool in pools | self._queue_pools.all_pools()
         }
         if self._adapters.machines is not None:
             required_shards.add(MACHINES_SHARD)
         self._shards.set_shards(required_shards)
-        for owner in self._owners.values():
-            self._update_owner(owner)
 
     def _update_owner(self, owner: pool_owner.PoolOwner) -> None:
         declared = self._adapters.declared
@@ -346,6 +367,7 @@
             self._shards.authority,
             self._on_ownership_lost,
             self._rng,
+            self._queue_pools.all_pools,
         )
 
     async def _ask_owner(
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -68,6 +68,7 @@
             longer owns, and with the reason.
         rng: Random source that spreads retries.
         on_owner_change: Called with each shard that has a new owner.
+        on_queue_items: Called with the changed lists of the queues' pools.
 
     Attributes:
         claims_by_shard: The claims that this process has won.
@@ -83,7 +84,9 @@
         on_lost: Callable[[claims.Claim, str], None],
         rng: random.Random,
         on_owner_change: Callable[[ids.ShardId], None] = lambda shard: None,
+        on_queue_items: Callable[[list[store.Item]], None] = lambda items: None,
     ) -> None:
+        self._on_queue_items = on_queue_items
         self._on_owner_change = on_owner_change
         self.claims_by_shard: dict[ids.ShardId, claims.Claim] = {}
         self._store = store_client
@@ -586,6 +589,9 @@
                 self._update_owner(item)
             elif item.key.startswith(keys.SUCCESSOR_PREFIX):
                 self._update_successor(item)
+        self._on_queue_items(
+            [item for item in items if item.key.startswith(keys.QUEUE_PREFIX)]
+        )
         self._has_listed = True
         if any(
             shard not in self._owners
--- a/src/wagtailtiller/keys.py
+++ b/src/wagtailtiller/keys.py
@@ -9,6 +9,7 @@
 NODE_PREFIX = f"{LIVE_PREFIX}nodes/"
 OWNER_PREFIX = f"{LIVE_PREFIX}owners/"
 SUCCESSOR_PREFIX = f"{LIVE_PREFIX}successors/"
+QUEUE_PREFIX = f"{LIVE_PREFIX}queues/"
 # Lists the machines for which the machine manager is about to start an
 # operation or has recently started one.
 MACHINE_ORDERS = f"{ROOT}machine-orders"
@@ -33,6 +34,11 @@
     return f"{SUCCESSOR_PREFIX}{shard}"
 
 
+def queue_pools(queue: ids.QueueId) -> str:
+    """Return the key of the list of pools in which a queue has had jobs."""
+    return f"{QUEUE_PREFIX}{queue}"
+
+
 def epoch(shard: ids.ShardId) -> str:
     """Return the key of a shard's epoch, the number of its owners so far."""
     return f"{ROOT}epochs/{shard}"
--- a/src/wagtailtiller/maintenance/machine_manager.py
+++ b/src/wagtailtiller/maintenance/machine_manager.py
@@ -70,8 +70,10 @@
         owner_authority: authority.Authority,
         on_lost: Callable[["MachineManager", str], None],
         rng: random.Random,
+        pools_with_jobs: Callable[[], set[ids.PoolId]] = set,
     ) -> None:
         self.claim = claim
+        self._pools_with_jobs = pools_with_jobs
         self._platform = platform
         self._declared = declared
         self._ask_owner = ask_owner
@@ -217,6 +219,8 @@
         catalogue = self._declared.catalogue
         assert catalogue is not None
         served_pools = {queue.pool for queue in catalogue.queues}
+        declared_pools = {pool.pool for pool in catalogue.pools}
+        served_pools |= self._pools_with_jobs() & declared_pools
         loads = await self._load_collector.collect(
             sorted(served_pools), self._fleet.spare_millicores()
         )
--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -15,13 +15,16 @@
 from wagtailtiller import keys
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
+from wagtailtiller.owner import queue_pools
 from wagtailtiller.ownership import claims
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import pool as pool_module
+from wagtailtiller.scheduling import state
 
-# Each job takes a precondition and a write; the owner key takes one more
-# precondition.
-_MAX_BATCH_JOBS = (store.MAX_TRANSACTION_ENTRIES - 2) // 2
+# The owner key takes one precondition.
+_MAX_BATCH_ENTRIES = store.MAX_TRANSACTION_ENTRIES - 1
+# A precondition and a write.
+_JOB_ENTRIES = 2
 _BATCH_DELAY_MS = 12
 
 
@@ -31,6 +34,7 @@
     STORED = "stored"
     NOT_STORED = "not_stored"
     OWNERSHIP_LOST = "deposed"
+    IN_OTHER_POOL = "in_other_pool"
 
 
 class Flush:
@@ -77,6 +81,7 @@
         pool: Pool whose jobs are written.
         claim: Claim under which the jobs are written.
         backoff: Delays between retries.
+        known_pools: The pools in which each queue has had jobs.
 
     Attributes:
         revisions: Last known store revision of each job.
@@ -90,7 +95,9 @@
         pool: pool_module.Pool,
         claim: claims.Claim,
         backoff: follower.Backoff,
+        known_pools: queue_pools.QueuePools | None = None,
     ) -> None:
+        self._queue_pools = known_pools or queue_pools.QueuePools()
         self.revisions: dict[model.JobId, ids.Revision] = {}
         self.committed_revision = store.ABSENT
         self._store = store_client
@@ -139,9 +146,7 @@
         while not self.ownership_lost.is_set():
             await self._wake.wait()
             await asyncio.sleep(_BATCH_DELAY_MS / 1_000)
-            batch = dict(list(self._pending.items())[:_MAX_BATCH_JOBS])
-            for job in batch:
-                del self._pending[job]
+            batch = self._take_batch()
             if not self._pending:
                 self._wake.clear()
             if batch:
@@ -149,6 +154,44 @@
                 await self._commit(batch)
                 self._committing = {}
 
+    def _take_batch(self) -> "dict[model.JobId, asyncio.Future[WriteOutcome]]":
+        """Remove and return as many pending jobs as one transaction holds."""
+        batch: dict[model.JobId, asyncio.Future[WriteOutcome]] = {}
+        queues: set[ids.QueueId] = set()
+        free_entries = _MAX_BATCH_ENTRIES
+        for job in list(self._pending):
+            free_entries -= _JOB_ENTRIES
+            new = self._new_entry(job)
+            if new is not None:
+                free_entries -= self._creation_entries(new.job.queue, queues)
+                queues.add(new.job.queue)
+            if batch and free_entries < 0:
+                break
+            batch[job] = self._pending.pop(job)
+        return batch
+
+    def _creation_entries(
+        self, queue: ids.QueueId, known: set[ids.QueueId]
+    ) -> int:
+        """Return how many more entries the creation of a job takes.
+
+        Args:
+            queue: Queue of the job.
+            known: Queues of other jobs that the transaction creates.
+        """
+        pool = self._pool.pool
+        entries = len(self._queue_pools.other_pools(queue, pool))
+        if queue not in known:
+            entries += 1 + len(self._queue_pools.writes(queue, pool))
+        return entries
+
+    def _new_entry(self, job: model.JobId) -> state.JobEntry | None:
+        """Return the entry of a job that is to be created in the store."""
+        entry = self._pool.entries.get(job)
+        if self.revisions.get(job, store.ABSENT) != store.ABSENT:
+            return None
+        return entry
+
     def is_own_write(self, item: store.Item) -> bool:
         """Return whether a stored job may be as this owner has written it.
 
@@ -183,15 +226,31 @@
         states = {job: entry.job.state for job, entry in entries.items()}
         expected = self._claim.preconditions()
         writes = []
+        lists: dict[str, store.Write] = {}
         for job, entry in entries.items():
             key = keys.job(self._pool.pool, job)
             expected[key] = self.revisions.get(job, store.ABSENT)
             writes.append(store.Write(key, record.encode(entry.job)))
+            if self._new_entry(job) is not None:
+                queue = entry.job.queue
+                expected |= self._queue_pools.preconditions(
+                    queue, self._pool.pool, job
+                )
+                lists.update(
+                    (write.key, write)
+                    for write in self._queue_pools.writes(
+                        queue, self._pool.pool
+                    )
+                )
         result = await self._store.commit(
-            store.Transaction(expected, tuple(writes))
+            store.Transaction(expected, (*writes, *lists.values()))
         )
         if result.is_ok():
             self.committed_revision = result.ok
+            for write in lists.values():
+                self._queue_pools.update(
+                    store.Item(write.key, write.value, result.ok)
+                )
             for job, entry in entries.items():
                 self.revisions[job] = result.ok
                 entry.stored_state = states[job]
@@ -220,6 +279,7 @@
         if owner is not None and owner.revision != self._claim.revision:
             self._handle_ownership_loss(batch)
             return
+        self._drop_jobs_of_other_pools(items, batch)
         for job in batch:
             item = item_by_key.get(keys.job(self._pool.pool, job))
             if item is None:
@@ -236,6 +296,35 @@
         # conflicts could delay it again and again.
         self._requeue(batch, True, keep_turn=True)
 
+    def _drop_jobs_of_other_pools(
+        self,
+        items: tuple[store.Item, ...],
+        batch: "dict[model.JobId, asyncio.Future[WriteOutcome]]",
+    ) -> None:
+        """Drop jobs that were accepted before their queue came to this pool."""
+        for job in list(batch):
+            entry = self._new_entry(job)
+            if entry is None:
+                continue
+            found = self._queue_pools.find_elsewhere(
+                items, entry.job.queue, self._pool.pool, job
+            )
+            if found is None:
+                continue
+            events.emit(
+                events.Event.JOB_IN_OTHER_POOL,
+                job=job,
+                pool=self._pool.pool,
+                key=found.key,
+                revision=found.revision,
+            )
+            self._pool.jobs.remove(job)
+            self._unknown_outcome.discard(job)
+            futures = [batch.pop(job)]
+            if job in self._pending:
+                futures.append(self._pending.pop(job))
+            _resolve(futures, WriteOutcome.IN_OTHER_POOL)
+
     def _adopt_stored(self, job: model.JobId, item: store.Item) -> None:
         # The stored item is either an own write whose response was lost, or
         # was written by another process.
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -23,6 +23,7 @@
 from wagtailtiller.owner import members as members_module
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import policy_queue
+from wagtailtiller.owner import queue_pools
 from wagtailtiller.owner import requests
 from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import stored_jobs
@@ -84,6 +85,7 @@
             there is none.
         clock: Clock that supplies the current time.
         rng: Random source that spreads retries.
+        known_pools: The pools in which each queue has had jobs.
     """
 
     store: store.Store
@@ -92,6 +94,9 @@
     placement_policy: policy.Policy | None
     clock: clock_module.Clock
     rng: random.Random
+    known_pools: queue_pools.QueuePools = dataclasses.field(
+        default_factory=queue_pools.QueuePools
+    )
 
 
 class PoolOwner:
@@ -137,7 +142,11 @@
         self._authority = owner_authority
         self._store_answers = store_answers
         self._job_writer = job_writer_module.JobWriter(
-            ports.store, self.pool, claim, follower.Backoff(ports.rng)
+            ports.store,
+            self.pool,
+            claim,
+            follower.Backoff(ports.rng),
+            ports.known_pools,
         )
         self._stored_jobs = stored_jobs.StoredJobs(
             ports.store,
@@ -146,6 +155,7 @@
             clock,
             self._on_job_read,
             self._give_up,
+            ports.known_pools,
         )
         self._job_mirror = mirror.Mirror(
             ports.store,
@@ -202,6 +212,7 @@
             store_answers,
             self._wake.set,
             self._stored_jobs.find,
+            self._stored_jobs.find_in_other_pools,
         )
         self._policy_queue: policy_queue.PolicyQueue | None = None
         if ports.placement_policy is not None:
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -28,6 +28,10 @@
 FindStored = Callable[
     [model.JobId], Awaitable[Result[bool, errors.StoreUnavailable]]
 ]
+FindInOtherPools = Callable[
+    [ids.QueueId, model.JobId],
+    Awaitable[Result[job_module.Job | None, errors.StoreUnavailable]],
+]
 
 
 class RequestHandler:
@@ -42,6 +46,8 @@
             must be planned again.
         find_stored: Looks a job up in the store, and adds it to the pool if
             it is stored; returns whether it is.
+        find_in_other_pools: Looks a job up in the other pools that its queue
+            has had.
     """
 
     def __init__(
@@ -52,8 +58,10 @@
         store_answers: Callable[[], bool],
         on_change: Callable[[], None],
         find_stored: FindStored,
+        find_in_other_pools: FindInOtherPools,
     ) -> None:
         self._pool = pool
+        self._find_in_other_pools = find_in_other_pools
         self._job_writer = writer
         self._clock = clock
         self._store_answers = store_answers
@@ -129,6 +137,26 @@
                 )
             case job_writer_module.WriteOutcome.OWNERSHIP_LOST:
                 return messages.Unsure()
+            case job_writer_module.WriteOutcome.IN_OTHER_POOL:
+                elsewhere = await self._answer_for_other_pools(request)
+                return elsewhere or messages.Unsure()
+
+    async def _answer_for_other_pools(
+        self, request: messages.Submit
+    ) -> messages.Answer | None:
+        """Answer for a job that another pool of its queue has accepted.
+
+        Returns:
+            The answer; None if no other pool has the job.
+        """
+        found = await self._find_in_other_pools(request.queue, request.job)
+        if found.is_error():
+            return messages.Unsure()
+        if found.ok is None:
+            return None
+        if found.ok.organisation != request.organisation:
+            return messages.IdInUse()
+        return messages.Accepted()
 
     def _count_arrival(self, job: model.JobId, spec: model.JobSpec) -> None:
         """Count the work of a job when it is submitted for the first time."""
@@ -165,6 +193,9 @@
         if stored.ok:
             entry = self._visible_entry(request.job, request.organisation)
             return messages.Accepted() if entry else messages.IdInUse()
+        elsewhere = await self._answer_for_other_pools(request)
+        if elsewhere is not None:
+            return elsewhere
         if refusal.reason is admission.RefusalReason.OVERLOADED:
             self._count_refused(request)
         events.emit(
--- a/src/wagtailtiller/owner/stored_jobs.py
+++ b/src/wagtailtiller/owner/stored_jobs.py
@@ -14,11 +14,13 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import errors
 from wagtailtiller import events
+from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import job_writer as job_writer_module
+from wagtailtiller.owner import queue_pools
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import state
@@ -36,6 +38,7 @@
             ownership of the pool is proven for later.
         on_later_owner: Called with a reason when a job shows that the pool has
             a later owner.
+        known_pools: The pools in which each queue has had jobs.
     """
 
     def __init__(
@@ -46,7 +49,9 @@
         clock: clock_module.Clock,
         on_read: Callable[[], None],
         on_later_owner: Callable[[str], None],
+        known_pools: queue_pools.QueuePools,
     ) -> None:
+        self._queue_pools = known_pools
         self._store = store_client
         self._pool = pool
         self._job_writer = writer
@@ -73,6 +78,31 @@
             self.update([result.ok])
         return Ok(result.ok is not None)
 
+    async def find_in_other_pools(
+        self, queue: ids.QueueId, job: model.JobId
+    ) -> Result[job_module.Job | None, errors.StoreUnavailable]:
+        """Look a job up in the other pools that its queue has had.
+
+        Args:
+            queue: Queue of the job.
+            job: Id of the job.
+
+        Returns:
+            The job as it is stored, or None if it is in none of them; the error
+            if the store does not respond or the job cannot be decoded.
+        """
+        for pool in self._queue_pools.other_pools(queue, self._pool.pool):
+            result = await self._store.read_key(keys.job(pool, job))
+            if result.is_error():
+                return Error(result.error)
+            if result.ok is None or result.ok.value is None:
+                continue
+            decoded = record.decode(result.ok.value)
+            if decoded.is_error():
+                return Error(errors.StoreUnavailable(str(decoded.error)))
+            return Ok(decoded.ok)
+        return Ok(None)
+
     def restore(self, item: store.Item) -> None:
         """Add a job of a previous owner, unless it is known.
 
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -306,6 +306,11 @@
             "_start_once_owned",
             lambda self, job: None,
         ),
+        (
+            job_writer.JobWriter,
+            "is_own_write",
+            lambda self, item: True,
+        ),
     ],
     "capacity is read once": [
         (vm_tracker.VmTracker, "register", _keep_first_report),
--- a/support/sim/process.py
+++ b/support/sim/process.py
@@ -133,10 +133,15 @@
         return b"completed" if completed else b"open"
 
     async def run(self) -> None:
-        """Report the catalogue once, as the operators never change it."""
+        """Report the catalogue at the start."""
         self._notify()
         await loop_module.wait_forever()
 
+    def declare(self, catalogue: catalogue_module.Catalogue) -> None:
+        """Let the process learn of a later version of the catalogue."""
+        self.catalogue = catalogue
+        self._notify()
+
     async def follow_vms(self) -> None:
         """Follow the registrations of VMs until cancelled."""
         while True:
@@ -171,6 +176,7 @@
         process: Name of this instance of the process.
         alive: Whether the instance has neither been killed nor stopped.
         clock: Clock of the process.
+        declared: What the process knows of the declarations.
         node: Node that runs in the process.
     """
 
@@ -193,9 +199,10 @@
         self._loop = loop
         self.clock = loop_module.VirtualClock(loop)
         settings = _settings(name, capacity)
+        self.declared = SimDeclarations(catalogue, fleet, self.process)
         adapters = node_module.Adapters(
             store_module.SimStore(store_service, self.process),
-            SimDeclarations(catalogue, fleet, self.process),
+            self.declared,
             lambda report: fleet.connect(report, self.process, rng),
             fleet_module.SimMachines(fleet, self.process),
             peers=_SimPeers(network, self.process),
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -16,6 +16,7 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import messages
+from wagtailtiller.owner import queue_pools
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import admission
 
@@ -39,10 +40,15 @@
         self.local_answers = []
         self.local_requests = []
         self.declared = catalogue.Catalogue(1, (jobs.queue(),), (), 1_000)
+        self.known_pools = queue_pools.QueuePools()
+        self.known_pools.listed = True
 
     def catalogue(self):
         return self.declared
 
+    def queue_pools(self):
+        return self.known_pools
+
     def owner_address(self, pool):
         return self.address
 
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -13,6 +13,7 @@
 from wagtailtiller import ids
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import settings as settings_module
+from wagtailtiller.owner import queue_pools
 from wagtailtiller.platform import caller_api
 from wagtailtiller.platform import drain
 from wagtailtiller.platform import main as main_module
@@ -38,6 +39,9 @@
     def owner_address(self, pool):
         return "owner:1"
 
+    def queue_pools(self):
+        return queue_pools.QueuePools()
+
     def owner_epoch(self, pool):
         return 1
 
