Bound what an owner holds of a job with many due times

Cause: each plan walked all due occurrences from 0 and created their tasks at once; nothing of a finished occurrence was forgotten, and each write of the job listed all of them. Memory and time grew with a number that a caller writes.

Ruled out as the cause of the first end: the record alone, which grows only with finished occurrences.

Change: due times are computed; an owner works on the occurrences that follow the first unfinished one, as many as give 2,000 tasks, and 10,000 for all repeated jobs of a pool. Finished ones are kept as a count and a short list, also in the store. Lasting tasks of more than 10,000 over all occurrences are refused.

Why it works: what is held depends on these limits and no longer on repeats; occurrences beyond them start when earlier ones end, each once.

--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -7,10 +7,14 @@
 import functools
 
 from wagtailtiller import ids
+from wagtailtiller.jobs import finished_occurrences
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import catalogue
 
+# More occurrences of a repeated job may be due. They wait, so that memory and
+# the time of a plan do not grow with their number.
+MAX_OPEN_TASKS = 2_000
 # The store does not record starts. Each previous owner is assumed to have used
 # at most this many run numbers of a task.
 _UNRECORDED_RUNS_PER_EPOCH = 32
@@ -35,6 +39,9 @@
         accepted_epoch: Epoch of the owner that accepted the job.
         organisation: Organisation that submitted the job; empty if its queue
             needs no API key.
+        finished: The occurrences whose tasks have all succeeded.
+        max_open_tasks: Largest number of tasks of a repeated job that are held
+            at once; one occurrence is held in any case.
         state: State that callers see.
         started: Whether any task has been started.
         cancelled_ms: Time of the cancellation, on the owner's clock; 0 if the
@@ -60,7 +67,8 @@
         self.started = False
         self.cancelled_ms = 0
         self._occurrences: dict[int, list[task_module.StepRun]] = {}
-        self._finished_occurrences: set[int] = set()
+        self.finished = finished_occurrences.FinishedOccurrences()
+        self.max_open_tasks = MAX_OPEN_TASKS
         # Derived values, which are computed again after a task has changed.
         self._startable_steps: list[task_module.StepRun] | None = None
         self._remaining_path_ms: int | None = None
@@ -82,24 +90,40 @@
         return self.state in model.FINAL_STATES
 
     def steps(self, occurrence: int) -> list[task_module.StepRun]:
-        """Return the steps of an occurrence and create them on first use."""
+        """Return the steps of an occurrence and create them on first use.
+
+        Those of a finished occurrence of a repeated job are not kept.
+        """
         steps = self._occurrences.get(occurrence)
         if steps is None:
             steps = [
                 self._new_step(occurrence, number, step)
                 for number, step in enumerate(self.spec.steps)
             ]
-            self._occurrences[occurrence] = steps
+            if occurrence in self.finished:
+                _mark_all_done(steps)
+            else:
+                self._occurrences[occurrence] = steps
         return steps
 
     def open_occurrences(self, wall_ms: int) -> Iterator[int]:
-        """Yield the indexes of the occurrences that are due and unfinished."""
-        for number in range(self.spec.occurrences()):
-            if self.spec.due_ms(number) > wall_ms:
-                return
-            if number not in self._finished_occurrences:
+        """Yield the occurrences that are due, unfinished and may be worked on.
+
+        These are among a limited number from the first unfinished one on.
+        """
+        span = max(1, self.max_open_tasks // self._task_count)
+        end = min(
+            self.spec.due_count(wall_ms), self.finished.first_missing + span
+        )
+        for number in range(self.finished.first_missing, end):
+            if number not in self.finished:
                 yield number
 
+    @functools.cached_property
+    def _task_count(self) -> int:
+        """Number of tasks of each occurrence."""
+        return sum(step.task_count for step in self.spec.steps)
+
     def next_due_ms(self, wall_ms: int) -> int | None:
         """Return when the next occurrence is due; None if there is none.
 
@@ -109,11 +133,10 @@
         Returns:
             Unix milliseconds.
         """
-        for number in range(self.spec.occurrences()):
-            due_ms = self.spec.due_ms(number)
-            if due_ms > wall_ms:
-                return due_ms
-        return None
+        due_count = self.spec.due_count(wall_ms)
+        if due_count == self.spec.occurrences():
+            return None
+        return self.spec.due_ms(due_count)
 
     def ready_steps(self, wall_ms: int) -> Iterator[task_module.StepRun]:
         """Yield the unfinished steps whose predecessors are done."""
@@ -154,6 +177,7 @@
         """Record that a task of the job has no current run."""
         task.run = None
         self._discard_derived()
+        self._discard_finished(task.id.occurrence)
 
     def _discard_derived(self) -> None:
         self._startable_steps = None
@@ -371,10 +395,28 @@
     def _update_completion(self, occurrence: int) -> None:
         if any(step.open_count for step in self.steps(occurrence)):
             return
-        self._finished_occurrences.add(occurrence)
-        finished = len(self._finished_occurrences)
-        if finished == self.spec.occurrences() and not self.is_final():
+        self.finished.add(occurrence)
+        if (
+            self.finished.count() == self.spec.occurrences()
+            and not self.is_final()
+        ):
             self.state = model.JobState.COMPLETED
+        self._discard_finished(occurrence)
+
+    def _discard_finished(self, occurrence: int) -> None:
+        """Forget the tasks of a finished occurrence once none has a run."""
+        if not self.spec.repeat_count or occurrence not in self.finished:
+            return
+        steps = self._occurrences.get(occurrence, [])
+        if not any(task.run for step in steps for task in step.tasks):
+            self._occurrences.pop(occurrence, None)
+
+
+def _mark_all_done(steps: list[task_module.StepRun]) -> None:
+    for step_run in steps:
+        step_run.open_count = 0
+        for task in step_run.tasks:
+            task.done = True
 
 
 def _crashes_too_often(task: task_module.Task) -> bool:
--- a/src/wagtailtiller/jobs/model.py
+++ b/src/wagtailtiller/jobs/model.py
@@ -122,6 +122,21 @@
             return 0
         return self.first_due_ms + occurrence * self.interval_ms
 
+    def due_count(self, wall_ms: int) -> int:
+        """Return how many occurrences are due, which are the first ones.
+
+        Args:
+            wall_ms: Current time, in Unix milliseconds.
+        """
+        if not self.repeat_count:
+            return 1
+        elapsed_ms = wall_ms - self.first_due_ms
+        if elapsed_ms < 0:
+            return 0
+        if not self.interval_ms:
+            return self.repeat_count
+        return min(self.repeat_count, elapsed_ms // self.interval_ms + 1)
+
     def validation_error(self) -> str:
         """Return what is invalid about the job; empty if it is valid."""
         if not self.steps:
@@ -131,6 +146,10 @@
             return f"steps: must have at most {MAX_TASKS} tasks in all"
         if self.repeat_count * task_count > MAX_TASKS and not self.interval_ms:
             return "interval_ms: must be above 0 for so many tasks"
+        long_running = any(step.long_running for step in self.steps)
+        if long_running and self.repeat_count * task_count > MAX_TASKS:
+            # Each occurrence would run until the job is cancelled.
+            return f"repeats: must give at most {MAX_TASKS} lasting tasks"
         for number, step in enumerate(self.steps):
             if step.task_count < 1:
                 return f"steps.{number}.count: must be at least 1"
--- a/src/wagtailtiller/jobs/record.py
+++ b/src/wagtailtiller/jobs/record.py
@@ -7,6 +7,7 @@
 
 from wagtailtiller import errors
 from wagtailtiller import ids
+from wagtailtiller.jobs import finished_occurrences
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import task as task_module
@@ -62,6 +63,9 @@
             crashes.
         organisation: Organisation that submitted the job; empty if its queue
             needs no API key.
+        finished_before: Number of first occurrences of a repeated job that have
+            all finished; their progress is left out.
+        finished: Later occurrences that have finished.
     """
 
     job: model.JobId
@@ -72,6 +76,8 @@
     state: model.JobState = model.JobState.QUEUED
     progress: tuple[_Progress, ...] = ()
     organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
+    finished_before: int = 0
+    finished: tuple[int, ...] = ()
 
 
 def encode(job: job_module.Job) -> bytes:
@@ -85,6 +91,7 @@
         job.state,
         tuple(_progress(job)),
         job.organisation,
+        *_finished(job),
     )
     return msgspec.msgpack.encode(record)
 
@@ -111,6 +118,14 @@
         record.accepted_epoch,
         record.organisation,
     )
+    if not _has_occurrences(job, record):
+        invalid = errors.InvalidSetting(
+            "job", "an unknown occurrence", "a job record"
+        )
+        return Error(invalid)
+    job.finished = finished_occurrences.FinishedOccurrences(
+        record.finished_before, record.finished
+    )
     for progress in record.progress:
         if not _is_valid(job, progress):
             invalid = errors.InvalidSetting(
@@ -122,6 +137,22 @@
     return Ok(job)
 
 
+def _has_occurrences(job: job_module.Job, record: JobRecord) -> bool:
+    """Return whether the job has all occurrences that are said to be done."""
+    count = job.spec.occurrences()
+    if not 0 <= record.finished_before <= count:
+        return False
+    return all(
+        record.finished_before < number < count for number in record.finished
+    )
+
+
+def _finished(job: job_module.Job) -> tuple[int, tuple[int, ...]]:
+    if not job.spec.repeat_count:
+        return 0, ()
+    return job.finished.first_missing, job.finished.later()
+
+
 def _progress(job: job_module.Job) -> list[_Progress]:
     masks: dict[tuple[int, int], int] = {}
     failed_runs: dict[tuple[int, int], dict[int, list[int]]] = {}
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -19,6 +19,8 @@
 _LONG_RUNNING_START_MS = 500
 # Time in which the pool should work off its backlog.
 _BACKLOG_TARGET_MS = 1_200
+# Tasks of all repeated jobs that are held at once.
+_MAX_OPEN_TASKS = 10_000
 _NO_JOB_ID = model.JobId("")
 
 
@@ -122,6 +124,18 @@
                 self._cost_admission.add(entry)
         return entry
 
+    def share_open_tasks(self) -> None:
+        """Divide the open tasks that may be held among the repeated jobs."""
+        repeated_jobs = [
+            entry.job
+            for entry in self._state.active.values()
+            if entry.job.spec.repeat_count
+        ]
+        for job in repeated_jobs:
+            job.max_open_tasks = min(
+                job_module.MAX_OPEN_TASKS, _MAX_OPEN_TASKS // len(repeated_jobs)
+            )
+
     def remove(self, job: model.JobId) -> None:
         """Remove a job that was not stored or whose retention has ended."""
         self._state.entries.pop(job, None)
@@ -173,6 +187,7 @@
         """
         startable_millicores = 0.0
         long_running_millicores = 0
+        self.share_open_tasks()
         wall_ms = self._state.clock.wall_ms()
         headroom = self._allocations.headroom()
         for entry in self._state.active.values():
--- a/src/wagtailtiller/scheduling/pool.py
+++ b/src/wagtailtiller/scheduling/pool.py
@@ -79,6 +79,7 @@
             Commands and policy queries to execute, stops first.
         """
         now_ms = self.clock.monotonic_ms()
+        self.jobs.share_open_tasks()
         for vm in self.vms.values():
             # Their tasks start in this plan, or have waited too long.
             vm.release_reservations(now_ms)
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -287,6 +287,10 @@
             case task_module.EndKind.DONE:
                 entry.job.mark_done(task)
                 self._state.mark_changed(entry)
+                if task.id.occurrence in entry.job.finished:
+                    self._state.tickets.remove_occurrence(
+                        entry.job.id, task.id.occurrence
+                    )
             case task_module.EndKind.FAILED:
                 task.failed_vms.add(vm.report.vm)
                 queue = self._state.queues.get(entry.job.queue)
--- a/src/wagtailtiller/scheduling/tickets.py
+++ b/src/wagtailtiller/scheduling/tickets.py
@@ -109,6 +109,11 @@
         if step_tickets is not None:
             step_tickets.tickets.pop(vm, None)
 
+    def remove_occurrence(self, job: model.JobId, occurrence: int) -> None:
+        """Remove all data about an occurrence of a job."""
+        for key in [key for key in self._steps if key[:2] == (job, occurrence)]:
+            del self._steps[key]
+
     def remove_job(self, job: model.JobId) -> None:
         """Remove all data about a job."""
         for key in [key for key in self._steps if key[0] == job]:
--- a/support/measure/run.py
+++ b/support/measure/run.py
@@ -12,6 +12,7 @@
 from support.measure import moves
 from support.measure import placement
 from support.measure import planning
+from support.measure import repeats
 from support.measure import rollout
 from support.measure import slopes
 
@@ -26,6 +27,7 @@
     "idle": idle.measure,
     "days": days.measure,
     "planning": planning.measure,
+    "repeats": repeats.measure,
     "logging": logging_cost.measure,
 }
 
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -79,6 +79,24 @@
         return [c for c in self.pool.plan() if isinstance(c, commands.Stop)]
 
 
+class RepeatedJobsTest(PoolTest):
+    def test_many_due_occurrences_of_many_jobs_are_held_in_bounds(self):
+        """Guards against callers whose scheduled jobs end each owner."""
+        self.add_vm("a")
+        for number in range(100):
+            spec = jobs.spec(repeat_count=200_000, interval_ms=1)
+            job = jobs.job(f"{number:016x}", spec)
+            self.pool.jobs.add(job, False, model.JobState.QUEUED)
+        self.clock.advance(1_000_000)
+        self.pool.plan()
+        self.pool.jobs.demand()
+        held = sum(
+            len(entry.job._occurrences) for entry in self.pool.entries.values()
+        )
+        self.assertGreater(held, 0)
+        self.assertLessEqual(held, 10_000)
+
+
 class LongRunningTasksTest(PoolTest):
     def test_no_task_is_moved_while_another_is_on_an_unresponsive_vm(self):
         all_vms = [self.add_vm(f"vm-{number}") for number in range(4)]
--- a/tests/scheduling/test_tickets.py
+++ b/tests/scheduling/test_tickets.py
@@ -38,3 +38,12 @@
         self.tickets.record_answer(_TASK, ["x"], {"x": "t"}, 3_000)
         self.tickets.discard(_OTHER_TASK, "x")
         self.assertIsNone(self.tickets.ticket(_TASK, "x", 100))
+
+    def test_tickets_of_a_finished_occurrence_are_forgotten(self):
+        """Guards against memory that grows with a caller's repeats."""
+        later = _TASK._replace(occurrence=1)
+        for task in (_TASK, later):
+            self.tickets.record_answer(task, ["x"], {"x": "t"}, 3_000)
+        self.tickets.remove_occurrence(_TASK.job, 0)
+        self.assertIsNone(self.tickets.ticket(_TASK, "x", 100))
+        self.assertEqual("t", self.tickets.ticket(later, "x", 100))
