--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,7 +25,10 @@
 
 
 def play_on(site):
-    services = [deployment.service("proofdesk"), deployment.service("letterloom")]
+    services = [
+        deployment.service("proofdesk"),
+        deployment.service("letterloom"),
+    ]
     proof = deployment.route("q-proof", "proofdesk", "/proof/")
     letter = deployment.route("q-letter", "letterloom", "/letter/")
     site.start(deployment.config(1, [proof, letter], services))
@@ -52,7 +55,9 @@
     # The operator removes the route and adds one of another name for the same
     # host, prefix and service.
     renamed = deployment.route("q-proofing", "proofdesk", "/proof/")
-    site.write_key("op/config", deployment.config(2, [renamed, letter], services))
+    site.write_key(
+        "op/config", deployment.config(2, [renamed, letter], services)
+    )
     time.sleep(3.0)
     site.call(client, "GET", f"/proof/{JOB}")
     if deployment.has_trouble():
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -30,7 +30,9 @@
     time.sleep(5.0)
     body = {
         "spec": "work_ms=300",
-        "steps": [{"count": 2, "cpu": 1_000, "mem_mb": 100, "estimate_ms": 300}],
+        "steps": [
+            {"count": 2, "cpu": 1_000, "mem_mb": 100, "estimate_ms": 300}
+        ],
     }
     accepted = []
     for number, job in enumerate(JOBS):
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -30,7 +30,9 @@
     other, third = [name for name in site.addresses if name != owner][:2]
     body = {
         "spec": "work_ms=300",
-        "steps": [{"count": 2, "cpu": 1_000, "mem_mb": 100, "estimate_ms": 300}],
+        "steps": [
+            {"count": 2, "cpu": 1_000, "mem_mb": 100, "estimate_ms": 300}
+        ],
     }
     if site.call(third, "POST", f"/proof/{FIRST_JOB}", body)[0] != 200:
         raise deployment.CannotRun("the first job was not accepted")
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -1,8 +1,9 @@
 """Runs a small deployment on loopback for the review cases.
 
 The entry processes run the command of the deploy file with settings like those
-of a small site. The store is the project's own stand-in; workers and the machine
-service are those of this folder.
+of a small site. The store and, where a case cuts it, the network are the
+project's own stand-ins; workers and the machine service are those of this
+folder.
 """
 
 import base64
@@ -77,9 +78,11 @@
         entries: Number of entry processes.
         machines: Rows of machine, pool and rack.
         standby: Names of the services whose machines are off.
+        linked: Whether the entry processes reach all others over links that
+            can be cut.
     """
 
-    def __init__(self, case, entries, machines, standby=()):
+    def __init__(self, case, entries, machines, standby=(), linked=False):
         self.record_path = pathlib.Path(case) / "record.txt"
         self.record_file = self.record_path.open("w", encoding="utf-8")
         self.started_ms = now_ms()
@@ -101,6 +104,18 @@
         self.addresses = {
             f"front-{n + 1}": f"{net}.{n + 2}" for n in range(entries)
         }
+        self.links = None
+        if linked:
+            from support.demo import site_links
+
+            self.links = site_links.SiteLinks(
+                {
+                    n: f"{ip}:{self.peer_port}"
+                    for n, ip in self.addresses.items()
+                },
+                {row["machine"]: row["port"] for row in self.machines},
+                self.platform_port,
+            )
 
     def port(self):
         while True:
@@ -138,18 +153,23 @@
     def start(self, config):
         deps = str(ROOT / "target" / "deps")
         env = self.environment(PYTHONPATH=f"{deps}:{ROOT / 'src'}:{ROOT}")
-        self.spawn(
-            "store",
-            [
-                "python3",
-                "-m",
-                "support.standins.store",
-                "--port",
-                str(self.store_port),
-            ],
-            env,
-        )
+        store = ["python3", "-m", "support.standins.store"]
+        store += ["--port", str(self.store_port)]
+        if self.links is not None:
+            self.links.write_views(self.folder / "views.json")
+            store += ["--views", str(self.folder / "views.json")]
+        self.spawn("store", store, env)
         self.wait_for("the store", lambda: self.store("GET", "/calls")[0])
+        if self.links is not None:
+            path = self.folder / "links.json"
+            self.links.write_links(path)
+            links = ["python3", "-m", "support.standins.links"]
+            links += ["--port", str(self.links.port), "--links", str(path)]
+            self.spawn("links", links, env)
+            address = f"127.0.0.1:{self.links.port}"
+            self.wait_for(
+                "the links", lambda: self.http(address, "GET", "/links")[0]
+            )
         path = self.folder / "platform.json"
         path.write_text(
             json.dumps(
@@ -198,6 +218,12 @@
         )
         self.spawn(name, command, env)
 
+    def target(self, name, destination, port):
+        """Return the address at which a process reaches a stand-in."""
+        if self.links is not None:
+            return self.links.address(name, destination)
+        return f"127.0.0.1:{port}"
+
     def settings(self, name):
         ip = self.addresses[name]
         control = f"{ip}:{self.control_port}"
@@ -236,7 +262,7 @@
             "bounds": BOUNDS,
             "control_mode": "call",
             "platform": {
-                "address": f"127.0.0.1:{self.store_port}",
+                "address": self.target(name, "store", self.store_port),
                 "form": "kv",
                 "writes_per_s": 400,
                 "reads_per_s": 2_000,
@@ -245,13 +271,30 @@
                 "ttl_min_ms": 1_000,
             },
             "cloud": {
-                "address": f"127.0.0.1:{self.platform_port}",
+                "address": self.target(
+                    name, "machine-service", self.platform_port
+                ),
                 "rate_per_s": 64.0,
                 "duties": [],
                 "duty_per_s": 64.0,
             },
         }
 
+    def cut_off(self, name):
+        """Cut an entry process off from all but its clients."""
+        self.links.cut_off([name], [])
+        self.note(f"{name} is cut off from the platform and all others")
+
+    def cut_from_platform(self, name):
+        """Cut an entry process off from the store and the machine service."""
+        query = f"source={name}&destinations=store,machine-service"
+        self.http(f"127.0.0.1:{self.links.port}", "POST", f"/cut?{query}")
+        self.note(f"{name} is cut off from the platform")
+
+    def heal(self):
+        self.links.restore()
+        self.note("the cut heals")
+
     def kill(self, name):
         self.note(f"SIGKILL to {name}")
         self.processes[name].send_signal(signal.SIGKILL)
@@ -268,7 +311,9 @@
             self.note(f"SIGKILL to {name}")
             process.kill()
             process.wait(10)
-        self.note(f"{name} has ended with {process.returncode} and starts again")
+        self.note(
+            f"{name} has ended with {process.returncode} and starts again"
+        )
         self.start_entry(name)
 
     def close(self):
--- a/review/kit2/platform_standin.py
+++ b/review/kit2/platform_standin.py
@@ -16,7 +16,8 @@
 ``POST /control/crash?machines=A,B&for_s=8``: the workers of these machines
 lose power. They answer nothing, and their runs are lost. Each machine comes
 back with a new worker after the time.
-``GET /control/records``: every run, every order and every registration.
+``GET /control/records``: every run, every order for a machine, and when the
+machines were last listed.
 """
 
 import argparse
@@ -132,9 +133,7 @@
         app.router.add_post("/v1/run-stop", self.serve_stop)
         app.router.add_post("/v1/hold", self.serve_hold)
         app.router.add_post("/v1/pace", self.serve_pace)
-        self.runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=0.05
-        )
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
         await self.runner.setup()
         await web.TCPSite(self.runner, HOST, self.machine["port"]).start()
 
@@ -316,6 +315,7 @@
         self.heartbeat_s = options["heartbeat_ms"] / 1_000
         self.records = []
         self.orders = []
+        self.listed_ms = 0
         self.gangs = {}
         self.machines = {}
         for row in options["machines"]:
@@ -431,6 +431,7 @@
                     machine["worker"].expire()
 
     async def list_machines(self, request):
+        self.listed_ms = wall_ms()
         rows = [
             {
                 "machine": machine["machine"],
@@ -513,7 +514,13 @@
         await self.begin_life(machine)
 
     async def list_records(self, request):
-        return reply({"runs": self.records, "orders": self.orders})
+        return reply(
+            {
+                "runs": self.records,
+                "orders": self.orders,
+                "listed_ms": self.listed_ms,
+            }
+        )
 
 
 def main():
