Take all ports of the review's deployments from one counter

The script and the links chose ports independently, so that one could be given out twice and a stand-in could not listen; the case then ended with 2. One run of case 10 had ended with 2, without output, so that the cause is likely and not shown.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same without the disruption, and has to pass.
 export TROUBLE="${TROUBLE:-1}"
 export PYTHONDONTWRITEBYTECODE=1
-PYTHONPATH=review/kit2:target/deps:src:. exec python3 review/9/case.py
+PYTHONPATH=review/kit2 exec python3 review/9/case.py
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -15,7 +15,6 @@
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -24,6 +23,11 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 KIT = pathlib.Path(__file__).resolve().parent
+sys.path[:0] = [str(ROOT / part) for part in ("target/deps", "src", "")]
+
+from support.demo import ports  # noqa: E402
+from support.demo import site_links  # noqa: E402
+
 HOST = "press.example"
 
 # The bounds of the users' sheet of the site kadal-press.
@@ -89,7 +93,6 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.processes = {}
         self.standby = list(standby)
-        self.used_ports = set()
         self.store_port = self.port()
         self.platform_port = self.port()
         self.front_port = self.port()
@@ -106,8 +109,6 @@
         }
         self.links = None
         if linked:
-            from support.demo import site_links
-
             self.links = site_links.SiteLinks(
                 {
                     n: f"{ip}:{self.peer_port}"
@@ -118,16 +119,9 @@
             )
 
     def port(self):
-        while True:
-            # Below the range from which client sockets get their ports.
-            port = random.randrange(12_000, 30_000)
-            if port in self.used_ports:
-                continue
-            with socket.socket() as probe:
-                if probe.connect_ex(("127.0.0.1", port)) == 0:
-                    continue
-            self.used_ports.add(port)
-            return port
+        # The links take theirs from the same counter, so that no port is
+        # given out twice before it is in use.
+        return ports.free_port()
 
     def note(self, text):
         line = f"{(now_ms() - self.started_ms) / 1_000:8.3f} s  {text}"
@@ -418,6 +412,7 @@
             if value:
                 return value
             time.sleep(0.05)
+        self.note(f"waited {limit_s} s for {what}: the case could not run")
         raise CannotRun(f"waited {limit_s} s for {what}")
 
     def note_runs(self, *jobs):
