Keep the terms of a job whose queue is removed

Cause: the record of a job names its queue, and the owner planned with what is declared of that queue. Only the first owner kept a removed queue, in memory; the next one skipped its jobs in each plan without a word. Ruled out: the step order and the VMs, since a job that is handed in after the change completes.

Change: the record holds the job's terms, and all decisions use them. While the queue is declared, its terms replace and are written into those of open jobs.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -282,7 +282,12 @@
             self._log_submission(job, queue, outcome, started_ms)
             return outcome
         request = messages.Submit(
-            queue.pool, job, queue.queue, spec, route.organisation
+            queue.pool,
+            job,
+            queue.queue,
+            spec,
+            route.organisation,
+            terms=queue.terms,
         )
         outcome = outcomes.Unknown()
         with contextlib.suppress(TimeoutError):
--- a/src/wagtailtiller/entry/job_store.py
+++ b/src/wagtailtiller/entry/job_store.py
@@ -59,6 +59,7 @@
             self._clock.wall_ms(),
             _NO_EPOCH,
             request.organisation,
+            request.terms,
         )
         key = keys.job(request.pool, request.job)
         write = store.Write(key, record.encode(new_job))
--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -39,6 +39,9 @@
         accepted_epoch: Epoch of the owner that accepted the job.
         organisation: Organisation that submitted the job; empty if its queue
             needs no API key.
+        terms: What the job is entitled to: as its queue is declared, or was
+            last declared. None for a job of an earlier version whose queue is
+            not declared any more.
         finished: The occurrences whose tasks have all succeeded.
         max_open_tasks: Largest number of tasks of a repeated job that are held
             at once; one occurrence is held in any case.
@@ -56,6 +59,7 @@
         accepted_wall_ms: int,
         accepted_epoch: int,
         organisation: ids.OrganisationId = catalogue.NO_ORGANISATION,
+        terms: catalogue.QueueTerms | None = None,
     ) -> None:
         self.id = job_id
         self.queue = queue
@@ -63,6 +67,7 @@
         self.accepted_wall_ms = accepted_wall_ms
         self.accepted_epoch = accepted_epoch
         self.organisation = organisation
+        self.terms = terms
         self.state = model.JobState.QUEUED
         self.started = False
         self.cancelled_ms = 0
--- a/src/wagtailtiller/jobs/record.py
+++ b/src/wagtailtiller/jobs/record.py
@@ -66,6 +66,8 @@
         finished_before: Number of first occurrences of a repeated job that have
             all finished; their progress is left out.
         finished: Later occurrences that have finished.
+        terms: What the job is entitled to, for owners that do not find its
+            queue declared. Earlier versions did not store it.
     """
 
     job: model.JobId
@@ -78,6 +80,7 @@
     organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
     finished_before: int = 0
     finished: tuple[int, ...] = ()
+    terms: catalogue.QueueTerms | None = None
 
 
 def encode(job: job_module.Job) -> bytes:
@@ -92,6 +95,7 @@
         tuple(_progress(job)),
         job.organisation,
         *_finished(job),
+        job.terms,
     )
     return msgspec.msgpack.encode(record)
 
@@ -117,6 +121,7 @@
         record.accepted_wall_ms,
         record.accepted_epoch,
         record.organisation,
+        record.terms,
     )
     if not _has_occurrences(job, record):
         invalid = errors.InvalidSetting(
--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -22,6 +22,8 @@
         epoch: Epoch of the owner that is asked; an owner of another epoch does
             not accept the job, so that a request that arrives late has no
             effect once a later owner has refused it. 0 for any epoch.
+        terms: What the queue entitles the job to, for an owner that has not
+            learned of the queue yet; None from earlier versions.
     """
 
     pool: ids.PoolId
@@ -30,6 +32,7 @@
     spec: model.JobSpec
     organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
     epoch: int = 0
+    terms: catalogue.QueueTerms | None = None
 
 
 class AskState(msgspec.Struct, frozen=True, tag=True):
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -258,7 +258,7 @@
         """Update the queues that operators have declared.
 
         Args:
-            queues: Declared queues; the pool keeps removed ones for its jobs.
+            queues: Declared queues; jobs of removed ones keep their terms.
         """
         self.pool.jobs.set_queues(queues)
         self._wake.set()
@@ -514,11 +514,12 @@
             self._authority.renew_soon()
 
     def _write_urgent_changes(self) -> None:
-        # The next owner must not count the crashes of a task from the start.
-        counted, self.pool.counted_crashes = self.pool.counted_crashes, set()
+        # The next owner must not count the crashes of a task from the start,
+        # and may not find a job's queue declared.
+        urgent, self.pool.urgent = self.pool.urgent, set()
         for job in list(self.pool.changed):
             entry = self.pool.entries.get(job)
-            if entry is not None and (entry.job.is_final() or job in counted):
+            if entry is not None and (entry.job.is_final() or job in urgent):
                 self.pool.changed.discard(job)
                 self._job_writer.write(job)
 
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -118,6 +118,7 @@
                 self._clock.wall_ms(),
                 self._pool.epoch,
                 request.organisation,
+                request.terms,
             )
             self._pool.jobs.add(job, inherited=False)
             self._count_arrival(request.job, request.spec)
--- a/src/wagtailtiller/ports/catalogue.py
+++ b/src/wagtailtiller/ports/catalogue.py
@@ -57,6 +57,28 @@
     valid_ms: int
 
 
+class QueueTerms(msgspec.Struct, frozen=True, array_like=True):
+    """What the jobs of a queue are entitled to.
+
+    The target duration of a job is ``stretch`` times the duration of its
+    critical path, plus ``slack_ms``.
+
+    Attributes:
+        priority: Priority; 0 is served first.
+        max_attempts: Number of failed attempts of a task after which its job
+            fails.
+        stretch: Factor of the target duration.
+        slack_ms: Constant part of the target duration.
+        policy: Placement policy; None if every VM of the pool is allowed.
+    """
+
+    priority: int
+    max_attempts: int
+    stretch: float
+    slack_ms: int
+    policy: PlacementPolicy | None = None
+
+
 class Queue(msgspec.Struct, frozen=True):
     """Queue to which callers send jobs.
 
@@ -88,6 +110,17 @@
     policy: PlacementPolicy | None = None
     public: bool = False
 
+    @property
+    def terms(self) -> QueueTerms:
+        """What the jobs of the queue are entitled to, as a new object."""
+        return QueueTerms(
+            self.priority,
+            self.max_attempts,
+            self.stretch,
+            self.slack_ms,
+            self.policy,
+        )
+
 
 class Pool(msgspec.Struct, frozen=True):
     """Group of VMs that serve the same queues.
--- a/src/wagtailtiller/scheduling/admission.py
+++ b/src/wagtailtiller/scheduling/admission.py
@@ -159,7 +159,7 @@
     wait_ms = _wait_ms(backlog, cores)
     path_ms = spec.critical_path_ms()
     limit_ms = ranking.ZERO_VALUE_FACTOR * ranking.target_duration_ms(
-        path_ms, queue
+        path_ms, queue.terms
     )
     excess_ms = wait_ms + path_ms - limit_ms
     if excess_ms <= 0:
--- a/src/wagtailtiller/scheduling/cost_admission.py
+++ b/src/wagtailtiller/scheduling/cost_admission.py
@@ -118,11 +118,11 @@
         now_ms = self._state.clock.monotonic_ms()
         self._cost_order.add(entry, now_ms)
         self._refused.remove(entry.job.id)
-        queue = self._state.queues.get(entry.job.queue)
-        if self._backlog is not None and queue is not None:
+        terms = entry.job.terms
+        if self._backlog is not None and terms is not None:
             waiting = self._backlog.waiting
-            waiting[queue.priority] = waiting.get(
-                queue.priority, cost.NO_WORK
+            waiting[terms.priority] = waiting.get(
+                terms.priority, cost.NO_WORK
             ).plus(cost.remaining_work(entry.job))
         organisation = self._state.organisations.get(entry.job.organisation)
         if organisation is not None and not entry.inherited:
@@ -152,7 +152,7 @@
                 _memory_per_core_mb(self._state.vms.values()),
             ),
             path_ms,
-            ranking.target_duration_ms(path_ms, queue),
+            ranking.target_duration_ms(path_ms, queue.terms),
             expected.pool_ms(capacity),
             cost.spec_work(spec).pool_ms(capacity),
             returning,
@@ -171,13 +171,13 @@
         waiting: dict[int, cost.Work] = {}
         priorities: dict[model.JobId, int] = {}
         for entry in self._state.active.values():
-            queue = self._state.queues.get(entry.job.queue)
-            if queue is None or self._is_too_late(entry, queue, now_ms):
+            terms = entry.job.terms
+            if terms is None or self._is_too_late(entry, terms, now_ms):
                 continue
             if entry.job.long_running or entry.job.spec.repeat_count:
                 # Their work is not known; their running tasks count below.
                 continue
-            priority = queue.priority
+            priority = terms.priority
             priorities[entry.job.id] = priority
             waiting[priority] = waiting.get(priority, cost.NO_WORK).plus(
                 cost.remaining_work(entry.job)
@@ -200,9 +200,9 @@
         return _Backlog(now_ms, running, waiting, long_running)
 
     def _is_too_late(
-        self, entry: state.JobEntry, queue: catalogue.Queue, now_ms: int
+        self, entry: state.JobEntry, terms: catalogue.QueueTerms, now_ms: int
     ) -> bool:
-        rank = ranking.rank(entry.job, entry.accepted_ms, queue, now_ms)
+        rank = ranking.rank(entry.job, entry.accepted_ms, terms, now_ms)
         return rank.lateness is ranking.Lateness.TOO_LATE
 
 
--- a/src/wagtailtiller/scheduling/cost_order.py
+++ b/src/wagtailtiller/scheduling/cost_order.py
@@ -122,10 +122,10 @@
         if not self.enabled:
             return
         self.estimate_error.observe(entry.job)
-        queue = self._state.queues.get(entry.job.queue)
-        if entry.job.state is model.JobState.COMPLETED and queue is not None:
+        terms = entry.job.terms
+        if entry.job.state is model.JobState.COMPLETED and terms is not None:
             target_ms = ranking.target_duration_ms(
-                entry.job.critical_path_ms, queue
+                entry.job.critical_path_ms, terms
             )
             age_ms = entry.final_ms - entry.accepted_ms
             self._record_outcome(entry, age_ms <= target_ms)
@@ -153,7 +153,7 @@
             self._starts_since_overdue += 1
             self._log_wait(entry, now_ms)
 
-    def rank(self, entry: state.JobEntry, queue: catalogue.Queue) -> Rank:
+    def rank(self, entry: state.JobEntry, terms: catalogue.QueueTerms) -> Rank:
         """Return the rank of a job.
 
         A job that the latest order did not contain counts as on time until the
@@ -161,12 +161,12 @@
 
         Args:
             entry: Entry of the job.
-            queue: Queue of the job.
+            terms: Terms of the job.
         """
         rank = self._ranks.get(entry.job.id)
         if rank is None:
             level = ranking.BEYOND_WEIGHT_LEVEL if entry.beyond_weight else 0
-            return Rank(ranking.Group.ON_TIME, level, deadline_ms(entry, queue))
+            return Rank(ranking.Group.ON_TIME, level, deadline_ms(entry, terms))
         return rank
 
     def refresh(self, now_ms: int) -> None:
@@ -187,9 +187,9 @@
         wall_ms = self._state.clock.wall_ms()
         contenders = []
         for entry in self._state.active.values():
-            queue = self._state.queues.get(entry.job.queue)
-            if queue is not None and entry.job.startable_steps(wall_ms):
-                contender = self._contender(entry, queue, now_ms)
+            terms = entry.job.terms
+            if terms is not None and entry.job.startable_steps(wall_ms):
+                contender = self._contender(entry, terms, now_ms)
                 contenders.append(contender)
         take_tag = None
         if self.share.active:
@@ -236,18 +236,18 @@
     def _contender(
         self,
         entry: state.JobEntry,
-        queue: catalogue.Queue,
+        terms: catalogue.QueueTerms,
         now_ms: int,
     ) -> ranking.Contender:
         job = entry.job
-        rank = ranking.rank(job, entry.accepted_ms, queue, now_ms)
+        rank = ranking.rank(job, entry.accepted_ms, terms, now_ms)
         if rank.lateness is not ranking.Lateness.ON_TIME:
             self._record_outcome(entry, on_time=False)
         size = entry.cost.size if entry.cost else cost.Size.ORDINARY
         return ranking.Contender(
             job.id,
             rank.lateness,
-            queue.priority,
+            terms.priority,
             entry.accepted_ms,
             rank.deadline_ms - job.remaining_critical_path_ms(),
             rank.deadline_ms,
@@ -284,8 +284,8 @@
     def _log_wait(self, entry: state.JobEntry, now_ms: int) -> None:
         waited_ms = now_ms - entry.accepted_ms
         placing = self._placings.get(entry.job.id)
-        queue = self._state.queues.get(entry.job.queue)
-        if waited_ms < _LOGGED_WAIT_MS or placing is None or queue is None:
+        terms = entry.job.terms
+        if waited_ms < _LOGGED_WAIT_MS or placing is None or terms is None:
             return
         work = cost.remaining_work(entry.job)
         events.emit(
@@ -295,8 +295,8 @@
             group=placing.group.name.lower(),
             position=placing.position,
             took_ms=waited_ms,
-            outcome=f"priority_{min(queue.priority, _MAX_COUNTED_PRIORITY)}",
-            latest_start_in_ms=latest_start_ms(entry, queue) - now_ms,
+            outcome=f"priority_{min(terms.priority, _MAX_COUNTED_PRIORITY)}",
+            latest_start_in_ms=latest_start_ms(entry, terms) - now_ms,
             work_ms=int(work.pool_ms(self._capacity)),
             value=round(entry.cost.value, 2) if entry.cost else 1.0,
             organisation=entry.job.organisation,
@@ -329,31 +329,31 @@
     return vms.Resources(cpu_millicores, memory_mb)
 
 
-def deadline_ms(entry: state.JobEntry, queue: catalogue.Queue) -> int:
+def deadline_ms(entry: state.JobEntry, terms: catalogue.QueueTerms) -> int:
     """Return when a job's target duration ends, on the owner's clock.
 
     A long-running job has none, and should start when it is accepted.
 
     Args:
         entry: Entry of the job.
-        queue: Queue of the job.
+        terms: Terms of the job.
     """
     job = entry.job
     if job.long_running:
         return entry.accepted_ms
     return entry.accepted_ms + ranking.target_duration_ms(
-        job.critical_path_ms, queue
+        job.critical_path_ms, terms
     )
 
 
-def latest_start_ms(entry: state.JobEntry, queue: catalogue.Queue) -> int:
+def latest_start_ms(entry: state.JobEntry, terms: catalogue.QueueTerms) -> int:
     """Return when a job's remaining critical path must start to be on time.
 
     Args:
         entry: Entry of the job.
-        queue: Queue of the job.
+        terms: Terms of the job.
     """
     if entry.job.long_running:
         return entry.accepted_ms
     path_ms = entry.job.remaining_critical_path_ms()
-    return deadline_ms(entry, queue) - path_ms
+    return deadline_ms(entry, terms) - path_ms
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -50,15 +50,36 @@
         )
 
     def set_queues(self, queues: Iterable[catalogue.Queue]) -> None:
-        """Add or update queues.
-
-        Queues that are no longer declared are kept for the jobs in them.
+        """Add or update queues, and the terms of the jobs in them.
 
         Args:
             queues: Queues that the operators have declared.
         """
-        for queue in queues:
-            self._state.queues[queue.queue] = queue
+        changed = {
+            queue.queue: queue
+            for queue in queues
+            if self._state.queues.get(queue.queue) != queue
+        }
+        if not changed:
+            return
+        self._state.queues.update(changed)
+        for entry in self._state.active.values():
+            if entry.job.queue in changed:
+                self._update_terms(entry)
+
+    def _update_terms(self, entry: state.JobEntry) -> None:
+        """Give a job the terms of its queue as that is declared now.
+
+        They are stored, because the next owner may not find the queue.
+        """
+        job = entry.job
+        queue = self._state.queues.get(job.queue)
+        if queue is None or job.terms == queue.terms:
+            return
+        job.terms = queue.terms
+        if entry.stored_state is not None:
+            self._state.urgent.add(job.id)
+            self._state.mark_changed(entry)
 
     def queue(self, queue: ids.QueueId) -> catalogue.Queue | None:
         """Return a queue by its name, even if it has been removed."""
@@ -120,6 +141,7 @@
             entry.final_ms = self._state.clock.monotonic_ms()
         else:
             self._state.active[job.id] = entry
+            self._update_terms(entry)
             if self._cost_order.enabled:
                 self._cost_admission.add(entry)
         return entry
--- a/src/wagtailtiller/scheduling/limit_admission.py
+++ b/src/wagtailtiller/scheduling/limit_admission.py
@@ -81,7 +81,7 @@
         wait_ms, own_ms = waits_ms
         path_ms = spec.critical_path_ms()
         bound_ms = ranking.ZERO_VALUE_FACTOR * ranking.target_duration_ms(
-            path_ms, queue
+            path_ms, queue.terms
         )
         excess_ms = int(wait_ms + max(path_ms, own_ms) - bound_ms)
         if excess_ms <= 0:
--- a/src/wagtailtiller/scheduling/organisation_usage.py
+++ b/src/wagtailtiller/scheduling/organisation_usage.py
@@ -160,8 +160,8 @@
         job = entry.job
         if job.organisation != organisation:
             continue
-        queue = pool_state.queues.get(job.queue)
-        if queue is not None and queue.priority > lowest_priority:
+        terms = job.terms
+        if terms is not None and terms.priority > lowest_priority:
             continue
         if job.long_running or job.spec.repeat_count:
             continue
--- a/src/wagtailtiller/scheduling/ranking.py
+++ b/src/wagtailtiller/scheduling/ranking.py
@@ -57,31 +57,36 @@
     deadline_ms: int
 
 
-def target_duration_ms(critical_path_ms: int, queue: catalogue.Queue) -> int:
+def target_duration_ms(
+    critical_path_ms: int, terms: catalogue.QueueTerms
+) -> int:
     """Return how long a job may take and still be on time.
 
     Args:
         critical_path_ms: Estimated duration of the job's critical path.
-        queue: Queue of the job.
+        terms: Terms of the job.
     """
-    return int(queue.stretch * critical_path_ms) + queue.slack_ms
+    return int(terms.stretch * critical_path_ms) + terms.slack_ms
 
 
 def rank(
-    waiting_job: job.Job, accepted_ms: int, queue: catalogue.Queue, now_ms: int
+    waiting_job: job.Job,
+    accepted_ms: int,
+    terms: catalogue.QueueTerms,
+    now_ms: int,
 ) -> Rank:
     """Return the rank of a job.
 
     Args:
         waiting_job: Job to rank.
         accepted_ms: Time of acceptance, on the owner's clock.
-        queue: Queue of the job.
+        terms: Terms of the job.
         now_ms: Current time, on the owner's clock.
     """
     if waiting_job.long_running or waiting_job.spec.repeat_count:
         # The age of a repeated job says nothing about its latest occurrence.
-        return Rank(Lateness.ON_TIME, queue.priority, accepted_ms)
-    limit_ms = target_duration_ms(waiting_job.critical_path_ms, queue)
+        return Rank(Lateness.ON_TIME, terms.priority, accepted_ms)
+    limit_ms = target_duration_ms(waiting_job.critical_path_ms, terms)
     # Age of the job at its earliest possible end.
     earliest_age_ms = (
         now_ms - accepted_ms + waiting_job.remaining_critical_path_ms()
@@ -92,7 +97,7 @@
         lateness = Lateness.LATE
     else:
         lateness = Lateness.ON_TIME
-    return Rank(lateness, queue.priority, accepted_ms + limit_ms)
+    return Rank(lateness, terms.priority, accepted_ms + limit_ms)
 
 
 class Group(enum.IntEnum):
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -293,8 +293,8 @@
                     )
             case task_module.EndKind.FAILED:
                 task.failed_vms.add(vm.report.vm)
-                queue = self._state.queues.get(entry.job.queue)
-                attempts = queue.max_attempts if queue else 1
+                terms = entry.job.terms
+                attempts = terms.max_attempts if terms is not None else 1
                 entry.job.record_failure(task, end.number, attempts)
                 self._state.mark_changed(entry)
             case _:
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -1,5 +1,6 @@
 """Planning of starts: which tasks start now, and on which VMs."""
 
+from wagtailtiller import events
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import allocations as allocations_module
@@ -151,18 +152,32 @@
             step_runs = entry.job.startable_steps(wall_ms)
             if not step_runs or not self._may_start(entry):
                 continue
-            queue = self._state.queues.get(entry.job.queue)
-            if queue is None:
+            terms = entry.job.terms
+            if terms is None:
+                self._log_skipped(entry)
                 continue
             rank = (
-                self._cost_order.rank(entry, queue)
+                self._cost_order.rank(entry, terms)
                 if by_cost
-                else ranking.rank(entry.job, entry.accepted_ms, queue, now_ms)
+                else ranking.rank(entry.job, entry.accepted_ms, terms, now_ms)
             )
             ranked.append((rank, entry.job.id, entry, step_runs))
         ranked.sort(key=lambda row: row[:2])
         return [(entry, step_runs) for _, _, entry, step_runs in ranked]
 
+    def _log_skipped(self, entry: state.JobEntry) -> None:
+        """Log once that a job waits for its queue to be declared again."""
+        if entry.skip_logged:
+            return
+        entry.skip_logged = True
+        events.emit(
+            events.Event.JOB_WITHOUT_TERMS,
+            job=entry.job.id,
+            queue=entry.job.queue,
+            pool=self._state.pool,
+            epoch=self._state.epoch,
+        )
+
     def _may_start(self, entry: state.JobEntry) -> bool:
         if entry.stored_state is None:
             return False
@@ -182,8 +197,8 @@
         waiting = step_run.waiting_tasks()
         if self._isolation.has_kept_vm(step_run):
             waiting.sort(key=lambda task: not suspects.needs_isolation(task))
-        queue = self._state.queues.get(entry.job.queue)
-        policy = queue.policy if queue is not None else None
+        terms = entry.job.terms
+        policy = terms.policy if terms is not None else None
         if policy is None:
             return list(
                 self._place_step(entry, step_run, waiting, open_candidates)
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -36,6 +36,7 @@
         read_ms: Time, on the owner's clock, at which the job was found in the
             store; it starts once the pool was certainly owned later than that.
             0 if the owner has accepted it, or found it at the takeover.
+        skip_logged: Whether it is logged that the job cannot be planned.
     """
 
     job: job_module.Job
@@ -47,6 +48,7 @@
     beyond_weight: bool = False
     outcome_known: bool = False
     read_ms: int = 0
+    skip_logged: bool = False
 
 
 class PoolState:
@@ -59,15 +61,15 @@
         owned_until_ms: Time, on the owner's clock, until which the pool has
             certainly had no later owner. What holds for a sole owner only is
             concluded up to then.
-        queues: Queues by id, including removed ones.
+        queues: Queues by id, as declared or as last declared.
         organisations: Declared organisations by name.
         overload_control: Whether jobs are ordered and admitted by what a delay
             or a refusal costs their callers.
         entries: All known jobs.
         active: Jobs that are not final.
         changed: Jobs whose state differs from the stored state.
-        counted_crashes: Jobs with crashes that are to be stored without waiting
-            for other changes.
+        urgent: Changed jobs that are to be stored without waiting for other
+            changes.
         vms: All known VMs.
         unresolved: VMs that the previous owner listed and that may still run
             inherited tasks, with the time on the owner's clock at which their
@@ -98,7 +100,7 @@
         self.entries: dict[model.JobId, JobEntry] = {}
         self.active: dict[model.JobId, JobEntry] = {}
         self.changed: set[model.JobId] = set()
-        self.counted_crashes: set[model.JobId] = set()
+        self.urgent: set[model.JobId] = set()
         self.vms: dict[ids.VmId, vm_module.Vm] = {}
         self.unresolved: dict[ids.VmId, int] = {}
         self.spare_millicores: int | None = None
@@ -149,7 +151,7 @@
                 pool=self.pool,
                 crashes=[vm for vm, _ in sorted(task.crashed_on)],
             )
-        self.counted_crashes.add(task.id.job)
+        self.urgent.add(task.id.job)
         self.mark_changed(entry)
 
     def discard_runs(
--- a/support/measure/plain_planner.py
+++ b/support/measure/plain_planner.py
@@ -52,8 +52,8 @@
     for entry in pool.active.values():
         if entry.stored_state is None:
             continue
-        queue = pool.queues[entry.job.queue]
-        rank = ranking.rank(entry.job, entry.accepted_ms, queue, now_ms)
+        terms = pool.queues[entry.job.queue].terms
+        rank = ranking.rank(entry.job, entry.accepted_ms, terms, now_ms)
         rows.append((rank, entry.job.id, entry))
     return [entry for _, _, entry in sorted(rows, key=lambda row: row[:2])]
 
--- a/support/overload_lab.py
+++ b/support/overload_lab.py
@@ -116,7 +116,7 @@
         if self.ended_ms is None:
             return 0.0
         target_ms = ranking.target_duration_ms(
-            self.spec.critical_path_ms(), self.kind.queue()
+            self.spec.critical_path_ms(), self.kind.queue().terms
         )
         return cost.value_share(self.ended_ms - self.sent_ms, target_ms)
 
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -8,6 +8,8 @@
 import signal
 from typing import Any
 
+import msgspec
+
 from support.sim import credit
 from support.sim import fleet as fleet_module
 from support.sim import load
@@ -188,6 +190,23 @@
         self.processes[name] = process
         await process.start()
 
+    @property
+    def queues(self) -> tuple[catalogue.Queue, ...]:
+        """The queues that the operators have declared last."""
+        return self._catalogue.queues
+
+    def declare(self, queues: tuple[catalogue.Queue, ...]) -> None:
+        """Declare other queues; all processes learn of them at once.
+
+        Args:
+            queues: All queues from now on.
+        """
+        self._catalogue = msgspec.structs.replace(
+            self._catalogue, version=self._catalogue.version + 1, queues=queues
+        )
+        for process in self.live_processes():
+            process.declared.declare(self._catalogue)
+
     def _capacity(self, name: str) -> settings_module.Capacity:
         strong = range(self.scenario.strong_processes)
         if name in {_process_name(number) for number in strong}:
--- a/tests/entry/test_moved_queues.py
+++ b/tests/entry/test_moved_queues.py
@@ -4,34 +4,21 @@
 
 import msgspec
 
-from support import jobs
-from support.sim import truth
-from tests.entry import node_case
-from wagtailtiller import ids
-from wagtailtiller import keys
-from wagtailtiller.entry import frontend
+from tests.entry import queue_case
 from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import model
 
-_OLD_POOL = ids.PoolId("proofs")
-_NEW_POOL = ids.PoolId("colours")
-_JOB = model.JobId("a" * 16)
+_OLD_POOL = queue_case.POOL
+_NEW_POOL = queue_case.OTHER_POOL
+_JOB = queue_case.JOB
 _OTHER_JOB = model.JobId("b" * 16)
-_TIMEOUT_MS = 3_000
-# Time after which processes have learned what is in the store.
-_LEARN_S = 1.0
+_TIMEOUT_MS = queue_case.TIMEOUT_MS
+_LEARN_S = queue_case.LEARN_S
 
 
-class MovedQueueTest(node_case.NodeCase):
+class MovedQueueTest(queue_case.QueueCase):
     """Guards against jobs that a move of their queue loses or runs again."""
 
-    def run_test(self, main):
-        self.run_world(main, processes=3)
-        self.assertEqual([], self.world.oracle.violations)
-
-    def nodes(self):
-        return [process.node for process in self.world.live_processes()]
-
     def declare(self, pool, processes=None):
         """Send all queues of the old pool to a pool; None drops them."""
         for process in processes or self.world.live_processes():
@@ -50,35 +37,6 @@
                 )
             )
 
-    def route(self, node):
-        catalogue = node.catalogue()
-        return frontend.Route(
-            next(q for q in catalogue.queues if q.queue == "proof-page")
-        )
-
-    async def submit(self, node, job=_JOB, run_ms=300, **step):
-        spec = jobs.spec(jobs.step(1, **step))
-        if self.world.jobs.get(job) is None:
-            queue = self.route(node).queue
-            self.world.jobs.add(
-                truth.SimJob(job, queue, spec, "", 1.0, [[run_ms]])
-            )
-        return await node.frontend.submit(
-            self.route(node), job, spec, _TIMEOUT_MS
-        )
-
-    async def states(self, job=_JOB):
-        """Return the state that each process shows of a job."""
-        return [
-            await node.frontend.job_status(self.route(node), job, _TIMEOUT_MS)
-            for node in self.nodes()
-        ]
-
-    def stored_pools(self, job=_JOB):
-        items = self.world.store_service.state.read(keys.JOBS_PREFIX).items
-        stored = [key.key.split("/") for key in items]
-        return [path[-2] for path in stored if path[-1] == job]
-
     def test_completed_job_is_found_and_not_run_again(self):
         async def main():
             await self.submit(self.nodes()[0])
--- a/tests/jobs/test_record.py
+++ b/tests/jobs/test_record.py
@@ -32,6 +32,18 @@
         self.job.organisation = ids.OrganisationId("press")
         self.assertEqual("press", self.stored().organisation)
 
+    def test_terms_are_stored(self):
+        """Guards against a job that a new owner cannot plan."""
+        self.job.terms = jobs.queue(max_attempts=5).terms
+        self.assertEqual(5, self.stored().terms.max_attempts)
+
+    def test_record_of_an_earlier_version_is_read(self):
+        """Guards against jobs that an upgrade loses."""
+        document = msgspec.msgpack.decode(record.encode(self.job))
+        self.assertNotIn("terms", document)
+        old = record.decode(msgspec.msgpack.encode(document))
+        self.assertIsNone(old.ok.terms)
+
     def test_progress_of_an_unknown_task_is_an_error(self):
         self.job.mark_done(self.task(self.job, 1))
         other = jobs.job("a" * 16, jobs.spec(jobs.step(2)))
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -79,7 +79,7 @@
         entry = self.add_job("a")
         self.assertEqual(3, self.crash_three_times())
         self.assertIs(model.JobState.FAILED, entry.job.state)
-        self.assertIn(entry.job.id, self.pool.counted_crashes)
+        self.assertIn(entry.job.id, self.pool.urgent)
         self.assertEqual([], self.start_all())
 
     def test_third_crash_under_the_same_id_fails_the_job(self):
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -206,6 +206,19 @@
         self.assertIs(model.JobState.FAILED, entry.job.state)
         self.assertEqual([], self.start_all())
 
+    def test_a_job_keeps_its_attempts_with_an_owner_without_its_queue(self):
+        """Guards against a job that fails at its first failed run."""
+        stored = record.encode(self.add_job("a").job)
+        self.pool = pool_module.Pool(jobs.POOL, 2, self.clock)
+        job = record.decode(stored).ok
+        entry = self.pool.jobs.add(job, True, model.JobState.QUEUED)
+        vm = self.add_vm("vm-1")
+        for _ in range(3):
+            self.assertFalse(entry.job.is_final())
+            (start,) = self.start_all()
+            self.end(vm, start.run, task_module.EndKind.FAILED)
+        self.assertIs(model.JobState.FAILED, entry.job.state)
+
     def test_ends_without_a_failure_do_not_count_as_attempts(self):
         vm = self.add_vm("vm-1")
         entry = self.add_job("a")
