Keep the jobs of pools with related names apart

Cause: the name of a pool stood in the keys of its jobs as it is, so that the prefix of press was one of press/plates, too; the owner of press took the last part of each key for an id of its own job.

Ruled out: a second acceptance. The store holds the job under one key only, and the owner of press logs job_restored for it.

Change: one function makes a segment of a name, and one reads it back. Usual names keep their keys; jobs of others are moved by their next owner. Names that are too long for the store are refused with a reason.

--- a/src/wagtailtiller/ctl/entry_state.py
+++ b/src/wagtailtiller/ctl/entry_state.py
@@ -16,10 +16,6 @@
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import allocation
 
-_EPOCH_PREFIX = keys.epoch(ids.ShardId(""))
-_MEMBERS_PREFIX = keys.members(ids.PoolId(""))
-_WAVE_PREFIX = keys.wave(ids.WaveId(""))
-
 
 @dataclasses.dataclass(frozen=True)
 class StoredJob:
@@ -73,31 +69,35 @@
         return counts
 
     def _add_item(self, key: str, value: bytes) -> None:
-        name = key.rpartition("/")[2]
         if key.startswith(keys.JOBS_PREFIX):
             self._add_job(key, value)
         elif key.startswith(keys.OWNER_PREFIX):
             owner = msgspec.json.decode(value, type=claims.OwnerRecord)
-            self.owners[ids.ShardId(name)] = owner
-        elif key.startswith(_EPOCH_PREFIX):
-            self.epochs[ids.ShardId(name)] = int(value)
-        elif key.startswith(_MEMBERS_PREFIX):
+            shard = ids.ShardId(key.removeprefix(keys.OWNER_PREFIX))
+            self.owners[shard] = owner
+        elif key.startswith(keys.EPOCH_PREFIX):
+            shard = ids.ShardId(key.removeprefix(keys.EPOCH_PREFIX))
+            self.epochs[shard] = int(value)
+        elif key.startswith(keys.MEMBERS_PREFIX):
             vm_ids = msgspec.json.decode(value, type=dict[ids.VmId, str])
-            self.members[ids.PoolId(name)] = sorted(vm_ids)
-        elif key.startswith(_WAVE_PREFIX):
+            pool = ids.PoolId(key.removeprefix(keys.MEMBERS_PREFIX))
+            self.members[pool] = sorted(vm_ids)
+        elif key.startswith(keys.WAVE_PREFIX):
             progress = msgspec.msgpack.decode(
                 value, type=manager_state.WaveProgress
             )
-            self.waves[ids.WaveId(name)] = progress
+            wave = ids.WaveId(key.removeprefix(keys.WAVE_PREFIX))
+            self.waves[wave] = progress
         elif key == keys.ALLOCATIONS:
             self.allocations = allocation.decode(value)
 
     def _add_job(self, key: str, value: bytes) -> None:
-        pool = ids.PoolId(key[len(keys.JOBS_PREFIX) :].partition("/")[0])
+        named = keys.read_job(key)
         decoded = record.decode(value)
-        if decoded.is_error():
+        if named is None or decoded.is_error():
             self.unreadable.append(key)
             return
+        pool, _ = named
         self.jobs[decoded.ok.id] = StoredJob(pool, decoded.ok)
 
 
--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -13,6 +13,7 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller import timeouts
 from wagtailtiller.entry import deadlines as deadlines_module
 from wagtailtiller.entry import job_store
@@ -242,6 +243,10 @@
         queue = current_catalogue.route(host, path)
         if queue is None:
             return outcomes.NoSuchQueue()
+        if keys.too_long(queue):
+            return outcomes.Refused(
+                admission.RefusalReason.NAME_TOO_LONG, _NO_OWNER_RETRY_MS
+            )
         organisation = current_catalogue.authenticate(queue, api_key)
         if organisation is None:
             events.emit(
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -10,6 +10,7 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
 from wagtailtiller import ids
+from wagtailtiller import keys
 from wagtailtiller import loop_monitor
 from wagtailtiller import runtime
 from wagtailtiller import tasks
@@ -143,6 +144,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._background = tasks.TaskGroup()
         self._stopping = False
+        self._logged_version: int | None = None
         self._withheld: set[ids.ShardId] = set()
 
     async def start(self) -> None:
@@ -288,10 +290,28 @@
     def _on_declarations_change(self) -> None:
         if self._adapters.declared.catalogue is None:
             return
+        self._log_unserved_queues()
         self._update_required_shards()
         for owner in self._owners.values():
             self._update_owner(owner)
 
+    def _log_unserved_queues(self) -> None:
+        """Log once a version which queues cannot be served, and why."""
+        declared = self._adapters.declared.catalogue
+        if declared is None or declared.version == self._logged_version:
+            return
+        self._logged_version = declared.version
+        for queue in declared.queues:
+            reason = keys.too_long(queue)
+            if reason:
+                events.emit(
+                    events.Event.QUEUE_NOT_SERVED,
+                    queue=queue.queue,
+                    pool=queue.pool,
+                    cause=reason,
+                    version=declared.version,
+                )
+
     def _on_queue_items(self, items: list[store.Item]) -> None:
         self._queue_pools.listed = True
         changes = [self._queue_pools.update(item) for item in items]
@@ -303,7 +323,9 @@
         declared = self._adapters.declared.catalogue
         if declared is None:
             return
-        pools = {queue.pool for queue in declared.queues}
+        pools = {
+            queue.pool for queue in declared.queues if not keys.too_long(queue)
+        }
         required_shards = {
             ids.ShardId(pool) for pool in pools | self._queue_pools.all_pools()
         }
--- a/src/wagtailtiller/keys.py
+++ b/src/wagtailtiller/keys.py
@@ -1,7 +1,16 @@
-"""Keys of the system's own state in the platform's store."""
+"""Keys of the system's own state in the platform's store.
+
+Operators choose the names of pools and queues, which may hold any character. A
+name at the end of a key stands there as it is. A name that something follows is
+a segment, so that no name can be read as a part of another key.
+"""
+
+import functools
+import urllib.parse
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
+from wagtailtiller.ports import catalogue
 
 ROOT = "wagtail/"
 JOBS_PREFIX = f"{ROOT}jobs/"
@@ -17,6 +26,27 @@
 ALLOCATIONS = f"{ROOT}allocations"
 # The learned season of the arrivals at all pools.
 SEASON = f"{ROOT}season"
+EPOCH_PREFIX = f"{ROOT}epochs/"
+MEMBERS_PREFIX = f"{ROOT}members/"
+WAVE_PREFIX = f"{ROOT}waves/"
+
+# The platform's store takes no longer keys.
+_MAX_KEY_BYTES = 200
+_LONGEST_JOB_ID = model.JobId("f" * 16)
+
+
+def segment(name: str) -> str:
+    """Return a name in the form in which other parts of a key may follow it.
+
+    Usual names are their own segments. A segment holds no ``/``, and each name
+    has another one.
+    """
+    return name.replace("%", "%25").replace("/", "%2F")
+
+
+def name(key_segment: str) -> str:
+    """Return the name that a segment stands for."""
+    return urllib.parse.unquote(key_segment)
 
 
 def node(node_id: ids.NodeId) -> str:
@@ -41,24 +71,71 @@
 
 def epoch(shard: ids.ShardId) -> str:
     """Return the key of a shard's epoch, the number of its owners so far."""
-    return f"{ROOT}epochs/{shard}"
+    return f"{EPOCH_PREFIX}{shard}"
 
 
 def jobs(pool: ids.PoolId) -> str:
     """Return the prefix of the keys of a pool's jobs."""
+    return f"{JOBS_PREFIX}{segment(pool)}/"
+
+
+def unescaped_jobs(pool: ids.PoolId) -> str:
+    """Return the prefix under which earlier versions stored a pool's jobs."""
     return f"{JOBS_PREFIX}{pool}/"
 
 
 def job(pool: ids.PoolId, job_id: model.JobId) -> str:
     """Return the key of a job."""
-    return f"{JOBS_PREFIX}{pool}/{job_id}"
+    return f"{jobs(pool)}{job_id}"
+
+
+def read_job(key: str) -> tuple[ids.PoolId, model.JobId] | None:
+    """Return the pool and the id that the key of a job holds.
+
+    Args:
+        key: Key under ``JOBS_PREFIX``.
+
+    Returns:
+        None if the key is not one of this version.
+    """
+    parts = key.removeprefix(JOBS_PREFIX).split("/")
+    if len(parts) != 2:
+        return None
+    return ids.PoolId(name(parts[0])), model.JobId(parts[1])
 
 
 def members(pool: ids.PoolId) -> str:
     """Return the key of the list of VMs on which a pool's tasks may run."""
-    return f"{ROOT}members/{pool}"
+    return f"{MEMBERS_PREFIX}{pool}"
 
 
 def wave(wave_id: ids.WaveId) -> str:
     """Return the key of a wave's progress."""
-    return f"{ROOT}waves/{wave_id}"
+    return f"{WAVE_PREFIX}{wave_id}"
+
+
+@functools.lru_cache(maxsize=1_024)
+def too_long(queue: catalogue.Queue) -> str:
+    """Return which name of a queue makes a key that the store does not take.
+
+    Args:
+        queue: Queue as it is declared.
+
+    Returns:
+        The name with its length; empty if the queue can be served.
+    """
+    pool_keys = (
+        job(queue.pool, _LONGEST_JOB_ID),
+        successor(ids.ShardId(queue.pool)),
+    )
+    for kind, value, names_keys in (
+        ("pool", queue.pool, pool_keys),
+        ("queue", queue.queue, (queue_pools(queue.queue),)),
+    ):
+        key_bytes = max(len(key.encode()) for key in names_keys)
+        if key_bytes > _MAX_KEY_BYTES:
+            return (
+                f"{kind} {value[:20]}... makes a key of {key_bytes} bytes,"
+                f" at most {_MAX_KEY_BYTES} are possible"
+            )
+    return ""
--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -192,15 +192,15 @@
             return None
         return entry
 
-    def is_own_write(self, item: store.Item) -> bool:
+    def is_own_write(self, job: model.JobId, revision: ids.Revision) -> bool:
         """Return whether a stored job may be as this owner has written it.
 
         Args:
-            item: Stored job, which this owner has read or written before.
+            job: Id of a job that this owner has read or written before.
+            revision: Revision that the store shows of it.
         """
-        job = model.JobId(item.key.rpartition("/")[2])
         return (
-            item.revision <= self.revisions.get(job, store.ABSENT)
+            revision <= self.revisions.get(job, store.ABSENT)
             or job in self._committing
             or job in self._unknown_outcome
         )
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -19,6 +19,7 @@
 from wagtailtiller import tasks
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.owner import allocations
+from wagtailtiller.owner import earlier_keys
 from wagtailtiller.owner import job_writer as job_writer_module
 from wagtailtiller.owner import members as members_module
 from wagtailtiller.owner import messages
@@ -364,6 +365,11 @@
         members = await self._members.read()
         if members.is_error():
             return self._log_delay(members.error)
+        moved = await earlier_keys.move_jobs(
+            self._store, self.claim, self.pool_id
+        )
+        if moved.is_error():
+            return self._log_delay(moved.error)
         jobs = await self._store.read(keys.jobs(self.pool_id))
         if jobs.is_error():
             return self._log_delay(jobs.error)
--- a/src/wagtailtiller/owner/stored_jobs.py
+++ b/src/wagtailtiller/owner/stored_jobs.py
@@ -109,6 +109,8 @@
         Args:
             item: The job as it is stored.
         """
+        if keys.read_job(item.key) is None:
+            return
         job = self._decode(item)
         if job is None or job.id in self._pool.entries:
             return
@@ -135,7 +137,11 @@
                 self._update(item)
 
     def _update(self, item: store.Item) -> None:
-        job = model.JobId(item.key.rpartition("/")[2])
+        named = keys.read_job(item.key)
+        if named is None:
+            # An earlier version stored it for another pool.
+            return
+        _, job = named
         entry = self._pool.entries.get(job)
         if entry is None:
             self.restore(item)
@@ -143,7 +149,7 @@
         elif entry.stored_state is None:
             self._confirm_stored(entry, item)
             self._start_once_owned(job)
-        elif not self._job_writer.is_own_write(item):
+        elif not self._job_writer.is_own_write(job, item.revision):
             # Only owners change stored jobs.
             self._on_later_owner("later_write")
 
--- a/src/wagtailtiller/scheduling/admission.py
+++ b/src/wagtailtiller/scheduling/admission.py
@@ -42,6 +42,7 @@
     NO_OWNER = "no_owner"
     OVER_SHARE = "over_share"
     CUT_OFF = "cut_off"
+    NAME_TOO_LONG = "name_too_long"
 
 
 class Estimate(msgspec.Struct, frozen=True):
--- a/support/standins/store.py
+++ b/support/standins/store.py
@@ -26,6 +26,7 @@
 from wagtailtiller import ids
 from wagtailtiller.ports import store
 
+_MAX_KEY_BYTES = 200
 _MAX_VALUE_BYTES = 1_000_000
 _EXPIRY_SCAN_MS = 100
 _MAX_PAGE_ITEMS = 500
@@ -315,6 +316,8 @@
         ]
         if any(len(value) > _MAX_VALUE_BYTES for value in values):
             raise web.HTTPBadRequest()
+        if any(len(w.key.encode()) > _MAX_KEY_BYTES for w in body.writes):
+            raise web.HTTPBadRequest()
         result = self.state.commit(
             store.Transaction(
                 {row.key: ids.Revision(row.revision) for row in body.expect},
--- a/tests/entry/node_case.py
+++ b/tests/entry/node_case.py
@@ -20,8 +20,15 @@
     """Runs a test with entry processes that have claimed all shards."""
 
     def run_world(
-        self, main, processes=6, strong_processes=0, guards_capacity=True
+        self,
+        main,
+        processes=6,
+        strong_processes=0,
+        guards_capacity=True,
+        **fields,
     ):
+        """Run a test; ``fields`` replace others of the scenario."""
+
         async def wrapped():
             scenario = scenarios.small()
             scenario = scenario.__class__(
@@ -30,6 +37,7 @@
                     "processes": processes,
                     "strong_processes": strong_processes,
                     "guards_capacity": guards_capacity,
+                    **fields,
                 }
             )
             self.world = world_module.World(scenario)
