Follow the new arguments of is_own_write in a mutant

JobWriter.is_own_write takes the job and its revision since the keys of jobs are read in one place. The mutant of later jobs still took one argument, so that its process ended with an error (test_jobs_of_a_later_epoch_that_are_taken_over_are_detected: EXIT, LOST in place of TWICE). With both arguments the test passes.

--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -309,7 +309,7 @@
         (
             job_writer.JobWriter,
             "is_own_write",
-            lambda self, item: True,
+            lambda self, job, revision: True,
         ),
     ],
     "capacity is read once": [
