Give shards a type, so that a pool may be named machines

Cause: the id of a shard was a string, the name of a pool or the word machines. A pool of that name and the control of the machines were one shard, and its owner started the machine manager only. Frontends stored the jobs themselves.

Ruled out: a claim that fails. The key of the owner exists all the while.

Evidence: test_job_of_a_pool_named_machines_runs_once fails before this change; the job stays queued, stored under epoch 0.

Change: PoolShard and MachinesShard replace the string; keys and logs have names that are made and read in one place. A job that a frontend stores itself and a shard without an owner for 5 s are logged and counted.

--- a/src/wagtailtiller/ctl/entry_state.py
+++ b/src/wagtailtiller/ctl/entry_state.py
@@ -13,6 +13,7 @@
 from wagtailtiller.jobs import task as task_module
 from wagtailtiller.maintenance import manager_state
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import allocation
 
@@ -48,8 +49,8 @@
 
     def __init__(self, items: list[store.Item]) -> None:
         self.jobs: dict[model.JobId, StoredJob] = {}
-        self.owners: dict[ids.ShardId, claims.OwnerRecord] = {}
-        self.epochs: dict[ids.ShardId, int] = {}
+        self.owners: dict[shard_module.Shard, claims.OwnerRecord] = {}
+        self.epochs: dict[shard_module.Shard, int] = {}
         self.members: dict[ids.PoolId, list[ids.VmId]] = {}
         self.waves: dict[ids.WaveId, manager_state.WaveProgress] = {}
         self.allocations = allocation.Document()
@@ -68,15 +69,23 @@
             counter[stored.job.state.value] += 1
         return counts
 
+    def member_count(self, shard: shard_module.Shard) -> int:
+        """Return the number of VMs that may run tasks of a shard."""
+        match shard:
+            case shard_module.PoolShard(pool=pool):
+                return len(self.members.get(pool, []))
+            case shard_module.MachinesShard():
+                return 0
+
     def _add_item(self, key: str, value: bytes) -> None:
         if key.startswith(keys.JOBS_PREFIX):
             self._add_job(key, value)
         elif key.startswith(keys.OWNER_PREFIX):
             owner = msgspec.json.decode(value, type=claims.OwnerRecord)
-            shard = ids.ShardId(key.removeprefix(keys.OWNER_PREFIX))
+            shard = shard_module.read(key.removeprefix(keys.OWNER_PREFIX))
             self.owners[shard] = owner
         elif key.startswith(keys.EPOCH_PREFIX):
-            shard = ids.ShardId(key.removeprefix(keys.EPOCH_PREFIX))
+            shard = shard_module.read(key.removeprefix(keys.EPOCH_PREFIX))
             self.epochs[shard] = int(value)
         elif key.startswith(keys.MEMBERS_PREFIX):
             vm_ids = msgspec.json.decode(value, type=dict[ids.VmId, str])
@@ -172,7 +181,7 @@
 
 
 def _describe_owner(entry_state: EntryState, pool: ids.PoolId) -> str:
-    shard = ids.ShardId(pool)
+    shard = shard_module.PoolShard(pool)
     owner = entry_state.owners.get(shard)
     if owner is None:
         return f"pool {pool} has no owner: no task starts until it has one"
--- a/src/wagtailtiller/ctl/job_commands.py
+++ b/src/wagtailtiller/ctl/job_commands.py
@@ -7,13 +7,13 @@
 from expression import Result
 
 from wagtailtiller import errors
-from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller.ctl import base
 from wagtailtiller.ctl import entry_state as entry_state_module
 from wagtailtiller.ctl import output
 from wagtailtiller.ctl import session as session_module
 from wagtailtiller.jobs import model
+from wagtailtiller.ownership import shard as shard_module
 
 
 class EntryStateCommand(base.StoreCommand):
@@ -56,11 +56,12 @@
     ) -> int:
         """Print a row for each shard."""
         rows = []
-        for shard in sorted(entry_state.epochs):
+        for shard in sorted(entry_state.epochs, key=shard_module.by_key_name):
             owner = entry_state.owners.get(shard)
-            members = entry_state.members.get(ids.PoolId(shard), [])
             node = owner.node if owner is not None else "-"
-            rows.append((shard, node, entry_state.epochs[shard], len(members)))
+            epoch = entry_state.epochs[shard]
+            vm_count = entry_state.member_count(shard)
+            rows.append((shard.key_name, node, epoch, vm_count))
         value = [
             {"shard": s, "node": n, "epoch": e, "members": m}
             for s, n, e, m in rows
--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -408,6 +408,7 @@
             return None if submission.outcome_unknown else unavailable
         match await self._job_store.add(request):
             case job_store.StoreResult.YES:
+                self._log_stored(request, submission)
                 return outcomes.Accepted()
             case job_store.StoreResult.OTHER_JOB:
                 return outcomes.IdInUse()
@@ -417,6 +418,19 @@
                 submission.store_write_unknown = True
                 return None
 
+    def _log_stored(
+        self, request: messages.Submit, submission: _Submission
+    ) -> None:
+        """Log that a job waits for its pool's owner, or for the next one."""
+        events.emit(
+            events.Event.JOB_STORED_WITHOUT_OWNER,
+            job=request.job,
+            queue=request.queue,
+            pool=request.pool,
+            asked=submission.asked.address if submission.asked else "",
+            epoch=submission.asked.epoch if submission.asked else 0,
+        )
+
     async def job_status(
         self, route: Route, job: model.JobId, timeout_ms: int
     ) -> outcomes.Outcome:
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -26,6 +26,7 @@
 from wagtailtiller.owner import queue_pools
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ownership import succession
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import declarations
@@ -34,7 +35,7 @@
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
 
-MACHINES_SHARD = ids.ShardId("machines")
+MACHINES_SHARD = shard_module.MachinesShard()
 _SESSION_CHECK_INTERVAL_MS = 250
 _ASK_TIMEOUT_MS = 500
 _INCARNATION_BITS = 128
@@ -123,7 +124,7 @@
             self._on_shard_gained,
             self._on_shard_lost,
             rng,
-            lambda shard: self.frontend.on_owner_change(ids.PoolId(shard)),
+            self._on_owner_change,
             self._on_queue_items,
         )
         self._contact = contact_module.PeerContact(
@@ -145,7 +146,7 @@
         self._background = tasks.TaskGroup()
         self._stopping = False
         self._logged_version: int | None = None
-        self._withheld: set[ids.ShardId] = set()
+        self._withheld: set[shard_module.Shard] = set()
 
     async def start(self) -> None:
         """Start to serve peers, follow declarations and claim shards."""
@@ -218,16 +219,18 @@
             The address at which the owner listens for peers, as ``ip:port``;
             None if no owner is known.
         """
-        owner = self._shards.owner(ids.ShardId(pool))
+        owner = self._shards.owner(shard_module.PoolShard(pool))
         return owner.address if owner is not None else None
 
     def owner_epoch(self, pool: ids.PoolId) -> int:
         """Return the epoch of a pool's last known owner, or 0."""
-        return self._shards.owner_epoch(ids.ShardId(pool))
+        return self._shards.owner_epoch(shard_module.PoolShard(pool))
 
-    def owned_shards(self) -> list[ids.ShardId]:
+    def owned_shards(self) -> list[shard_module.Shard]:
         """Return the shards that this process owns, in order."""
-        return sorted(self._shards.claims_by_shard)
+        return sorted(
+            self._shards.claims_by_shard, key=shard_module.by_key_name
+        )
 
     def store_answers(self) -> bool:
         """Return whether the store has responded recently."""
@@ -271,22 +274,24 @@
     def _pong(self) -> messages.Pong:
         return messages.Pong(
             tuple(
-                messages.KnownOwner(
-                    ids.PoolId(shard), owner.address, owner.epoch
-                )
+                messages.KnownOwner(shard.pool, owner.address, owner.epoch)
                 for shard, owner in self._shards.owners().items()
-                if shard != MACHINES_SHARD
+                if isinstance(shard, shard_module.PoolShard)
             )
         )
 
     def _not_owner(self, pool: ids.PoolId) -> messages.NotOwner:
-        known = self._shards.owner(ids.ShardId(pool))
+        known = self._shards.owner(shard_module.PoolShard(pool))
         if known is None:
             return messages.NotOwner()
         return messages.NotOwner(known.address, known.epoch)
 
     # Changes of the declarations and of the owned shards.
 
+    def _on_owner_change(self, shard: shard_module.Shard) -> None:
+        if isinstance(shard, shard_module.PoolShard):
+            self.frontend.on_owner_change(shard.pool)
+
     def _on_declarations_change(self) -> None:
         if self._adapters.declared.catalogue is None:
             return
@@ -326,8 +331,9 @@
         pools = {
             queue.pool for queue in declared.queues if not keys.too_long(queue)
         }
-        required_shards = {
-            ids.ShardId(pool) for pool in pools | self._queue_pools.all_pools()
+        required_shards: set[shard_module.Shard] = {
+            shard_module.PoolShard(pool)
+            for pool in pools | self._queue_pools.all_pools()
         }
         if self._adapters.machines is not None:
             required_shards.add(MACHINES_SHARD)
@@ -409,7 +415,7 @@
         ):
             self._tasks.append(runtime.spawn(self._machine_manager.stop()))
             self._machine_manager = None
-        owner = self._owners.get(ids.PoolId(claim.shard))
+        owner = self._owner_of(claim.shard)
         if owner is not None and owner.claim == claim:
             self._remove_owner(owner)
             self._tasks.append(runtime.spawn(owner.stop()))
@@ -419,7 +425,7 @@
         self._on_shard_lost(service.claim, reason)
         events.emit(
             events.Event.SHARD_LOST,
-            shard=service.claim.shard,
+            shard=service.claim.shard.key_name,
             epoch=service.claim.epoch,
             reason=reason,
             session_age_ms=self._shards.authority.lease_age_ms(),
@@ -464,7 +470,10 @@
         late_now = self._loop_monitor.gauge.late_now
         shard_claims = sorted(
             self._shards.claims_by_shard.values(),
-            key=lambda claim: (claim.shard == MACHINES_SHARD, claim.shard),
+            key=lambda claim: (
+                claim.shard == MACHINES_SHARD,
+                claim.shard.key_name,
+            ),
         )
         for claim in shard_claims:
             if not self._is_ready(claim):
@@ -483,7 +492,7 @@
     def _is_ready(self, claim: claims.Claim) -> bool:
         if claim.shard == MACHINES_SHARD:
             return self._machine_manager is not None
-        owner = self._owners.get(ids.PoolId(claim.shard))
+        owner = self._owner_of(claim.shard)
         return owner is not None and owner.ready
 
     def _log_withheld(
@@ -494,7 +503,7 @@
         self._withheld.add(claim.shard)
         events.emit(
             events.Event.HAND_OVER_WITHHELD,
-            shard=claim.shard,
+            shard=claim.shard.key_name,
             epoch=claim.epoch,
             comparable=withheld.comparable_count,
             late=withheld.late_count,
@@ -507,7 +516,7 @@
         started_ms = self._clock.monotonic_ms()
         events.emit(
             events.Event.HAND_OVER_STARTED,
-            shard=claim.shard,
+            shard=claim.shard.key_name,
             epoch=claim.epoch,
             reason=plan.reason.value,
             successor=plan.successor.node if plan.successor else "",
@@ -519,31 +528,42 @@
         )
         events.emit(
             events.Event.SHARD_LOST,
-            shard=claim.shard,
+            shard=claim.shard.key_name,
             epoch=claim.epoch,
             reason=plan.reason.value,
             session_age_ms=self._shards.authority.lease_age_ms(),
         )
         events.emit(
             events.Event.HAND_OVER_ENDED,
-            shard=claim.shard,
+            shard=claim.shard.key_name,
             epoch=claim.epoch,
             outcome=outcome.value,
             took_ms=self._clock.monotonic_ms() - started_ms,
         )
         return outcome
 
-    def _detach(self, shard: ids.ShardId) -> hand_over_module.Stop | None:
+    def _detach(
+        self, shard: shard_module.Shard
+    ) -> hand_over_module.Stop | None:
         """Stop to answer for a shard, and return what stops its service."""
         if shard == MACHINES_SHARD:
             manager, self._machine_manager = self._machine_manager, None
             return manager.stop if manager is not None else None
-        owner = self._owners.get(ids.PoolId(shard))
+        owner = self._owner_of(shard)
         if owner is None:
             return None
         self._remove_owner(owner)
         return owner.stop
 
+    def _owner_of(
+        self, shard: shard_module.Shard
+    ) -> pool_owner.PoolOwner | None:
+        match shard:
+            case shard_module.PoolShard(pool=pool):
+                return self._owners.get(pool)
+            case shard_module.MachinesShard():
+                return None
+
     def _remove_owner(self, owner: pool_owner.PoolOwner) -> None:
         del self._owners[owner.pool_id]
         if not self._owners and self._vms_task is not None:
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -21,6 +21,7 @@
 from wagtailtiller.ownership import mirror
 from wagtailtiller.ownership import restarts
 from wagtailtiller.ownership import session
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ownership import succession
 from wagtailtiller.ports import store
 
@@ -47,6 +48,8 @@
 _STARTUP_DELAY_MS = 400
 _STARTUP_POLL_MS = 20
 _WATCH_WAIT_MS = 1_000
+# Another process claims a shard within a fraction of this time.
+_UNOWNED_LOGGED_MS = 5_000
 # The store responds to a watch after _WATCH_WAIT_MS even if nothing has
 # changed. It counts as unavailable if it has not responded for longer than
 # this.
@@ -83,29 +86,32 @@
         on_gained: Callable[[claims.Claim], None],
         on_lost: Callable[[claims.Claim, str], None],
         rng: random.Random,
-        on_owner_change: Callable[[ids.ShardId], None] = lambda shard: None,
+        on_owner_change: Callable[[shard_module.Shard], None] = lambda shard: (
+            None
+        ),
         on_queue_items: Callable[[list[store.Item]], None] = lambda items: None,
     ) -> None:
         self._on_queue_items = on_queue_items
         self._on_owner_change = on_owner_change
-        self.claims_by_shard: dict[ids.ShardId, claims.Claim] = {}
+        self.claims_by_shard: dict[shard_module.Shard, claims.Claim] = {}
         self._store = store_client
         self._own_record = own_record
         self._clock = clock
         self._on_gained = on_gained
         self._on_lost = on_lost
-        self._shards: set[ids.ShardId] = set()
+        self._shards: set[shard_module.Shard] = set()
         self._nodes: dict[ids.NodeId, claims.NodeRecord] = {}
-        self._owners: dict[ids.ShardId, claims.OwnerRecord] = {}
-        self._unowned_since_ms: dict[ids.ShardId, int] = {}
-        self._claimed_ms: dict[ids.ShardId, int] = {}
+        self._owners: dict[shard_module.Shard, claims.OwnerRecord] = {}
+        self._unowned_since_ms: dict[shard_module.Shard, int] = {}
+        self._logged_unowned: set[shard_module.Shard] = set()
+        self._claimed_ms: dict[shard_module.Shard, int] = {}
         self._listed_since_ms: dict[ids.NodeId, int] = {}
-        self._hints: dict[ids.ShardId, claims.SuccessorRecord] = {}
+        self._hints: dict[shard_module.Shard, claims.SuccessorRecord] = {}
         # The latest known epoch of each shard's owners.
-        self._epochs: dict[ids.ShardId, int] = {}
+        self._epochs: dict[shard_module.Shard, int] = {}
         # Processes that this one has named as successors, until they claim.
-        self._named: dict[ids.ShardId, ids.NodeId] = {}
-        self._releasing: set[ids.ShardId] = set()
+        self._named: dict[shard_module.Shard, ids.NodeId] = {}
+        self._releasing: set[shard_module.Shard] = set()
         self._restarts = restarts.RestartTracker()
         self._has_listed = False
         self._wake = asyncio.Event()
@@ -135,7 +141,7 @@
             self._on_items_change,
         )
 
-    def set_shards(self, shards: set[ids.ShardId]) -> None:
+    def set_shards(self, shards: set[shard_module.Shard]) -> None:
         """Set which shards exist.
 
         Args:
@@ -143,15 +149,15 @@
         """
         self._shards = shards
 
-    def owner(self, shard: ids.ShardId) -> claims.OwnerRecord | None:
+    def owner(self, shard: shard_module.Shard) -> claims.OwnerRecord | None:
         """Return the last known owner of a shard, or None."""
         return self._owners.get(shard)
 
-    def owners(self) -> dict[ids.ShardId, claims.OwnerRecord]:
+    def owners(self) -> dict[shard_module.Shard, claims.OwnerRecord]:
         """Return the last known owners, as a new dictionary."""
         return dict(self._owners)
 
-    def owner_epoch(self, shard: ids.ShardId) -> int:
+    def owner_epoch(self, shard: shard_module.Shard) -> int:
         """Return the epoch of a shard's last known owner, or 0."""
         return self._epochs.get(shard, 0)
 
@@ -184,7 +190,8 @@
             self._own_record, leaving=True
         )
         events.emit(
-            events.Event.NODE_LEAVING, shards=sorted(self.claims_by_shard)
+            events.Event.NODE_LEAVING,
+            shards=[shard.key_name for shard in self._sorted_claims()],
         )
         for _ in range(_LEAVING_ATTEMPTS):
             if not self._session.lease or await self._write_record():
@@ -251,9 +258,12 @@
             )
         return succession.plan(claim.shard, view, now_ms - claimed_ms)
 
-    def plan_stop(self) -> dict[ids.ShardId, succession.Plan]:
+    def _sorted_claims(self) -> list[shard_module.Shard]:
+        return sorted(self.claims_by_shard, key=shard_module.by_key_name)
+
+    def plan_stop(self) -> dict[shard_module.Shard, succession.Plan]:
         """Choose successors for all shards of this process."""
-        return succession.plan_stop(sorted(self.claims_by_shard), self._view())
+        return succession.plan_stop(self._sorted_claims(), self._view())
 
     async def release(
         self,
@@ -312,7 +322,7 @@
                 await self._register()
                 continue
             await self._publish_changes()
-            for shard in sorted(self._shards):
+            for shard in sorted(self._shards, key=shard_module.by_key_name):
                 await self._claim_if_unowned(shard)
                 if self._closing:
                     return
@@ -399,22 +409,36 @@
         self._stored_ms = self._clock.monotonic_ms()
         return True
 
-    async def _claim_if_unowned(self, shard: ids.ShardId) -> None:
+    async def _claim_if_unowned(self, shard: shard_module.Shard) -> None:
         now_ms = self._clock.monotonic_ms()
         owner = self._owners.get(shard)
         if owner is not None:
             self._unowned_since_ms.pop(shard, None)
+            self._logged_unowned.discard(shard)
             await self._replace_stale_claim(shard, owner)
             return
         if shard in self.claims_by_shard:
             return
         since_ms = self._unowned_since_ms.setdefault(shard, now_ms)
+        self._log_unowned(shard, now_ms - since_ms)
         if now_ms - since_ms < self._claim_delay_ms(shard):
             return
         await self._claim(shard)
 
+    def _log_unowned(self, shard: shard_module.Shard, unowned_ms: int) -> None:
+        """Log once that a shard has had no owner for unusually long."""
+        if unowned_ms < _UNOWNED_LOGGED_MS or shard in self._logged_unowned:
+            return
+        self._logged_unowned.add(shard)
+        events.emit(
+            events.Event.SHARD_UNOWNED,
+            shard=shard.key_name,
+            unowned_ms=unowned_ms,
+            epoch=self.owner_epoch(shard),
+        )
+
     async def _claim(
-        self, shard: ids.ShardId, replaced: ids.Revision = store.ABSENT
+        self, shard: shard_module.Shard, replaced: ids.Revision = store.ABSENT
     ) -> None:
         lease = self._session.lease
         claim = await claims.claim(
@@ -451,7 +475,7 @@
         )
         events.emit(
             events.Event.SHARD_CLAIMED,
-            shard=shard,
+            shard=shard.key_name,
             epoch=claim.epoch,
             revision=claim.revision,
         )
@@ -459,7 +483,7 @@
         self._on_owner_change(shard)
 
     async def _replace_stale_claim(
-        self, shard: ids.ShardId, owner: claims.OwnerRecord
+        self, shard: shard_module.Shard, owner: claims.OwnerRecord
     ) -> None:
         """Replace or delete an owner key that this process has left behind."""
         item = self._mirror.items.get(keys.owner(shard))
@@ -470,7 +494,9 @@
             return
         if self._is_of_previous_start(item, owner):
             events.emit(
-                events.Event.SHARD_RECLAIMED, shard=shard, epoch=owner.epoch
+                events.Event.SHARD_RECLAIMED,
+                shard=shard.key_name,
+                epoch=owner.epoch,
             )
             await self._claim(shard, item.revision)
             return
@@ -517,7 +543,7 @@
             and item.revision < self._first_revision
         )
 
-    def _claim_delay_ms(self, shard: ids.ShardId) -> int:
+    def _claim_delay_ms(self, shard: shard_module.Shard) -> int:
         successor = self._successor(shard)
         if successor == self._own_record.node:
             return 0
@@ -540,7 +566,7 @@
             delay_ms += _STRONGER_WAIT_MS
         return delay_ms
 
-    def _successor(self, shard: ids.ShardId) -> ids.NodeId | None:
+    def _successor(self, shard: shard_module.Shard) -> ids.NodeId | None:
         """Return the live process that the previous owner has named."""
         hint = self._hints.get(shard)
         if hint is None or hint.epoch != self._epochs.get(shard):
@@ -574,7 +600,7 @@
         self._owners.pop(claim.shard, None)
         events.emit(
             events.Event.SHARD_LOST,
-            shard=claim.shard,
+            shard=claim.shard.key_name,
             epoch=claim.epoch,
             reason=reason,
             session_age_ms=self.authority.lease_age_ms(),
@@ -629,7 +655,7 @@
         )
 
     def _update_successor(self, item: store.Item) -> None:
-        shard = ids.ShardId(item.key[len(keys.SUCCESSOR_PREFIX) :])
+        shard = shard_module.read(item.key.removeprefix(keys.SUCCESSOR_PREFIX))
         hint = _decode(item, claims.SuccessorRecord)
         if hint is None:
             self._hints.pop(shard, None)
@@ -637,7 +663,7 @@
             self._hints[shard] = hint
 
     def _update_owner(self, item: store.Item) -> None:
-        shard = ids.ShardId(item.key[len(keys.OWNER_PREFIX) :])
+        shard = shard_module.read(item.key.removeprefix(keys.OWNER_PREFIX))
         claim = self.claims_by_shard.get(shard)
         if claim is not None and item.revision > claim.revision:
             self._on_claim_lost(claim, "key_changed")
--- a/src/wagtailtiller/ids.py
+++ b/src/wagtailtiller/ids.py
@@ -6,7 +6,6 @@
 VmId = NewType("VmId", str)
 MachineId = NewType("MachineId", str)
 NodeId = NewType("NodeId", str)
-ShardId = NewType("ShardId", str)
 RackId = NewType("RackId", str)
 DataCentreId = NewType("DataCentreId", str)
 RegionId = NewType("RegionId", str)
--- a/src/wagtailtiller/keys.py
+++ b/src/wagtailtiller/keys.py
@@ -10,6 +10,7 @@
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import catalogue
 
 ROOT = "wagtail/"
@@ -54,14 +55,14 @@
     return f"{NODE_PREFIX}{node_id}"
 
 
-def owner(shard: ids.ShardId) -> str:
+def owner(shard: shard_module.Shard) -> str:
     """Return the key of a shard's owner, attached to the owner's lease."""
-    return f"{OWNER_PREFIX}{shard}"
+    return f"{OWNER_PREFIX}{shard.key_name}"
 
 
-def successor(shard: ids.ShardId) -> str:
+def successor(shard: shard_module.Shard) -> str:
     """Return the key that names who should claim a released shard."""
-    return f"{SUCCESSOR_PREFIX}{shard}"
+    return f"{SUCCESSOR_PREFIX}{shard.key_name}"
 
 
 def queue_pools(queue: ids.QueueId) -> str:
@@ -69,9 +70,9 @@
     return f"{QUEUE_PREFIX}{queue}"
 
 
-def epoch(shard: ids.ShardId) -> str:
+def epoch(shard: shard_module.Shard) -> str:
     """Return the key of a shard's epoch, the number of its owners so far."""
-    return f"{EPOCH_PREFIX}{shard}"
+    return f"{EPOCH_PREFIX}{shard.key_name}"
 
 
 def jobs(pool: ids.PoolId) -> str:
@@ -126,7 +127,7 @@
     """
     pool_keys = (
         job(queue.pool, _LONGEST_JOB_ID),
-        successor(ids.ShardId(queue.pool)),
+        successor(shard_module.PoolShard(queue.pool)),
     )
     for kind, value, names_keys in (
         ("pool", queue.pool, pool_keys),
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -33,6 +33,7 @@
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import machines
 from wagtailtiller.ports import policy
@@ -130,7 +131,8 @@
     ) -> None:
         clock = ports.clock
         self.claim = claim
-        self.pool_id = ids.PoolId(claim.shard)
+        assert isinstance(claim.shard, shard_module.PoolShard)
+        self.pool_id = claim.shard.pool
         self.pool = pool_module.Pool(self.pool_id, claim.epoch, clock)
         self.pool.overload_control = settings.overload_control
         self.ready = False
--- a/src/wagtailtiller/ownership/claims.py
+++ b/src/wagtailtiller/ownership/claims.py
@@ -15,6 +15,7 @@
 from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller import keys
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import store
 
 # Epoch of the first owner that a shard has ever had.
@@ -97,7 +98,7 @@
         revision: Revision of the owner key; it changes when ownership ends.
     """
 
-    shard: ids.ShardId
+    shard: shard_module.Shard
     epoch: int
     revision: ids.Revision
 
@@ -111,7 +112,7 @@
 
 
 def rank_candidates(
-    shard: ids.ShardId,
+    shard: shard_module.Shard,
     nodes: list[NodeRecord],
     owned: dict[ids.NodeId, int],
     restarted: frozenset[ids.NodeId] = frozenset(),
@@ -198,7 +199,7 @@
 
 async def claim(
     store_client: store.Store,
-    shard: ids.ShardId,
+    shard: shard_module.Shard,
     claimant: NodeRecord,
     lease: str,
     replaced: ids.Revision = store.ABSENT,
@@ -258,7 +259,7 @@
     if confirmed is None:
         events.emit(
             events.Event.CLAIM_FAILED,
-            shard=shard,
+            shard=shard.key_name,
             reason=type(committed.error).__name__,
         )
     return confirmed
@@ -315,7 +316,7 @@
 
 
 async def _read_back(
-    store_client: store.Store, shard: ids.ShardId, record: OwnerRecord
+    store_client: store.Store, shard: shard_module.Shard, record: OwnerRecord
 ) -> Claim | None:
     # A commit that returned an error may have been applied nevertheless.
     result = await store_client.read_key(keys.owner(shard))
@@ -326,6 +327,6 @@
     return Claim(shard, record.epoch, result.ok.revision)
 
 
-def _rendezvous_hash(shard: ids.ShardId, node: NodeRecord) -> bytes:
-    text = f"{shard}/{node.node}".encode()
+def _rendezvous_hash(shard: shard_module.Shard, node: NodeRecord) -> bytes:
+    text = f"{shard.key_name}/{node.node}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/src/wagtailtiller/ownership/succession.py
+++ b/src/wagtailtiller/ownership/succession.py
@@ -5,6 +5,7 @@
 
 from wagtailtiller import ids
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 
 # A shard is kept at least this long, so that it does not go back and forth, and
 # is only given to a stronger VM that has been listed for this long.
@@ -79,7 +80,7 @@
 
 
 def plan(
-    shard: ids.ShardId, view: View, owned_for_ms: int
+    shard: shard_module.Shard, view: View, owned_for_ms: int
 ) -> Plan | Withheld | None:
     """Decide whether another process should have a shard of this one.
 
@@ -100,7 +101,9 @@
     return _plan_while_late(shard, view)
 
 
-def plan_stop(shards: list[ids.ShardId], view: View) -> dict[ids.ShardId, Plan]:
+def plan_stop(
+    shards: list[shard_module.Shard], view: View
+) -> dict[shard_module.Shard, Plan]:
     """Choose the successors of a process that is about to stop.
 
     Args:
@@ -126,7 +129,9 @@
     return plans
 
 
-def _stronger(shard: ids.ShardId, view: View) -> claims.NodeRecord | None:
+def _stronger(
+    shard: shard_module.Shard, view: View
+) -> claims.NodeRecord | None:
     """Return a much stronger VM that would carry the shard with half the load.
 
     Args:
@@ -145,7 +150,7 @@
     return _best(shard, stronger_nodes, view)
 
 
-def _plan_while_late(shard: ids.ShardId, view: View) -> Plan | Withheld:
+def _plan_while_late(shard: shard_module.Shard, view: View) -> Plan | Withheld:
     comparable_nodes = [
         node
         for node in view.others
@@ -171,7 +176,7 @@
 
 
 def _best(
-    shard: ids.ShardId, nodes: list[claims.NodeRecord], view: View
+    shard: shard_module.Shard, nodes: list[claims.NodeRecord], view: View
 ) -> claims.NodeRecord | None:
     ranking = claims.rank_candidates(shard, nodes, view.owned, view.restarted)
     return ranking[0] if ranking else None
--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -206,7 +206,7 @@
     """Kill the owner of the first pool."""
     pool = next(iter(world.scenario.machines))
     for process in world.live_processes():
-        if pool in process.node.owned_shards():
+        if pool in process.owned_pools():
             process.kill()
             await asyncio.sleep(duration_s)
             await world.start_process(process.name)
--- a/support/sim/partitions.py
+++ b/support/sim/partitions.py
@@ -15,7 +15,6 @@
 from support.sim import process as process_module
 from support.sim import revocations
 from support.sim import world as world_module
-from wagtailtiller import ids
 
 World = world_module.World
 
@@ -266,8 +265,7 @@
 ) -> _Sides:
     """Split each pool of an owner, with a machine or more on each side."""
     sides = _Sides([], [])
-    for shard in owner.node.owned_shards():
-        pool = ids.PoolId(shard)
+    for pool in owner.owned_pools():
         machines = [m for m in world.fleet.machines.values() if m.pool == pool]
         if len(machines) < 2:
             continue
--- a/support/sim/process.py
+++ b/support/sim/process.py
@@ -13,6 +13,7 @@
 from wagtailtiller.entry import peers
 from wagtailtiller.entry import settings as settings_module
 from wagtailtiller.owner import messages
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import catalogue as catalogue_module
 from wagtailtiller.ports import vms
 
@@ -216,6 +217,14 @@
         )
         self._network = network
 
+    def owned_pools(self) -> list[ids.PoolId]:
+        """Return the pools that the process owns, in order."""
+        return [
+            shard.pool
+            for shard in self.node.owned_shards()
+            if isinstance(shard, shard_module.PoolShard)
+        ]
+
     async def start(self) -> None:
         """Start the node."""
         await loop_module.spawn(self.node.start(), self.process)
--- a/support/sim/revocations.py
+++ b/support/sim/revocations.py
@@ -4,7 +4,6 @@
 
 from support.sim import process as process_module
 from support.sim import world as world_module
-from wagtailtiller import ids
 
 World = world_module.World
 
@@ -51,7 +50,7 @@
     if not owners:
         return
     owner = world.rng.choice(owners)
-    pools = {ids.PoolId(shard) for shard in owner.node.owned_shards()}
+    pools = set(owner.owned_pools())
     other_ids = {
         process.process
         for process in world.live_processes()
@@ -105,7 +104,7 @@
     return [
         process
         for process in world.live_processes()
-        if world.scenario.machines.keys() & set(process.node.owned_shards())
+        if world.scenario.machines.keys() & set(process.owned_pools())
     ]
 
 
--- a/tests/ctl/test_entry_state.py
+++ b/tests/ctl/test_entry_state.py
@@ -10,11 +10,12 @@
 from wagtailtiller.jobs import record
 from wagtailtiller.maintenance import manager_state
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import allocation
 
 _JOB_ID = "a" * 16
-_SHARD = ids.ShardId(jobs.POOL)
+_SHARD = shard_module.PoolShard(jobs.POOL)
 _NOW_WALL_MS = 1_002_500
 
 
--- a/tests/entry/node_case.py
+++ b/tests/entry/node_case.py
@@ -53,9 +53,9 @@
         loop_module.run(wrapped())
 
     def owners(self):
-        """Return the name of the process that owns each shard."""
+        """Return the process that owns each shard, by the shard's key name."""
         return {
-            shard: process.name
+            shard.key_name: process.name
             for process in self.world.live_processes()
             for shard in process.node.owned_shards()
         }
--- a/tests/entry/test_node.py
+++ b/tests/entry/test_node.py
@@ -14,6 +14,8 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.ownership import succession
 
+_MACHINES = node_module.MACHINES_SHARD.key_name
+
 
 class LateOwnerTest(node_case.NodeCase):
     def test_slowed_owner_hands_all_its_shards_over(self):
@@ -21,7 +23,7 @@
 
         async def main():
             before = self.owners()
-            name = before[node_module.MACHINES_SHARD]
+            name = before[_MACHINES]
             slowed = self.world.processes[name]
             await self.slow_down(slowed, 5)
             after = self.owners()
@@ -97,7 +99,7 @@
                 if call.args == (events.Event.SHARD_LOST,)
             }
             self.assertEqual(dict.fromkeys(lost, "store_silent"), lost)
-            self.assertIn(node_module.MACHINES_SHARD, lost)
+            self.assertIn(_MACHINES, lost)
 
         self.run_world(main, processes=1)
 
@@ -170,7 +172,7 @@
             process = self.world.processes[self.owners()["proofs"]]
             stop = asyncio.create_task(process.node.hand_over())
             await asyncio.sleep(0.3)
-            owner = self.owners().get(ids.ShardId("proofs"))
+            owner = self.owners().get("proofs")
             self.assertNotIn(owner, (None, process.name))
             await stop
 
--- a/tests/entry/test_pool_names.py
+++ b/tests/entry/test_pool_names.py
@@ -60,6 +60,13 @@
     def test_job_of_a_pool_without_a_name_runs_once(self):
         self.check_runs_once("", "press")
 
+    def test_job_of_a_pool_named_machines_runs_once(self):
+        """Guards against a pool whose shard the machine manager takes."""
+        self.check_runs_once("machines", "press")
+
+    def test_jobs_of_pools_that_are_nearly_named_machines_run_once(self):
+        self.check_runs_once("machines/", "machines")
+
     def test_request_for_a_name_that_is_too_long_is_refused(self):
         async def main():
             for node in self.nodes():
--- a/tests/entry/test_shards.py
+++ b/tests/entry/test_shards.py
@@ -15,10 +15,11 @@
 from wagtailtiller import keys
 from wagtailtiller.entry import shards as shards_module
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ownership import succession
 from wagtailtiller.ports import store
 
-_SHARD = ids.ShardId("renders")
+_SHARD = shard_module.PoolShard(ids.PoolId("renders"))
 
 
 class _Store(fakes.FakeStore):
@@ -138,7 +139,9 @@
                 owner = claims.OwnerRecord(
                     ids.NodeId("strong"), "strong:1", "y", 1
                 )
-                key = keys.owner(ids.ShardId(f"other-{number}"))
+                key = keys.owner(
+                    shard_module.PoolShard(ids.PoolId(f"other-{number}"))
+                )
                 self.store.state.write(key, claims.encode(owner), 0, "")
             await asyncio.sleep(4)
             self.assertIsNone(shards.plan_hand_over(self.gained[0]))
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -22,13 +22,14 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.platform import machines as platform_machines
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import machines
 
 _RENDERS = ids.PoolId("renders")
 _SPARE = ids.PoolId("spare")
-_SHARD = ids.ShardId("machines")
+_SHARD = shard_module.MachinesShard()
 _LEASE_MS = 3_000
 _CORES = 32_000
 _OLD_LEASE_MS = 10_000
--- a/tests/maintenance/test_manager_state.py
+++ b/tests/maintenance/test_manager_state.py
@@ -12,8 +12,9 @@
 from wagtailtiller import keys
 from wagtailtiller.maintenance import manager_state
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 
-_SHARD = ids.ShardId("machines")
+_SHARD = shard_module.MachinesShard()
 _ORDERED = ids.MachineId("m-1")
 _OTHER = ids.MachineId("m-2")
 _TRIM_DELAY_MS = 10_000
--- a/tests/owner/test_allocations.py
+++ b/tests/owner/test_allocations.py
@@ -17,6 +17,7 @@
 from wagtailtiller import keys
 from wagtailtiller.owner import allocations as allocations_module
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import allocation
 
@@ -77,10 +78,12 @@
 
     def own_pool(self, name="a", cores=100):
         """Claim a pool and keep its allocations up to date as its owner."""
-        key = keys.owner(ids.ShardId(name))
+        key = keys.owner(shard_module.PoolShard(ids.PoolId(name)))
         revision = self.store.state.item(key).revision
         written = self.store.state.write(key, b"me", revision, "")
-        claim = claims.Claim(ids.ShardId(name), 1, written.ok)
+        claim = claims.Claim(
+            shard_module.PoolShard(ids.PoolId(name)), 1, written.ok
+        )
         pool = limits.LimitedPool(name, clocks.FakeClock())
         pool.list_runs()
         pool.allocations.set_organisations(limits.organisations(cores=cores), 1)
@@ -230,9 +233,11 @@
         async def main():
             pool = self.own_pool()
             self.store.state.write(
-                keys.owner(ids.ShardId("a")),
+                keys.owner(shard_module.PoolShard(ids.PoolId("a"))),
                 b"successor",
-                self.store.state.item(keys.owner(ids.ShardId("a"))).revision,
+                self.store.state.item(
+                    keys.owner(shard_module.PoolShard(ids.PoolId("a")))
+                ).revision,
                 "",
             )
             self.add_work(pool)
--- a/tests/owner/test_earlier_keys.py
+++ b/tests/owner/test_earlier_keys.py
@@ -11,6 +11,7 @@
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import earlier_keys
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 
 _POOL = ids.PoolId("press/plates")
 
@@ -21,7 +22,7 @@
     def setUp(self):
         super().setUp()
         self.store = fakes.FakeStore()
-        shard = ids.ShardId(_POOL)
+        shard = shard_module.PoolShard(_POOL)
         written = self.store.state.write(keys.owner(shard), b"owner", 0, "")
         self.claim = claims.Claim(shard, 1, written.ok)
 
--- a/tests/owner/test_former_owners.py
+++ b/tests/owner/test_former_owners.py
@@ -21,10 +21,11 @@
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import session
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import machines
 from wagtailtiller.ports import vms
 
-_SHARD = ids.ShardId(jobs.POOL)
+_SHARD = shard_module.PoolShard(jobs.POOL)
 _SETTINGS = pool_owner.OwnerSettings(5_000, 60_000)
 _CALL_TIMEOUT_S = 0.7
 _COMMAND_S = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS] / 1_000
--- a/tests/owner/test_job_writer.py
+++ b/tests/owner/test_job_writer.py
@@ -17,6 +17,7 @@
 from wagtailtiller.owner import job_writer
 from wagtailtiller.owner import queue_pools
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import store as store_module
 from wagtailtiller.scheduling import pool as pool_module
 
@@ -36,7 +37,7 @@
     def run_with(self, main, faults=()):
         async def wrapped():
             self.store = fakes.FakeStore()
-            shard = ids.ShardId(jobs.POOL)
+            shard = shard_module.PoolShard(jobs.POOL)
             owner_write = self.store.state.write(
                 keys.owner(shard), b"me", 0, ""
             )
@@ -225,7 +226,7 @@
         async def main():
             entry = self.add_job()
             await self.writer.write(_JOB)
-            key = keys.owner(ids.ShardId(jobs.POOL))
+            key = keys.owner(shard_module.PoolShard(jobs.POOL))
             found = self.store.state.item(key)
             self.store.state.write(key, b"other", found.revision, "")
             entry.job.cancel(1)
@@ -262,7 +263,9 @@
         async def main():
             entry = self.add_job(jobs.step(2))
             await self.writer.write(_JOB)
-            self.store.state.delete(keys.owner(ids.ShardId(jobs.POOL)), 1)
+            self.store.state.delete(
+                keys.owner(shard_module.PoolShard(jobs.POOL)), 1
+            )
             entry.job.mark_done(entry.job.steps(0)[0].tasks[0])
             self.pool.mark_changed(entry)
             self.assertFalse(await self.writer.begin_flush().wait(1_000))
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -14,7 +14,6 @@
 from support import limits
 from wagtailtiller import clock
 from wagtailtiller import errors
-from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
@@ -23,11 +22,12 @@
 from wagtailtiller.owner import pool_owner
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import admission
 from wagtailtiller.scheduling import vm as vm_module
 
-_SHARD = ids.ShardId(jobs.POOL)
+_SHARD = shard_module.PoolShard(jobs.POOL)
 _COMMAND_MS = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
 _SETTINGS = pool_owner.OwnerSettings(2_000, 60_000)
 
--- a/tests/owner/test_vm_link.py
+++ b/tests/owner/test_vm_link.py
@@ -17,6 +17,7 @@
 from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
@@ -43,7 +44,9 @@
             fake_vm = fake_vms.FakeVm(fake_vms.report("vm-1"), system_clock)
             vm = pool.vm_tracker.register(fake_vm.report)
             fake_store = fakes.FakeStore()
-            claim = claims.Claim(ids.ShardId("renders"), 1, store.ABSENT)
+            claim = claims.Claim(
+                shard_module.PoolShard(ids.PoolId("renders")), 1, store.ABSENT
+            )
             writer = job_writer.JobWriter(
                 fake_store, pool, claim, _ShortBackoff()
             )
--- a/tests/ownership/test_claims.py
+++ b/tests/ownership/test_claims.py
@@ -8,9 +8,10 @@
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import store
 
-_SHARD = ids.ShardId("renders")
+_SHARD = shard_module.PoolShard(ids.PoolId("renders"))
 
 
 def _node(name, shard_capacity=1.0):
--- a/tests/ownership/test_succession.py
+++ b/tests/ownership/test_succession.py
@@ -5,9 +5,10 @@
 
 from wagtailtiller import ids
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ownership import succession
 
-_SHARD = ids.ShardId("renders")
+_SHARD = shard_module.PoolShard(ids.PoolId("renders"))
 _STRONG = 4.3
 _WEAK = 0.25
 _LONG_MS = 60_000
@@ -98,7 +99,7 @@
 class StopTest(testtools.TestCase):
     def successors(self, others, shards=("a", "b", "c"), **view):
         plans = succession.plan_stop(
-            [ids.ShardId(shard) for shard in shards],
+            [shard_module.PoolShard(ids.PoolId(shard)) for shard in shards],
             _view(_node("own"), others, {}, **view),
         )
         return [
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -13,7 +13,6 @@
 from support import jobs
 from support import served_vm
 from wagtailtiller import clock
-from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import runtime
 from wagtailtiller.jobs import model
@@ -22,6 +21,7 @@
 from wagtailtiller.owner import start_gate
 from wagtailtiller.owner import vm_link
 from wagtailtiller.ownership import claims
+from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.platform import vms
 from wagtailtiller.scheduling import pool as pool_module
 
@@ -69,7 +69,7 @@
     def run_with(self, main):
         async def wrapped():
             fake_store = fakes.FakeStore()
-            shard = ids.ShardId(jobs.POOL)
+            shard = shard_module.PoolShard(jobs.POOL)
             owner_write = fake_store.state.write(
                 keys.owner(shard), b"me", 0, ""
             )
