Keep a cancelled job from being stored later

Cause: the transaction that stores a job without an owner expects only that no pool of the queue has it. It stays valid however late it arrives, and the cancelling left nothing behind that it would fail on.

Ruled out: an owner that kept the job. The store has no key of it until the cut heals; the write is the frontend's own.

Change: the cancelling of a job that is not stored stores a record of that in the job's key, under the conditions under which a job is created. Late creations fail on it. The owner removes it after the usual retention.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -347,6 +347,14 @@
                 # The owner may be cut off from the store while this process
                 # is not.
                 return await self._submit_to_store(request, submission)
+            case messages.Rejected(
+                reason=admission.RefusalReason.WITHDRAWN,
+                retry_after_ms=retry_after_ms,
+            ):
+                # No other attempt can store the job any more.
+                return outcomes.Refused(
+                    admission.RefusalReason.WITHDRAWN, retry_after_ms
+                )
             case messages.Rejected() as rejected:
                 if not submission.is_refusal_definite():
                     return None
@@ -412,6 +420,11 @@
                 return outcomes.Accepted()
             case job_store.StoreResult.OTHER_JOB:
                 return outcomes.IdInUse()
+            case job_store.StoreResult.WITHDRAWN:
+                return outcomes.Refused(
+                    admission.RefusalReason.WITHDRAWN,
+                    admission.WITHDRAWN_RETRY_MS,
+                )
             case job_store.StoreResult.NO:
                 return None if submission.outcome_unknown else unavailable
             case job_store.StoreResult.UNKNOWN:
@@ -495,7 +508,50 @@
             request = messages.Cancel(pool, job, route.organisation)
             return self._ask_until_resolved(request, time_left_ms, to_outcome)
 
-        return await self._ask_pools_in_turn(route.queue, timeout_ms, ask)
+        deadline_ms = self._clock.monotonic_ms() + timeout_ms
+        time_left_ms = timeout_ms
+        while True:
+            outcome = await self._ask_pools_in_turn(
+                route.queue, time_left_ms, ask
+            )
+            if not isinstance(outcome, outcomes.NoSuchJob):
+                return outcome
+            time_left_ms = max(1, deadline_ms - self._clock.monotonic_ms())
+            withdrawn = await self._withdraw(route, job, time_left_ms)
+            if withdrawn is not None:
+                return withdrawn
+            time_left_ms = max(1, deadline_ms - self._clock.monotonic_ms())
+
+    async def _withdraw(
+        self, route: Route, job: model.JobId, timeout_ms: int
+    ) -> outcomes.Outcome | None:
+        """Let a request fail that may still be under way to store a job.
+
+        Returns:
+            ``NoSuchJob``, ``Unknown`` if the timeout ended first, or None if
+            the job is stored by now.
+        """
+        queue = route.queue
+        request = messages.Cancel(queue.pool, job, route.organisation)
+        with contextlib.suppress(TimeoutError):
+            async with self.deadlines.limit(timeout_ms):
+                while True:
+                    match await self._job_store.withdraw(request, queue.queue):
+                        case job_store.StoreResult.WITHDRAWN:
+                            events.emit(
+                                events.Event.JOB_WITHDRAWN,
+                                job=job,
+                                queue=queue.queue,
+                                pool=queue.pool,
+                            )
+                            return outcomes.NoSuchJob()
+                        case job_store.StoreResult.OTHER_JOB:
+                            return outcomes.NoSuchJob()
+                        case job_store.StoreResult.YES:
+                            return None
+                        case _:
+                            await asyncio.sleep(_RETRY_INTERVAL_MS / 1_000)
+        return outcomes.Unknown()
 
     async def queue_status(
         self, queue: catalogue.Queue, timeout_ms: int
--- a/src/wagtailtiller/entry/job_store.py
+++ b/src/wagtailtiller/entry/job_store.py
@@ -4,6 +4,7 @@
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import errors
+from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import job as job_module
@@ -17,12 +18,16 @@
 
 
 class StoreResult(enum.Enum):
-    """Whether a job is in the store after an attempt to write it."""
+    """Whether a job is in the store after an attempt to write it.
+
+    ``WITHDRAWN`` means that a record prevents that it is stored.
+    """
 
     YES = "yes"
     NO = "no"
     UNKNOWN = "unknown"
     OTHER_JOB = "other_job"
+    WITHDRAWN = "withdrawn"
 
 
 class JobStore:
@@ -61,43 +66,71 @@
             request.organisation,
             request.terms,
         )
-        key = keys.job(request.pool, request.job)
+        return await self._create(new_job, request.pool)
+
+    async def withdraw(
+        self, request: messages.Cancel, queue: ids.QueueId
+    ) -> StoreResult:
+        """Prevent that a job which is not stored is stored later.
+
+        A request to store it may still be under way. It expects that the store
+        has no record of the job, and this one is such a record. The pool's
+        owner removes it like that of a job that has ended.
+
+        Args:
+            request: The cancellation.
+            queue: Queue of the job.
+
+        Returns:
+            ``WITHDRAWN`` if such a record is stored; ``YES`` if the job is.
+        """
+        withdrawn = job_module.withdrawn(
+            request.job, queue, self._clock.wall_ms(), request.organisation
+        )
+        return await self._create(withdrawn, request.pool)
+
+    async def _create(
+        self, new_job: job_module.Job, pool: ids.PoolId
+    ) -> StoreResult:
+        """Store a job in a pool, unless a pool of its queue has it."""
+        key = keys.job(pool, new_job.id)
         write = store.Write(key, record.encode(new_job))
         expected = self._queue_pools.preconditions(
-            request.queue, request.pool, request.job
+            new_job.queue, pool, new_job.id
         )
         result = await self._store.commit(
             store.Transaction(
                 {key: store.ABSENT, **expected},
-                (
-                    write,
-                    *self._queue_pools.writes(request.queue, request.pool),
-                ),
+                (write, *self._queue_pools.writes(new_job.queue, pool)),
             )
         )
         if result.is_ok():
-            return StoreResult.YES
+            return _result_of(new_job)
         match result.error:
             case store.PreconditionFailed(items=items):
-                return self._compare_stored(request, items)
+                return self._compare_stored(new_job, pool, items)
             case errors.StoreUnavailable(may_apply=False):
                 return StoreResult.NO
             case _:
                 return StoreResult.UNKNOWN
 
     def _compare_stored(
-        self, request: messages.Submit, items: tuple[store.Item, ...]
+        self,
+        new_job: job_module.Job,
+        pool: ids.PoolId,
+        items: tuple[store.Item, ...],
     ) -> StoreResult:
         """Tell whether the job that is stored is the caller's own.
 
         Args:
-            request: The job and its caller.
+            new_job: The job that was to be stored.
+            pool: Pool in which it was to be stored.
             items: Items that the refused precondition has returned.
         """
         found = self._queue_pools.find_elsewhere(
-            items, request.queue, request.pool, request.job
+            items, new_job.queue, pool, new_job.id
         )
-        own_key = keys.job(request.pool, request.job)
+        own_key = keys.job(pool, new_job.id)
         for item in items:
             if item.key == own_key and item.value is not None:
                 found = item
@@ -107,9 +140,9 @@
         decoded = record.decode(found.value or b"")
         if decoded.is_error():
             return StoreResult.UNKNOWN
-        if decoded.ok.organisation != request.organisation:
+        if decoded.ok.organisation != new_job.organisation:
             return StoreResult.OTHER_JOB
-        return StoreResult.YES
+        return _result_of(decoded.ok)
 
     async def state(
         self, request: messages.AskState | messages.Cancel
@@ -130,6 +163,11 @@
         decoded = record.decode(result.ok.value)
         if decoded.is_error():
             return None
-        if decoded.ok.organisation != request.organisation:
+        hidden = decoded.ok.organisation != request.organisation
+        if hidden or decoded.ok.is_withdrawn:
             return outcomes.NoSuchJob()
         return outcomes.JobStatus(decoded.ok.state)
+
+
+def _result_of(stored: job_module.Job) -> StoreResult:
+    return StoreResult.WITHDRAWN if stored.is_withdrawn else StoreResult.YES
--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -29,7 +29,7 @@
 
 
 class Job:
-    """An accepted job.
+    """An accepted job, or one that was withdrawn.
 
     Attributes:
         id: Id that the caller chose.
@@ -90,6 +90,14 @@
         """Estimated duration of the critical path of the whole job."""
         return self.spec.critical_path_ms()
 
+    @property
+    def is_withdrawn(self) -> bool:
+        """Whether the job was cancelled before it was stored.
+
+        Its record only prevents that it is stored later, and is not shown.
+        """
+        return not self.spec.steps
+
     def is_final(self) -> bool:
         """Return whether the job has ended, so that no more tasks start."""
         return self.state in model.FINAL_STATES
@@ -430,3 +438,22 @@
     if certain_count >= _MIN_CERTAIN_CRASHES:
         return count >= _MAX_CRASHES
     return count >= _MAX_DOUBTFUL_CRASHES
+
+
+def withdrawn(
+    job_id: model.JobId,
+    queue: ids.QueueId,
+    wall_ms: int,
+    organisation: ids.OrganisationId,
+) -> Job:
+    """Return what is stored of a job that is cancelled before it is stored.
+
+    Args:
+        job_id: Id of the job.
+        queue: Queue that the cancellation addressed.
+        wall_ms: Current time, in Unix milliseconds.
+        organisation: Organisation of the caller.
+    """
+    job = Job(job_id, queue, model.JobSpec("", ()), wall_ms, 0, organisation)
+    job.state = model.JobState.CANCELLED
+    return job
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -24,6 +24,9 @@
 _VACATE_HOLD_MS = 3_000
 # Callers of refused jobs return within seconds.
 _MAX_COUNTED_REFUSED = 2_000
+_WITHDRAWN = messages.Rejected(
+    admission.RefusalReason.WITHDRAWN, admission.WITHDRAWN_RETRY_MS
+)
 
 FindStored = Callable[
     [model.JobId], Awaitable[Result[bool, errors.StoreUnavailable]]
@@ -102,30 +105,14 @@
 
     async def _submit(self, request: messages.Submit) -> messages.Answer:
         entry = self._pool.entries.get(request.job)
-        if entry is None:
-            if not self._store_answers():
-                return messages.Rejected(
-                    admission.RefusalReason.STORE_UNAVAILABLE,
-                    _STORE_RETRY_AFTER_MS,
-                )
-            refusal = self._check_admission(request)
-            if refusal is not None:
-                return await self._refuse(request, refusal)
-            job = job_module.Job(
-                request.job,
-                request.queue,
-                request.spec,
-                self._clock.wall_ms(),
-                self._pool.epoch,
-                request.organisation,
-                request.terms,
-            )
-            self._pool.jobs.add(job, inherited=False)
-            self._count_arrival(request.job, request.spec)
-        elif entry.job.organisation != request.organisation:
-            return messages.IdInUse()
-        elif entry.stored_state is not None:
-            return messages.Accepted()
+        if entry is not None:
+            answer = _answer_for_known(entry.job, request)
+            if answer != messages.Accepted() or entry.stored_state is not None:
+                return answer
+        else:
+            rejected = await self._add(request)
+            if rejected is not None:
+                return rejected
         outcome = await asyncio.shield(self._job_writer.write(request.job))
         self._on_change()
         match outcome:
@@ -142,6 +129,29 @@
                 elsewhere = await self._answer_for_other_pools(request)
                 return elsewhere or messages.Unsure()
 
+    async def _add(self, request: messages.Submit) -> messages.Answer | None:
+        """Add a new job to the pool; returns the answer if it is not added."""
+        if not self._store_answers():
+            return messages.Rejected(
+                admission.RefusalReason.STORE_UNAVAILABLE,
+                _STORE_RETRY_AFTER_MS,
+            )
+        refusal = self._check_admission(request)
+        if refusal is not None:
+            return await self._refuse(request, refusal)
+        job = job_module.Job(
+            request.job,
+            request.queue,
+            request.spec,
+            self._clock.wall_ms(),
+            self._pool.epoch,
+            request.organisation,
+            request.terms,
+        )
+        self._pool.jobs.add(job, inherited=False)
+        self._count_arrival(request.job, request.spec)
+        return None
+
     async def _answer_for_other_pools(
         self, request: messages.Submit
     ) -> messages.Answer | None:
@@ -155,9 +165,7 @@
             return messages.Unsure()
         if found.ok is None:
             return None
-        if found.ok.organisation != request.organisation:
-            return messages.IdInUse()
-        return messages.Accepted()
+        return _answer_for_known(found.ok, request)
 
     def _count_arrival(self, job: model.JobId, spec: model.JobSpec) -> None:
         """Count the work of a job when it is submitted for the first time."""
@@ -192,8 +200,11 @@
         if stored.is_error():
             return messages.Unsure()
         if stored.ok:
-            entry = self._visible_entry(request.job, request.organisation)
-            return messages.Accepted() if entry else messages.IdInUse()
+            entry = self._pool.entries.get(request.job)
+            if entry is None:
+                # It cannot be decoded.
+                return messages.IdInUse()
+            return _answer_for_known(entry.job, request)
         elsewhere = await self._answer_for_other_pools(request)
         if elsewhere is not None:
             return elsewhere
@@ -217,11 +228,11 @@
     def _visible_entry(
         self, job: model.JobId, organisation: ids.OrganisationId
     ) -> state.JobEntry | None:
-        """Return a job unless it belongs to another organisation."""
+        """Return a job that an organisation may see."""
         entry = self._pool.entries.get(job)
         if entry is None or entry.job.organisation != organisation:
             return None
-        return entry
+        return None if entry.job.is_withdrawn else entry
 
     def _state(self, request: messages.AskState) -> messages.Answer:
         entry = self._visible_entry(request.job, request.organisation)
@@ -296,6 +307,15 @@
         )
 
 
+def _answer_for_known(
+    job: job_module.Job, request: messages.Submit
+) -> messages.Answer:
+    """Answer a request whose job is known already."""
+    if job.organisation != request.organisation:
+        return messages.IdInUse()
+    return _WITHDRAWN if job.is_withdrawn else messages.Accepted()
+
+
 def _vm_load(vm: vm_module.Vm) -> messages.VmLoad:
     long_running_runs = [
         run for run in vm.runs.values() if run.task.step.long_running
--- a/src/wagtailtiller/owner/stored_jobs.py
+++ b/src/wagtailtiller/owner/stored_jobs.py
@@ -174,10 +174,14 @@
 
         Otherwise the owner would drop the job if its own first write failed.
         """
-        if self._decode(item) is not None:
-            self._job_writer.revisions[entry.job.id] = item.revision
-            entry.stored_state = model.JobState.QUEUED
-            entry.inherited = True
+        job = self._decode(item)
+        if job is None:
+            return
+        self._job_writer.revisions[entry.job.id] = item.revision
+        entry.stored_state = model.JobState.QUEUED
+        entry.inherited = True
+        if job.is_withdrawn:
+            self._pool.jobs.cancel(entry.job.id)
 
     def _start_once_owned(self, job: model.JobId) -> None:
         """Let a job start once it is known that nobody else owned the pool."""
--- a/src/wagtailtiller/scheduling/admission.py
+++ b/src/wagtailtiller/scheduling/admission.py
@@ -16,6 +16,8 @@
 # A job that fits on no VM may fit after the VMs of the pool have changed.
 _FITS_NOWHERE_RETRY_MS = 10_000
 _MIN_RETRY_MS = 500
+# The caller has cancelled the job, so that a retry is of no use.
+WITHDRAWN_RETRY_MS = 30_000
 # Time from the request to move a machine to the pool until its VM accepts
 # tasks.
 _MACHINE_START_MS = 2_500
@@ -43,6 +45,7 @@
     OVER_SHARE = "over_share"
     CUT_OFF = "cut_off"
     NAME_TOO_LONG = "name_too_long"
+    WITHDRAWN = "withdrawn"
 
 
 class Estimate(msgspec.Struct, frozen=True):
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -251,6 +251,9 @@
                 case _:
                     sim_job.rejected = False
                     await asyncio.sleep(_RETRY_MS / 1_000)
+        if not sim_job.accepted_ms and not sim_job.rejected:
+            # The caller gives up, and cancels what may have been accepted.
+            await self._cancel(sim_job)
         if sim_job.lifetime_ms and sim_job.accepted_ms:
             await asyncio.sleep(sim_job.lifetime_ms / 1_000)
             await self._cancel(sim_job)
@@ -286,7 +289,7 @@
             outcome = await loop_module.call_remote(
                 call, _CALLER_TIMEOUT_MS, process.process
             )
-            if isinstance(outcome, outcomes.Accepted):
+            if isinstance(outcome, outcomes.Accepted | outcomes.NoSuchJob):
                 sim_job.cancel_acked_ms = self.clock.monotonic_ms()
                 return
             await asyncio.sleep(_RETRY_MS / 1_000)
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -523,3 +523,92 @@
         own_route = frontend.Route(jobs.queue(), _ORGANISATION)
         outcome = asyncio.run(self.frontend.job_status(own_route, _JOB, 400))
         self.assertEqual(outcomes.JobStatus(model.JobState.QUEUED), outcome)
+
+
+class WithdrawnJobTest(_FrontendCase):
+    """Guards against a job that is stored after its cancelling was answered."""
+
+    def setUp(self):
+        super().setUp()
+        self.key = keys.job(jobs.POOL, _JOB)
+
+    def cancel(self, pool=jobs.POOL, answers=()):
+        """Cancel the job, whose pool's owner does not know it at first."""
+        self.peers.answers = [messages.State(None), *answers]
+        queue = msgspec.structs.replace(jobs.queue(), pool=pool)
+        return self.frontend.cancel(
+            frontend.Route(queue), _JOB, _RETRIED_TIMEOUT_MS
+        )
+
+    def submit(self, timeout_ms=_CALLER_TIMEOUT_MS):
+        return self.frontend.submit(_ROUTE, _JOB, jobs.spec(), timeout_ms)
+
+    def stored(self):
+        return record.decode(self.store.state.item(self.key).value).ok
+
+    def store_late(self):
+        """Let a request time out whose job is stored later."""
+        self.store.faults = [fakes.Fault.DELAYED] * 20
+        self.assertEqual(outcomes.Unknown(), asyncio.run(self.submit()))
+        self.store.faults = []
+
+    def test_late_write_does_not_store_a_cancelled_job(self):
+        self.store_late()
+        self.assertEqual(outcomes.NoSuchJob(), asyncio.run(self.cancel()))
+        self.store.apply_delayed()
+        self.assertTrue(self.stored().is_withdrawn)
+
+    def test_withdrawn_job_is_not_shown_and_not_accepted_again(self):
+        async def main():
+            self.assertEqual(outcomes.NoSuchJob(), await self.cancel())
+            state = await self.frontend.job_status(_ROUTE, _JOB, 400)
+            self.assertEqual(outcomes.NoSuchJob(), state)
+            refused = await self.submit(_RETRIED_TIMEOUT_MS)
+            self.assertEqual(admission.RefusalReason.WITHDRAWN, refused.reason)
+            self.assertEqual(outcomes.NoSuchJob(), await self.cancel())
+
+        asyncio.run(main())
+
+    def test_job_that_is_stored_during_the_cancelling_is_cancelled(self):
+        async def main():
+            read_key = self.store.read_key
+
+            async def store_after_reading(key):
+                found = await read_key(key)
+                self.store.apply_delayed()
+                return found
+
+            self.store.read_key = store_after_reading
+            outcome = await self.cancel(answers=[messages.Accepted()])
+            self.assertEqual(outcomes.Accepted(), outcome)
+            self.assertFalse(self.stored().is_withdrawn)
+
+        self.store_late()
+        asyncio.run(main())
+
+    def test_late_write_to_a_former_pool_does_not_store_the_job(self):
+        """The cancelling comes from a process with a newer configuration."""
+
+        async def main():
+            outcome = await self.cancel(ids.PoolId("colours"))
+            self.assertEqual(outcomes.NoSuchJob(), outcome)
+            self.store.apply_delayed()
+            self.assertIsNone(self.store.state.item(self.key).value)
+
+        self.store_late()
+        asyncio.run(main())
+
+    def test_cancelling_is_not_answered_while_the_store_is_silent(self):
+        async def main():
+            self.store.faults = [fakes.Fault.NONE]
+            self.store.faults += [fakes.Fault.REQUEST_LOST] * 100
+            self.assertEqual(outcomes.Unknown(), await self.cancel())
+
+        asyncio.run(main())
+
+    def test_usual_cancelling_makes_no_call_to_the_store(self):
+        self.peers.answers = [messages.Accepted()]
+        self.store.faults = [fakes.Fault.NONE]
+        cancelled = self.frontend.cancel(_ROUTE, _JOB, _RETRIED_TIMEOUT_MS)
+        self.assertEqual(outcomes.Accepted(), asyncio.run(cancelled))
+        self.assertEqual(1, len(self.store.faults))
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -15,6 +15,7 @@
 from wagtailtiller import clock
 from wagtailtiller import errors
 from wagtailtiller import keys
+from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.jobs import task as task_module
@@ -1248,6 +1249,53 @@
 
         self.run_with(main)
 
+    def test_withdrawn_job_is_not_accepted(self):
+        """Guards against a request that arrives after its job's cancelling."""
+
+        async def main():
+            vm = self.add_vm("vm-1")
+            owner = self.own_pool()
+            await self.until(lambda: owner.ready)
+            withdrawn = job_module.withdrawn(
+                "a" * 16, jobs.QUEUE, 1_000_000, ""
+            )
+            self.store_as_frontend(withdrawn)
+            # The owner learns of it by its first write, or before.
+            first = await self.submit(owner)
+            await asyncio.sleep(0.3)
+            self.assertEqual([], vm.starts)
+            self.assertIs(model.JobState.CANCELLED, self.stored_job().state)
+            second = await self.submit(owner)
+            self.assertEqual(first, second)
+            await owner.stop()
+
+        self.run_with(main)
+
+    def test_withdrawn_job_is_neither_shown_nor_pending(self):
+        async def main():
+            owner = self.own_pool()
+            await self.until(lambda: owner.ready)
+            withdrawn = job_module.withdrawn(
+                "a" * 16, jobs.QUEUE, 1_000_000, ""
+            )
+            self.store_as_frontend(withdrawn)
+            await self.until(lambda: withdrawn.id in owner.pool.entries)
+            self.assertIsNone(await self.job_state(owner))
+            pending = await owner.answer(
+                messages.AskPending(jobs.POOL, jobs.QUEUE)
+            )
+            self.assertEqual(messages.Pending(0), pending)
+            answer = await self.submit(owner)
+            self.assertEqual(admission.RefusalReason.WITHDRAWN, answer.reason)
+            retention_ms = owner.pool.clock.monotonic_ms() + 1_000_000
+            entry = owner.pool.entries[withdrawn.id]
+            entry.final_ms -= retention_ms
+            expired = owner.pool.jobs.expired_jobs(1_000_000)
+            self.assertEqual([withdrawn.id], expired)
+            await owner.stop()
+
+        self.run_with(main)
+
     def test_a_stored_job_is_not_refused_when_it_is_sent_again(self):
         """The answer of a frontend that had stored the job was lost."""
 
