Reset connections whose calls are abandoned

Cause: a call that timed out or was cancelled closed its connection. What was held up on its way was still delivered once the cut had healed.

Ruled out: a repetition by the client; the request arrives once.

Change: the socket of an abandoned call is reset, which drops what the other side has not received. The connection was not used again before, either.

--- a/src/wagtailtiller/platform/http.py
+++ b/src/wagtailtiller/platform/http.py
@@ -2,9 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import contextvars
 import dataclasses
+import socket
+import struct
 from typing import TypeVar
 
 import aiohttp
@@ -25,11 +28,55 @@
 _CONNECT_TIMEOUT_S = 3.0
 _TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S)
 
+# A socket with this option is reset when it is closed.
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 _T = TypeVar("_T")
 
-# Of the call that the current task makes; aiohttp creates the request.
-_may_send: contextvars.ContextVar[Callable[[], bool] | None] = (
-    contextvars.ContextVar("may_send", default=None)
+
+class _Call:
+    """A call that the current task makes; aiohttp creates its request.
+
+    Args:
+        may_send: Returns whether the request may still be sent; None if it
+            always may.
+    """
+
+    def __init__(self, may_send: Callable[[], bool] | None) -> None:
+        self.may_send = may_send
+        self._transport: asyncio.Transport | None = None
+
+    def record_connection(self, conn: aiohttp.connector.Connection) -> None:
+        """Record the connection on which the request is sent."""
+        self._transport = conn.transport
+
+    @contextlib.contextmanager
+    def reset_if_abandoned(self) -> Iterator[None]:
+        """Reset the connection of a request whose response is not awaited.
+
+        A request that is held up on the way would be carried out long after
+        the caller has given it up.
+        """
+        try:
+            yield
+        except asyncio.CancelledError:
+            if self._transport is not None:
+                _reset(self._transport)
+            raise
+
+
+def _reset(transport: asyncio.Transport) -> None:
+    connection = transport.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        with contextlib.suppress(OSError):
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+            )
+    transport.abort()
+
+
+_current_call: contextvars.ContextVar[_Call | None] = contextvars.ContextVar(
+    "current_call", default=None
 )
 
 
@@ -103,9 +150,11 @@
     async def send(
         self, conn: aiohttp.connector.Connection
     ) -> aiohttp.ClientResponse:
-        may_send = _may_send.get()
-        if may_send is not None and not may_send():
-            raise _NotSentError
+        call = _current_call.get()
+        if call is not None:
+            if call.may_send is not None and not call.may_send():
+                raise _NotSentError
+            call.record_connection(conn)
         return await super().send(conn)
 
 
@@ -168,29 +217,43 @@
         request_headers = dict(headers or {})
         if body is not None:
             request_headers["Content-Type"] = "application/json"
-        _may_send.set(may_send)
+        call = _Call(may_send)
+        _current_call.set(call)
         try:
             # A call that waits for a connection has not been sent, so that
             # this time says nothing about the service.
             async with (
                 self._connection_slots,
                 timeouts.responsive_timeout(timeout_ms or self._timeout_ms),
-                self._get_session().request(
-                    method,
-                    self._base_url + path,
-                    params=query,
-                    data=body,
-                    headers=request_headers,
-                    timeout=_TIMEOUTS,
-                    allow_redirects=False,
-                ) as response,
             ):
-                return Ok(Response(response.status, await response.read()))
+                with call.reset_if_abandoned():
+                    return await self._send(
+                        method, path, body, query, request_headers
+                    )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Error(NoResponse(f"{path}: {type(error).__name__}"))
         except _NotSentError:
             return Error(NoResponse(f"{path}: not sent", may_apply=False))
 
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        query: dict[str, str] | None,
+        headers: dict[str, str],
+    ) -> Result[Response, NoResponse]:
+        async with self._get_session().request(
+            method,
+            self._base_url + path,
+            params=query,
+            data=body,
+            headers=headers,
+            timeout=_TIMEOUTS,
+            allow_redirects=False,
+        ) as response:
+            return Ok(Response(response.status, await response.read()))
+
     async def close(self) -> None:
         """Close the connections."""
         if self._session is not None:
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -6,6 +6,7 @@
 from aiohttp import test_utils
 from aiohttp import web
 import testtools
+import uvloop
 
 from wagtailtiller.platform import http
 
@@ -96,6 +97,38 @@
 
         self.run_with(1, main)
 
+    def test_connection_of_abandoned_call_is_reset(self):
+        """Guards against a request that a healed cut delivers later."""
+
+        async def main():
+            ends = []
+
+            async def serve(reader, writer):
+                await reader.readuntil(b"{}")
+                try:
+                    ends.append(await reader.read())
+                except ConnectionResetError as error:
+                    ends.append(type(error))
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            client = http.HttpClient(f"127.0.0.1:{port}", 0, _ANSWER_MS)
+            lost = await client.call("POST", "/", b"{}")
+            self.assertTrue(lost.error.may_apply)
+            call = asyncio.create_task(
+                client.call("POST", "/", b"{}", timeout_ms=60_000)
+            )
+            await asyncio.sleep(_ANSWER_MS / 1_000)
+            call.cancel()
+            await asyncio.sleep(_ANSWER_MS / 1_000)
+            self.assertEqual([ConnectionResetError] * 2, ends)
+            await client.close()
+            server.close()
+
+        for run in (asyncio.run, uvloop.run):
+            run(main())
+
     def test_calls_without_limit_run_at_once(self):
         """Guards against a limit of 0 that is not taken as no limit."""
 
