Find jobs of a queue that is renamed and moved

After a version has given a queue another name and another service, its accepted jobs are answered 410, and a request that arrives again is accepted a second time (LOST, TWICE).

Cause: the list of the pools that have had jobs of a queue is kept by the name of the queue, which operators may change.

Ruled out: the terms of the job, which are in its record; the job goes on.

Evidence: test_job_of_a_queue_that_is_renamed_and_moved_is_found and test_request_is_accepted_once_while_processes_differ_in_names fail before this change.

Change: the lists are kept by the path under which callers reach the queue, too, and a job is created under the condition of that one. A list that is gone or cannot be read is not taken for an empty one any more.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -293,6 +293,7 @@
             spec,
             route.organisation,
             terms=queue.terms,
+            path=queue.address.path,
         )
         outcome = outcomes.Unknown()
         with contextlib.suppress(TimeoutError):
@@ -536,7 +537,9 @@
         with contextlib.suppress(TimeoutError):
             async with self.deadlines.limit(timeout_ms):
                 while True:
-                    match await self._job_store.withdraw(request, queue.queue):
+                    match await self._job_store.withdraw(
+                        request, queue.address
+                    ):
                         case job_store.StoreResult.WITHDRAWN:
                             events.emit(
                                 events.Event.JOB_WITHDRAWN,
@@ -595,7 +598,7 @@
 
     def _pools_of(self, queue: catalogue.Queue) -> list[ids.PoolId]:
         """Return the pools that may have jobs of a queue, its present first."""
-        others = self._queue_pools.other_pools(queue.queue, queue.pool)
+        others = self._queue_pools.other_pools(queue.address, queue.pool)
         return [queue.pool, *others]
 
     async def _ask_pools_in_turn(
--- a/src/wagtailtiller/entry/job_store.py
+++ b/src/wagtailtiller/entry/job_store.py
@@ -11,6 +11,7 @@
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import messages
 from wagtailtiller.owner import queue_pools
+from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
 
 # The epoch of a job that is stored without an owner.
@@ -65,11 +66,12 @@
             _NO_EPOCH,
             request.organisation,
             request.terms,
+            request.path,
         )
         return await self._create(new_job, request.pool)
 
     async def withdraw(
-        self, request: messages.Cancel, queue: ids.QueueId
+        self, request: messages.Cancel, address: catalogue.QueueAddress
     ) -> StoreResult:
         """Prevent that a job which is not stored is stored later.
 
@@ -79,13 +81,13 @@
 
         Args:
             request: The cancellation.
-            queue: Queue of the job.
+            address: Address of the job's queue.
 
         Returns:
             ``WITHDRAWN`` if such a record is stored; ``YES`` if the job is.
         """
         withdrawn = job_module.withdrawn(
-            request.job, queue, self._clock.wall_ms(), request.organisation
+            request.job, address, self._clock.wall_ms(), request.organisation
         )
         return await self._create(withdrawn, request.pool)
 
@@ -96,12 +98,12 @@
         key = keys.job(pool, new_job.id)
         write = store.Write(key, record.encode(new_job))
         expected = self._queue_pools.preconditions(
-            new_job.queue, pool, new_job.id
+            new_job.address, pool, new_job.id
         )
         result = await self._store.commit(
             store.Transaction(
                 {key: store.ABSENT, **expected},
-                (write, *self._queue_pools.writes(new_job.queue, pool)),
+                (write, *self._queue_pools.writes(new_job.address, pool)),
             )
         )
         if result.is_ok():
@@ -128,7 +130,7 @@
             items: Items that the refused precondition has returned.
         """
         found = self._queue_pools.find_elsewhere(
-            items, new_job.queue, pool, new_job.id
+            items, new_job.address, pool, new_job.id
         )
         own_key = keys.job(pool, new_job.id)
         for item in items:
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -16,6 +16,7 @@
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller import stored_state
+from wagtailtiller.owner import queue_pools
 from wagtailtiller.ownership import authority
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import mirror
@@ -616,7 +617,7 @@
             elif item.key.startswith(keys.SUCCESSOR_PREFIX):
                 self._update_successor(item)
         self._on_queue_items(
-            [item for item in items if item.key.startswith(keys.QUEUE_PREFIX)]
+            [item for item in items if queue_pools.is_list(item.key)]
         )
         self._has_listed = True
         if any(
--- a/src/wagtailtiller/jobs/job.py
+++ b/src/wagtailtiller/jobs/job.py
@@ -42,6 +42,7 @@
         terms: What the job is entitled to: as its queue is declared, or was
             last declared. None for a job of an earlier version whose queue is
             not declared any more.
+        address: Address of the queue, as far as it is known.
         finished: The occurrences whose tasks have all succeeded.
         max_open_tasks: Largest number of tasks of a repeated job that are held
             at once; one occurrence is held in any case.
@@ -60,6 +61,7 @@
         accepted_epoch: int,
         organisation: ids.OrganisationId = catalogue.NO_ORGANISATION,
         terms: catalogue.QueueTerms | None = None,
+        path: str = "",
     ) -> None:
         self.id = job_id
         self.queue = queue
@@ -68,6 +70,7 @@
         self.accepted_epoch = accepted_epoch
         self.organisation = organisation
         self.terms = terms
+        self.address = catalogue.QueueAddress(queue, path)
         self.state = model.JobState.QUEUED
         self.started = False
         self.cancelled_ms = 0
@@ -442,7 +445,7 @@
 
 def withdrawn(
     job_id: model.JobId,
-    queue: ids.QueueId,
+    address: catalogue.QueueAddress,
     wall_ms: int,
     organisation: ids.OrganisationId,
 ) -> Job:
@@ -450,10 +453,18 @@
 
     Args:
         job_id: Id of the job.
-        queue: Queue that the cancellation addressed.
+        address: Address of the queue that the cancellation is about.
         wall_ms: Current time, in Unix milliseconds.
         organisation: Organisation of the caller.
     """
-    job = Job(job_id, queue, model.JobSpec("", ()), wall_ms, 0, organisation)
+    job = Job(
+        job_id,
+        address.queue,
+        model.JobSpec("", ()),
+        wall_ms,
+        0,
+        organisation,
+        path=address.path,
+    )
     job.state = model.JobState.CANCELLED
     return job
--- a/src/wagtailtiller/keys.py
+++ b/src/wagtailtiller/keys.py
@@ -20,6 +20,7 @@
 OWNER_PREFIX = f"{LIVE_PREFIX}owners/"
 SUCCESSOR_PREFIX = f"{LIVE_PREFIX}successors/"
 QUEUE_PREFIX = f"{LIVE_PREFIX}queues/"
+PATH_PREFIX = f"{LIVE_PREFIX}paths/"
 # Lists the machines for which the machine manager is about to start an
 # operation or has recently started one.
 MACHINE_ORDERS = f"{ROOT}machine-orders"
@@ -70,6 +71,15 @@
     return f"{QUEUE_PREFIX}{queue}"
 
 
+def path_pools(path: str) -> str:
+    """Return the key of the list of pools in which a path has had jobs.
+
+    Args:
+        path: Path of a ``catalogue.QueueAddress``.
+    """
+    return f"{PATH_PREFIX}{path}"
+
+
 def epoch(shard: shard_module.Shard) -> str:
     """Return the key of a shard's epoch, the number of its owners so far."""
     return f"{EPOCH_PREFIX}{shard.key_name}"
@@ -132,6 +142,7 @@
     for kind, value, names_keys in (
         ("pool", queue.pool, pool_keys),
         ("queue", queue.queue, (queue_pools(queue.queue),)),
+        ("path", queue.address.path, (path_pools(queue.address.path),)),
     ):
         key_bytes = max(len(key.encode()) for key in names_keys)
         if key_bytes > _MAX_KEY_BYTES:
--- a/src/wagtailtiller/owner/job_writer.py
+++ b/src/wagtailtiller/owner/job_writer.py
@@ -17,6 +17,7 @@
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import queue_pools
 from wagtailtiller.ownership import claims
+from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import state
@@ -157,32 +158,36 @@
     def _take_batch(self) -> "dict[model.JobId, asyncio.Future[WriteOutcome]]":
         """Remove and return as many pending jobs as one transaction holds."""
         batch: dict[model.JobId, asyncio.Future[WriteOutcome]] = {}
-        queues: set[ids.QueueId] = set()
+        addresses: set[catalogue.QueueAddress] = set()
         free_entries = _MAX_BATCH_ENTRIES
         for job in list(self._pending):
             free_entries -= _JOB_ENTRIES
             new = self._new_entry(job)
             if new is not None:
-                free_entries -= self._creation_entries(new.job.queue, queues)
-                queues.add(new.job.queue)
+                address = new.job.address
+                free_entries -= self._creation_entries(address, addresses)
+                addresses.add(address)
             if batch and free_entries < 0:
                 break
             batch[job] = self._pending.pop(job)
         return batch
 
     def _creation_entries(
-        self, queue: ids.QueueId, known: set[ids.QueueId]
+        self,
+        address: catalogue.QueueAddress,
+        known: set[catalogue.QueueAddress],
     ) -> int:
         """Return how many more entries the creation of a job takes.
 
         Args:
-            queue: Queue of the job.
-            known: Queues of other jobs that the transaction creates.
+            address: Address of the job's queue.
+            known: Those of other jobs that the transaction creates.
         """
         pool = self._pool.pool
-        entries = len(self._queue_pools.other_pools(queue, pool))
-        if queue not in known:
-            entries += 1 + len(self._queue_pools.writes(queue, pool))
+        entries = len(self._queue_pools.other_pools(address, pool))
+        if address not in known:
+            # A list that is written is a precondition, too.
+            entries += 1 + 2 * len(self._queue_pools.writes(address, pool))
         return entries
 
     def _new_entry(self, job: model.JobId) -> state.JobEntry | None:
@@ -232,14 +237,14 @@
             expected[key] = self.revisions.get(job, store.ABSENT)
             writes.append(store.Write(key, record.encode(entry.job)))
             if self._new_entry(job) is not None:
-                queue = entry.job.queue
+                address = entry.job.address
                 expected |= self._queue_pools.preconditions(
-                    queue, self._pool.pool, job
+                    address, self._pool.pool, job
                 )
                 lists.update(
                     (write.key, write)
                     for write in self._queue_pools.writes(
-                        queue, self._pool.pool
+                        address, self._pool.pool
                     )
                 )
         result = await self._store.commit(
@@ -307,7 +312,7 @@
             if entry is None:
                 continue
             found = self._queue_pools.find_elsewhere(
-                items, entry.job.queue, self._pool.pool, job
+                items, entry.job.address, self._pool.pool, job
             )
             if found is None:
                 continue
--- a/src/wagtailtiller/owner/messages.py
+++ b/src/wagtailtiller/owner/messages.py
@@ -24,6 +24,7 @@
             effect once a later owner has refused it. 0 for any epoch.
         terms: What the queue entitles the job to, for an owner that has not
             learned of the queue yet; None from earlier versions.
+        path: Path of the queue's address; empty from earlier versions.
     """
 
     pool: ids.PoolId
@@ -33,6 +34,12 @@
     organisation: ids.OrganisationId = catalogue.NO_ORGANISATION
     epoch: int = 0
     terms: catalogue.QueueTerms | None = None
+    path: str = ""
+
+    @property
+    def address(self) -> catalogue.QueueAddress:
+        """Address of the job's queue."""
+        return catalogue.QueueAddress(self.queue, self.path)
 
 
 class AskState(msgspec.Struct, frozen=True, tag=True):
--- a/src/wagtailtiller/owner/queue_pools.py
+++ b/src/wagtailtiller/owner/queue_pools.py
@@ -1,10 +1,12 @@
 """The pools in which the jobs of each queue are stored.
 
-A queue can be sent to another pool while jobs of it are stored in the previous
-one, and processes learn of the change at different moments. The store lists all
-pools that a queue has had, in one key for each queue. A transaction that
-creates a job has this key as a precondition, and the absence of the job in the
-other pools. Therefore a job exists in one pool at most.
+A queue can be sent to another pool, or get another name, while jobs of it are
+stored, and processes learn of the change at different moments. The store lists
+all pools that have had jobs of a path under which callers reach a queue, and
+all that have had jobs of a queue's name. A transaction that creates a job has
+the list of its path as a precondition, and the absence of the job in the other
+pools of both lists. Therefore a job exists in one pool at most, and is found as
+long as its path or its queue's name stays.
 """
 
 from collections.abc import Iterable
@@ -15,9 +17,18 @@
 from wagtailtiller import keys
 from wagtailtiller import stored_state
 from wagtailtiller.jobs import model
+from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
 
-_decoder = msgspec.json.Decoder(tuple[ids.PoolId, ...])
+_LIST_PREFIXES = (keys.QUEUE_PREFIX, keys.PATH_PREFIX)
+
+_Pools = tuple[ids.PoolId, ...]
+_decoder = msgspec.json.Decoder(_Pools)
+
+
+def is_list(key: str) -> bool:
+    """Return whether a key is that of a list of pools."""
+    return key.startswith(_LIST_PREFIXES)
 
 
 class QueuePools:
@@ -29,80 +40,101 @@
 
     def __init__(self) -> None:
         self.listed = False
-        self._items: dict[ids.QueueId, store.Item] = {}
-        self._pools: dict[ids.QueueId, tuple[ids.PoolId, ...]] = {}
+        self._revisions: dict[str, ids.Revision] = {}
+        self._pools: dict[str, _Pools] = {}
 
     def update(self, item: store.Item) -> bool:
         """Apply a list as the store has returned it.
 
         Args:
-            item: The list of one queue; an older one than the known is ignored.
+            item: A list; an older one than the known is ignored.
 
         Returns:
             Whether the copy has changed.
         """
-        queue = ids.QueueId(item.key.removeprefix(keys.QUEUE_PREFIX))
-        if item.value is None or item.revision <= self.revision(queue):
-            # Lists are never deleted.
+        if item.value is None:
+            # Nobody deletes lists. The jobs that it told of may still exist,
+            # so that the pools stay known until the list is written again.
+            return self._revisions.pop(item.key, None) is not None
+        if item.revision <= self._revisions.get(item.key, store.ABSENT):
             return False
         pools = stored_state.decode_or_log(
             item.key, item.value, _decoder.decode
         )
-        self._items[queue] = item
-        self._pools[queue] = pools or ()
+        if pools is None:
+            # Not an empty list: no job is created until it can be read.
+            return False
+        self._revisions[item.key] = item.revision
+        self._pools[item.key] = pools
         return True
 
-    def revision(self, queue: ids.QueueId) -> ids.Revision:
-        """Return the revision of a queue's list, or ``ABSENT``."""
-        item = self._items.get(queue)
-        return item.revision if item is not None else store.ABSENT
-
-    def pools(self, queue: ids.QueueId) -> tuple[ids.PoolId, ...]:
+    def pools(self, address: catalogue.QueueAddress) -> _Pools:
         """Return the pools in which a queue may have jobs, oldest first."""
-        return self._pools.get(queue, ())
+        listed = [
+            pool
+            for key in (_path_key(address), _name_key(address))
+            for pool in self._pools.get(key, ())
+        ]
+        return tuple(dict.fromkeys(listed))
 
     def other_pools(
-        self, queue: ids.QueueId, pool: ids.PoolId
-    ) -> tuple[ids.PoolId, ...]:
+        self, address: catalogue.QueueAddress, pool: ids.PoolId
+    ) -> _Pools:
         """Return the pools other than one in which a queue may have jobs."""
-        return tuple(other for other in self.pools(queue) if other != pool)
+        return tuple(other for other in self.pools(address) if other != pool)
 
     def all_pools(self) -> set[ids.PoolId]:
         """Return the pools in which any queue may have jobs."""
         return {pool for pools in self._pools.values() for pool in pools}
 
     def preconditions(
-        self, queue: ids.QueueId, pool: ids.PoolId, job: model.JobId
+        self,
+        address: catalogue.QueueAddress,
+        pool: ids.PoolId,
+        job: model.JobId,
     ) -> dict[str, ids.Revision]:
         """Return what must hold when a job is created in a pool.
 
         Args:
-            queue: Queue of the job.
+            address: Address of the job's queue.
             pool: Pool in which it is created.
             job: Id of the job.
 
         Returns:
             Expected revisions by key, as a new dictionary.
         """
-        expected = {keys.queue_pools(queue): self.revision(queue)}
-        for other in self.other_pools(queue, pool):
+        checked = {_path_key(address)}
+        checked.update(write.key for write in self.writes(address, pool))
+        expected = {
+            key: self._revisions.get(key, store.ABSENT) for key in checked
+        }
+        for other in self.other_pools(address, pool):
             expected[keys.job(other, job)] = store.ABSENT
         return expected
 
     def writes(
-        self, queue: ids.QueueId, pool: ids.PoolId
+        self, address: catalogue.QueueAddress, pool: ids.PoolId
     ) -> tuple[store.Write, ...]:
-        """Return the write that adds a pool to a queue's list, if it is new."""
-        pools = self.pools(queue)
-        if pool in pools:
-            return ()
-        value = msgspec.json.encode((*pools, pool))
-        return (store.Write(keys.queue_pools(queue), value),)
+        """Return the writes that add a pool to a queue's lists, if it is new.
+
+        Args:
+            address: Address of the queue.
+            pool: Pool in which a job is created.
+        """
+        writes = []
+        for key in dict.fromkeys((_path_key(address), _name_key(address))):
+            pools = self._pools.get(key, ())
+            if pool in pools and key in self._revisions:
+                continue
+            merged = dict.fromkeys((*pools, *self.pools(address), pool))
+            value = msgspec.json.encode(tuple(merged))
+            writes.append(store.Write(key, value))
+        return tuple(writes)
 
     def find_elsewhere(
         self,
         items: Iterable[store.Item],
-        queue: ids.QueueId,
+        address: catalogue.QueueAddress,
         pool: ids.PoolId,
         job: model.JobId,
     ) -> store.Item | None:
@@ -111,17 +143,27 @@
         Args:
             items: Items that the refused precondition returned; newer lists
                 among them are taken over.
-            queue: Queue of the job.
+            address: Address of the job's queue.
             pool: Pool in which it was to be created.
             job: Id of the job.
         """
         other_keys = {
-            keys.job(other, job) for other in self.other_pools(queue, pool)
+            keys.job(other, job) for other in self.other_pools(address, pool)
         }
         found = None
         for item in items:
-            if item.key == keys.queue_pools(queue):
+            if is_list(item.key):
                 self.update(item)
             elif item.key in other_keys and item.value is not None:
                 found = item
         return found
+
+
+def _path_key(address: catalogue.QueueAddress) -> str:
+    if not address.path:
+        return _name_key(address)
+    return keys.path_pools(address.path)
+
+
+def _name_key(address: catalogue.QueueAddress) -> str:
+    return keys.queue_pools(address.queue)
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -14,6 +14,7 @@
 from wagtailtiller.jobs import model
 from wagtailtiller.owner import job_writer as job_writer_module
 from wagtailtiller.owner import messages
+from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import admission
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import state
@@ -32,7 +33,7 @@
     [model.JobId], Awaitable[Result[bool, errors.StoreUnavailable]]
 ]
 FindInOtherPools = Callable[
-    [ids.QueueId, model.JobId],
+    [catalogue.QueueAddress, model.JobId],
     Awaitable[Result[job_module.Job | None, errors.StoreUnavailable]],
 ]
 
@@ -147,6 +148,7 @@
             self._pool.epoch,
             request.organisation,
             request.terms,
+            request.path,
         )
         self._pool.jobs.add(job, inherited=False)
         self._count_arrival(request.job, request.spec)
@@ -160,7 +162,7 @@
         Returns:
             The answer; None if no other pool has the job.
         """
-        found = await self._find_in_other_pools(request.queue, request.job)
+        found = await self._find_in_other_pools(request.address, request.job)
         if found.is_error():
             return messages.Unsure()
         if found.ok is None:
--- a/src/wagtailtiller/owner/stored_jobs.py
+++ b/src/wagtailtiller/owner/stored_jobs.py
@@ -14,13 +14,13 @@
 from wagtailtiller import clock as clock_module
 from wagtailtiller import errors
 from wagtailtiller import events
-from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.jobs import record
 from wagtailtiller.owner import job_writer as job_writer_module
 from wagtailtiller.owner import queue_pools
+from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import state
@@ -79,19 +79,19 @@
         return Ok(result.ok is not None)
 
     async def find_in_other_pools(
-        self, queue: ids.QueueId, job: model.JobId
+        self, address: catalogue.QueueAddress, job: model.JobId
     ) -> Result[job_module.Job | None, errors.StoreUnavailable]:
         """Look a job up in the other pools that its queue has had.
 
         Args:
-            queue: Queue of the job.
+            address: Address of the job's queue.
             job: Id of the job.
 
         Returns:
             The job as it is stored, or None if it is in none of them; the error
             if the store does not respond or the job cannot be decoded.
         """
-        for pool in self._queue_pools.other_pools(queue, self._pool.pool):
+        for pool in self._queue_pools.other_pools(address, self._pool.pool):
             result = await self._store.read_key(keys.job(pool, job))
             if result.is_error():
                 return Error(result.error)
--- a/src/wagtailtiller/ports/catalogue.py
+++ b/src/wagtailtiller/ports/catalogue.py
@@ -1,6 +1,7 @@
 """Queues, pools and organisations that the operators have declared."""
 
 import hashlib
+from typing import NamedTuple
 from typing import NewType
 
 import msgspec
@@ -57,6 +58,19 @@
     valid_ms: int
 
 
+class QueueAddress(NamedTuple):
+    """How callers and operators name a queue.
+
+    Attributes:
+        queue: Name of the queue.
+        path: Host and prefix under which callers reach it; empty if a request
+            of an earlier version does not tell them.
+    """
+
+    queue: ids.QueueId
+    path: str = ""
+
+
 class QueueTerms(msgspec.Struct, frozen=True, array_like=True):
     """What the jobs of a queue are entitled to.
 
@@ -110,6 +124,11 @@
     policy: PlacementPolicy | None = None
     public: bool = False
 
+    @property
+    def address(self) -> QueueAddress:
+        """How callers and operators name the queue."""
+        return QueueAddress(self.queue, f"{self.host} {self.prefix}")
+
     @property
     def terms(self) -> QueueTerms:
         """What the jobs of the queue are entitled to, as a new object."""
--- a/tests/entry/test_removed_queues.py
+++ b/tests/entry/test_removed_queues.py
@@ -6,6 +6,7 @@
 
 from tests.entry import queue_case
 from wagtailtiller import ids
+from wagtailtiller.entry import frontend
 from wagtailtiller.entry import outcomes
 from wagtailtiller.jobs import model
 
@@ -107,3 +108,60 @@
             self.assertEqual(7, job.terms.max_attempts)
 
         self.run_test(main)
+
+    def test_job_of_a_queue_that_is_renamed_and_moved_is_found(self):
+        """Guards against jobs that are answered 410, and run again."""
+
+        async def main():
+            await self.begin()
+            self.rename("proofs-2", pool=queue_case.OTHER_POOL)
+            await self.restart_owner()
+            await asyncio.sleep(5)
+            self.assertNotIn(outcomes.NoSuchJob(), await self.states())
+            for node in self.nodes():
+                again = await self.submit(node, run_ms=2_000, steps=2)
+                self.assertEqual(outcomes.Accepted(), again)
+            self.assertEqual([queue_case.POOL], self.stored_pools())
+            await self.check_completed()
+            self.assertEqual([_COMPLETED] * 3, await self.states())
+
+        self.run_test(main)
+
+    def test_job_of_a_queue_with_another_path_and_pool_is_found(self):
+        async def main():
+            await self.begin()
+            self.rename("proof-page", host="other-host")
+            await asyncio.sleep(queue_case.LEARN_S)
+            self.rename("proof-page", pool=queue_case.OTHER_POOL)
+            await self.check_completed()
+            queue = next(
+                q for q in self.world.queues if q.prefix == "/proof-page/"
+            )
+            for node in self.nodes():
+                state = await node.frontend.job_status(
+                    frontend.Route(queue),
+                    queue_case.JOB,
+                    queue_case.TIMEOUT_MS,
+                )
+                self.assertEqual(_COMPLETED, state)
+
+        self.run_test(main)
+
+    def test_request_is_accepted_once_while_processes_differ_in_names(self):
+        """Guards against a job that two names of its queue both accept."""
+
+        async def main():
+            old, new = self.world.live_processes()[:2]
+            declared = old.declared.catalogue
+            self.rename("proofs-2", pool=queue_case.OTHER_POOL)
+            for process in self.world.live_processes():
+                if process is not new:
+                    process.declared.declare(declared)
+            accepted = await asyncio.gather(
+                self.submit(old.node), self.submit(new.node)
+            )
+            self.assertEqual([outcomes.Accepted()] * 2, accepted)
+            await asyncio.sleep(2)
+            self.assertEqual(1, len(self.stored_pools()))
+
+        self.run_test(main)
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -1257,7 +1257,7 @@
             owner = self.own_pool()
             await self.until(lambda: owner.ready)
             withdrawn = job_module.withdrawn(
-                "a" * 16, jobs.QUEUE, 1_000_000, ""
+                "a" * 16, jobs.queue().address, 1_000_000, ""
             )
             self.store_as_frontend(withdrawn)
             # The owner learns of it by its first write, or before.
@@ -1276,7 +1276,7 @@
             owner = self.own_pool()
             await self.until(lambda: owner.ready)
             withdrawn = job_module.withdrawn(
-                "a" * 16, jobs.QUEUE, 1_000_000, ""
+                "a" * 16, jobs.queue().address, 1_000_000, ""
             )
             self.store_as_frontend(withdrawn)
             await self.until(lambda: withdrawn.id in owner.pool.entries)
