Start the tasks of a crashed VM in groups

Cause: tasks that were lost with the same VM did not share a VM again, from their start to their end, to tell a task apart that crashes its VMs.

Ruled out: a lack of room or of machines; 7 of 224 cores were in use.

Change: the rule is about starts. A task counts until its VM has confirmed it 1 s after its start, and groups are as large as two rounds need.

--- a/src/wagtailtiller/jobs/task.py
+++ b/src/wagtailtiller/jobs/task.py
@@ -143,6 +143,9 @@
             so that they may have crashed before it.
         lost_on: VM instances that were lost while they ran the task, and of
             which it is not known whether they have crashed.
+        crash_group: How many tasks that were lost with one VM may be on the VM
+            on which the task starts, before it is known which of them crashes
+            VMs.
     """
 
     id: model.TaskId
@@ -156,6 +159,7 @@
     crashed_on: set[VmInstance] = dataclasses.field(default_factory=set)
     doubtful_on: set[VmInstance] = dataclasses.field(default_factory=set)
     lost_on: set[VmInstance] = dataclasses.field(default_factory=set)
+    crash_group: int = 1
 
     def suspected_of(self) -> set[VmInstance]:
         """Return the VM instances that the task may have crashed."""
--- a/src/wagtailtiller/scheduling/crashes.py
+++ b/src/wagtailtiller/scheduling/crashes.py
@@ -16,6 +16,10 @@
 # A task that runs until it is stopped and has run this long is not the cause of
 # a crash. A task that crashes its VM does so within seconds of its start.
 PROVEN_MS = 10_000
+# A run that its VM still confirms this long after its start has most likely not
+# the task that crashes VMs, which does so when it starts. Its task stays a
+# suspect: a later crash still counts.
+SETTLED_MS = 1_000
 # VMs answer a start command within this time. Commands that were sent later
 # than that after one without an answer have found the VM ended.
 _RESPONSE_MS = 300
@@ -69,6 +73,11 @@
     return is_lasting(run.task.step) and run.observed_ms() >= PROVEN_MS
 
 
+def has_settled(run: task_module.Run) -> bool:
+    """Return whether a VM has survived the start of a run's task."""
+    return run.confirmed_ms - run.started_ms >= SETTLED_MS
+
+
 def suspects(vm: vm_module.Vm) -> list[task_module.Run]:
     """Return the runs that may be the cause if a VM has crashed."""
     sent_until_ms = _latest_executed_start_ms(vm)
--- a/src/wagtailtiller/scheduling/start_planner.py
+++ b/src/wagtailtiller/scheduling/start_planner.py
@@ -89,6 +89,16 @@
             for tasks in suspects.waiting_units(step_run)
             if self._is_within_allocation(entry, step_run)
         ]
+        self._isolation.update_groups(
+            [
+                task
+                for entry, step_runs in ranked
+                for step_run in step_runs
+                for task in suspects.waiting_suspects(step_run)
+            ],
+            self._state.vms.values(),
+            open_vms,
+        )
         units.sort(key=lambda row: (row[0], row[1][0].id))
         self._isolation.update(
             [tasks for _, tasks in units],
--- a/src/wagtailtiller/scheduling/suspects.py
+++ b/src/wagtailtiller/scheduling/suspects.py
@@ -1,17 +1,22 @@
 """Where a task that may have crashed its VM starts again.
 
 Two rules hold for such a task, which is called a suspect. Tasks that were lost
-with the same VM do not share a VM again, so that the next crash tells them
-apart. A task with several suspicions is isolated: it starts on a VM that was
-kept free for it and runs there alone, so that one more crash takes nothing with
-it. ``accepts`` is the only check of both rules; ``Isolation`` decides which VMs
-are kept. The module does no I/O and reads no clock.
+with the same VM start in small groups on different VMs, so that the next crash
+tells them apart. A task with several suspicions is isolated: it starts on a VM
+that was kept free for it, alone, so that one more crash takes nothing with it.
+Both rules look at starts only. A task that crashes VMs does so when it starts;
+once its VM has survived that, the next one may start there.
+
+``accepts`` is the only check of both rules; ``Isolation`` decides which VMs are
+kept, and how large the groups are. The module does no I/O and reads no clock.
 """
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import math
 
 from wagtailtiller import ids
 from wagtailtiller.jobs import model
@@ -22,6 +27,9 @@
 # One suspicion is shared by all tasks that were lost with a VM, nearly all of
 # which are innocent.
 _ISOLATED_FROM = 2
+# Within so many rounds of starts all tasks that were lost with one VM have
+# started again. On a single VM, each crash halves the group.
+_GROUP_ROUNDS = 2
 _KEPT_DIVISOR = 4
 # The search for suspects looks at all waiting and running tasks. While it finds
 # none, it is repeated after this time, or after so much for each waiting job,
@@ -98,6 +106,17 @@
     return task.id._replace(position=0) if task.step.gang else task.id
 
 
+def waiting_suspects(step_run: task_module.StepRun) -> list[task_module.Task]:
+    """Return the waiting tasks of a step that may have crashed a VM."""
+    return [
+        task
+        for task in step_run.tasks
+        if (task.crashed_on or task.lost_on)
+        and task.run is None
+        and not task.done
+    ]
+
+
 def waiting_units(
     step_run: task_module.StepRun,
 ) -> list[list[task_module.Task]]:
@@ -153,6 +172,8 @@
         self._kept_units: set[model.TaskId] = set()
         self._kept_steps: set[tuple[model.JobId, int, int]] = set()
         self._attempts: dict[model.TaskId, _Attempt] = {}
+        # The most tasks that were seen to be suspects of one crash.
+        self._crash_sizes: dict[task_module.VmInstance, int] = {}
 
     def is_due(
         self, open_vms: list[vm_module.Vm], job_count: int, now_ms: int
@@ -221,6 +242,36 @@
         self._kept_steps = {unit[:3] for unit in self._kept_units}
         self._is_active = bool(kept or units)
 
+    def update_groups(
+        self,
+        waiting: list[task_module.Task],
+        vms: Collection[vm_module.Vm],
+        open_vms: list[vm_module.Vm],
+    ) -> None:
+        """Decide again how many suspects of one crash may share a VM.
+
+        Args:
+            waiting: Tasks from ``waiting_suspects`` that may start.
+            vms: All VMs of the pool.
+            open_vms: VMs that accept new tasks.
+        """
+        sizes = collections.Counter(
+            instance for task in waiting for instance in task.suspected_of()
+        )
+        for vm in vms:
+            for run in vm.runs.values():
+                if is_suspect(run.task):
+                    sizes.update(run.task.suspected_of())
+        self._crash_sizes = {
+            instance: max(size, self._crash_sizes.get(instance, 0))
+            for instance, size in sizes.items()
+        }
+        shared = sum(vm.isolates is None for vm in open_vms)
+        starts = _GROUP_ROUNDS * max(1, shared)
+        for task in waiting:
+            size = max(self._crash_sizes[i] for i in task.suspected_of())
+            task.crash_group = math.ceil(size / starts)
+
     def _keep_in_turn(
         self,
         units: dict[model.TaskId, list[task_module.Task]],
@@ -378,17 +429,29 @@
     yield from vm.reserved_tasks()
 
 
+def _starting(vm: vm_module.Vm) -> Iterator[task_module.Task]:
+    """Yield the tasks whose start on a VM may yet crash it."""
+    for run in vm.runs.values():
+        if not crashes.has_settled(run):
+            yield run.task
+    yield from vm.reserved_tasks()
+
+
 def _is_apart(
     vm: vm_module.Vm, task: task_module.Task, unit: model.TaskId
 ) -> bool:
-    """Return whether no task on a VM was lost with the same VM as this one."""
+    """Return whether the group of a task has room for it on a VM.
+
+    The group are the tasks that were lost with the same VM as this one.
+    """
     suspected_of = task.suspected_of()
-    return not any(
+    group_size = sum(
         is_suspect(other)
         and isolated_unit(other) != unit
         and not suspected_of.isdisjoint(other.suspected_of())
-        for other in _unsettled(vm)
+        for other in _starting(vm)
     )
+    return group_size < task.crash_group
 
 
 def _blockers(vm: vm_module.Vm, unit: model.TaskId) -> list[task_module.Task]:
