Reckon with the longest lease on VMs that are back under their ids

Cause: a call that is under way to the former life of a VM carries a time on a clock that the next life does not have, and sets its lease to the longest that it grants. The owner reckoned with the lease that it sends.

Change: after a change of lives the lease counts until the longest one has passed since the registration and since the first answer under a higher token. Answers that come from another life count as well, by their birth or by a clock that goes back.

VMs with one life wait as long as before.

--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -47,6 +47,8 @@
 # Long enough for a new owner to renew the leases of running tasks. The runs of
 # a dead VM are discarded only after this time.
 _MAX_LEASE_MS = 5_000
+# The time of day of two machines may differ by seconds.
+_OLD_LIFE_MS = 60_000
 _PLAN_PAUSE_MS = 8
 _MAX_PLAN_WAIT_MS = 100
 _TAKEOVER_RETRY_MS = 200
@@ -135,6 +137,7 @@
         self.pool_id = claim.shard.pool
         self.pool = pool_module.Pool(self.pool_id, claim.epoch, clock)
         self.pool.overload_control = settings.overload_control
+        self.pool.max_lease_ms = settings.lease_ms
         self.ready = False
         self._store = ports.store
         self._connect = ports.connect
@@ -375,11 +378,12 @@
         jobs = await self._store.read(keys.jobs(self.pool_id))
         if jobs.is_error():
             return self._log_delay(jobs.error)
-        self._inherited_until_ms = self._previous_lease_end_ms()
         self._inherited_members = frozenset(self._members.stored)
-        self.pool.unresolved = dict.fromkeys(
-            self._inherited_members, self._inherited_until_ms
-        )
+        self.pool.unresolved = {
+            vm: self._previous_lease_end_ms(vm)
+            for vm in self._inherited_members
+        }
+        self._inherited_until_ms = max(self.pool.unresolved.values(), default=0)
         for item in jobs.ok.items:
             self._stored_jobs.restore(item)
         return True
@@ -393,13 +397,28 @@
         )
         return False
 
-    def _previous_lease_end_ms(self) -> int:
+    def _previous_lease_end_ms(self, vm: ids.VmId) -> int:
         # The store may end leases before their time, so that the previous
         # owner's last renewal may be as recent as the takeover.
-        lease_ms = math.ceil(self._lease_ms / vm_module.MIN_CLOCK_RATE)
+        lease_ms = self._lease_ms
+        if self._may_follow_other_life(vm):
+            lease_ms = self._settings.lease_ms
+        lease_ms = math.ceil(lease_ms / vm_module.MIN_CLOCK_RATE)
         command_ms = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
         return self._clock.monotonic_ms() + command_ms + lease_ms
 
+    def _may_follow_other_life(self, vm: ids.VmId) -> bool:
+        """Return whether a VM may hold a lease by a call to an earlier life.
+
+        No lease that such a call has set lasts as long as _OLD_LIFE_MS. A VM
+        that is not listed has been silent for several heartbeats, so that less
+        than the usual lease is left of the longest one.
+        """
+        report = self._reports.get(vm)
+        if report is None:
+            return False
+        return self._clock.wall_ms() - report.born_ms < _OLD_LIFE_MS
+
     def _register_vms(self) -> None:
         # If this process was paused, another one may own the pool by now. The
         # new owner has fenced only the VMs that were listed at its takeover.
@@ -433,9 +452,10 @@
         if may_run_inherited:
             # The VM stays unresolved until it has responded under the new
             # fencing token.
-            until_ms = self._previous_lease_end_ms()
+            until_ms = self._previous_lease_end_ms(report.vm)
             self.pool.unresolved[report.vm] = until_ms
-            vm.lease.min_expiry_ms = until_ms
+            vm.lease.cover(until_ms)
+            vm.follows_other_life |= self._may_follow_other_life(report.vm)
         replaced_link = self._links.pop(report.vm, None)
         if replaced_link is not None:
             self._closing_links.spawn(replaced_link.close())
--- a/src/wagtailtiller/owner/start_sender.py
+++ b/src/wagtailtiller/owner/start_sender.py
@@ -127,11 +127,16 @@
             command.ticket,
         )
         run.sent_ms = now_ms
+        known_clock_ms = self._vm.lease.vm_clock_ms
         response = await self._client.start(start_command)
         took_ms = self._clock.monotonic_ms() - now_ms
         self._log_start(run, token, response.outcome.value, took_ms)
         if response.outcome is not vms.CommandOutcome.UNANSWERED:
             self._vm.record_answer(now_ms, now_ms + took_ms)
+        if 0 < response.clock_ms < known_clock_ms:
+            # A clock that goes back is that of another life, whose lease the
+            # command has set.
+            self._vm.lease.cover(self._pool.longest_lease_end_ms())
         was_fenced = response.outcome is vms.CommandOutcome.FENCED
         if was_fenced and token == self._vm.token:
             self._link.on_fenced()
--- a/src/wagtailtiller/owner/vm_link.py
+++ b/src/wagtailtiller/owner/vm_link.py
@@ -202,6 +202,8 @@
             return False
         listing = response.listing
         if listing.born_ms and listing.born_ms != self.vm.report.born_ms:
+            # The request has set the lease of another life.
+            self.vm.lease.cover(self._pool.longest_lease_end_ms())
             self._handle_failure(token, sent_ms, vms.CommandOutcome.OTHER_VM)
             return False
         if not self._apply_listing(token, sent_ms, listing):
--- a/src/wagtailtiller/scheduling/reconciler.py
+++ b/src/wagtailtiller/scheduling/reconciler.py
@@ -156,12 +156,18 @@
             self._state.unresolved.pop(vm.report.vm, None)
         if vm.status is vm_module.VmStatus.JOINING:
             vm.status = vm_module.VmStatus.USABLE
+            if vm.follows_other_life:
+                # From now on the VM refuses the calls that were meant for
+                # another life. Those before it may have set its lease.
+                vm.lease.cover(self._state.longest_lease_end_ms())
             events.emit(
                 events.Event.VM_JOINED,
                 vm=vm.report.vm,
                 pool=self._state.pool,
                 token=token,
                 running=len(listing.running),
+                born_ms=vm.report.born_ms,
+                follows_other_life=vm.follows_other_life,
             )
 
     def _orphan_tasks(
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -1,6 +1,7 @@
 """State of a pool that the components of its scheduler share."""
 
 import dataclasses
+import math
 
 from wagtailtiller import clock as clock_module
 from wagtailtiller import events
@@ -61,6 +62,8 @@
         owned_until_ms: Time, on the owner's clock, until which the pool has
             certainly had no later owner. What holds for a sole owner only is
             concluded up to then.
+        max_lease_ms: Longest lease that a VM grants, whatever is asked for, on
+            its own clock.
         queues: Queues by id, as declared or as last declared.
         organisations: Declared organisations by name.
         overload_control: Whether jobs are ordered and admitted by what a delay
@@ -92,6 +95,7 @@
         self.epoch = epoch
         self.clock = clock
         self.owned_until_ms = 0
+        self.max_lease_ms = 0
         self.queues: dict[ids.QueueId, catalogue.Queue] = {}
         self.organisations: dict[
             ids.OrganisationId, catalogue.Organisation
@@ -109,6 +113,19 @@
         self.health = vm_health.VmHealth()
         self.run_times = run_times.RunTimes(pool, clock)
 
+    def longest_lease_end_ms(self) -> int:
+        """Return until when a lease lasts at most that a VM has granted by now.
+
+        A call that was meant for an earlier instance carries a time on the
+        clock of that one. Another instance, whose clock begins anew, grants the
+        longest lease for it.
+
+        Returns:
+            Time on the owner's clock.
+        """
+        lease_ms = math.ceil(self.max_lease_ms / vm_module.MIN_CLOCK_RATE)
+        return self.clock.monotonic_ms() + lease_ms
+
     def mark_changed(self, entry: JobEntry) -> None:
         """Record that a job differs from its stored state."""
         self.changed.add(entry.job.id)
--- a/src/wagtailtiller/scheduling/vm.py
+++ b/src/wagtailtiller/scheduling/vm.py
@@ -70,6 +70,14 @@
         self.latest_end_vm_ms = max(self.latest_end_vm_ms, until_ms)
         return until_ms
 
+    def cover(self, until_ms: int) -> None:
+        """Record that a lease may last until a time at least.
+
+        Args:
+            until_ms: Time on the owner's clock.
+        """
+        self.min_expiry_ms = max(self.min_expiry_ms, until_ms)
+
     def expiry_ms(self) -> int:
         """Return when all leases have expired, on the owner's clock."""
         left_ms = max(0, self.latest_end_vm_ms - self.vm_clock_ms)
@@ -116,6 +124,8 @@
         absent_jobs: Those of them that are not stored.
         has_more_ends: Whether listed runs belong to unread jobs, or further
             ended runs are to be listed.
+        follows_other_life: Whether another instance had the id of the VM, so
+            that this one may have executed calls that were meant for that one.
         unresponsive_since_ms: Time at which the VM stopped responding; None if
             it responds.
         closed_until_ms: Time until which nothing starts on the VM because it is
@@ -171,6 +181,7 @@
         self.slow_until_ms = 0
         self.straggles_until_ms = 0
         self.answered_ms = 0
+        self.follows_other_life = False
         self.failed_call_sent_ms = 0
         self.on_probation = False
         self.progress_ends_probation = False
--- a/src/wagtailtiller/scheduling/vm_tracker.py
+++ b/src/wagtailtiller/scheduling/vm_tracker.py
@@ -26,6 +26,8 @@
         self._state = pool_state
         self._removed_tokens: dict[tuple[ids.VmId, int], int] = {}
         self._lost_instances = crashes.LostInstances()
+        # Ids of VMs that were removed; calls to them may still be under way.
+        self._removed_ids: set[ids.VmId] = set()
         # Latest known instance on each machine.
         self._vm_by_machine: dict[ids.MachineId, vm_module.Vm] = {}
 
@@ -51,6 +53,9 @@
             (report.vm, report.born_ms), self._state.epoch * TOKENS_PER_EPOCH
         )
         new = vm_module.Vm(report, token)
+        new.follows_other_life = (
+            known is not None or report.vm in self._removed_ids
+        )
         self._record_crashes(report)
         self._state.vms[report.vm] = new
         if known is not None:
@@ -150,7 +155,8 @@
         # The new instance may have executed commands that were meant for the
         # old one; its first listing under a higher token shows which.
         new.token = old.token + 1
-        new.lease.min_expiry_ms = old.lease.expiry_ms()
+        new.lease.cover(old.lease.expiry_ms())
+        new.lease.cover(self._state.longest_lease_end_ms())
         new.set_orphans(old.orphan_tasks, old.has_unknown_runs)
         new.on_probation = old.on_probation
         new.progress_ends_probation = old.progress_ends_probation
@@ -163,6 +169,16 @@
             run.confirmed_ms = 0
             run.sent_ms = 0
             new.add(run)
+        events.emit(
+            events.Event.VM_RESTARTED,
+            vm=new.report.vm,
+            born_ms=new.report.born_ms,
+            former_born_ms=old.report.born_ms,
+            runs=len(new.runs),
+            token=new.token,
+            former_lease_left_ms=old.lease.expiry_ms()
+            - self._state.clock.monotonic_ms(),
+        )
 
     def mark_ended(self, vm: ids.VmId) -> None:
         """Record that an unresolved VM has ended and runs no more tasks.
@@ -265,6 +281,7 @@
                 self._state.health.remove_vm(vm.report.vm)
                 instance = (vm.report.vm, vm.report.born_ms)
                 self._removed_tokens[instance] = vm.token
+                self._removed_ids.add(vm.report.vm)
                 removed.append(vm)
         return removed
 
--- a/support/fake_vms.py
+++ b/support/fake_vms.py
@@ -12,6 +12,7 @@
 from wagtailtiller.scheduling import vm as vm_module
 
 _HOLD_WAIT_S = 0.02
+_MAX_LEASE_MS = 60_000
 DEFAULT_CAPACITY = vms.Resources(cpu_millicores=32_000, memory_mb=131_072)
 
 
@@ -73,6 +74,7 @@
         vm_report: Registration of the VM.
         clock: Clock of the VM.
         capacity_tasks: Largest number of concurrent tasks; None for no limit.
+        max_lease_ms: Longest lease that the VM grants.
 
     Attributes:
         report: Registration of the VM.
@@ -93,6 +95,7 @@
         vm_report: vms.VmReport,
         clock: clock_module.Clock,
         capacity_tasks: int | None = None,
+        max_lease_ms: int = _MAX_LEASE_MS,
     ) -> None:
         self.report = vm_report
         self.running: dict[model.TaskId, FakeRun] = {}
@@ -106,6 +109,7 @@
         self._last_position = 0
         self._highest_number: dict[model.TaskId, int] = {}
         self._capacity_tasks = capacity_tasks
+        self._max_lease_ms = max_lease_ms
         self.lease_until_ms = 0
         self.holds = 0
 
@@ -182,7 +186,7 @@
             return vms.HoldResponse(vms.CommandOutcome.FENCED)
         self.expire()
         if lease_until_ms is not None:
-            self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+            self._extend_lease(lease_until_ms)
         self._discard_ends(acknowledged)
         await self._wait_for_end(wait_ms)
         if self.unresponsive:
@@ -214,6 +218,12 @@
         limit = self._capacity_tasks
         return limit is None or len(self.running) < limit
 
+    def _extend_lease(self, until_ms: int) -> None:
+        longest_ms = self._clock.monotonic_ms() + self._max_lease_ms
+        self.lease_until_ms = max(
+            self.lease_until_ms, min(until_ms, longest_ms)
+        )
+
     def _accept_token(self, token: int) -> bool:
         if token < self.token:
             return False
@@ -233,7 +243,7 @@
         if not self._has_room(command):
             return vms.CommandOutcome.NO_ROOM
         self._highest_number[command.task] = command.number
-        self.lease_until_ms = max(self.lease_until_ms, command.lease_until_ms)
+        self._extend_lease(command.lease_until_ms)
         self.running[command.task] = FakeRun(
             command.number, command.lease_until_ms
         )
--- a/support/sim/faults.py
+++ b/support/sim/faults.py
@@ -11,6 +11,7 @@
 import functools
 import random
 
+from support.sim import loop as loop_module
 from support.sim import partitions
 from support.sim import revocations
 from support.sim import vms as vms_module
@@ -26,6 +27,10 @@
 # Longer than a lease in the store, shorter than a former owner commands VMs.
 _LATE_CALLS_MS = (2_200, 5_900)
 _LATE_CALLS_SHARE = 0.25
+_RETURN_OUTAGE_S = (0.3, 1.0)
+# Time from the return of a VM until it is cut off.
+_USED_AGAIN_S = (0.2, 3.0)
+_KILL_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,6 +121,25 @@
     ]
 
 
+def returning_vms(seed: int, count: int, length_ms: int) -> list[Fault]:
+    """Draw a plan in which VMs return under their ids and are soon cut off.
+
+    Args:
+        seed: Seed of the random numbers.
+        count: Number of faults.
+        length_ms: Time during which jobs are sent.
+    """
+    rng = random.Random(seed)
+    return [
+        Fault(
+            "vm-returns",
+            int(rng.uniform(0, length_ms)),
+            int(rng.uniform(8_000, 10_000)),
+        )
+        for _ in range(count)
+    ]
+
+
 def split_pools(seed: int, count: int, length_ms: int) -> list[Fault]:
     """Draw a plan of partitions with VMs on both sides.
 
@@ -455,9 +479,33 @@
     "service-down": _stop_machine_service,
 }
 
+
+async def _return_and_cut_off(world: World, duration_s: float) -> None:
+    """Restart VMs under their ids, and cut them off soon after.
+
+    In one of two cases an owner is killed in between.
+    """
+    returning = [vm.report.vm for vm in _random_vms(world)]
+    outage_s = world.rng.uniform(*_RETURN_OUTAGE_S)
+    for vm in world.fleet.live_vms():
+        if vm.report.vm in returning:
+            world.fleet.crash(vm, int(outage_s * 1_000), keeps_id=True)
+    await asyncio.sleep(outage_s + world.rng.uniform(*_USED_AGAIN_S))
+    if world.rng.random() < _KILL_SHARE:
+        loop_module.spawn(_kill_owner(world, duration_s))
+    process_ids = {process.process for process in world.live_processes()}
+    for vm in world.fleet.live_vms():
+        if vm.report.vm in returning:
+            vm.partitioned |= process_ids
+            asyncio.get_running_loop().call_later(
+                duration_s, vm.partitioned.difference_update, process_ids
+            )
+
+
 # Not drawn at random, so that the days of known seeds stay the same.
 _PLANNED_INJECTORS: dict[str, Callable[[World, float], Awaitable[None]]] = {
     "vm-shrinks": _shrink_vms,
+    "vm-returns": _return_and_cut_off,
     "split-any": partitions.inject_any,
     **{
         kind: functools.partial(partitions.inject, partition)
--- a/support/sim/fleet.py
+++ b/support/sim/fleet.py
@@ -32,6 +32,7 @@
 LEASE_MS = 3_000
 _HEARTBEAT_TIMEOUT_MS = 2_300
 # Time after which a machine is back whose VM a task has crashed.
+_MAX_LEASE_MS = 6_000
 _CRASH_RETURN_MS = 3_000
 
 
@@ -86,6 +87,7 @@
             the machine service nor the registrations.
         moves: Number of machine moves.
         pooled_machine_ms: Machine time in pools other than standby.
+        max_lease_ms: Longest lease that VMs grant.
         guards_capacity: Whether new VMs refuse starts that do not fit.
     """
 
@@ -106,6 +108,7 @@
         self.moves = 0
         self.pooled_machine_ms = 0
         self.guards_capacity = True
+        self.max_lease_ms = _MAX_LEASE_MS
         self._vms_by_id: dict[ids.VmId, vms_module.SimVm] = {}
         self._clock = clock
         self._jobs = jobs
@@ -285,6 +288,7 @@
             self._jobs,
             self._oracle,
             lambda vm: self.crash(vm, _CRASH_RETURN_MS),
+            self.max_lease_ms,
         )
         vm.guards_capacity = self.guards_capacity
         vm.barriers = machine.barriers
--- a/support/sim/loop.py
+++ b/support/sim/loop.py
@@ -14,6 +14,8 @@
 from typing import NoReturn
 from typing import TypeVar
 
+from wagtailtiller import clock as clock_module
+
 _T = TypeVar("_T")
 _PROCESS: contextvars.ContextVar[str] = contextvars.ContextVar(
     "process", default=""
@@ -133,6 +135,27 @@
         return self.monotonic_ms() + _WALL_START_MS + self.wall_offset_ms
 
 
+class InstanceClock:
+    """Steady clock of a VM instance, which begins anew with it.
+
+    Args:
+        clock: Clock of the platform.
+    """
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        # A reading of 0 would mean that none is known.
+        self._started_ms = clock.monotonic_ms() - 1
+
+    def monotonic_ms(self) -> int:
+        """Return the time since the start of the instance in ms."""
+        return self._clock.monotonic_ms() - self._started_ms
+
+    def wall_ms(self) -> int:
+        """Return the wall-clock time in ms since the Unix epoch."""
+        return self._clock.wall_ms()
+
+
 def run(main: Coroutine[Any, Any, _T]) -> _T:
     """Run a coroutine in virtual time.
 
--- a/support/sim/mutants.py
+++ b/support/sim/mutants.py
@@ -18,6 +18,7 @@
 from support.sim import scenarios
 from support.sim import soak
 from support.sim import world as world_module
+from wagtailtiller import ids
 from wagtailtiller.entry import frontend
 from wagtailtiller.jobs import job
 from wagtailtiller.jobs import record
@@ -33,6 +34,7 @@
 from wagtailtiller.ownership import claims
 from wagtailtiller.ownership import session
 from wagtailtiller.scheduling import reconciler
+from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import stop_planner
 from wagtailtiller.scheduling import vm as vm_module
 from wagtailtiller.scheduling import vm_tracker
@@ -121,7 +123,7 @@
     """Discard the runs of a VM's previous instance."""
 
 
-def _count_from_expiry(self: pool_owner.PoolOwner) -> int:
+def _count_from_expiry(self: pool_owner.PoolOwner, vm: ids.VmId) -> int:
     """Assume that the previous owner's lease has expired by itself."""
     command_ms = authority.MAX_LEASE_AGE_MS[authority.Action.COMMAND_VMS]
     time_left_ms = command_ms - session.LEASE_TTL_MS
@@ -186,6 +188,10 @@
     )
 
 
+def _play_returning(seed: int) -> world_module.World:
+    return soak.simulate(seed, "returning")[1]
+
+
 def _play_shrinking(seed: int) -> world_module.World:
     return soak.simulate(seed, "shrinking")[1]
 
@@ -213,12 +219,15 @@
         (
             pool_owner.PoolOwner,
             "_previous_lease_end_ms",
-            lambda self: self._clock.monotonic_ms(),
+            lambda self, vm: self._clock.monotonic_ms(),
         )
     ],
     "a new owner takes a revoked lease for an expired one": [
         (pool_owner.PoolOwner, "_previous_lease_end_ms", _count_from_expiry)
     ],
+    "the next life of a VM has the lease of the former one": [
+        (state.PoolState, "longest_lease_end_ms", lambda self: 0)
+    ],
     "tokens are never raised": [
         (vm_tracker.VmTracker, "raise_token", lambda self, vm: vm.token)
     ],
@@ -335,6 +344,7 @@
     "a new owner takes a revoked lease for an expired one": _play_revocation,
     "a former owner takes leases for over": _play_split_pool,
     "jobs of a later epoch are taken over": _play_late_calls,
+    "the next life of a VM has the lease of the former one": _play_returning,
     "capacity is read once": _play_shrinking,
     "fits ignore memory": _play_shrinking,
 }
--- a/support/sim/oracle.py
+++ b/support/sim/oracle.py
@@ -30,7 +30,7 @@
 # crashed under it.
 _CRASHES_BEFORE_LIMIT = 3
 _STARTS_AFTER_CRASHES = 2
-# A job with a crashing task may fail once so many VMs have crashed under it.
+# A job may fail once so many VMs have crashed under one of its tasks.
 _CRASHES_BEFORE_FAILURE = 2
 # A capacity that has shrunk counts this long after its report: 3 s and one
 # report interval of 1.5 s.
@@ -492,9 +492,9 @@
             >= sim_job.queue.max_attempts
             for task in self._tasks(sim_job)
         ) or any(
-            self._crash_count(sim_job, step, position)
+            self._crash_count(sim_job, task.step, task.position)
             >= _CRASHES_BEFORE_FAILURE
-            for step, position in sim_job.crashing
+            for task in self._tasks(sim_job)
         )
 
     def _crash_count(
--- a/support/sim/process.py
+++ b/support/sim/process.py
@@ -17,7 +17,6 @@
 from wagtailtiller.ports import catalogue as catalogue_module
 from wagtailtiller.ports import vms
 
-_VM_LEASE_MS = 6_000
 _JOB_KEPT_MS = 120_000
 _STOP_WITHIN_MS = 6_000
 _ONE_WAY_DELAY_MS = 0.5
@@ -199,7 +198,7 @@
         assert isinstance(loop, loop_module.VirtualLoop)
         self._loop = loop
         self.clock = loop_module.VirtualClock(loop)
-        settings = _settings(name, capacity)
+        settings = _settings(name, capacity, fleet.max_lease_ms)
         self.declared = SimDeclarations(catalogue, fleet, self.process)
         adapters = node_module.Adapters(
             store_module.SimStore(store_service, self.process),
@@ -268,7 +267,7 @@
 
 
 def _settings(
-    name: str, capacity: settings_module.Capacity
+    name: str, capacity: settings_module.Capacity, vm_lease_ms: int
 ) -> settings_module.EntrySettings:
     return settings_module.EntrySettings(
         node=ids.NodeId(name),
@@ -280,7 +279,7 @@
         store_address="",
         machines_address="",
         policy_address="",
-        vm_lease_ms=_VM_LEASE_MS,
+        vm_lease_ms=vm_lease_ms,
         machine_lease_ms=fleet_module.LEASE_MS,
         job_kept_ms=_JOB_KEPT_MS,
         stop_within_ms=_STOP_WITHIN_MS,
--- a/support/sim/scenarios.py
+++ b/support/sim/scenarios.py
@@ -190,6 +190,16 @@
     return small(seed, length_ms=14_000)
 
 
+def returning(seed: int = 1) -> world.Scenario:
+    """Return the small day, for 14 s, with VMs that grant long leases.
+
+    Args:
+        seed: Seed of all random numbers.
+    """
+    scenario = small(seed, length_ms=14_000)
+    return dataclasses.replace(scenario, max_lease_ms=10_000)
+
+
 def small(seed: int = 1, length_ms: int = 8_000) -> world.Scenario:
     """Return a day of two pools under light load, for tests with faults.
 
--- a/support/sim/soak.py
+++ b/support/sim/soak.py
@@ -19,9 +19,11 @@
     "two-sizes": scenarios.two_sizes,
     "shrinking": scenarios.shrinking,
     "partitions": scenarios.split,
+    "returning": scenarios.returning,
 }
 _SHRINKING_FAULTS = 8
 _MAX_PARTITIONS = 3
+_MAX_RETURNS = 4
 # Many other faults would leave no owner that a partition could cut off.
 _MAX_FAULTS_WITH_PARTITIONS = 3
 
@@ -61,6 +63,10 @@
                 1 + seed // _MAX_FAULTS_WITH_PARTITIONS % _MAX_PARTITIONS,
                 length_ms,
             )
+        case "returning":
+            return faults.returning_vms(
+                seed, 1 + seed % _MAX_RETURNS, length_ms
+            )
         case _:
             return faults.draw(seed, 1 + seed % _MAX_FAULTS, length_ms)
 
--- a/support/sim/vms.py
+++ b/support/sim/vms.py
@@ -30,6 +30,10 @@
 _CHECKPOINT_INTERVAL_MS = 500
 _RESTORE_MS = 100
 _LATE_DELAY_MS = (2_000, 12_000)
+# A caller resets the connection of a call after this time, so that the next
+# instance does not get it any more.
+_HELD_CALL_MS = 700
+_HELD_CALL_CHECK_MS = 20
 # Time after which a crashing task ends its VM.
 _CRASH_DELAY_S = 0.01
 
@@ -59,6 +63,7 @@
         jobs: Jobs with their actual behaviour.
         oracle: Oracle that records all starts and ends.
         crash: Crashes the VM; called when it has started a crashing task.
+        max_lease_ms: Longest lease that the VM grants.
 
     Attributes:
         health: Whether tasks end normally, fail or hang.
@@ -77,8 +82,15 @@
         jobs: truth_module.Jobs,
         oracle: "oracle_module.Oracle",
         crash: Callable[["SimVm"], None],
+        max_lease_ms: int,
     ) -> None:
-        super().__init__(vm_report, clock)
+        self._platform_clock = clock
+        # The steady clock of an instance begins anew.
+        super().__init__(
+            vm_report,
+            loop_module.InstanceClock(clock),
+            max_lease_ms=max_lease_ms,
+        )
         self._crash = crash
         self.health = Health.HEALTHY
         self.slowdown_factor = 1.0
@@ -105,7 +117,10 @@
         lapsed = self._clock.monotonic_ms() >= lease_ms
         if lapsed and lease_ms != self._lapsed_lease_ms:
             self._lapsed_lease_ms = lease_ms
-            self._oracle.record_lapse(self, lease_ms)
+            lapsed_for_ms = self._clock.monotonic_ms() - lease_ms
+            self._oracle.record_lapse(
+                self, self._platform_clock.monotonic_ms() - lapsed_for_ms
+            )
         super().expire()
 
     def power_off(self) -> None:
@@ -349,10 +364,8 @@
     async def _deliver(
         self, operation: Callable[[SimVm], Awaitable[_T]], late: bool
     ) -> _T:
-        vm = self._find_vm()
         await asyncio.sleep(_ONE_WAY_DELAY_MS / 1_000)
-        if vm is None or not vm.reachable_from(self._process):
-            return await loop_module.wait_forever()
+        vm = await self._arrive()
         if late:
             await asyncio.sleep(self._rng.uniform(*_LATE_DELAY_MS) / 1_000)
         answer = await operation(vm)
@@ -361,6 +374,21 @@
             await loop_module.wait_forever()
         return answer
 
+    async def _arrive(self) -> SimVm:
+        """Return the VM that executes a call, never if there is none.
+
+        An instance that starts under the id of one that has ended executes the
+        calls that were meant for it.
+        """
+        for _ in range(_HELD_CALL_MS // _HELD_CALL_CHECK_MS):
+            vm = self._find_vm()
+            if vm is not None and vm.reachable_from(self._process):
+                return vm
+            if vm is None or not vm.dead:
+                break
+            await asyncio.sleep(_HELD_CALL_CHECK_MS / 1_000)
+        return await loop_module.wait_forever()
+
 
 def vm_report(
     name: str,
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -54,6 +54,7 @@
         millicores: Processor capacity of each VM.
         memory_mb: Memory of each VM.
         guards_capacity: Whether VMs refuse starts that do not fit.
+        max_lease_ms: Longest lease that VMs grant.
         prices: Prices for the evaluation of the day.
         seed: Seed of all random numbers.
     """
@@ -67,6 +68,7 @@
     millicores: int = 32_000
     memory_mb: int = 131_072
     guards_capacity: bool = True
+    max_lease_ms: int = 6_000
     prices: credit.Prices = credit.Prices()
     seed: int = 1
 
@@ -119,6 +121,7 @@
             vms.Resources(scenario.millicores, scenario.memory_mb),
         )
         self.fleet.guards_capacity = scenario.guards_capacity
+        self.fleet.max_lease_ms = scenario.max_lease_ms
         self.processes: dict[str, process_module.Process] = {}
         self.start_ms = 0
         self._instance_count = 0
