Give each event a number of its own, and long paths a key

The event shard_unowned had the number of peer_contact_changed, so that the enum took one for the other and logged both under one name. It is 4119 now, and the enum refuses a number twice. Found by reading the table of events.

A queue whose host and prefix are longer than about 180 bytes was refused since the lists of pools are kept by path, though nobody reads the path back from the key.

--- a/src/wagtailtiller/events.py
+++ b/src/wagtailtiller/events.py
@@ -14,6 +14,7 @@
 from wagtailtiller import prometheus_metrics
 
 
+@enum.unique
 class Event(enum.Enum):
     """The events that the programs log, with their numbers."""
 
@@ -61,8 +62,8 @@
     RESTARTS_CHANGED = 4115
     OWNER_REDIRECTED = 4116
     SHARD_RECLAIMED = 4117
-    SHARD_UNOWNED = 4118
     PEER_CONTACT_CHANGED = 4118
+    SHARD_UNOWNED = 4119
     JOB_ACCEPTED = 4201
     JOB_REFUSED = 4202
     JOB_CANCELLED = 4203
--- a/src/wagtailtiller/keys.py
+++ b/src/wagtailtiller/keys.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import hashlib
 import urllib.parse
 
 from wagtailtiller import ids
@@ -51,6 +52,17 @@
     return urllib.parse.unquote(key_segment)
 
 
+def _bounded(prefix: str, long_name: str) -> str:
+    """Return the key of a name that nobody reads back from it.
+
+    The digest of a name stands for one that is too long for the store.
+    """
+    key = f"{prefix}{long_name}"
+    if len(key.encode()) <= _MAX_KEY_BYTES:
+        return key
+    return f"{prefix}{hashlib.sha256(long_name.encode()).hexdigest()}"
+
+
 def node(node_id: ids.NodeId) -> str:
     """Return the key of a process's record, attached to the process's lease."""
     return f"{NODE_PREFIX}{node_id}"
@@ -68,7 +80,7 @@
 
 def queue_pools(queue: ids.QueueId) -> str:
     """Return the key of the list of pools in which a queue has had jobs."""
-    return f"{QUEUE_PREFIX}{queue}"
+    return _bounded(QUEUE_PREFIX, queue)
 
 
 def path_pools(path: str) -> str:
@@ -77,7 +89,7 @@
     Args:
         path: Path of a ``catalogue.QueueAddress``.
     """
-    return f"{PATH_PREFIX}{path}"
+    return _bounded(PATH_PREFIX, path)
 
 
 def epoch(shard: shard_module.Shard) -> str:
@@ -127,27 +139,23 @@
 
 @functools.lru_cache(maxsize=1_024)
 def too_long(queue: catalogue.Queue) -> str:
-    """Return which name of a queue makes a key that the store does not take.
+    """Return why a queue's pool has keys that the store does not take.
 
     Args:
         queue: Queue as it is declared.
 
     Returns:
-        The name with its length; empty if the queue can be served.
+        The name of the pool with the length of a key; empty if the queue can be
+        served.
     """
     pool_keys = (
         job(queue.pool, _LONGEST_JOB_ID),
         successor(shard_module.PoolShard(queue.pool)),
     )
-    for kind, value, names_keys in (
-        ("pool", queue.pool, pool_keys),
-        ("queue", queue.queue, (queue_pools(queue.queue),)),
-        ("path", queue.address.path, (path_pools(queue.address.path),)),
-    ):
-        key_bytes = max(len(key.encode()) for key in names_keys)
-        if key_bytes > _MAX_KEY_BYTES:
-            return (
-                f"{kind} {value[:20]}... makes a key of {key_bytes} bytes,"
-                f" at most {_MAX_KEY_BYTES} are possible"
-            )
-    return ""
+    key_bytes = max(len(key.encode()) for key in pool_keys)
+    if key_bytes <= _MAX_KEY_BYTES:
+        return ""
+    return (
+        f"pool {queue.pool[:20]}... makes a key of {key_bytes} bytes,"
+        f" at most {_MAX_KEY_BYTES} are possible"
+    )
