Bound what clients may make an entry process hold

A legal request with a field of 12,000 bytes, or with 1,000 short ones, got 400, and a body over the limit was accepted.

Cause: aiohttp parses what arrives as it arrives, and limits a field and their number, but neither a head, trailers, chunk extensions nor their time. Nothing limited the sum of all clients, nor their connections. Of the configuration's limits the size of a body was decoded and never used, and the others were not read.

Change: a connection of our own on top of aiohttp's decides which bytes the parser gets, and when. The four limits of the configuration hold exactly. All connections share a budget from memory_mb and max_fds; when it is spent, those go who have held most for longest without finishing a request. What a client sends beyond its first pieces is parsed in turns of 2 ms.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -37,6 +37,7 @@
 _NO_OWNER_RETRY_MS = 1_000
 # Callers repeat a request within some seconds; more are forgotten.
 _MAX_UNKNOWN_JOBS = 2_000
+_DEFAULT_LIMITS = catalogue.RequestLimits()
 # Nothing has been sent to any process, so the request has had no effect. The
 # caller's next attempt reaches another process.
 _CUT_OFF = outcomes.Refused(admission.RefusalReason.CUT_OFF, _NO_OWNER_RETRY_MS)
@@ -210,6 +211,11 @@
             and not self._directory.is_cut_off()
         )
 
+    def request_limits(self) -> catalogue.RequestLimits:
+        """Return the limits of callers' requests that are in force."""
+        declared = self._directory.catalogue()
+        return declared.limits if declared is not None else _DEFAULT_LIMITS
+
     def on_owner_change(self, pool: ids.PoolId) -> None:
         """End the questions to previous owners of a pool.
 
--- a/src/wagtailtiller/entry/settings.py
+++ b/src/wagtailtiller/entry/settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from wagtailtiller import ids
+from wagtailtiller.http_server import limits
 
 
 class Capacity(msgspec.Struct, frozen=True):
@@ -38,6 +39,7 @@
         stop_within_ms: How long a graceful shutdown may take before the
             process is killed.
         capacity: What the entry VM offers to this process.
+        client_limits: What all clients together may make the process hold.
         overload_control: Whether jobs are ordered and admitted by what a delay
             or a refusal costs their callers.
     """
@@ -56,4 +58,5 @@
     job_kept_ms: int
     stop_within_ms: int
     capacity: Capacity = Capacity()
+    client_limits: limits.ClientLimits = limits.of_process(200, 4_100)
     overload_control: bool = False
--- /dev/null
+++ b/src/wagtailtiller/http_server/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server whose connections hold a bounded amount of memory."""
--- a/src/wagtailtiller/platform/caller_api.py
+++ b/src/wagtailtiller/platform/caller_api.py
@@ -9,6 +9,8 @@
 from wagtailtiller import events
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import outcomes
+from wagtailtiller.http_server import refusals
+from wagtailtiller.http_server import server
 from wagtailtiller.jobs import model
 from wagtailtiller.platform import documents
 from wagtailtiller.ports import catalogue
@@ -96,14 +98,17 @@
         job: model.JobId,
         timeout_ms: int,
     ) -> web.Response:
+        client = server.connection_of(request)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         try:
             async with self._frontend.deadlines.limit(timeout_ms):
-                body = await request.read()
+                body = await client.read_body(request)
+                if isinstance(body, refusals.Reason):
+                    return client.refuse(body)
+                spec = documents.decode_job(body)
         except TimeoutError:
             return _refuse_without_body(route.queue, job)
-        spec = documents.decode_job(body)
         if isinstance(spec, str):
             return _error_response(400, spec)
         time_left_ms = timeout_ms - int((loop.time() - started_s) * 1_000)
--- a/src/wagtailtiller/platform/decoding.py
+++ b/src/wagtailtiller/platform/decoding.py
@@ -14,7 +14,7 @@
 _T = TypeVar("_T")
 
 
-def decode(value: bytes, value_type: type[_T]) -> Result[_T, str]:
+def decode(value: bytes | bytearray, value_type: type[_T]) -> Result[_T, str]:
     """Decode a JSON document.
 
     Args:
--- a/src/wagtailtiller/platform/documents.py
+++ b/src/wagtailtiller/platform/documents.py
@@ -23,7 +23,6 @@
 VM_PREFIX = "servers/"
 STATUS_WAVE_PREFIX = "status/wave/"
 
-_MAX_BODY_BYTES = 262_144
 _MAX_WAVE_S = 366 * 86_400.0
 
 _T = TypeVar("_T")
@@ -224,7 +223,7 @@
             )
             for service in document.services
         ),
-        max_body_bytes=_max_body_bytes(document.limits),
+        limits=_to_request_limits(document.limits),
         organisations=_to_organisations(document.tenants),
         organisations_by_key={
             catalogue.digest(key): ids.OrganisationId(tenant.name)
@@ -268,7 +267,7 @@
     return msgspec.json.encode({"wave": int(wave_id), "state": state})
 
 
-def decode_job(body: bytes) -> model.JobSpec | str:
+def decode_job(body: bytes | bytearray) -> model.JobSpec | str:
     """Decode a caller's job.
 
     Args:
@@ -291,9 +290,17 @@
     return spec.validation_error() or spec
 
 
-def _max_body_bytes(limits: dict[str, Any]) -> int:
-    limit_bytes = limits.get("max_body_bytes")
-    return limit_bytes if isinstance(limit_bytes, int) else _MAX_BODY_BYTES
+def _to_request_limits(limits: dict[str, Any]) -> catalogue.RequestLimits:
+    known = {
+        name: limits[name]
+        for name in catalogue.RequestLimits.__struct_fields__
+        if _is_limit(limits.get(name))
+    }
+    return catalogue.RequestLimits(**known)
+
+
+def _is_limit(value: Any) -> bool:
+    return isinstance(value, int) and value > 0
 
 
 def _to_policy(advice: Any) -> catalogue.PlacementPolicy | None:
--- a/src/wagtailtiller/platform/main.py
+++ b/src/wagtailtiller/platform/main.py
@@ -1,8 +1,6 @@
 """The program that runs an entry process on the users' platform."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import random
 import sys
 
@@ -17,6 +15,8 @@
 from wagtailtiller.entry import node as node_module
 from wagtailtiller.entry import peers
 from wagtailtiller.entry import settings as settings_module
+from wagtailtiller.http_server import server
+from wagtailtiller.http_server import table
 from wagtailtiller.platform import caller_api
 from wagtailtiller.platform import declarations
 from wagtailtiller.platform import drain
@@ -26,8 +26,6 @@
 from wagtailtiller.platform import store
 from wagtailtiller.platform import vms
 
-_Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 _EXIT_BAD_SETTINGS = 2
 _METRICS_PATH = "/metrics"
 # Part of the shutdown time that is reserved for the steps after the last open
@@ -71,12 +69,16 @@
         )
         self._caller_api = caller_api.CallerApi(self._node.frontend)
         self._readiness = drain.Readiness()
+        self._connections = table.Table(
+            self.settings.client_limits, self._node.frontend.request_limits
+        )
+        self._connections.start()
         self._runners = [
-            await _listen(
+            await self._listen(
                 self._caller_api.handle, self.settings.caller_address
             ),
-            await _listen(self._handle_ready, self.settings.ready_address),
-            await _listen(_handle_metrics, self.settings.metrics_address),
+            await self._listen(self._handle_ready, self.settings.ready_address),
+            await self._listen(_handle_metrics, self.settings.metrics_address),
         ]
         await self._node.start()
         events.emit(
@@ -104,6 +106,7 @@
         await waiting
         self._node.frontend.deadlines.end_all_within(_LAST_ANSWER_MS)
         await asyncio.gather(*(runner.cleanup() for runner in self._runners))
+        self._connections.stop()
         await self._node.stop()
         await self._store.close()
         if self._machines is not None:
@@ -124,6 +127,13 @@
             return None
         return policy.PlatformPolicy(self.settings.policy_address)
 
+    async def _listen(
+        self, handler: server.Handler, address: str
+    ) -> web.ServerRunner:
+        return await server.listen(
+            handler, address, self._connections, _CLOSE_TIMEOUT_S
+        )
+
     async def _handle_ready(self, request: web.BaseRequest) -> web.Response:
         ready = not self._caller_api.stopping and self._node.frontend.is_ready()
         self._readiness.record_check(ready)
@@ -139,17 +149,6 @@
     )
 
 
-async def _listen(handler: _Handler, address: str) -> web.ServerRunner:
-    runner = web.ServerRunner(
-        web.Server(handler, keepalive_timeout=75.0),
-        shutdown_timeout=_CLOSE_TIMEOUT_S,
-    )
-    await runner.setup()
-    host, port = address.split(":")
-    await web.TCPSite(runner, host, int(port), backlog=512).start()
-    return runner
-
-
 def _check_settings_file() -> None:
     # The settings of a running process do not change. A changed file is only
     # checked, so that an error in it is reported before the next start.
--- a/src/wagtailtiller/platform/settings.py
+++ b/src/wagtailtiller/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+from typing import Annotated
 
 from expression import Error
 from expression import Ok
@@ -12,12 +13,18 @@
 from wagtailtiller import errors
 from wagtailtiller import ids
 from wagtailtiller.entry import settings
+from wagtailtiller.http_server import limits as limits_module
 
 # Must be the same port as in deploy/system.toml.
 _METRICS_PORT = 9464
 PATH_ENV_VAR = "WAGTAILTILLER_BOOT"
 
 
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_PositiveCount = Annotated[int, msgspec.Meta(gt=0)]
+_Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+
+
 class _Listen(msgspec.Struct):
     # Addresses for callers (``front``) and for the load balancer's readiness
     # check (``ready``).
@@ -39,6 +46,9 @@
     cpu_share: float = 0.5
     cores: float = 1.0
     link_mbps: float = 10.0
+    # Those of a small VM.
+    memory_mb: _Positive = 200
+    max_fds: _PositiveCount = 4_100
 
 
 class _Service(msgspec.Struct):
@@ -61,6 +71,10 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     # A setting of the product, which the platform passes on.
     overload_control: bool = False
+    # Settings of the product: the parts of the memory and of the descriptors
+    # that clients may use.
+    client_memory_share: _Share = limits_module.DEFAULT_MEMORY_SHARE
+    client_descriptor_share: _Share = limits_module.DEFAULT_DESCRIPTOR_SHARE
 
 
 def load() -> Result[settings.EntrySettings, errors.InvalidSetting]:
@@ -111,6 +125,12 @@
                 int(file.limits.cpu_share * file.limits.cores * 1_000),
                 file.limits.link_mbps,
             ),
+            client_limits=limits_module.of_process(
+                file.limits.memory_mb,
+                file.limits.max_fds,
+                file.client_memory_share,
+                file.client_descriptor_share,
+            ),
             overload_control=file.overload_control,
         )
     )
--- a/src/wagtailtiller/ports/catalogue.py
+++ b/src/wagtailtiller/ports/catalogue.py
@@ -156,6 +156,24 @@
     standby: bool
 
 
+class RequestLimits(msgspec.Struct, frozen=True):
+    """Limits of one request, which operators declare.
+
+    Attributes:
+        max_header_bytes: Largest head, with the request line.
+        max_body_bytes: Largest body.
+        header_timeout_ms: Longest time from the first to the last byte of a
+            head.
+        idle_timeout_ms: Longest time without a byte between requests and in a
+            body.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
 class Catalogue(msgspec.Struct, frozen=True):
     """Declarations of the operators at one version.
 
@@ -163,17 +181,17 @@
         version: Number that increases with each change.
         queues: Queues, in no particular order.
         pools: Pools, in no particular order.
-        max_body_bytes: Largest request body that a caller may send.
         organisations: Organisations by name; None if callers need no API keys.
         organisations_by_key: Organisation that each API key belongs to.
+        limits: Limits of the requests of callers.
     """
 
     version: int
     queues: tuple[Queue, ...]
     pools: tuple[Pool, ...]
-    max_body_bytes: int
     organisations: dict[ids.OrganisationId, Organisation] | None = None
     organisations_by_key: dict[ApiKeyDigest, ids.OrganisationId] = {}
+    limits: RequestLimits = RequestLimits()
 
     def authenticate(
         self, queue: Queue, api_key: str | None
--- a/src/wagtailtiller/prometheus_metrics.py
+++ b/src/wagtailtiller/prometheus_metrics.py
@@ -49,6 +49,22 @@
     ("pool", "organisation", "resource"),
     registry=_registry,
 )
+_connection_gauge = prometheus_client.Gauge(
+    "wagtailtiller_client_connections",
+    "Open connections of clients.",
+    registry=_registry,
+)
+_held_gauge = prometheus_client.Gauge(
+    "wagtailtiller_client_held_bytes",
+    "Memory that connections and requests of clients hold.",
+    registry=_registry,
+)
+_cut_off_counter = prometheus_client.Counter(
+    "wagtailtiller_clients_cut_off",
+    "Clients that were refused or cut off, by reason.",
+    ("reason",),
+    registry=_registry,
+)
 # Bounds the number of time series; further organisations have none.
 _MAX_ALLOCATION_SERIES = 256
 _allocation_labels: set[tuple[str, str, str]] = set()
@@ -107,6 +123,27 @@
         _allocation_demand_gauge.remove(*labels)
 
 
+def set_connections(connection_count: int, held_bytes: int) -> None:
+    """Set the gauges of what clients make this process hold.
+
+    Args:
+        connection_count: Number of open connections.
+        held_bytes: Memory that they hold.
+    """
+    _connection_gauge.set(connection_count)
+    _held_gauge.set(held_bytes)
+
+
+def count_cut_off(reason: str, count: int) -> None:
+    """Count clients that were refused or cut off.
+
+    Args:
+        reason: Name of the reason.
+        count: How many there were.
+    """
+    _cut_off_counter.labels(reason).inc(count)
+
+
 def text() -> bytes:
     """Return all metrics in the text format of Prometheus."""
     return prometheus_client.generate_latest(_registry)
--- a/support/demo/entry_site.py
+++ b/support/demo/entry_site.py
@@ -1,6 +1,7 @@
 """Starts entry processes and the stand-ins that they need on loopback."""
 
 import base64
+from collections.abc import Mapping
 from collections.abc import Sequence
 import json
 import os
@@ -25,6 +26,7 @@
 _HOST = "press.example"
 _POOLS = ("renders", "plates")
 _STANDBY = "spare"
+_REQUEST_LIMITS = {"max_body_bytes": 262_144}
 
 
 class EntrySite:
@@ -34,6 +36,9 @@
         folder: Folder for settings files and logs.
         entries: Number of entry processes.
         machines: Number of machines in each pool.
+        process_limits: Limits of an entry process in its settings file, such
+            as ``memory_mb``; None for the defaults.
+        request_limits: Limits of requests in the configuration.
 
     Attributes:
         processes: Processes by name.
@@ -42,9 +47,16 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, entries: int = 3, machines: int = 2
+        self,
+        folder: pathlib.Path,
+        entries: int = 3,
+        machines: int = 2,
+        process_limits: Mapping[str, float] | None = None,
+        request_limits: Mapping[str, int] = _REQUEST_LIMITS,
     ) -> None:
         self._folder = folder
+        self._process_limits = process_limits
+        self._request_limits = request_limits
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._store_port = ports.free_port()
         self.service_port = ports.free_port()
@@ -107,7 +119,7 @@
         for name in self.addresses:
             self.start_entry(name)
         for name in self.addresses:
-            self._wait_until_ready(self.ready_url(name))
+            self.wait_until_ready(name)
 
     def start_entry(self, name: str) -> None:
         """Start the entry process of the given name."""
@@ -148,10 +160,9 @@
             The status and the decoded JSON body; status 0 if there is no
             response.
         """
-        address = f"{self.addresses[name]}:{self._caller_port}"
         data = json.dumps(body).encode() if body is not None else None
         request = urllib.request.Request(
-            f"http://{address}{path}", data, method=method
+            f"http://{self.caller_address(name)}{path}", data, method=method
         )
         request.add_header("Host", _HOST)
         request.add_header("Timeout-Ms", "3000")
@@ -243,10 +254,21 @@
             if row["pool"] == pool and row["id"] not in busy
         ]
 
+    def caller_address(self, name: str) -> str:
+        """Return the address, as ``ip:port``, for callers of a process."""
+        return f"{self.addresses[name]}:{self._caller_port}"
+
+    def ready_address(self, name: str) -> str:
+        """Return the address of the readiness check of an entry process."""
+        return f"{self.addresses[name]}:{self._ready_port}"
+
     def ready_url(self, name: str) -> str:
         """Return the URL at which a load balancer checks an entry process."""
-        address = f"{self.addresses[name]}:{self._ready_port}"
-        return f"http://{address}/v1/ready"
+        return f"http://{self.ready_address(name)}/v1/ready"
+
+    def wait_until_ready(self, name: str) -> None:
+        """Wait until an entry process has passed its readiness check."""
+        self._wait_until_ready(self.ready_url(name))
 
     def _call_store(self, method: str, path: str, body: Any = None) -> Any:
         url = f"http://127.0.0.1:{self._store_port}{path}"
@@ -279,12 +301,16 @@
             "version": 1,
             "routes": routes,
             "services": services,
-            "limits": {"max_body_bytes": 262_144},
+            "limits": dict(self._request_limits),
         }
 
     def _settings(self, name: str) -> dict[str, Any]:
         ip = self.addresses[name]
+        limits = (
+            {"limits": self._process_limits} if self._process_limits else {}
+        )
         return {
+            **limits,
             "node_name": name,
             "ip": ip,
             "zone": "dc-1",
--- a/support/sim/world.py
+++ b/support/sim/world.py
@@ -37,7 +37,6 @@
 _CALLER_TIMEOUT_MS = 3_000
 _CALLER_ATTEMPTS = 5
 _RETRY_MS = 300
-_MAX_BODY_BYTES = 262_144
 
 
 @dataclasses.dataclass(frozen=True)
@@ -344,4 +343,4 @@
         for pool in scenario.machines
     )
     queues = tuple(kind.queue() for kind in scenario.kinds)
-    return catalogue.Catalogue(1, queues, pools, _MAX_BODY_BYTES)
+    return catalogue.Catalogue(1, queues, pools)
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -39,7 +39,7 @@
         self.cut_off = False
         self.local_answers = []
         self.local_requests = []
-        self.declared = catalogue.Catalogue(1, (jobs.queue(),), (), 1_000)
+        self.declared = catalogue.Catalogue(1, (jobs.queue(),), ())
         self.known_pools = queue_pools.QueuePools()
         self.known_pools.listed = True
 
@@ -303,9 +303,7 @@
         longer = catalogue.Queue(
             "long", "host", "/proofs/a/", jobs.POOL, 0, 1, 1.0, 0
         )
-        self.directory.declared = catalogue.Catalogue(
-            1, (queue, longer), (), 1_000
-        )
+        self.directory.declared = catalogue.Catalogue(1, (queue, longer), ())
         found = self.frontend.route("HOST:80", "/proofs/a/b", None)
         self.assertEqual(frontend.Route(longer), found)
         found = self.frontend.route("host", "/proofs/b", None)
@@ -472,7 +470,6 @@
             version,
             (queue,),
             (),
-            1_000,
             organisations={},
             organisations_by_key={
                 catalogue.digest(key): _ORGANISATION for key in api_keys
@@ -495,9 +492,7 @@
         self.assertEqual(catalogue.NO_ORGANISATION, self.find("guessed"))
 
     def test_configuration_without_organisations_needs_no_key(self):
-        self.directory.declared = catalogue.Catalogue(
-            1, (jobs.queue(),), (), 1_000
-        )
+        self.directory.declared = catalogue.Catalogue(1, (jobs.queue(),), ())
         self.assertEqual(catalogue.NO_ORGANISATION, self.find(None))
 
     def test_key_withdrawn_between_requests_of_a_peak(self):
--- a/tests/maintenance/test_machine_manager.py
+++ b/tests/maintenance/test_machine_manager.py
@@ -149,7 +149,7 @@
             catalogue.Pool(_RENDERS, True, False),
             catalogue.Pool(_SPARE, True, True),
         )
-        self.catalogue = catalogue.Catalogue(1, (queue,), pools, 1_000)
+        self.catalogue = catalogue.Catalogue(1, (queue,), pools)
         self.waves = {}
 
     def wave_status_key(self, wave):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -7,6 +7,7 @@
 from wagtailtiller.platform import documents
 from wagtailtiller.platform import settings
 from wagtailtiller.platform import task_names
+from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import vms
 
 _WORKER = {
@@ -64,19 +65,30 @@
         )
         self.assertIsNone(documents.decode_wave(value.encode()))
 
-    def config(self, tenants=None, **route_changes):
+    def config(self, tenants=None, limits=None, **route_changes):
         route = {"name": "q", "host": "h", "prefix": "/q/", "service": "proofs"}
         value = {
             "version": 3,
             "tenants": tenants,
             "routes": [{**route, **route_changes}],
             "services": [],
-            "limits": {"max_body_bytes": 1_000, "unheard_of": 0.5},
+            "limits": limits or {"max_body_bytes": 1_000, "unheard_of": 0.5},
         }
         return documents.decode_config(json.dumps(value).encode())
 
     def test_unknown_limits_do_not_invalidate_the_configuration(self):
-        self.assertEqual(1_000, self.config().max_body_bytes)
+        self.assertEqual(1_000, self.config().limits.max_body_bytes)
+
+    def test_limits_are_read_and_unusable_ones_have_their_defaults(self):
+        limits = {
+            "max_header_bytes": 2_000,
+            "header_timeout_ms": "soon",
+            "idle_timeout_ms": -1,
+        }
+        self.assertEqual(
+            catalogue.RequestLimits(max_header_bytes=2_000),
+            self.config(limits=limits).limits,
+        )
 
     def test_tenants_are_decoded_as_organisations(self):
         tenant = {
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -13,6 +13,7 @@
 from wagtailtiller import ids
 from wagtailtiller.entry import frontend
 from wagtailtiller.entry import settings as settings_module
+from wagtailtiller.http_server import table
 from wagtailtiller.owner import queue_pools
 from wagtailtiller.platform import caller_api
 from wagtailtiller.platform import drain
@@ -31,7 +32,7 @@
     """Directory of a pool whose owner never answers."""
 
     def __init__(self):
-        self.declared = catalogue.Catalogue(1, (jobs.queue(),), (), 1_000)
+        self.declared = catalogue.Catalogue(1, (jobs.queue(),), ())
 
     def catalogue(self):
         return self.declared
@@ -104,7 +105,11 @@
             self.service._store = _Closable()
             self.service._machines = None
             self.service._policy = None
-            runner = await main_module._listen(
+            self.service._connections = table.Table(
+                self.service.settings.client_limits,
+                entry_frontend.request_limits,
+            )
+            runner = await self.service._listen(
                 self.service._caller_api.handle, "127.0.0.1:0"
             )
             self.port = runner.addresses[0][1]
