Refuse jobs whose specification is over its limit

Cause: the users' page limits a spec to 4,000 bytes; nothing here did, and each was stored, mirrored and sent to VMs with every start.

Change: 400 that names the field and the limit. A spec of 4,000 bytes is served.

--- a/src/wagtailtiller/platform/documents.py
+++ b/src/wagtailtiller/platform/documents.py
@@ -23,6 +23,7 @@
 VM_PREFIX = "servers/"
 STATUS_WAVE_PREFIX = "status/wave/"
 
+_MAX_SPEC_BYTES = 4_000
 _MAX_WAVE_S = 366 * 86_400.0
 
 _T = TypeVar("_T")
@@ -280,6 +281,8 @@
     if decoded.is_error():
         return decoded.error
     document = decoded.ok
+    if len(document.spec.encode(errors="replace")) > _MAX_SPEC_BYTES:
+        return f"spec: must have at most {_MAX_SPEC_BYTES} bytes"
     spec = model.JobSpec(
         payload=document.spec,
         steps=tuple(_to_step(step) for step in document.steps),
--- a/tests/processes/test_rough_clients.py
+++ b/tests/processes/test_rough_clients.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import json
 import os
 import pathlib
 import tempfile
@@ -277,6 +278,12 @@
         body += b" " * (_LIMITS["max_body_bytes"] + 1 - len(body))
         self.assertEqual(413, self.request("X: y", body))
 
+    def test_longest_specification_is_served_and_a_longer_one_refused(self):
+        for size, status in ((4_000, 200), (4_001, 400)):
+            job = {"spec": "x" * size, "steps": [{"count": 1}]}
+            body = json.dumps(job).encode()
+            self.assertEqual(status, self.request("X: y", body))
+
     def request(self, fields, body):
         head = _head(f"Content-Length: {len(body)}", fields) + b"\r\n"
         return rough_clients.status_of(
