Refuse whole jobs for which an owner has no memory

Cause: an accepted job is kept by its owner with all its steps and tasks, and nothing limited their sum. By tracemalloc: 184 bytes a step at rest, 1,500 to 1,700 once its tasks are made, 1,300 a task; a job of 95 bytes with 10,000 tasks takes 13 MB until it is forgotten, also after it was cancelled.

Change: room is taken by a job's size twice. Before it is decoded, twelve times its body comes from the clients' budget; nobody is cut off for it, and large bodies are decoded one a turn. The owner refuses (503) only after it has looked for the job in the store, as it does for all refusals. Inherited jobs count and are never refused.

Why it works: what an owner keeps grows with steps and tasks, and these are now counted before they are kept.

--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -34,6 +34,8 @@
 from wagtailtiller.ports import policy
 from wagtailtiller.ports import store
 from wagtailtiller.ports import vms
+from wagtailtiller.scheduling import job_memory
+from wagtailtiller.scheduling import state
 
 MACHINES_SHARD = shard_module.MachinesShard()
 _SESSION_CHECK_INTERVAL_MS = 250
@@ -105,6 +107,7 @@
             clock,
             rng,
             self._queue_pools,
+            job_memory.JobMemory(settings.max_job_bytes, self._owned_pools),
         )
         self._owners: dict[ids.PoolId, pool_owner.PoolOwner] = {}
         self._peers = adapters.peers
@@ -361,6 +364,9 @@
             }
         )
 
+    def _owned_pools(self) -> list[state.PoolState]:
+        return [owner.pool for owner in self._owners.values()]
+
     def _on_shard_gained(self, claim: claims.Claim) -> None:
         if claim.shard == MACHINES_SHARD:
             self._start_machine_manager(claim)
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -41,6 +41,7 @@
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import commands
 from wagtailtiller.scheduling import crashes
+from wagtailtiller.scheduling import job_memory as job_memory_module
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import vm as vm_module
 
@@ -90,6 +91,7 @@
         clock: Clock that supplies the current time.
         rng: Random source that spreads retries.
         known_pools: The pools in which each queue has had jobs.
+        job_memory: Limits the memory of all jobs of the process.
     """
 
     store: store.Store
@@ -101,6 +103,9 @@
     known_pools: queue_pools.QueuePools = dataclasses.field(
         default_factory=queue_pools.QueuePools
     )
+    job_memory: job_memory_module.JobMemory = dataclasses.field(
+        default_factory=job_memory_module.without_limit
+    )
 
 
 class PoolOwner:
@@ -219,6 +224,7 @@
             self._wake.set,
             self._stored_jobs.find,
             self._stored_jobs.find_in_other_pools,
+            ports.job_memory,
         )
         self._policy_queue: policy_queue.PolicyQueue | None = None
         if ports.placement_policy is not None:
--- a/src/wagtailtiller/owner/requests.py
+++ b/src/wagtailtiller/owner/requests.py
@@ -16,6 +16,7 @@
 from wagtailtiller.owner import messages
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import admission
+from wagtailtiller.scheduling import job_memory as job_memory_module
 from wagtailtiller.scheduling import pool as pool_module
 from wagtailtiller.scheduling import state
 from wagtailtiller.scheduling import vm as vm_module
@@ -52,6 +53,7 @@
             it is stored; returns whether it is.
         find_in_other_pools: Looks a job up in the other pools that its queue
             has had.
+        job_memory: Limits the memory of all jobs of the process.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         on_change: Callable[[], None],
         find_stored: FindStored,
         find_in_other_pools: FindInOtherPools,
+        job_memory: job_memory_module.JobMemory,
     ) -> None:
         self._pool = pool
         self._find_in_other_pools = find_in_other_pools
@@ -71,6 +74,7 @@
         self._store_answers = store_answers
         self._on_change = on_change
         self._find_stored = find_stored
+        self._job_memory = job_memory
         self._arrived_core_ms = 0.0
         self._arrived_jobs = 0
         # Refused jobs that have been counted, in the order of their arrival.
@@ -186,6 +190,8 @@
     def _check_admission(
         self, request: messages.Submit
     ) -> admission.Refusal | None:
+        if not self._job_memory.has_room(request.spec):
+            return admission.NO_MEMORY
         queue = self._pool.jobs.queue(request.queue)
         if queue is None:
             return None
--- a/src/wagtailtiller/platform/caller_api.py
+++ b/src/wagtailtiller/platform/caller_api.py
@@ -21,6 +21,10 @@
 _DEFAULT_TIMEOUT_MS = 3_000
 _MAX_TIMEOUT_MS = 60_000
 _BODY_RETRY_AFTER_S = 1
+# Memory of a decoded job, in sizes of its body.
+_DECODED_FACTOR = 12
+# Larger bodies are decoded one in each turn of the event loop.
+_LARGE_BODY_BYTES = 16_384
 
 
 class CallerApi:
@@ -42,6 +46,7 @@
         self.in_flight = 0
         self.last_request_s = 0.0
         self.stopping = False
+        self._large_bodies = asyncio.Lock()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request.
@@ -106,7 +111,9 @@
                 body = await client.read_body(request)
                 if isinstance(body, refusals.Reason):
                     return client.refuse(body)
-                spec = documents.decode_job(body)
+                if not client.reserve(len(body) * _DECODED_FACTOR):
+                    return client.refuse(refusals.Reason.NO_MEMORY)
+                spec = await self._decode(body)
         except TimeoutError:
             return _refuse_without_body(route.queue, job)
         if isinstance(spec, str):
@@ -116,6 +123,14 @@
             await self._frontend.submit(route, job, spec, time_left_ms)
         )
 
+    async def _decode(self, body: bytearray) -> model.JobSpec | str:
+        if len(body) <= _LARGE_BODY_BYTES:
+            return documents.decode_job(body)
+        async with self._large_bodies:
+            # Other requests are served between two large ones.
+            await asyncio.sleep(0)
+            return documents.decode_job(body)
+
 
 def _api_key(request: web.BaseRequest) -> str | None:
     header = request.headers.get("Authorization", "")
--- a/src/wagtailtiller/platform/settings.py
+++ b/src/wagtailtiller/platform/settings.py
@@ -72,9 +72,10 @@
     # A setting of the product, which the platform passes on.
     overload_control: bool = False
     # Settings of the product: the parts of the memory and of the descriptors
-    # that clients may use.
+    # that clients may use, and of the memory that accepted jobs may take.
     client_memory_share: _Share = limits_module.DEFAULT_MEMORY_SHARE
     client_descriptor_share: _Share = limits_module.DEFAULT_DESCRIPTOR_SHARE
+    job_memory_share: _Share = 0.3
 
 
 def load() -> Result[settings.EntrySettings, errors.InvalidSetting]:
@@ -131,6 +132,10 @@
                 file.client_memory_share,
                 file.client_descriptor_share,
             ),
+            max_job_bytes=int(
+                limits_module.available_bytes(file.limits.memory_mb)
+                * file.job_memory_share
+            ),
             overload_control=file.overload_control,
         )
     )
--- a/src/wagtailtiller/scheduling/admission.py
+++ b/src/wagtailtiller/scheduling/admission.py
@@ -16,6 +16,8 @@
 # A job that fits on no VM may fit after the VMs of the pool have changed.
 _FITS_NOWHERE_RETRY_MS = 10_000
 _MIN_RETRY_MS = 500
+# Jobs are kept for some time after their end.
+_NO_MEMORY_RETRY_MS = 5_000
 # The caller has cancelled the job, so that a retry is of no use.
 WITHDRAWN_RETRY_MS = 30_000
 # Time from the request to move a machine to the pool until its VM accepts
@@ -45,6 +47,7 @@
     OVER_SHARE = "over_share"
     CUT_OFF = "cut_off"
     NAME_TOO_LONG = "name_too_long"
+    NO_MEMORY = "no_memory"
     WITHDRAWN = "withdrawn"
 
 
@@ -116,6 +119,9 @@
         }
 
 
+NO_MEMORY = Refusal(RefusalReason.NO_MEMORY, _NO_MEMORY_RETRY_MS)
+
+
 class Backlog(msgspec.Struct, frozen=True):
     """Work ahead of a new job, and the capacity that could be added for it.
 
--- a/src/wagtailtiller/scheduling/jobs.py
+++ b/src/wagtailtiller/scheduling/jobs.py
@@ -10,6 +10,7 @@
 from wagtailtiller.scheduling import allocations as allocations_module
 from wagtailtiller.scheduling import cost_admission
 from wagtailtiller.scheduling import cost_order as cost_order_module
+from wagtailtiller.scheduling import job_memory
 from wagtailtiller.scheduling import limit_admission
 from wagtailtiller.scheduling import limited_backlog
 from wagtailtiller.scheduling import state
@@ -136,7 +137,9 @@
             age_ms if inherited else 0
         )
         entry = state.JobEntry(job, accepted_ms, inherited, stored_state)
+        self._drop(job.id)
         self._state.entries[job.id] = entry
+        self._state.held_job_bytes += job_memory.estimated_bytes(job.spec)
         if job.is_final():
             entry.final_ms = self._state.clock.monotonic_ms()
         else:
@@ -160,11 +163,17 @@
 
     def remove(self, job: model.JobId) -> None:
         """Remove a job that was not stored or whose retention has ended."""
-        self._state.entries.pop(job, None)
+        self._drop(job)
         self._state.active.pop(job, None)
         self._state.changed.discard(job)
         self._state.tickets.remove_job(job)
 
+    def _drop(self, job: model.JobId) -> None:
+        entry = self._state.entries.pop(job, None)
+        if entry is not None:
+            spec = entry.job.spec
+            self._state.held_job_bytes -= job_memory.estimated_bytes(spec)
+
     def cancel(self, job: model.JobId) -> None:
         """Cancel a job; the next plan stops its runs."""
         entry = self._state.entries.get(job)
--- a/src/wagtailtiller/scheduling/state.py
+++ b/src/wagtailtiller/scheduling/state.py
@@ -82,6 +82,7 @@
         no_room_until_ms: Time, on the owner's clock, until which a long-running
             task on a VM that is being vacated counts as having no room
             elsewhere.
+        held_job_bytes: Estimated memory of all known jobs.
         tickets: Tickets of the placement policy.
         health: Ends of runs by step and VM, from which faulty VMs are
             identified.
@@ -109,6 +110,7 @@
         self.unresolved: dict[ids.VmId, int] = {}
         self.spare_millicores: int | None = None
         self.no_room_until_ms = 0
+        self.held_job_bytes = 0
         self.tickets = tickets.Tickets()
         self.health = vm_health.VmHealth()
         self.run_times = run_times.RunTimes(pool, clock)
--- a/tests/owner/test_pool_owner.py
+++ b/tests/owner/test_pool_owner.py
@@ -26,6 +26,7 @@
 from wagtailtiller.ownership import shard as shard_module
 from wagtailtiller.ports import vms
 from wagtailtiller.scheduling import admission
+from wagtailtiller.scheduling import job_memory
 from wagtailtiller.scheduling import vm as vm_module
 
 _SHARD = shard_module.PoolShard(jobs.POOL)
@@ -79,6 +80,7 @@
             self.lost = []
             self.lease = leases.FakeLease(self.clock)
             self.store_unreachable = False
+            self.job_memory = job_memory.without_limit()
             await asyncio.wait_for(main(), 15)
 
         asyncio.run(wrapped())
@@ -96,6 +98,7 @@
                 None,
                 self.clock,
                 random.Random(1),
+                job_memory=self.job_memory,
             ),
             _SETTINGS,
             lambda owner, reason: self.lost.append(reason),
@@ -165,6 +168,30 @@
 
         self.run_with(main)
 
+    def test_job_beyond_the_memory_is_refused_unless_it_is_stored(self):
+        """Load pattern: many whole jobs of the largest legal size at once.
+
+        Guards against an owner that ends for want of memory, and against a
+        refusal of a job that an earlier attempt has stored.
+        """
+
+        async def main():
+            self.add_vm("vm-1")
+            self.job_memory = job_memory.JobMemory(100, tuple)
+            owner = self.own_pool()
+            answer = await self.submit(owner)
+            self.assertEqual(admission.RefusalReason.NO_MEMORY, answer.reason)
+            self.store.state.write(
+                keys.job(jobs.POOL, "b" * 16),
+                record.encode(jobs.job("b" * 16)),
+                0,
+                "",
+            )
+            answer = await self.submit(owner, "b")
+            self.assertEqual(messages.Accepted(), answer)
+
+        self.run_with(main)
+
     def test_job_of_another_organisation_is_not_visible(self):
         """Guards against members who see or cancel one another's orders."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -42,15 +42,17 @@
         decoded = self.decode(limits=limits).ok
         self.assertEqual(88_000_000, decoded.client_limits.max_held_bytes)
         self.assertEqual(2_925, decoded.client_limits.max_connections)
+        self.assertEqual(66_000_000, decoded.max_job_bytes)
 
     def test_shares_are_settings(self):
-        shares = {"client_memory_share": 0.2}
+        shares = {"client_memory_share": 0.2, "job_memory_share": 0.5}
         limits = {"memory_mb": 300, "max_fds": 4_100}
         decoded = self.decode(
             limits=limits, client_descriptor_share=0.5, **shares
         ).ok
         self.assertEqual(44_000_000, decoded.client_limits.max_held_bytes)
         self.assertEqual(1_950, decoded.client_limits.max_connections)
+        self.assertEqual(110_000_000, decoded.max_job_bytes)
 
     def test_small_machine_still_has_room_for_clients(self):
         decoded = self.decode(limits={"memory_mb": 60, "max_fds": 100}).ok
@@ -61,6 +63,7 @@
         for name in (
             "client_memory_share",
             "client_descriptor_share",
+            "job_memory_share",
         ):
             for value in (0, 1.5, "much"):
                 error = self.decode(**{name: value}).error
--- a/tests/processes/test_rough_clients.py
+++ b/tests/processes/test_rough_clients.py
@@ -197,6 +197,31 @@
         self.play(rough_clients.Behaviour(opening))
 
 
+class JobTest(_ProcessTest):
+    """Whole requests inside the limits, which hold much once accepted."""
+
+    def test_jobs_of_many_steps(self):
+        step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 50}
+        self.play_jobs({"spec": "work_ms=50", "steps": [step] * 4_000})
+
+    def test_jobs_of_many_tasks(self):
+        step = {"count": 10_000, "cpu": 1, "mem_mb": 1, "estimate_ms": 50}
+        self.play_jobs({"spec": "work_ms=50", "steps": [step]})
+
+    def test_specifications_above_their_limit(self):
+        step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 50}
+        self.play_jobs({"spec": "x" * 262_000, "steps": [step]})
+
+    def play_jobs(self, job):
+        """Play clients each of which sends one job of its own."""
+        body = json.dumps(job).encode()
+        self.play(
+            rough_clients.Behaviour(
+                opening_of=lambda: _body_head(len(body)) + body
+            )
+        )
+
+
 class HeadTest(_ProcessTest):
     def test_fields_without_end(self):
         field = b"X-Padding: " + b"x" * 4_000 + b"\r\n"
