Limit the calls to the store that callers cause

Cause: each request about a job that the owner does not know, and each refused job, reads the store, and each such call takes a connection. With 2,925 clients that is as many again, and leases need descriptors too.

Ruled out: the connections of clients themselves, which never exceeded 375.

Change: job look-ups of owners and all store calls of frontends go through one limit for the process, half of the descriptors that are not for clients; others wait. Leases, claims, watches and the owner's own writes do not.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -185,7 +185,7 @@
         self,
         directory: Directory,
         peer_client: peers.Peers,
-        store_client: store.Store,
+        store_client: store.Committer,
         clock: clock_module.Clock,
         lateness_ms: Callable[[], int] = lambda: 0,
     ) -> None:
--- a/src/wagtailtiller/entry/job_store.py
+++ b/src/wagtailtiller/entry/job_store.py
@@ -42,7 +42,7 @@
 
     def __init__(
         self,
-        store_client: store.Store,
+        store_client: store.Committer,
         clock: clock_module.Clock,
         known_pools: queue_pools.QueuePools,
     ) -> None:
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -11,6 +11,7 @@
 from wagtailtiller import events
 from wagtailtiller import ids
 from wagtailtiller import keys
+from wagtailtiller import limited_calls
 from wagtailtiller import loop_monitor
 from wagtailtiller import runtime
 from wagtailtiller import tasks
@@ -99,6 +100,9 @@
         self._adapters = adapters
         self._clock = clock
         self._queue_pools = queue_pools.QueuePools()
+        job_calls = limited_calls.LimitedCalls(
+            adapters.store, settings.max_job_calls
+        )
         self._owner_ports = pool_owner.OwnerPorts(
             adapters.store,
             adapters.connect,
@@ -108,6 +112,7 @@
             rng,
             self._queue_pools,
             job_memory.JobMemory(settings.max_job_bytes, self._owned_pools),
+            job_calls,
         )
         self._owners: dict[ids.PoolId, pool_owner.PoolOwner] = {}
         self._peers = adapters.peers
@@ -139,7 +144,7 @@
         )
         self._loop_monitor = loop_monitor.LoopMonitor(clock)
         self.frontend = frontend.Frontend(
-            self, self._peers, adapters.store, clock, self._lateness_ms
+            self, self._peers, job_calls, clock, self._lateness_ms
         )
         self._machine_manager: machine_manager_module.MachineManager | None = (
             None
--- a/src/wagtailtiller/entry/settings.py
+++ b/src/wagtailtiller/entry/settings.py
@@ -40,6 +40,7 @@
             process is killed.
         capacity: What the entry VM offers to this process.
         client_limits: What all clients together may make the process hold.
+        max_job_calls: Calls to the store that callers' requests may have open.
         max_job_bytes: Memory that accepted jobs may take in the owner of their
             pool.
         overload_control: Whether jobs are ordered and admitted by what a delay
@@ -61,5 +62,6 @@
     stop_within_ms: int
     capacity: Capacity = Capacity()
     client_limits: limits.ClientLimits = limits.of_process(200, 4_100)
+    max_job_calls: int = 400
     max_job_bytes: int = 36_000_000
     overload_control: bool = False
--- a/src/wagtailtiller/http_server/limits.py
+++ b/src/wagtailtiller/http_server/limits.py
@@ -62,5 +62,19 @@
     )
 
 
+def max_own_calls(max_fds: int, descriptor_share: float) -> int:
+    """Return how many calls clients may cause the process to have open.
+
+    They may take half of the connections that are not for clients.
+
+    Args:
+        max_fds: Number of descriptors that the process may have.
+        descriptor_share: Part of the descriptors for connections that is for
+            clients.
+    """
+    own_fds = _connection_fds(max_fds) * (1 - descriptor_share)
+    return max(int(own_fds / 2), 1)
+
+
 def _connection_fds(max_fds: int) -> int:
     return max(max_fds - _FILE_DESCRIPTORS, 1)
--- a/src/wagtailtiller/owner/pool_owner.py
+++ b/src/wagtailtiller/owner/pool_owner.py
@@ -62,6 +62,8 @@
 # Jobs are kept longer than the setting promises, by this factor.
 _JOB_RETENTION_FACTOR = 1.2
 
+_KeyReader = store.KeyReader
+
 
 class OwnerSettings(msgspec.Struct, frozen=True):
     """Settings of pool owners.
@@ -92,6 +94,7 @@
         rng: Random source that spreads retries.
         known_pools: The pools in which each queue has had jobs.
         job_memory: Limits the memory of all jobs of the process.
+        job_reader: Client that looks up jobs for callers; None for ``store``.
     """
 
     store: store.Store
@@ -106,6 +109,7 @@
     job_memory: job_memory_module.JobMemory = dataclasses.field(
         default_factory=job_memory_module.without_limit
     )
+    job_reader: _KeyReader | None = None
 
 
 class PoolOwner:
@@ -160,7 +164,7 @@
             ports.known_pools,
         )
         self._stored_jobs = stored_jobs.StoredJobs(
-            ports.store,
+            ports.job_reader or ports.store,
             self.pool,
             self._job_writer,
             clock,
--- a/src/wagtailtiller/owner/stored_jobs.py
+++ b/src/wagtailtiller/owner/stored_jobs.py
@@ -43,7 +43,7 @@
 
     def __init__(
         self,
-        store_client: store.Store,
+        store_client: store.KeyReader,
         pool: pool_module.Pool,
         writer: job_writer_module.JobWriter,
         clock: clock_module.Clock,
--- a/src/wagtailtiller/platform/settings.py
+++ b/src/wagtailtiller/platform/settings.py
@@ -132,6 +132,9 @@
                 file.client_memory_share,
                 file.client_descriptor_share,
             ),
+            max_job_calls=limits_module.max_own_calls(
+                file.limits.max_fds, file.client_descriptor_share
+            ),
             max_job_bytes=int(
                 limits_module.available_bytes(file.limits.memory_mb)
                 * file.job_memory_share
--- a/src/wagtailtiller/ports/store.py
+++ b/src/wagtailtiller/ports/store.py
@@ -94,6 +94,22 @@
 MAX_TRANSACTION_ENTRIES = 32
 
 
+class KeyReader(Protocol):
+    """A client that reads single keys."""
+
+    async def read_key(
+        self, key: str
+    ) -> Result[Item | None, errors.StoreUnavailable]:
+        """Read a key; the result is None if the key does not exist."""
+
+
+class Committer(KeyReader, Protocol):
+    """A client that reads single keys and applies transactions."""
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Apply a transaction if its preconditions hold."""
+
+
 class Store(Protocol):
     """Interface of a compare-and-swap store with leases and watches.
 
--- a/tests/processes/test_rough_clients.py
+++ b/tests/processes/test_rough_clients.py
@@ -212,6 +212,14 @@
         step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 50}
         self.play_jobs({"spec": "x" * 262_000, "steps": [step]})
 
+    def test_questions_about_unknown_jobs(self):
+        """Guards against as many calls to the store as there are clients."""
+        self.play(
+            rough_clients.Behaviour(
+                opening_of=lambda: _head(method="GET") + b"\r\n"
+            )
+        )
+
     def play_jobs(self, job):
         """Play clients each of which sends one job of its own."""
         body = json.dumps(job).encode()
