Bound what callers may make a gateway hold

What was seen: the caller address of a gateway has the same class of fault as that of an entry process: a body of up to 1 MiB is kept for each caller without a bound in sum, and heads without end are read to the end.

A body is counted until it has been passed on. A request that is cut off for memory before anything was forwarded is `not_run` (no_memory). aiohttp's router served two paths; they are matched here.

--- a/src/wagtailtiller/gateway/serving/callers.py
+++ b/src/wagtailtiller/gateway/serving/callers.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 import http
 import itertools
+import re
 
+from aiohttp import hdrs
 from aiohttp import web
 
 from wagtailtiller import clock as clock_module
@@ -18,17 +20,32 @@
 from wagtailtiller.gateway.serving import admission
 from wagtailtiller.gateway.serving import outcomes
 from wagtailtiller.gateway.serving import service
+from wagtailtiller.http_server import limits as http_limits
+from wagtailtiller.http_server import refusals
+from wagtailtiller.http_server import server
+from wagtailtiller.http_server import table
+from wagtailtiller.ports import catalogue
 
 _MAX_REPLAYABLE_BYTES = 1024 * 1024
 _STOPPING_RETRY_AFTER_MS = 200
 _ISOLATED_RETRY_AFTER_MS = 1_000
+_NO_MEMORY_RETRY_AFTER_MS = 1_000
 _STOP_POLL_MS = 20
+_CLOSE_TIMEOUT_S = 1.0
+_HEALTH_PATH = "/health"
+_QUEUE_PATH = re.compile(r"/q/(?P<queue>[^{}/]+)")
 
 
-class _InvalidBodyError(Exception):
-    def __init__(self, invalid: outcomes.Invalid) -> None:
-        super().__init__(invalid.detail)
-        self.invalid = invalid
+class _BodyError(Exception):
+    """The body of a request cannot be used, so that it does not run.
+
+    Args:
+        failure: What the caller is told.
+    """
+
+    def __init__(self, failure: outcomes.Failure) -> None:
+        super().__init__(str(failure))
+        self.failure = failure
 
 
 class CallerServer:
@@ -65,20 +82,25 @@
         self._stopping = False
         self._refuses_requests = False
         self._open_requests = 0
-        self._runner: web.AppRunner | None = None
+        self._runner: web.ServerRunner | None = None
+        limits = _request_limits(own_settings)
+        self._connections = table.Table(
+            http_limits.of_process(
+                own_settings.memory_mb, own_settings.max_descriptors
+            ),
+            lambda: limits,
+        )
 
     async def start(self) -> None:
         """Start listening."""
-        app = web.Application(client_max_size=0)
-        app.router.add_get("/health", self._health)
-        app.router.add_route("*", "/q/{queue}{path:.*}", self._handle)
-        self._runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True
+        self._connections.start()
+        self._runner = await server.listen(
+            self._serve,
+            self._own_settings.caller_address,
+            self._connections,
+            _CLOSE_TIMEOUT_S,
+            handler_cancellation=True,
         )
-        await self._runner.setup()
-        host, port = self._own_settings.caller_address.split(":")
-        site = web.TCPSite(self._runner, host, int(port), shutdown_timeout=1)
-        await site.start()
 
     async def stop(self) -> None:
         """Shut down gracefully.
@@ -93,17 +115,30 @@
             await asyncio.sleep(_STOP_POLL_MS / 1_000)
         if self._runner is not None:
             await self._runner.cleanup()
+        self._connections.stop()
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == _HEALTH_PATH:
+            return self._health(request)
+        queue_path = _QUEUE_PATH.match(request.path)
+        if queue_path is None:
+            return web.Response(status=http.HTTPStatus.NOT_FOUND)
+        return await self._handle(request, queue_path["queue"])
 
-    async def _health(self, request: web.Request) -> web.Response:
+    def _health(self, request: web.BaseRequest) -> web.Response:
+        if request.method not in (hdrs.METH_GET, hdrs.METH_HEAD):
+            return web.Response(status=http.HTTPStatus.METHOD_NOT_ALLOWED)
         if self._stopping or not self._view_valid():
             return web.Response(status=503, text="unavailable\n")
         return web.Response(text="ok\n")
 
-    async def _handle(self, request: web.Request) -> web.StreamResponse:
+    async def _handle(
+        self, request: web.BaseRequest, queue_name: str
+    ) -> web.StreamResponse:
         self._open_requests += 1
         try:
-            outcome = await self._outcome(request)
-            self._record_outcome(request, outcome)
+            outcome = await self._outcome(request, queue_name)
+            self._record_outcome(queue_name, outcome)
             if isinstance(outcome, outcomes.Answer):
                 return await _write_answer(request, outcome)
             response = outcomes.to_response(outcome)
@@ -113,10 +148,12 @@
         finally:
             self._open_requests -= 1
 
-    async def _outcome(self, request: web.Request) -> outcomes.Outcome:
+    async def _outcome(
+        self, request: web.BaseRequest, queue_name: str
+    ) -> outcomes.Outcome:
         admission_result = admission.admit(
             self._replica.settings.catalogue,
-            request.match_info["queue"],
+            queue_name,
             request.headers,
             self._clock.monotonic_ms(),
             self._clock.wall_ms(),
@@ -129,8 +166,8 @@
             return service.failure_without_dispatcher(admitted, refusal)
         try:
             body = await self._read_body(request, admitted)
-        except _InvalidBodyError as error:
-            return error.invalid
+        except _BodyError as error:
+            return error.failure
         forwarded = endpoints.ForwardedRequest(
             request_id=f"{self._request_id_prefix}-{next(self._sequence)}",
             member=admitted.caller.member,
@@ -153,11 +190,11 @@
         return None
 
     async def _read_body(
-        self, request: web.Request, admitted: frontend.AdmittedRequest
+        self, request: web.BaseRequest, admitted: frontend.AdmittedRequest
     ) -> bytes | AsyncIterator[bytes]:
         max_bytes = admitted.queue.max_body_bytes
         if (request.content_length or 0) > max_bytes:
-            raise _InvalidBodyError(_too_large(max_bytes))
+            raise _BodyError(_too_large(max_bytes))
         buffered = b""
         while len(buffered) <= _MAX_REPLAYABLE_BYTES:
             if request.content.at_eof():
@@ -167,39 +204,41 @@
                 return buffered
             buffered += chunk
             if len(buffered) > max_bytes:
-                raise _InvalidBodyError(_too_large(max_bytes))
+                raise _BodyError(_too_large(max_bytes))
         return self._stream_body(request, buffered, max_bytes)
 
     async def _stream_body(
-        self, request: web.Request, buffered: bytes, max_bytes: int
+        self, request: web.BaseRequest, buffered: bytes, max_bytes: int
     ) -> AsyncIterator[bytes]:
         total_bytes = len(buffered)
         yield buffered
+        client = server.connection_of(request)
+        client.release_body(len(buffered))
         while chunk := await self._read_chunk(request):
             total_bytes += len(chunk)
             if total_bytes > max_bytes:
                 raise ValueError("the body is too large")
             yield chunk
+            client.release_body(len(chunk))
 
-    async def _read_chunk(self, request: web.Request) -> bytes:
+    async def _read_chunk(self, request: web.BaseRequest) -> bytes:
         timeout_s = self._own_settings.body_timeout_ms / 1_000
         try:
-            return await asyncio.wait_for(request.content.readany(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                chunk = await server.connection_of(request).read_chunk(request)
         except TimeoutError as error:
             invalid = outcomes.Invalid(
                 http.HTTPStatus.REQUEST_TIMEOUT,
                 "body",
                 f"no data for {self._own_settings.body_timeout_ms} ms",
             )
-            raise _InvalidBodyError(invalid) from error
-        except (web.RequestPayloadError, ConnectionError) as error:
-            invalid = outcomes.Invalid(
-                http.HTTPStatus.BAD_REQUEST, "body", "the body was cut short"
-            )
-            raise _InvalidBodyError(invalid) from error
+            raise _BodyError(invalid) from error
+        if isinstance(chunk, refusals.Reason):
+            raise _BodyError(_to_failure(chunk))
+        return chunk
 
     def _record_outcome(
-        self, request: web.Request, outcome: outcomes.Outcome
+        self, queue_name: str, outcome: outcomes.Outcome
     ) -> None:
         match outcome:
             case outcomes.Answer():
@@ -215,18 +254,37 @@
         if number % self._own_settings.sample_every == 0:
             events.emit(
                 events.Event.REQUEST_SAMPLE,
-                queue=request.match_info["queue"],
+                queue=queue_name,
                 outcome=type(outcome).__name__,
             )
 
 
-def _endpoint_path(request: web.Request) -> str:
+def _request_limits(
+    own_settings: process_settings.GatewaySettings,
+) -> catalogue.RequestLimits:
+    # The size of a body is limited for each queue.
+    return catalogue.RequestLimits(
+        max_header_bytes=own_settings.max_header_bytes,
+        header_timeout_ms=own_settings.header_timeout_ms,
+        idle_timeout_ms=own_settings.idle_timeout_ms,
+    )
+
+
+def _endpoint_path(request: web.BaseRequest) -> str:
     segments = request.raw_path.split("/", 3)
     path = "/" + (segments[3] if len(segments) > 3 else "")
     query = segments[2].partition("?")[2] if len(segments) == 3 else ""
     return f"{path}?{query}" if query else path
 
 
+def _to_failure(reason: refusals.Reason) -> outcomes.Failure:
+    if reason is refusals.Reason.NO_MEMORY:
+        return outcomes.NotRun(
+            outcomes.Reason.NO_MEMORY, _NO_MEMORY_RETRY_AFTER_MS
+        )
+    return outcomes.Invalid(refusals.status(reason), "body", reason.value)
+
+
 def _too_large(max_bytes: int) -> outcomes.Invalid:
     return outcomes.Invalid(
         http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -236,7 +294,7 @@
 
 
 async def _write_answer(
-    request: web.Request, answer: outcomes.Answer
+    request: web.BaseRequest, answer: outcomes.Answer
 ) -> web.StreamResponse:
     if answer.remaining_chunks is None:
         complete = web.Response(
@@ -257,7 +315,7 @@
     return response
 
 
-def _abort(request: web.Request) -> None:
+def _abort(request: web.BaseRequest) -> None:
     """Abort the connection, so that a partial answer never seems complete."""
     if request.transport is not None:
         request.transport.abort()
--- a/src/wagtailtiller/gateway/serving/outcomes.py
+++ b/src/wagtailtiller/gateway/serving/outcomes.py
@@ -29,6 +29,7 @@
     NO_VM = "no_vm"
     ISOLATED = "isolated"
     STOPPING = "stopping"
+    NO_MEMORY = "no_memory"
     NO_DISPATCHER = "no_dispatcher"
     ENDPOINT_BROKE = "endpoint_broke"
     RUN_LIMIT = "run_limit"
--- a/src/wagtailtiller/process_settings.py
+++ b/src/wagtailtiller/process_settings.py
@@ -37,6 +37,12 @@
             long.
         body_timeout_ms: Longest pause of a caller while it sends a body.
         sample_every: One in this many requests is logged.
+        memory_mb: Memory of the process, in MB; callers may use a quarter.
+        max_descriptors: Descriptors of the process; connections of callers
+            may take three quarters, less those for files.
+        max_header_bytes: Largest head of a caller's request.
+        header_timeout_ms: Longest time that the head may take.
+        idle_timeout_ms: How long a connection stays open between requests.
     """
 
     gateway: ids.GatewayId
@@ -50,6 +56,11 @@
     balancer_notice_ms: schema.Count = 500
     body_timeout_ms: schema.DurationMs = 5_000
     sample_every: schema.PositiveCount = 1_000
+    memory_mb: schema.PositiveCount = 256
+    max_descriptors: schema.PositiveCount = 4_096
+    max_header_bytes: schema.PositiveCount = 16_384
+    header_timeout_ms: schema.DurationMs = 3_000
+    idle_timeout_ms: schema.DurationMs = 75_000
 
 
 class ControllerSettings(
--- a/support/demo/cluster.py
+++ b/support/demo/cluster.py
@@ -1,5 +1,6 @@
 """Starts and stops the processes of a site on loopback."""
 
+from collections.abc import Mapping
 import json
 import os
 import pathlib
@@ -30,6 +31,8 @@
         controllers: Number of controllers.
         reboot_ms: Duration of a VM's reboot in milliseconds.
         statsd_port: Port to which gateways send statsd metrics; 0 for none.
+        gateway_limits: Settings of each gateway in addition, such as
+            ``memory_mb``.
 
     Attributes:
         plan: Site that is running.
@@ -48,10 +51,12 @@
         controllers: int,
         reboot_ms: int = 1_500,
         statsd_port: int = 0,
+        gateway_limits: Mapping[str, int] | None = None,
     ) -> None:
         self.plan = plan
         self._folder = folder
         self._reboot_ms = reboot_ms
+        self._gateway_limits = gateway_limits or {}
         self._statsd_address = f"127.0.0.1:{statsd_port}" if statsd_port else ""
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.last_status: dict[str, Any] = {}
@@ -100,6 +105,7 @@
     def start_gateway(self, name: str) -> None:
         """Start the gateway of the given name."""
         gateway_settings = {
+            **self._gateway_limits,
             "gateway": name,
             "region": self.plan.region,
             "data_centre": "demo",
