Let an answer that is being read outlast stalled requests

Found by reading: under want of memory a client that reads a long answer was ranked by the age of its request, so that it went before bodies that stall. The time now counts from when the client began to be waited for as a reader. A client that reads nothing at all is still cut off after idle_timeout_ms.

test_answer_that_is_being_read_outlasts_bodies_that_stall fails before. Concerns gateways; answers of entry processes fit the buffer.

--- a/src/wagtailtiller/http_server/connection.py
+++ b/src/wagtailtiller/http_server/connection.py
@@ -155,7 +155,8 @@
     def pause_writing(self) -> None:
         """Record since when the client does not read."""
         super().pause_writing()
-        self._write_paused_s = self._loop.time()
+        # The client has had the request answered; now it has to read.
+        self.since_s = self._write_paused_s = self._loop.time()
         self._update_held_bytes()
 
     def resume_writing(self) -> None:
--- a/tests/http_server/test_connection.py
+++ b/tests/http_server/test_connection.py
@@ -190,6 +190,35 @@
 
         asyncio.run(main())
 
+    def test_answer_that_is_being_read_outlasts_bodies_that_stall(self):
+        """Guards against a long answer that its request's age cuts off."""
+        max_held_bytes = 200_000
+
+        async def main():
+            server = http_exchange.Exchange(
+                catalogue.RequestLimits(),
+                limits.ClientLimits(max_held_bytes, 100),
+            )
+            reading, transport = server.connect()
+            await server.send(reading, [_request(400, b"y" * 2_000)])
+            stalled = [server.connect() for _ in range(3)]
+            for client, _ in stalled:
+                body = _request(400, b"x" * 30_000)[:-1]
+                await server.send(client, _split(body, (4_096,)))
+                client.since_s -= 1
+            reading.since_s -= 3_600
+            reading.pause_writing()
+            for _ in range(2):
+                client, _ = server.connect()
+                body = _request(400, b"x" * 20_000)[:-1]
+                await server.send(client, _split(body, (4_096,)))
+                stalled.append((client, None))
+            self.assertFalse(transport.closed)
+            for client, _ in (*stalled, (reading, None)):
+                client.connection_lost(None)
+
+        asyncio.run(main())
+
     def test_silent_connections_make_room(self):
         async def main():
             server = http_exchange.Exchange(
