Answer a whole request although what follows it is dropped

Found by reading: a client that sends a request and more behind it, and is cut off for want of memory while the first is at work, was treated like one whose request is refused, and its connection was closed a second later, before the answer. Now only what follows is dropped, and the connection closes after the answer. test_whole_request_is_answered_after_what_follows_it_is_dropped fails before.

--- a/src/wagtailtiller/http_server/connection.py
+++ b/src/wagtailtiller/http_server/connection.py
@@ -445,9 +445,10 @@
             self._table.count_cut_off(reason)
             self._abort()
         elif self._framing.phase is framing.Phase.WHOLE:
-            # The request is answered; what follows it is not read.
+            # The request is answered; what follows it is ignored.
             self._table.count_cut_off(reason)
-            self._ignore_rest()
+            self._drop_unparsed()
+            self._update_held_bytes()
             self.close()
         else:
             self._refuse(reason)
--- a/support/http_exchange.py
+++ b/support/http_exchange.py
@@ -99,6 +99,11 @@
     Args:
         request_limits: Limits of each request.
         client_limits: Limits of all connections.
+
+    Attributes:
+        table: The connections.
+        bodies: Bodies of the requests that have been served.
+        may_answer: Cleared to let requests wait for their answers.
     """
 
     def __init__(
@@ -108,6 +113,8 @@
     ) -> None:
         self.table = table_module.Table(client_limits, lambda: request_limits)
         self.bodies: list[bytes] = []
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
         self._server = web.Server(self._handle)
 
     def connect(self) -> tuple[connection.Connection, Transport]:
@@ -144,6 +151,7 @@
         if isinstance(body, refusals.Reason):
             return client.refuse(body)
         self.bodies.append(bytes(body))
+        await self.may_answer.wait()
         return web.Response(text="ok")
 
 
--- a/tests/http_server/test_connection.py
+++ b/tests/http_server/test_connection.py
@@ -8,6 +8,7 @@
 
 from support import http_exchange
 from wagtailtiller.http_server import limits
+from wagtailtiller.http_server import refusals
 from wagtailtiller.ports import catalogue
 
 _LIMITS = catalogue.RequestLimits(max_header_bytes=400, max_body_bytes=600)
@@ -190,6 +191,30 @@
 
         asyncio.run(main())
 
+    def test_whole_request_is_answered_after_what_follows_it_is_dropped(self):
+        """Guards against an answer that is cut off for later requests."""
+
+        async def main():
+            server = http_exchange.Exchange(catalogue.RequestLimits())
+            server.may_answer.clear()
+            client, transport = server.connect()
+            await server.send(
+                client, [_request(400, b"one"), _request(400, b"x" * 20_000)]
+            )
+            self.assertTrue(client.can_be_cut_off())
+            client.cut_off(refusals.Reason.NO_MEMORY)
+            self.assertLess(client.held_bytes, 20_000)
+            for seconds in (10, 20):
+                client.check(asyncio.get_running_loop().time() + seconds)
+            self.assertFalse(transport.closed)
+            server.may_answer.set()
+            await server.send(client, [b""])
+            self.assertEqual(1, transport.written.count(b"HTTP/1.1 200"))
+            self.assertEqual([b"one"], server.bodies)
+            client.connection_lost(None)
+
+        asyncio.run(main())
+
     def test_answer_that_is_being_read_outlasts_bodies_that_stall(self):
         """Guards against a long answer that its request's age cuts off."""
         max_held_bytes = 200_000
--- a/tests/processes/test_rough_clients.py
+++ b/tests/processes/test_rough_clients.py
@@ -291,6 +291,37 @@
         self.play(rough_clients.Behaviour(b"", request * 20, 100))
 
 
+class WorkTest(_ProcessTest):
+    """Tasks that are at work go on beside a crowd, with one run each."""
+
+    def test_work_goes_on_beside_very_small_chunks(self):
+        job = self.submit(work_ms=4_000)
+        lasting = self.submit(work_ms=100, long_running=True)
+        self.wait(_PATIENCE_S, lambda: self.runs(job) and self.runs(lasting))
+        chunk = _chunk(b"x") * 1_000
+        self.play(rough_clients.Behaviour(_chunked_head(), chunk, 60))
+        self.wait(_PATIENCE_S, lambda: all(self.ends(job)))
+        self.assertEqual(["done", "done"], self.ends(job))
+        self.assertEqual(["", ""], self.ends(lasting))
+        self.site.call(_ENTRY, "DELETE", f"/renders/{lasting}")
+
+    def submit(self, work_ms, **fields):
+        """Submit a job of two tasks, and return its id."""
+        step = {"count": 2, "cpu": 100, "mem_mb": 10, "estimate_ms": work_ms}
+        body = {"spec": f"work_ms={work_ms}", "steps": [{**step, **fields}]}
+        job = next(_job_ids)
+        status, _ = self.site.call(_ENTRY, "POST", f"/renders/{job}", body)
+        self.assertEqual(200, status)
+        return job
+
+    def runs(self, job):
+        return [r for r in self.site.records() if r.task.startswith(job)]
+
+    def ends(self, job):
+        """Return how each run of a job has ended; empty if it goes on."""
+        return [run.how for run in self.runs(job)]
+
+
 class LimitTest(_ProcessTest):
     """Requests inside the limits are served, and beyond them refused."""
 
