Keep the turns and time limits of clients after an unexpected error

An error while one connection's bytes were parsed in turn would have ended the turns of all, and one in a check the checks of all. Not seen; found by reading. Now the connection ends, the error is logged by the event loop, and the others go on. test_error_of_one_worker_does_not_stop_the_others fails before.

--- a/src/wagtailtiller/http_server/connection.py
+++ b/src/wagtailtiller/http_server/connection.py
@@ -178,6 +178,14 @@
         Returns:
             Whether a request has begun.
         """
+        try:
+            return self._parse_few()
+        except Exception:
+            # Only this connection ends; the event loop logs the error.
+            self._abort()
+            raise
+
+    def _parse_few(self) -> bool:
         end_bytes = self._parsed_bytes + framing.PIECE_BYTES
         while self._can_parse() and self._parsed_bytes < end_bytes:
             if self._parse_piece():
--- a/src/wagtailtiller/http_server/table.py
+++ b/src/wagtailtiller/http_server/table.py
@@ -174,11 +174,12 @@
         return clients
 
     def _check(self) -> None:
+        # First, so that an unexpected error does not end the checks.
+        self.start()
         now_s = asyncio.get_running_loop().time()
         for client in list(self._clients):
             client.check(now_s)
         self._report()
-        self.start()
 
     def _report(self) -> None:
         prometheus_metrics.set_connections(len(self._clients), self._held_bytes)
--- a/src/wagtailtiller/http_server/turns.py
+++ b/src/wagtailtiller/http_server/turns.py
@@ -48,6 +48,12 @@
 
     def _run(self) -> None:
         self._scheduled = False
+        try:
+            self._work()
+        finally:
+            self._schedule()
+
+    def _work(self) -> None:
         loop = asyncio.get_running_loop()
         end_s = loop.time() + _TURN_S
         request_count = 0
@@ -57,5 +63,4 @@
             if worker.has_work():
                 self._waiting.append(worker)
             if loop.time() >= end_s:
-                break
-        self._schedule()
+                return
