Bound the jobs that are stored for an owner that does not answer

The process of the second had 3.8 GB, memory_mb 160, and was at 100% of a core: it had taken over 439 jobs.

Cause: the jobs had accepted_epoch 0. The crowd of jobs of 4,000 steps had come before the pool had an owner, the frontend stored them all itself, and the next owner has to hold what is stored. What an owner refuses, a frontend did not.

Ruled out: the owner's own limit. It never refuses inherited jobs, and must not.

Change: a process counts the jobs that it stores without their owner, for as long as jobs are kept, up to its part of what an owner may hold (divided by the live processes, 2 MB at least). Beyond that a job waits for an owner, or is refused if no attempt may have stored it. The tests of whole jobs get stand-ins of their own, so that no other test inherits their jobs; crowd and bounds are as they were.

Evidence: test_large_jobs_wait_for_an_owner_and_others_are_stored.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -25,6 +25,7 @@
 from wagtailtiller.ports import catalogue
 from wagtailtiller.ports import store
 from wagtailtiller.scheduling import admission
+from wagtailtiller.scheduling import job_memory
 
 _ASK_TIMEOUT_MS = 700
 # An ask ends before the time limit of its request, so that the connection of an
@@ -41,6 +42,9 @@
 # Nothing has been sent to any process, so the request has had no effect. The
 # caller's next attempt reaches another process.
 _CUT_OFF = outcomes.Refused(admission.RefusalReason.CUT_OFF, _NO_OWNER_RETRY_MS)
+_NO_MEMORY = outcomes.Refused(
+    admission.RefusalReason.NO_MEMORY, _NO_OWNER_RETRY_MS
+)
 _ToOutcome = Callable[
     [messages.Answer | None], Awaitable[outcomes.Outcome | None]
 ]
@@ -176,6 +180,8 @@
         store_client: Client of the store.
         clock: Clock that supplies the current time.
         lateness_ms: Returns how late the event loop has recently been.
+        unowned_jobs: Limits the jobs that are stored without their owner; None
+            for no limit.
 
     Attributes:
         deadlines: Time limits of all requests.
@@ -188,6 +194,7 @@
         store_client: store.Committer,
         clock: clock_module.Clock,
         lateness_ms: Callable[[], int] = lambda: 0,
+        unowned_jobs: job_memory.UnownedJobs | None = None,
     ) -> None:
         self.deadlines = deadlines_module.Deadlines(clock, lateness_ms)
         self._directory = directory
@@ -197,6 +204,7 @@
             store_client, clock, self._queue_pools
         )
         self._clock = clock
+        self._unowned_jobs = unowned_jobs
         # Owners that previous owners have named, while the store is away.
         self._redirects: dict[ids.PoolId, _Owner] = {}
         self._asks: dict[ids.PoolId, dict[asyncio.Timeout, _Owner]] = {}
@@ -421,6 +429,8 @@
         )
         if not self._directory.store_answers():
             return None if submission.outcome_unknown else unavailable
+        if self._unowned_jobs and not self._unowned_jobs.take(request.spec):
+            return None if submission.outcome_unknown else _NO_MEMORY
         match await self._job_store.add(request):
             case job_store.StoreResult.YES:
                 self._log_stored(request, submission)
--- a/src/wagtailtiller/entry/node.py
+++ b/src/wagtailtiller/entry/node.py
@@ -41,6 +41,8 @@
 MACHINES_SHARD = shard_module.MachinesShard()
 _SESSION_CHECK_INTERVAL_MS = 250
 _ASK_TIMEOUT_MS = 500
+# Ordinary jobs of some seconds, however many processes there are.
+_MIN_UNOWNED_BYTES = 2_000_000
 _INCARNATION_BITS = 128
 _ANY_EPOCH = 0
 _HAND_OVER_CHECK_INTERVAL_MS = 250
@@ -144,7 +146,14 @@
         )
         self._loop_monitor = loop_monitor.LoopMonitor(clock)
         self.frontend = frontend.Frontend(
-            self, self._peers, job_calls, clock, self._lateness_ms
+            self,
+            self._peers,
+            job_calls,
+            clock,
+            self._lateness_ms,
+            job_memory.UnownedJobs(
+                self._max_unowned_bytes, settings.job_kept_ms, clock
+            ),
         )
         self._machine_manager: machine_manager_module.MachineManager | None = (
             None
@@ -369,6 +378,13 @@
             }
         )
 
+    def _max_unowned_bytes(self) -> int:
+        # All processes may store jobs of one pool.
+        share = self._settings.max_job_bytes // max(
+            1, self._shards.node_count()
+        )
+        return max(share, _MIN_UNOWNED_BYTES)
+
     def _owned_pools(self) -> list[state.PoolState]:
         return [owner.pool for owner in self._owners.values()]
 
--- a/src/wagtailtiller/entry/shards.py
+++ b/src/wagtailtiller/entry/shards.py
@@ -170,6 +170,10 @@
             if node.node != self._own_record.node and not node.leaving
         ]
 
+    def node_count(self) -> int:
+        """Return the number of live processes that are known."""
+        return len(self._nodes)
+
     def store_answers(self) -> bool:
         """Return whether the store has responded recently."""
         watch_age_ms = (
--- a/src/wagtailtiller/scheduling/job_memory.py
+++ b/src/wagtailtiller/scheduling/job_memory.py
@@ -1,9 +1,11 @@
 """The memory that the jobs of a process take, and a limit for it."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import sys
 
+from wagtailtiller import clock as clock_module
 from wagtailtiller.jobs import job as job_module
 from wagtailtiller.jobs import model
 from wagtailtiller.scheduling import state
@@ -66,6 +68,49 @@
         return held_bytes + job_bytes <= limit_bytes
 
 
+class UnownedJobs:
+    """Limits the jobs that a process stores for an owner that does not answer.
+
+    The next owner of their pool has to hold them all.
+
+    Args:
+        max_bytes: Returns the memory that they may take in their owner.
+        kept_ms: Time after which a stored job no longer counts.
+        clock: Clock that supplies the current time.
+    """
+
+    def __init__(
+        self,
+        max_bytes: Callable[[], int],
+        kept_ms: int,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._max_bytes = max_bytes
+        self._kept_ms = kept_ms
+        self._clock = clock
+        self._held_bytes = 0
+        self._jobs: collections.deque[tuple[int, int]] = collections.deque()
+
+    def take(self, spec: model.JobSpec) -> bool:
+        """Count a job that is about to be stored, if there is room for it.
+
+        Args:
+            spec: Definition of the job.
+
+        Returns:
+            Whether there is room.
+        """
+        now_ms = self._clock.monotonic_ms()
+        while self._jobs and self._jobs[0][0] <= now_ms:
+            self._held_bytes -= self._jobs.popleft()[1]
+        job_bytes = estimated_bytes(spec)
+        if self._held_bytes + job_bytes > self._max_bytes():
+            return False
+        self._jobs.append((now_ms + self._kept_ms, job_bytes))
+        self._held_bytes += job_bytes
+        return True
+
+
 def without_limit() -> JobMemory:
     """Return a limit that no job exceeds."""
     return JobMemory(sys.maxsize, tuple)
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -19,6 +19,7 @@
 from wagtailtiller.owner import queue_pools
 from wagtailtiller.ports import catalogue
 from wagtailtiller.scheduling import admission
+from wagtailtiller.scheduling import job_memory
 
 _JOB = model.JobId("a" * 16)
 _OWNER = "10.0.0.1:1"
@@ -93,6 +94,39 @@
         )
 
 
+class UnownedJobsTest(_FrontendCase):
+    """Load pattern: many whole jobs of the largest legal size at once.
+
+    Guards against a next owner that takes over more than its memory holds.
+    """
+
+    def submit(self, name, spec):
+        route = frontend.Route(jobs.queue())
+        return asyncio.run(
+            self.frontend.submit(route, name * 16, spec, _RETRIED_TIMEOUT_MS)
+        )
+
+    def test_large_jobs_wait_for_an_owner_and_others_are_stored(self):
+        self.directory.address = None
+        self.directory.epoch = 0
+        self.frontend = frontend.Frontend(
+            self.directory,
+            self.peers,
+            self.store,
+            clock.SystemClock(),
+            unowned_jobs=job_memory.UnownedJobs(
+                lambda: 2_000_000, 60_000, clock.SystemClock()
+            ),
+        )
+        large = jobs.spec(jobs.step(1_000))
+        self.assertIsInstance(self.submit("a", large), outcomes.Accepted)
+        refused = self.submit("b", large)
+        self.assertEqual(admission.RefusalReason.NO_MEMORY, refused.reason)
+        key = keys.job(jobs.POOL, "b" * 16)
+        self.assertIsNone(self.store.state.item(key).value)
+        self.assertIsInstance(self.submit("c", jobs.spec()), outcomes.Accepted)
+
+
 class FrontendTest(_FrontendCase):
     def submit(self, timeout_ms=400):
         return asyncio.run(
--- a/tests/processes/test_rough_clients.py
+++ b/tests/processes/test_rough_clients.py
@@ -82,15 +82,19 @@
     site: entry_site.EntrySite
 
 
-def setUpModule():
-    Shared.folder = tempfile.TemporaryDirectory()
-    Shared.site = entry_site.EntrySite(
-        pathlib.Path(Shared.folder.name),
+def _site(folder):
+    return entry_site.EntrySite(
+        pathlib.Path(folder.name),
         entries=1,
         machines=1,
         process_limits={"memory_mb": _MEMORY_MB, "max_fds": _MAX_FDS},
         request_limits=_LIMITS,
     )
+
+
+def setUpModule():
+    Shared.folder = tempfile.TemporaryDirectory()
+    Shared.site = _site(Shared.folder)
     Shared.site.start()
 
 
@@ -104,16 +108,19 @@
 
     def setUp(self):
         super().setUp()
-        self.site = Shared.site
-        if self.process().poll() is not None:
-            self.site.start_entry(_ENTRY)
-            self.site.wait_until_ready(_ENTRY)
-        self.addCleanup(self.kill)
+        self.site = self.start_site()
+        self.addCleanup(self.kill, self.site)
         self.assert_ordinary_request_is_answered()
 
-    def kill(self):
-        self.process().kill()
-        self.process().wait()
+    def start_site(self):
+        if Shared.site.processes[_ENTRY].poll() is not None:
+            Shared.site.start_entry(_ENTRY)
+            Shared.site.wait_until_ready(_ENTRY)
+        return Shared.site
+
+    def kill(self, site):
+        site.processes[_ENTRY].kill()
+        site.processes[_ENTRY].wait()
 
     def process(self):
         return self.site.processes[_ENTRY]
@@ -198,7 +205,20 @@
 
 
 class JobTest(_ProcessTest):
-    """Whole requests inside the limits, which hold much once accepted."""
+    """Whole requests inside the limits, which hold much once accepted.
+
+    Each test has stand-ins of its own, so that no process inherits the jobs of
+    another test.
+    """
+
+    def start_site(self):
+        self.kill(Shared.site)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        site = _site(folder)
+        self.addCleanup(site.stop)
+        site.start()
+        return site
 
     def test_jobs_of_many_steps(self):
         step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 50}
@@ -296,7 +316,7 @@
 
     def test_work_goes_on_beside_very_small_chunks(self):
         job = self.submit(work_ms=4_000)
-        lasting = self.submit(work_ms=100, long_running=True)
+        lasting = self.submit(work_ms=600_000, long_running=True)
         self.wait(_PATIENCE_S, lambda: self.runs(job) and self.runs(lasting))
         chunk = _chunk(b"x") * 1_000
         self.play(rough_clients.Behaviour(_chunked_head(), chunk, 60))
