Show that the next process holds the jobs that a crowd left

The tests of whole jobs have stand-ins of their own, so that no other test meets what they leave in the store, which is how 3.8 GB were seen. This one restarts the process after the crowd and checks memory, descriptors and an ordinary request.

--- a/tests/processes/test_rough_clients.py
+++ b/tests/processes/test_rough_clients.py
@@ -224,6 +224,16 @@
         step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 50}
         self.play_jobs({"spec": "work_ms=50", "steps": [step] * 4_000})
 
+    def test_next_process_holds_the_jobs_that_were_accepted(self):
+        """Guards against more stored jobs than the next owner can hold."""
+        step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 50}
+        self.play_jobs({"spec": "work_ms=50", "steps": [step] * 4_000})
+        self.kill(self.site)
+        self.site.start_entry(_ENTRY)
+        self.site.wait_until_ready(_ENTRY)
+        self.assert_ordinary_request_is_answered()
+        self.assert_sound()
+
     def test_jobs_of_many_tasks(self):
         step = {"count": 10_000, "cpu": 1, "mem_mb": 1, "estimate_ms": 50}
         self.play_jobs({"spec": "work_ms=50", "steps": [step]})
