Count a job without an owner once, and refuse none that is stored

Found by reading the whole change again. A submission is retried until its outcome is known, and each attempt counted its job anew, so that a store that does not answer used up the room of ordinary jobs. And a repeat of a job that was stored could be told that it never runs, since only an owner looks into the store before it refuses.

Change: a submission counts once; before a refusal for want of room the frontend looks the job up, and goes on trying if it is stored or the store does not tell. Ruled out: counting after the write, since many would pass the check meanwhile.

Before: 2 tests of UnownedJobsTest fail (each attempt counted; 503 for a stored job). Now both pass. A comment in the simulated fleet is back beside its constant.

--- a/src/wagtailtiller/entry/frontend.py
+++ b/src/wagtailtiller/entry/frontend.py
@@ -95,6 +95,7 @@
         store_write_unknown: Whether this process may have stored it.
         not_owner_since_ms: Time of the first of the latest answers that
             named no ready owner; None if the latest answer was another one.
+        counted: Whether the job counts as stored without its owner.
     """
 
     deadline_ms: int
@@ -102,6 +103,7 @@
     unknown_epoch: int | None = None
     store_write_unknown: bool = False
     not_owner_since_ms: int | None = None
+    counted: bool = False
 
     @property
     def outcome_unknown(self) -> bool:
@@ -429,8 +431,8 @@
         )
         if not self._directory.store_answers():
             return None if submission.outcome_unknown else unavailable
-        if self._unowned_jobs and not self._unowned_jobs.take(request.spec):
-            return None if submission.outcome_unknown else _NO_MEMORY
+        if not self._has_room_without_owner(request, submission):
+            return await self._refuse_without_room(request, submission)
         match await self._job_store.add(request):
             case job_store.StoreResult.YES:
                 self._log_stored(request, submission)
@@ -448,6 +450,26 @@
                 submission.store_write_unknown = True
                 return None
 
+    def _has_room_without_owner(
+        self, request: messages.Submit, submission: _Submission
+    ) -> bool:
+        """Return whether a job may be stored; its submission counts once."""
+        if self._unowned_jobs is not None and not submission.counted:
+            submission.counted = self._unowned_jobs.take(request.spec)
+            return submission.counted
+        return True
+
+    async def _refuse_without_room(
+        self, request: messages.Submit, submission: _Submission
+    ) -> outcomes.Outcome | None:
+        """Refuse a job, unless an earlier request has stored it."""
+        if submission.outcome_unknown:
+            return None
+        stored = await self._job_store.state(
+            messages.AskState(request.pool, request.job, request.organisation)
+        )
+        return _NO_MEMORY if isinstance(stored, outcomes.NoSuchJob) else None
+
     def _log_stored(
         self, request: messages.Submit, submission: _Submission
     ) -> None:
--- a/support/sim/fleet.py
+++ b/support/sim/fleet.py
@@ -31,8 +31,8 @@
 # Commands under different epochs must not reach a machine within this time.
 LEASE_MS = 3_000
 _HEARTBEAT_TIMEOUT_MS = 2_300
-# Time after which a machine is back whose VM a task has crashed.
 _MAX_LEASE_MS = 6_000
+# Time after which a machine is back whose VM a task has crashed.
 _CRASH_RETURN_MS = 3_000
 
 
--- a/tests/entry/test_frontend.py
+++ b/tests/entry/test_frontend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from expression import Error
 import msgspec
 import testtools
 
@@ -9,6 +10,7 @@
 from support import jobs
 from support.sim import loop as loop_module
 from wagtailtiller import clock
+from wagtailtiller import errors
 from wagtailtiller import ids
 from wagtailtiller import keys
 from wagtailtiller.entry import frontend
@@ -125,6 +127,37 @@
         key = keys.job(jobs.POOL, "b" * 16)
         self.assertIsNone(self.store.state.item(key).value)
         self.assertIsInstance(self.submit("c", jobs.spec()), outcomes.Accepted)
+        # A repeat of what is stored is not told that it never runs.
+        repeated = self.submit("a", large)
+        self.assertNotIsInstance(repeated, outcomes.Refused)
+
+    def test_attempts_of_one_submission_count_once(self):
+        """Guards against refusals while the store does not answer in time."""
+        self.directory.address = None
+        self.directory.epoch = 0
+        taken = []
+
+        class Counted(job_memory.UnownedJobs):
+            def take(self, spec):
+                taken.append(spec)
+                return super().take(spec)
+
+        self.frontend = frontend.Frontend(
+            self.directory,
+            self.peers,
+            self.store,
+            clock.SystemClock(),
+            unowned_jobs=Counted(
+                lambda: 2_000_000, 60_000, clock.SystemClock()
+            ),
+        )
+
+        async def unanswered(transaction):
+            return Error(errors.StoreUnavailable("no answer"))
+
+        self.store.commit = unanswered
+        self.assertIsInstance(self.submit("a", jobs.spec()), outcomes.Unknown)
+        self.assertEqual(1, len(taken))
 
 
 class FrontendTest(_FrontendCase):
