--- /dev/null
+++ b/review/kit3/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the cases 11 to 15."""
