Show jobs that wait beside free VMs after racks have crashed

Tasks that were lost with two VMs start only on a VM that is kept free for them, and lasting tasks that have just started again keep every VM from them for 10 s.

--- a/review/kit3/gang_workers.py
+++ b/review/kit3/gang_workers.py
@@ -8,7 +8,7 @@
 work; it holds how far the gang has come.
 
 ``POST /crash?machine=M&for_ms=T`` lets the worker of a machine crash; it starts
-again under a new id after that time.
+again under a new id after that time. Four machines stand in one rack.
 """
 
 import asyncio
@@ -24,6 +24,7 @@
 _GANG_MS = 3_000
 _SAVE_MS = 500
 _TICK_S = 0.05
+_MACHINES_PER_RACK = 4
 
 
 @dataclasses.dataclass
@@ -46,6 +47,11 @@
     members: dict[tuple[str, int], list[_Member]] = {}
     sent: list[dict] = []
 
+    def registration(self) -> dict[str, object]:
+        number = int(self.machine.rpartition("-")[2])
+        rack = f"r1-{1 + number // _MACHINES_PER_RACK}"
+        return {**super().registration(), "labels": ["a", rack]}
+
     def _start(self, body: dict) -> web.Response:
         parameters = dict(urllib.parse.parse_qsl(body["spec"]))
         if "gang" not in parameters:
--- a/review/kit3/site.py
+++ b/review/kit3/site.py
@@ -63,6 +63,7 @@
         pools: Names of the pools that have queues; ``spare`` is added.
         entries: Number of entry processes.
         machines: Number of machines in each pool.
+        spare: Number of machines in the pool ``spare``; None for as many.
         route: Further fields of each route.
     """
 
@@ -72,6 +73,7 @@
         pools: tuple[str, ...] = ("renders", "plates"),
         entries: int = 3,
         machines: int = 3,
+        spare: int | None = None,
         route: dict[str, Any] | None = None,
     ) -> None:
         self.folder = folder
@@ -82,10 +84,12 @@
         self.store_port = free_port()
         self.service_port = free_port()
         self.tunnel_port = free_port()
+        counts = dict.fromkeys(pools, machines)
+        counts["spare"] = machines if spare is None else spare
         self.machines = [
             (f"m-{pool}-{n}", pool, free_port())
-            for pool in (*pools, "spare")
-            for n in range(machines)
+            for pool, count in counts.items()
+            for n in range(count)
         ]
         network = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
         self.addresses = {f"e-{n}": f"{network}.{n + 2}" for n in range(entries)}
--- a/review/kit3/verdict.py
+++ b/review/kit3/verdict.py
@@ -38,7 +38,13 @@
     with tempfile.TemporaryDirectory() as name:
         site = make_site(pathlib.Path(name))
         try:
-            site.start()
+            try:
+                site.start()
+            except TimeoutError:
+                # Another program may have taken a port that was free.
+                site.stop()
+                site = make_site(pathlib.Path(name))
+                site.start()
             record.write("all processes are ready")
             broken = play(site, record, trouble)
             for number, row in enumerate(site.runs()):
