--- a/review/kit3/site.py
+++ b/review/kit3/site.py
@@ -226,7 +226,7 @@
                 "max_fds": 4_100,
                 "link_mbps": 1_000.0,
             },
-            "heartbeat_ms": 500,
+            "heartbeat_ms": 1_500,
             "bounds": {
                 "contact_ms": 3_000,
                 "grace_s": 6,
