Show an end that a late acknowledgement makes a VM forget

A late hold acknowledges an end of the VM's next life that nobody has read, and the task is run again.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,129 +1,139 @@
-"""Two racks of workers crash one after the other; lasting tasks then wait.
+"""A worker is back under its old id; late calls make it forget an end.
 
-They were lost with both racks. Each starts only on a worker that is kept for it
-for 10 s, two at a time, although nearly all room is free.
+A start and a hold that were sent to its former life are carried out late, by
+the next one. The task ends, the hold acknowledges the end, which nobody has
+read, and the task is run again.
 """
 
-import collections
+import concurrent.futures
 import pathlib
 import sys
+import threading
 import time
 
 from review.kit3 import site as site_module
 from review.kit3 import verdict
 
 _FOLDER = pathlib.Path(__file__).parent
-_MACHINES = 8
-_RACK = 4
-_CAPACITY_CPU = 32_000
-_CPU = 2_000
-_COUNT = 8
-_FIRST_CRASH_MS = 8_000
-_SECOND_CRASH_MS = 4_500
-# The 3 s of the rule and the 4 s before them must be calm, and a task's last
-# run must have ended 6 s before.
-_IDLE_S = 3.0
-_CALM_S = 4.0
-_LAST_RUN_S = 6.0
-_JUDGED_S = 25.0
-_JOB_ID = "00000000000000b1"
-_JOB = {
-    "spec": "work_ms=3600000",
-    "steps": [
-        {"count": _COUNT, "cpu": _CPU, "mem_mb": 1_024, "long_running": True}
-    ],
-}
+_MACHINES = 4
+_DARK_MS = 2_600
+_REGISTER_MS = 400
+_START_MS = 30
+_HOLD_MS = 200
+_WORK_MS = 60
+_MACHINE = "m-renders-1"
+_JUDGED_S = 12.0
 
 
 def _make_site(folder: pathlib.Path) -> site_module.Site:
-    site = site_module.Site(
-        folder, pools=("renders",), machines=_MACHINES, spare=0
-    )
-    site.workers_module = "review.kit3.gang_workers"
+    site = site_module.Site(folder, machines=_MACHINES, spare=0)
+    site.workers_module = "review.kit3.late_workers"
     return site
 
 
-def _running(site: site_module.Site) -> list[dict]:
-    return [r for r in site.runs() if not r["how"]]
+def _job(count: int) -> dict:
+    step = {
+        "count": count,
+        "cpu": 1_000,
+        "mem_mb": 64,
+        "estimate_ms": _WORK_MS,
+        "anti_affinity": 1,
+    }
+    return {"spec": f"work_ms={_WORK_MS}", "steps": [step]}
 
 
-def _rack_of(run: dict) -> int:
-    return int(run["worker"].split("-")[3]) // _RACK
-
-
-def _wait_until_all_run(site: site_module.Site, limit_s: float) -> list[dict]:
+def _send_others(
+    site: site_module.Site, stopped: threading.Event, statuses: list[int]
+) -> None:
+    """Hand in jobs of the other queue, so that there are many orders."""
+    number = 0
+    while not stopped.is_set():
+        number += 1
+        path = f"/plates/{number:016x}"
+        statuses.append(site.call("e-2", "POST", path, _job(_MACHINES))[0])
+        stopped.wait(0.1)
+
+
+def _wait_until(
+    site: site_module.Site, path: str, state: str, limit_s: float
+) -> bool:
     end_s = time.monotonic() + limit_s
     while time.monotonic() < end_s:
-        running = _running(site)
-        if len(running) == _COUNT:
-            return running
-        time.sleep(0.05)
-    raise verdict.CannotRunError(f"only {len(running)} tasks run")
+        _, answer = site.call("e-1", "GET", path)
+        if (answer or {}).get("state") == state:
+            return True
+        time.sleep(0.1)
+    return False
 
 
-def _crash(
-    site: site_module.Site, record: site_module.Record, rack: int, for_ms: int
-) -> None:
-    lost = sum(_rack_of(run) == rack for run in _running(site))
-    for machine in range(rack * _RACK, (rack + 1) * _RACK):
-        site.call_workers(
-            "POST", f"/crash?machine=m-renders-{machine}&for_ms={for_ms}"
-        )
-    record.write(f"rack {rack} crashes for {for_ms} ms, with {lost} tasks")
+def _wait_for_call(site: site_module.Site, path: str) -> None:
+    end_s = time.monotonic() + 4.0
+    while time.monotonic() < end_s:
+        if [_MACHINE, path] in site.call_workers("GET", "/late"):
+            return
+        time.sleep(0.01)
+    raise verdict.CannotRunError(f"no {path} was held back")
 
 
 def _play(
     site: site_module.Site, record: site_module.Record, trouble: bool
 ) -> list[str]:
-    time.sleep(3.0)
-    path = f"/renders/{_JOB_ID}"
-    status, _ = site.call("e-0", "POST", path, _JOB)
-    record.write(f"POST {path} -> {status}")
-    for for_ms in (_FIRST_CRASH_MS, _SECOND_CRASH_MS):
-        running = _wait_until_all_run(site, 8.0)
-        time.sleep(0.3)
-        racks = collections.Counter(_rack_of(run) for run in running)
-        if trouble:
-            _crash(site, record, racks.most_common(1)[0][0], for_ms)
-    time.sleep(_SECOND_CRASH_MS / 1_000)
-    while any(
-        row["state"] != "up"
-        for row in site.call_workers("GET", "/v1/machines")["machines"]
-    ):
-        time.sleep(0.05)
-    calm_ms = time.time() * 1_000
-    record.write("all workers are up again; nothing is disturbed from now on")
-    broken: dict[str, str] = {}
-    end_s = time.monotonic() + _JUDGED_S
-    while time.monotonic() < end_s:
-        now_ms = time.time() * 1_000
-        ended: dict[str, int] = {}
-        busy = set()
-        for run in site.runs():
-            ended[run["task"]] = max(
-                ended.get(run["task"], 0), run["ended_ms"]
+    time.sleep(2.0)
+    first = "/renders/00000000000000c1"
+    status, _ = site.call("e-0", "POST", first, _job(_MACHINES))
+    record.write(f"POST {first} -> {status}")
+    if status != 200 or not _wait_until(site, first, "completed", 5.0):
+        raise verdict.CannotRunError(first)
+    time.sleep(1.5)
+    stopped = threading.Event()
+    statuses: list[int] = []
+    second = "/renders/00000000000000c2"
+    with concurrent.futures.ThreadPoolExecutor(2) as threads:
+        others = threads.submit(_send_others, site, stopped, statuses)
+        try:
+            if trouble:
+                site.call_workers("POST", f"/late?machine={_MACHINE}&path=start")
+                site.call_workers("POST", f"/late?machine={_MACHINE}&path=hold")
+                _wait_for_call(site, "hold")
+            sent = threads.submit(
+                site.call, "e-1", "POST", second, _job(_MACHINES)
             )
-            if not run["how"]:
-                busy.add(run["task"])
-        used = len(busy) * _CPU / (_MACHINES * _CAPACITY_CPU)
-        missing = sorted(ended.keys() - busy)
-        record.write(
-            f"{(now_ms - calm_ms) / 1_000:.1f} s calm, {len(missing)} tasks"
-            f" don't run, {100 * used:.0f} % of the processors in use"
-        )
-        for task in missing:
-            since_ms = max(
-                calm_ms + 1_000 * _CALM_S, ended[task] + 1_000 * _LAST_RUN_S
-            )
-            if now_ms - since_ms >= 1_000 * _IDLE_S:
-                broken[task] = (
-                    f"{task} hasn't run for {(now_ms - ended[task]) / 1_000:.1f}"
-                    f" s, {(now_ms - calm_ms) / 1_000:.1f} s after the workers"
-                    f" were back, with {100 * used:.0f} % of the room in use"
+            if trouble:
+                _wait_for_call(site, "start")
+                site.call_workers(
+                    "POST",
+                    f"/return?machine={_MACHINE}&dark_ms={_DARK_MS}"
+                    f"&register_ms={_REGISTER_MS}&start_ms={_START_MS}"
+                    f"&hold_ms={_HOLD_MS}",
+                )
+            record.write(f"POST {second} -> {sent.result()[0]}")
+            time.sleep(_JUDGED_S)
+            record.write(f"GET {second} -> {site.call('e-0', 'GET', second)}")
+        finally:
+            stopped.set()
+        others.result()
+    record.write(f"{len(statuses)} jobs of the other queue: {set(statuses)}")
+    for line in site.call_workers("GET", "/log"):
+        record.write(f"worker of {_MACHINE}: {line}")
+    broken = []
+    runs = [r for r in site.runs() if r["task"].startswith("00000000000000c2")]
+    for done in runs:
+        if done["how"] != "done" or not done["acknowledged_ms"]:
+            continue
+        for later in runs:
+            if (
+                later["task"] == done["task"]
+                and later["started_ms"] > done["ended_ms"]
+            ):
+                broken.append(
+                    f"{done['task']} run {later['run']} started on"
+                    f" {later['worker']}"
+                    f" {later['started_ms'] - done['ended_ms']} ms after run"
+                    f" {done['run']} had ended done, which was acknowledged"
+                    f" {done['acknowledged_ms'] - done['ended_ms']} ms after"
+                    " its end"
                 )
-        time.sleep(0.5)
-    record.write(f"GET {path} -> {site.call('e-1', 'GET', path)}")
-    return list(broken.values())
+    return broken
 
 
 if __name__ == "__main__":
