--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -12,6 +12,7 @@
 import support.standins.store
 import support.standins.workers
 import review.kit3.gang_workers
+import review.kit3.late_workers
 import review.kit3.site
 import review.kit3.tunnel
 import review.kit3.verdict
