Let the cases review/11 and review/12 be played again

Both ended with exit code 2 on, in each play, here as at the users: "no start was held back", "no hold was held back".

Cause: since the stand-in for workers has a GET /late of its own. The service of the cases adds its GET /late after it, and the first one is served: the list stayed empty although the calls were held back (the controls and the log said so). Ruled out: the product, which is the same; the paths POST /late, /return and /log, which nothing else serves.

The stand-in's newer paths now begin with /standin/, which no case uses, and a control that can't be met gets an error.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # The tests of known faults, which KNOWN-RED.txt names in lines "test: ID".
 KNOWN_RED := $(shell sed -n 's/^ *test: /--deselect /p' KNOWN-RED.txt)
 
-.PHONY: demo test check measure fuzz faults format lab days mutants
+.PHONY: demo test check measure fuzz faults format lab days mutants review
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -52,3 +52,6 @@
 
 mutants: $(READY)
 	PYTHONHASHSEED=0 $(BIN)/python -m support.sim.mutants --days $(DAYS) --seed $(SEED)
+
+review: $(READY)
+	$(BIN)/python -m support.review.run
--- a/support/standins/workers.py
+++ b/support/standins/workers.py
@@ -8,12 +8,19 @@
 Faults are set over HTTP at the machine service. ``POST
 /fault?worker=W&mode=silent|dead|up`` sets the mode of a worker. ``POST
 /fault?worker=all&late_ms=500`` makes workers execute start, stop and speed
-commands late and leave them unanswered. ``POST
-/restart?worker=W&after_ms=7000`` crashes a worker, which is back under its id
-after that time and executes the commands that are late. ``GET /late`` returns
-the workers that have such commands. ``POST /partition?machines=A,B`` cuts
+commands late and leave them unanswered. ``POST /partition?machines=A,B`` cuts
 the workers of exactly these machines off from the store. ``GET /records``
 returns every run of every task.
+
+``POST /standin/restart?worker=W&after_ms=7000`` crashes a worker, which is back
+under its id after that time and executes the commands that are late. ``GET
+/standin/late?within_ms=4000`` waits until workers have such commands, at most
+for that time, and returns their ids. A control that cannot be met gets an error
+that says why.
+
+``review/`` extends these classes and adds paths of its own. What it uses is
+listed in ``support/review/interface.py``; new paths begin with ``/standin/``,
+which no service of ``review/`` uses.
 """
 
 import argparse
@@ -40,6 +47,7 @@
 _MAX_LISTED_ENDS = 500
 _MAX_LEASE_MS = 6_000
 _EXPIRY_SCAN_S = 0.05
+_LATE_POLL_S = 0.02
 _CAPACITY = {"cpu": 32_000, "mem_mb": 131_072, "gpu": 0}
 _STANDBY = "spare"
 
@@ -374,10 +382,10 @@
         app.router.add_post("/v1/machine-move", self._handle_move)
         app.router.add_post("/v1/machine-upkeep", self._handle_maintenance)
         app.router.add_post("/fault", self._set_fault)
-        app.router.add_post("/restart", self._restart_under_id)
-        app.router.add_get("/late", self._list_late)
         app.router.add_post("/partition", self._set_partition)
         app.router.add_get("/records", self._list_records)
+        app.router.add_post("/standin/restart", self._restart_under_id)
+        app.router.add_get("/standin/late", self._list_late)
         app.cleanup_ctx.append(self._run_background)
         return app
 
@@ -504,10 +512,11 @@
 
     async def _set_fault(self, request: web.Request) -> web.Response:
         worker_id = request.query["worker"]
-        for machine in self._machines.values():
-            worker = machine.worker
-            if worker is None or worker_id not in ("all", worker.id):
-                continue
+        if worker_id == "all":
+            workers = self._running_workers()
+        else:
+            workers = [self._find_worker(worker_id)]
+        for worker in workers:
             worker.late_ms = int(request.query.get("late_ms", "0"))
             worker.mode = Mode(request.query.get("mode", "up"))
             if worker.mode is Mode.DEAD:
@@ -516,9 +525,9 @@
 
     async def _restart_under_id(self, request: web.Request) -> web.Response:
         worker = self._find_worker(request.query["worker"])
+        after_s = int(request.query["after_ms"]) / 1_000
         worker.mode = Mode.DEAD
         worker.discard_runs()
-        after_s = int(request.query["after_ms"]) / 1_000
         task = asyncio.create_task(self._return_under_id(worker, after_s))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -533,15 +542,29 @@
         worker.mode = Mode.UP
         await self._register(worker)
 
-    def _find_worker(self, worker_id: str) -> Worker:
+    def _running_workers(self) -> list[Worker]:
         workers = [machine.worker for machine in self._machines.values()]
-        return next(w for w in workers if w is not None and w.id == worker_id)
+        return [worker for worker in workers if worker is not None]
+
+    def _find_worker(self, worker_id: str) -> Worker:
+        for worker in self._running_workers():
+            if worker.id == worker_id:
+                return worker
+        raise web.HTTPNotFound(text=f"no worker has the id {worker_id!r}")
 
     async def _list_late(self, request: web.Request) -> web.Response:
-        workers = [machine.worker for machine in self._machines.values()]
-        return _json(
-            [w.id for w in workers if w is not None and w.late_commands]
-        )
+        within_ms = int(request.query.get("within_ms", "0"))
+        deadline_s = time.monotonic() + within_ms / 1_000
+        while not (late := self._late_worker_ids()) and within_ms:
+            if time.monotonic() >= deadline_s:
+                raise web.HTTPGatewayTimeout(
+                    text=f"no command was late within {within_ms} ms"
+                )
+            await asyncio.sleep(_LATE_POLL_S)
+        return _json(late)
+
+    def _late_worker_ids(self) -> list[str]:
+        return [w.id for w in self._running_workers() if w.late_commands]
 
     async def _set_partition(self, request: web.Request) -> web.Response:
         self._cut_off = set(request.query["machines"].split(","))
--- a/tests/processes/test_returning_vm.py
+++ b/tests/processes/test_returning_vm.py
@@ -59,20 +59,23 @@
         query = f"worker=all&late_ms={late_ms}"
         self.site.call_workers("POST", f"/fault?{query}")
 
+    def late_workers(self, within_ms=0):
+        query = f"within_ms={within_ms}"
+        return self.site.call_workers("GET", f"/standin/late?{query}")
+
     def test_next_life_executes_no_start_meant_for_its_former_one(self):
         """Guards against a task that runs on two VMs at the same time."""
         self.submit(_OTHER_PATH, _OTHER_JOB)
         self.wait_until(lambda: len(self.site.records()) == _MACHINES)
         self.set_late(_LATE_MS)
         self.submit(_PATH, _JOB)
-        self.wait_until(lambda: self.site.call_workers("GET", "/late"))
+        (worker,) = self.late_workers(within_ms=4_000)
         sent_s = time.monotonic()
-        (worker,) = self.site.call_workers("GET", "/late")
         self.set_late(0)
         query = f"worker={worker}&after_ms={_OUTAGE_MS}"
-        self.site.call_workers("POST", f"/restart?{query}")
+        self.site.call_workers("POST", f"/standin/restart?{query}")
         time.sleep(sent_s + _LATE_MS / 1_000 + 0.5 - time.monotonic())
-        self.assertEqual([], self.site.call_workers("GET", "/late"))
+        self.assertEqual([], self.late_workers())
         job = _PATH.rpartition("/")[2]
         (run,) = [r for r in self.site.records() if r.task.startswith(job)]
         self.assertNotEqual(worker, run.worker)
--- /dev/null
+++ b/tests/review/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what the cases in ``review/`` use."""
